Lay out the workspace

Cause: there is no code yet; the crates are laid out first, so that each part can be built in its own folder. Ruled out: one crate (decision code would reach sockets by accident).

--- /dev/null
+++ b/components/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits, team fairness, priorities, retry budgets, shedding.
--- /dev/null
+++ b/components/answer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Token log, cursor, epochs and resume decisions of one generation.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon's library: callers and operators in, links to sidecars out.
--- /dev/null
+++ b/components/environment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' documents: parse, validate, compare, match traffic to a target.
--- /dev/null
+++ b/components/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for tests and trials: model engine, plain service, platform.
--- /dev/null
+++ b/components/models/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specifications of the core protocols and their exhaustive checks.
--- /dev/null
+++ b/components/moves/src/lib.rs
@@ -0,0 +1,1 @@
+//! Traffic moves between versions: plan, evidence, veto, outcome.
--- /dev/null
+++ b/components/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to backend servers, and slots of the weight store.
--- /dev/null
+++ b/components/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reports: service-level burn, moves, resumes.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replica choice: load, prefix affinity, ejection, data centres.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process settings: YAML, strict, validated.
--- /dev/null
+++ b/components/spread/src/lib.rs
@@ -0,0 +1,1 @@
+//! Documents and monotone facts carried to every process; membership.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! medlarhatch: a serving system for long model generations on engines that fail.
+
+fn main() {}
