Add settings, wire, events, daemon and sidecar

Cause: the whole path needs them. Ruled out: one HTTP/2 connection a process (a stream that stalls holds up none here, and both ends are known by certificate). Change: first cut of five crates.

--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,22 @@
+//! What both daemons share: HTTP listeners, metrics, and a link's greeting and heartbeats.
+
+pub mod greeting;
+pub mod http;
+pub mod metrics;
+pub mod probe;
+
+/// Why a daemon can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An HTTP address can't be bound.
+    #[error("can't listen on {address}: {message}")]
+    Listen {
+        /// The address asked for.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        message: String,
+    },
+    /// The links can't be set up.
+    #[error(transparent)]
+    Wire(#[from] wire::Error),
+}
--- /dev/null
+++ b/components/events/src/answers.rs
@@ -0,0 +1,16 @@
+//! Events of generations and answers: 300 to 399.
+
+crate::declare! {
+    /// A generation failed at its engine.
+    BROKEN = 300, Warn, "Generation broke";
+    /// An answer goes on with another epoch.
+    RESUMED = 301, Info, "Answer resumed";
+    /// An answer could not be finished.
+    INTERRUPTED = 302, Error, "Answer interrupted";
+    /// Nobody listened to a generation for the grace time.
+    ABANDONED = 303, Info, "Generation cancelled: nobody listens";
+    /// The engine doesn't answer its health check.
+    ENGINE_DOWN = 304, Warn, "Backend server doesn't answer its health check";
+    /// The engine answers its health check again.
+    ENGINE_UP = 305, Info, "Backend server answers its health check";
+}
--- /dev/null
+++ b/components/events/src/lib.rs
@@ -0,0 +1,84 @@
+//! Numbered log events.
+//!
+//! Each line that our processes log is one of these events, so that an operator can look its number
+//! up in docs/EVENTS.md and a program can count it. A test keeps the catalogue in step with this
+//! crate.
+
+pub mod answers;
+pub mod calls;
+pub mod documents;
+pub mod limits;
+pub mod links;
+pub mod moves;
+pub mod orders;
+pub mod process;
+
+use std::fmt;
+
+use log::Level;
+
+/// One kind of event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number, unique and never used again for something else.
+    pub number: u16,
+    /// Level that it is logged at.
+    pub level: Level,
+    /// What it means, as the catalogue says it.
+    pub meaning: &'static str,
+}
+
+impl Event {
+    /// Logs the event; `details` are `name=value` pairs.
+    pub fn log(&self, details: fmt::Arguments<'_>) {
+        log::log!(target: "medlarhatch", self.level, "{self} {}; {details}", self.meaning);
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "MH{:04}", self.number)
+    }
+}
+
+/// Every event, ordered by number.
+pub fn all() -> Vec<Event> {
+    let parts = [
+        process::ALL,
+        links::ALL,
+        answers::ALL,
+        calls::ALL,
+        documents::ALL,
+        moves::ALL,
+        limits::ALL,
+        orders::ALL,
+    ];
+    let mut events = parts.concat();
+    events.sort_by_key(|event| event.number);
+    events
+}
+
+/// Declares the events of one part, and the list of them.
+#[macro_export]
+macro_rules! declare {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $meaning:literal;)*) => {
+        $(
+            $(#[$doc])*
+            pub const $name: $crate::Event = $crate::Event {
+                number: $number,
+                level: log::Level::$level,
+                meaning: $meaning,
+            };
+        )*
+        /// Every event of this part.
+        pub const ALL: &[$crate::Event] = &[$($name),*];
+    };
+}
+
+/// Logs an event: `emit!(links::UP, "host={host}")`.
+#[macro_export]
+macro_rules! emit {
+    ($event:expr, $($details:tt)*) => {
+        $event.log(format_args!($($details)*))
+    };
+}
--- /dev/null
+++ b/components/events/src/limits.rs
@@ -0,0 +1,3 @@
+//! Events of limits and routing: 700 to 799.
+
+crate::declare! {}
--- /dev/null
+++ b/components/events/src/moves.rs
@@ -0,0 +1,3 @@
+//! Events of moves between versions: 600 to 699.
+
+crate::declare! {}
--- /dev/null
+++ b/components/events/src/orders.rs
@@ -0,0 +1,3 @@
+//! Events of orders to backend servers: 800 to 899.
+
+crate::declare! {}
--- /dev/null
+++ b/components/sidecar/src/backend.rs
@@ -0,0 +1,110 @@
+//! Follows the backend server's health and load, for the heartbeats.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use daemon::probe::Readiness;
+use events::answers;
+use serde::Deserialize;
+use settings::sidecar::Kind;
+use tokio::{
+    sync::watch,
+    time::{
+        MissedTickBehavior,
+        interval, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+use wire::frame::Load;
+
+use crate::state::State;
+
+/// Runs that a plain service may have at once, when nothing is known of it.
+const PLAIN_CAPACITY: u32 = 64;
+
+/// An engine's own report of its load.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Report {
+    running: u32,
+    queued: u32,
+    capacity: u32,
+    kv_used: f64,
+    age_ms: u64,
+}
+
+pub(crate) async fn follow(
+    state: Arc<State>,
+    ready: watch::Sender<Readiness>,
+    ended: CancellationToken,
+) {
+    let times = &state.settings.times;
+    let Ok(client) = reqwest::Client::builder().timeout(times.silence).build() else {
+        return;
+    };
+    let mut ticks = interval(times.load);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = ended.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let healthy = health(&client, &state.settings.server.address).await;
+        let load = load(&client, &state).await;
+        note(&state, &ready, healthy, load);
+    }
+}
+
+async fn health(client: &reqwest::Client, address: &str) -> bool {
+    let answer = client.get(format!("{address}/health")).send().await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+async fn load(client: &reqwest::Client, state: &State) -> Load {
+    let own = Load {
+        running: state.work.count(),
+        capacity: PLAIN_CAPACITY,
+        ..Load::default()
+    };
+    if state.settings.server.kind == Kind::Plain {
+        return own;
+    }
+    let address = &state.settings.server.address;
+    let Ok(answer) = client.get(format!("{address}/load")).send().await else {
+        return own;
+    };
+    let Ok(report) = answer.json::<Report>().await else {
+        return own;
+    };
+    Load {
+        running: report.running.max(own.running),
+        queued: report.queued,
+        capacity: report.capacity,
+        cache: (report.kv_used.clamp(0.0, 1.0) * 1000.0) as u16,
+        age: Duration::from_millis(report.age_ms),
+    }
+}
+
+fn note(state: &State, ready: &watch::Sender<Readiness>, healthy: bool, load: Load) {
+    let before = state.heartbeat.borrow().healthy;
+    // Only a change wakes the heartbeats; the load alone waits for the next one.
+    state.heartbeat.send_if_modified(|heartbeat| {
+        heartbeat.load = Some(load);
+        let changed = heartbeat.healthy != healthy;
+        heartbeat.healthy = healthy;
+        changed
+    });
+    if before == healthy {
+        return;
+    }
+    let server = &state.settings.server.name;
+    if healthy {
+        events::emit!(answers::ENGINE_UP, "server={server}");
+        ready.send_replace(Readiness::Ready);
+    } else {
+        events::emit!(answers::ENGINE_DOWN, "server={server}");
+        ready.send_replace(Readiness::Waiting("backend server doesn't answer".into()));
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/daemon.rs
@@ -0,0 +1,162 @@
+//! Start and stop of a sidecar.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use daemon::{
+    Error, http, metrics,
+    probe::{
+        self,
+        Readiness, //
+    },
+};
+use events::process;
+use settings::Keys;
+use tokio::{
+    sync::watch,
+    task::JoinHandle,
+    time::{
+        Instant,
+        sleep, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+use wire::{
+    Node,
+    frame::{
+        Backend,
+        Heartbeat,
+        Hello,
+        PROTOCOL, //
+    },
+};
+
+use crate::{
+    backend,
+    calls::Calls,
+    generations::Generations,
+    links,
+    state::{
+        State,
+        Work, //
+    },
+};
+
+/// Pace at which a shutdown looks whether work is still in progress.
+const DRAIN_PACE: Duration = Duration::from_millis(20);
+
+/// A sidecar that runs.
+pub struct Sidecar {
+    /// Address of its links.
+    pub links: SocketAddr,
+    /// Address of its probes and metrics.
+    pub operators: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Sidecar {
+    /// Starts a sidecar. Once `stop` is cancelled it takes no new work, finishes what is in
+    /// progress within the drain time, and ends.
+    pub async fn start(
+        settings: settings::Sidecar,
+        keys: &Keys,
+        stop: CancellationToken,
+    ) -> Result<Self, Error> {
+        let node = Node::bind(settings.links, keys, settings.times.silence)?;
+        let links = node.address().map_err(|source| wire::Error::Bind {
+            address: settings.links,
+            source,
+        })?;
+        let ended = CancellationToken::new();
+        let state = std::sync::Arc::new(state(settings, stop.clone()));
+        let (ready, readiness) = watch::channel(Readiness::Waiting("backend server unseen".into()));
+        let served = http::serve(
+            state.settings.operators,
+            probe::router(metrics::install(), readiness),
+            http::Limits::default(),
+            ended.clone(),
+        )
+        .await?;
+        tokio::spawn(backend::follow(state.clone(), ready, ended.clone()));
+        tokio::spawn(links::accept(state.clone(), node.clone(), ended.clone()));
+        events::emit!(
+            process::STARTED,
+            "role=sidecar host={} server={} links={links} operators={}",
+            state.settings.name,
+            state.settings.server.name,
+            served.address
+        );
+        let operators = served.address;
+        let task = tokio::spawn(async move {
+            stop.cancelled().await;
+            drain(&state).await;
+            ended.cancel();
+            node.close().await;
+            let _ = served.task.await;
+            events::emit!(process::STOPPED, "host={}", state.settings.name);
+        });
+        Ok(Self {
+            links,
+            operators,
+            task,
+        })
+    }
+
+    /// Waits until the sidecar has stopped.
+    pub async fn ended(self) {
+        let _ = self.task.await;
+    }
+
+    /// Ends the sidecar at once, as a killed process would. For tests.
+    pub fn kill(self) {
+        self.task.abort();
+    }
+}
+
+fn state(settings: settings::Sidecar, leaving: CancellationToken) -> State {
+    let work = Work::default();
+    let hello = Hello {
+        protocol: PROTOCOL,
+        host: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: rand::random(),
+        backend: Some(Backend {
+            server: settings.server.name.clone(),
+            service: settings.server.service.clone(),
+            version: settings.server.version.clone(),
+        }),
+    };
+    let (heartbeat, _) = watch::channel(Heartbeat::default());
+    State {
+        hello,
+        heartbeat,
+        generations: Generations::new(&settings, work.clone()),
+        calls: Calls::new(&settings, work.clone()),
+        work,
+        leaving,
+        settings,
+    }
+}
+
+/// Says that this host leaves, and waits until nothing is in progress.
+async fn drain(state: &State) {
+    events::emit!(
+        process::STOPPING,
+        "host={} in_progress={}",
+        state.settings.name,
+        state.work.count()
+    );
+    state
+        .heartbeat
+        .send_modify(|heartbeat| heartbeat.leaving = true);
+    let limit = Instant::now() + state.settings.times.drain;
+    while state.work.count() > 0 {
+        if Instant::now() >= limit {
+            events::emit!(process::CUT, "in_progress={}", state.work.count());
+            return;
+        }
+        sleep(DRAIN_PACE).await;
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/engine.rs
@@ -0,0 +1,159 @@
+//! The engine's HTTP interface: generations and their lines.
+
+use std::time::Duration;
+
+use futures_util::TryStreamExt;
+use reqwest::{
+    Client,
+    Response,
+    StatusCode,
+    header::RETRY_AFTER, //
+};
+use serde::Serialize;
+use tokio::time::timeout;
+use tokio_util::{
+    codec::{
+        FramedRead,
+        LinesCodec, //
+    },
+    io::StreamReader,
+};
+use wire::frame::{
+    Reason,
+    Refused,
+    Start, //
+};
+
+use crate::line::Line;
+
+/// Longest line of an engine's answer, in bytes.
+const LINE: usize = 1 << 20;
+
+/// Time to come back after an engine that gave none.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// A client of one engine.
+#[derive(Clone)]
+pub struct Engine {
+    client: Client,
+    address: String,
+    stall: Duration,
+}
+
+/// Lines of one run.
+pub struct Lines {
+    reader: FramedRead<Box<dyn tokio::io::AsyncRead + Send + Unpin>, LinesCodec>,
+    stall: Duration,
+}
+
+/// What came of waiting for a line.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Next {
+    /// A line.
+    Line(Line),
+    /// The run's response closed, or sent what isn't a line.
+    Broken,
+    /// Nothing came for the stall time.
+    Stalled,
+}
+
+/// Body of `POST /generate`.
+#[derive(Serialize)]
+struct Generate<'a> {
+    id: String,
+    model: &'a str,
+    version: &'a str,
+    prompt: &'a str,
+    max_tokens: u64,
+    seed: u64,
+    temperature: f64,
+    priority: u8,
+    continue_from: &'a [String],
+}
+
+impl Engine {
+    /// A client of the engine at an address; `stall` is the longest silence within a run.
+    pub fn new(address: &str, stall: Duration) -> Self {
+        let client = Client::builder()
+            .connect_timeout(stall)
+            .pool_idle_timeout(Duration::from_secs(30))
+            .tcp_nodelay(true)
+            .build()
+            .expect("a client without TLS can always be built");
+        Self {
+            client,
+            address: address.to_string(),
+            stall,
+        }
+    }
+
+    /// Begins a run.
+    pub async fn generate(&self, start: &Start) -> Result<Lines, Refused> {
+        let body = Generate {
+            id: format!("{}/{}/{}", start.request, start.epoch, start.nonce),
+            model: &start.model,
+            version: &start.version,
+            prompt: &start.prompt,
+            max_tokens: start.max_tokens,
+            seed: start.seed,
+            temperature: f64::from(start.temperature) / 1000.0,
+            priority: start.priority,
+            continue_from: &start.delivered,
+        };
+        let request = self
+            .client
+            .post(format!("{}/generate", self.address))
+            .json(&body);
+        let answer = match timeout(self.stall, request.send()).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => return Err(refused(Reason::Down, RETRY)),
+        };
+        if answer.status() != StatusCode::OK {
+            return Err(sort(&answer, start));
+        }
+        let bytes = answer.bytes_stream().map_err(std::io::Error::other);
+        let reader: Box<dyn tokio::io::AsyncRead + Send + Unpin> =
+            Box::new(StreamReader::new(bytes));
+        Ok(Lines {
+            reader: FramedRead::new(reader, LinesCodec::new_with_max_length(LINE)),
+            stall: self.stall,
+        })
+    }
+}
+
+impl Lines {
+    /// Waits for the next line.
+    pub async fn next(&mut self) -> Next {
+        match timeout(self.stall, self.reader.try_next()).await {
+            Err(_) => Next::Stalled,
+            Ok(Ok(Some(text))) => match serde_json::from_str(&text) {
+                Ok(line) => Next::Line(line),
+                Err(_) => Next::Broken,
+            },
+            Ok(Ok(None) | Err(_)) => Next::Broken,
+        }
+    }
+}
+
+fn sort(answer: &Response, start: &Start) -> Refused {
+    let retry = answer
+        .headers()
+        .get(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .map_or(RETRY, Duration::from_secs);
+    match answer.status() {
+        StatusCode::CONFLICT => refused(Reason::Version, retry),
+        StatusCode::TOO_MANY_REQUESTS => refused(Reason::Full, retry),
+        StatusCode::BAD_REQUEST if start.delivered.is_empty() => refused(Reason::Invalid, retry),
+        StatusCode::BAD_REQUEST => refused(Reason::Continuation, retry),
+        _ => refused(Reason::Down, retry),
+    }
+}
+
+fn refused(reason: Reason, retry_after: Duration) -> Refused {
+    Refused {
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/links.rs
@@ -0,0 +1,97 @@
+//! Links from other processes, and the streams on them.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use daemon::greeting;
+use events::links;
+use tokio_util::sync::CancellationToken;
+use wire::{
+    Error,
+    Frame,
+    Node,
+    Stream,
+    link::Knock,
+    stream::Receiver, //
+};
+
+use crate::state::State;
+
+pub(crate) async fn accept(state: Arc<State>, node: Node, ended: CancellationToken) {
+    loop {
+        let knock = tokio::select! {
+            () = ended.cancelled() => return,
+            knock = node.accept() => knock,
+        };
+        let Some(knock) = knock else {
+            return;
+        };
+        tokio::spawn(answer(state.clone(), knock, ended.clone()));
+    }
+}
+
+async fn answer(state: Arc<State>, knock: Knock, ended: CancellationToken) {
+    let address = knock.address();
+    let link = match knock.answer().await {
+        Ok(link) => link,
+        Err(error) => return refuse(address, &error),
+    };
+    let silence = state.settings.times.silence;
+    let (first, hello) = match greeting::answered(&link, &state.hello, silence).await {
+        Ok(greeted) => greeted,
+        Err(error) => return refuse(address, &error),
+    };
+    events::emit!(links::UP, "host={} address={address}", hello.host);
+    let beats = state.heartbeat.subscribe();
+    tokio::spawn(greeting::beat(
+        first.sender,
+        beats,
+        state.settings.times.heartbeat,
+    ));
+    tokio::spawn(listen(first.receiver));
+    loop {
+        let stream = tokio::select! {
+            () = ended.cancelled() => return,
+            stream = link.accept() => stream,
+        };
+        match stream {
+            Ok(stream) => tokio::spawn(serve(state.clone(), stream)),
+            Err(error) => {
+                events::emit!(links::LOST, "host={} reason=\"{error}\"", hello.host);
+                return;
+            }
+        };
+    }
+}
+
+/// Reads a peer's heartbeats. What they say is of no use to a sidecar; that they are read keeps the
+/// stream's window open.
+async fn listen(mut receiver: Receiver) {
+    while let Ok(Some(_)) = receiver.receive().await {}
+}
+
+async fn serve(state: Arc<State>, mut stream: Stream) {
+    match stream.receive().await {
+        Ok(Some(Frame::Start(start))) => state.generations.start(&state, *start, stream).await,
+        Ok(Some(Frame::Attach(attach))) => state.generations.attach(attach, stream).await,
+        Ok(Some(Frame::Call(call))) => state.calls.call(&state, *call, stream).await,
+        Ok(Some(frame)) => {
+            events::emit!(links::MALFORMED, "frame=\"{frame:?}\"");
+        }
+        Ok(None) | Err(_) => {}
+    }
+}
+
+fn refuse(address: SocketAddr, error: &Error) {
+    match error {
+        Error::Foreign(reason) => {
+            events::emit!(links::FOREIGN, "address={address} reason=\"{reason}\"");
+        }
+        Error::Malformed(reason) => {
+            events::emit!(links::PROTOCOL, "address={address} reason=\"{reason}\"");
+        }
+        _ => events::emit!(links::LOST, "address={address} reason=\"{error}\""),
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/state.rs
@@ -0,0 +1,62 @@
+//! What the parts of a sidecar share.
+
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicU32,
+        Ordering, //
+    },
+};
+
+use settings::Sidecar;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use wire::frame::{
+    Heartbeat,
+    Hello, //
+};
+
+use crate::{
+    calls::Calls,
+    generations::Generations, //
+};
+
+/// Shared by the tasks of one sidecar.
+pub(crate) struct State {
+    pub(crate) settings: Sidecar,
+    pub(crate) hello: Hello,
+    /// What the next heartbeat says.
+    pub(crate) heartbeat: watch::Sender<Heartbeat>,
+    pub(crate) generations: Generations,
+    pub(crate) calls: Calls,
+    pub(crate) work: Work,
+    /// Set when the sidecar leaves: no new work.
+    pub(crate) leaving: CancellationToken,
+}
+
+/// Counts the runs and calls in progress.
+#[derive(Clone, Default)]
+pub struct Work(Arc<AtomicU32>);
+
+/// One run or call in progress; dropping it ends the count.
+pub struct Piece(Arc<AtomicU32>);
+
+impl Work {
+    /// Begins a piece of work, unless `most` are in progress.
+    pub fn begin(&self, most: usize) -> Option<Piece> {
+        let before = self.0.fetch_add(1, Ordering::AcqRel);
+        let piece = Piece(self.0.clone());
+        ((before as usize) < most).then_some(piece)
+    }
+
+    /// Pieces in progress.
+    pub fn count(&self) -> u32 {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Piece {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
