Read, check, compare and digest operators' documents

Cause: the entry and the command line need documents that are refused with the line, the field and what is accepted, and a digest and a difference.

Ruled out: a second YAML parser that keeps positions, only for line numbers. A search that fails on purpose at the wanted value gets the line from the parser in use. A digest over the typed document: two releases that know different fields would disagree; it is taken over the YAML values.

Change: environment::{parse, read, check, difference, digest}; document.rs keeps its field names. Documents over MAX_BYTES (960 KiB) are refused: the store takes 1 MiB and an envelope is kept around the text. Two example documents.

--- a/components/environment/src/document.rs
+++ b/components/environment/src/document.rs
@@ -22,6 +22,9 @@
     Serialize, //
 };
 
+/// Name under which limits stand for teams that aren't named.
+pub const DEFAULT_TEAM: &str = "default";
+
 /// One environment, whole. Unknown fields are refused.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -138,6 +141,17 @@
     pub headers: BTreeMap<String, String>,
 }
 
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Target {
+    /// Service that answers.
+    pub service: Service,
+    /// Version that answers when no move says otherwise.
+    pub version: Version,
+    /// Route that matched.
+    pub route: Route,
+}
+
 /// A move of a service's traffic from one version to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -226,17 +240,34 @@
         self.services.iter().find(|service| service.name == name)
     }
 
-    /// Finds the first route that matches a request.
+    /// Finds where a request goes: the first route that matches it wins.
+    ///
+    /// `header` gives a header's value by its name in lower case.
     pub fn route(
         &self,
         path: &str,
         team: &str,
         model: &str,
         header: impl Fn(&str) -> Option<String>,
-    ) -> Option<&Rule> {
-        self.routes
+    ) -> Option<Target> {
+        let rule = self
+            .routes
             .iter()
-            .find(|rule| rule.matches.holds(path, team, model, &header))
+            .find(|rule| rule.matches.holds(path, team, model, &header))?;
+        Some(Target {
+            service: rule.service.clone(),
+            version: rule.version.clone(),
+            route: rule.name.clone(),
+        })
+    }
+
+    /// Finds the limits of a team; teams that aren't named have those of `default`.
+    pub fn limit(&self, team: &str) -> Limit {
+        self.teams
+            .get(team)
+            .or_else(|| self.teams.get(DEFAULT_TEAM))
+            .cloned()
+            .unwrap_or_default()
     }
 }
 
--- a/components/environment/src/lib.rs
+++ b/components/environment/src/lib.rs
@@ -3,6 +3,29 @@
 //! The document says which backend servers and versions serve which traffic, what each service
 //! promises about repeats, which limits the teams have, and which moves of traffic are under way.
 
+pub mod check;
+pub mod difference;
+pub mod digest;
 pub mod document;
+pub mod parse;
+pub mod path;
 
-pub use document::Document;
+pub use check::{
+    Problem,
+    check, //
+};
+pub use difference::{
+    Line,
+    difference, //
+};
+pub use digest::digest;
+pub use document::{
+    Document,
+    Target, //
+};
+pub use parse::{
+    Error,
+    MAX_BYTES,
+    parse,
+    read, //
+};
--- /dev/null
+++ b/components/environment/tests/document.rs
@@ -0,0 +1,180 @@
+//! Documents: the examples are accepted, mistakes are named with their line, requests find a target.
+
+use std::collections::BTreeMap;
+
+use environment::{
+    Document,
+    Target,
+    difference,
+    digest,
+    parse,
+    read, //
+};
+use rstest::rstest;
+
+const PAYOUT: &str = include_str!("../../../examples/payout-desk.yaml");
+const PRE_ORDER: &str = include_str!("../../../examples/pre-order-desk.yaml");
+
+fn example(text: &str) -> Document {
+    read(text).expect("an example is a document that can be accepted")
+}
+
+#[rstest]
+#[case(PAYOUT, "drafting", 25)]
+#[case(PAYOUT, "ledger", 3)]
+#[case(PRE_ORDER, "letters", 20)]
+#[case(PRE_ORDER, "booking", 3)]
+fn an_example_names_its_replicas(#[case] text: &str, #[case] name: &str, #[case] replicas: usize) {
+    let document = example(text);
+    let service = document.service(name).expect("the example has the service");
+    let named: usize = service.versions.iter().map(|v| v.servers.len()).sum();
+    assert_eq!(named, replicas);
+}
+
+// An operator slips in one place of a document that is right otherwise. Without the line and what
+// is accepted the mistake has to be looked for in hundreds of lines, while a move waits.
+#[rstest]
+#[case("unknown_field", "    kind: plain\n", "    kind: plain\n    sort: x\n")]
+#[case("unknown_kind", "    kind: plain\n", "    kind: simple\n")]
+#[case("missing_field", "    kind: plain\n", "")]
+#[case("not_a_number", "    weight: 4\n", "    weight: four\n")]
+#[case("not_a_time", "2026-12-03T11:00:00Z", "eleven")]
+#[case("not_a_duration", "watch: 15m", "watch: later")]
+#[case(
+    "not_a_list",
+    "versions:\n      - name: \"14\"\n        servers: [ledger-north-01, ledger-south-01, ledger-west-01]",
+    "versions: 14"
+)]
+#[case("not_yaml", "services:\n", "services: [\n")]
+#[case("bad_name", "environment: production", "environment: a/b")]
+#[case(
+    "service_twice",
+    "- name: ledger\n    kind",
+    "- name: drafting\n    kind"
+)]
+#[case(
+    "version_twice",
+    "\"2026.11\"\n        servers",
+    "\"2026.10\"\n        servers"
+)]
+#[case("server_twice", "- draft-west-08", "- draft-w*")]
+#[case("no_model", "    model: rota-writer\n", "")]
+#[case("unknown_service", "    service: ledger\n", "    service: leger\n")]
+#[case("unknown_version", "version: \"14\"", "version: \"15\"")]
+#[case("hidden_route", "path: /svc/ledger/", "path: \"\"")]
+#[case("move_to_itself", "to: \"2026.11\"", "to: \"2026.10\"")]
+#[case("move_unknown_version", "to: \"2026.11\"", "to: \"2026.12\"")]
+#[case("move_ends_before_start", "11:00:00Z", "07:00:00Z")]
+#[case(
+    "move_unknown_route",
+    "    watch: 15m\n",
+    "    routes: [ledger, other]\n"
+)]
+#[case(
+    "moves_overlap",
+    "moves:\n",
+    "moves:\n  - { name: other, service: drafting, from: \"2026.10\", to: \"2026.11\", routes: [questions], by: 2026-12-03T11:00:00Z }\n"
+)]
+#[case("no_weight", "    weight: 4\n", "    weight: 0\n")]
+#[case("objective", "objective: 0.95", "objective: 95")]
+#[case(
+    "level_unknown_service",
+    "  - service: ledger\n",
+    "  - service: leger\n"
+)]
+#[case("method", "[GET, HEAD]", "[get]")]
+fn a_mistake_is_named_with_its_line(#[case] name: &str, #[case] from: &str, #[case] to: &str) {
+    assert!(
+        PAYOUT.contains(from),
+        "the example has the text that {name} replaces"
+    );
+    let problems = read(&PAYOUT.replacen(from, to, 1)).expect_err("the mistake is found");
+    let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(name, lines.join("\n"));
+}
+
+#[test]
+fn a_document_past_the_stores_size_is_refused() {
+    let text = format!("{PAYOUT}# {}\n", "x".repeat(1 << 20));
+    insta::assert_snapshot!("large", parse(&text).expect_err("it is too large"));
+}
+
+#[test]
+fn the_digest_counts_what_is_said_and_not_how() {
+    let plain = "environment: a\nservices: []\nroutes: []\n";
+    let other = "# A comment.\nroutes: []\nservices: [ ]\nenvironment: \"a\"\n";
+    assert_eq!(digest(plain), digest(other));
+    assert_ne!(
+        digest(plain),
+        digest(&plain.replace("environment: a", "environment: b"))
+    );
+    assert_ne!(digest("a: 1"), digest("a: \"1\""));
+    assert_ne!(digest("a: [b]"), digest("a: b"));
+    assert_ne!(digest("[[a], b]"), digest("[[a, b]]"));
+}
+
+#[test]
+fn a_difference_is_shown_by_name() {
+    let before = example(PAYOUT);
+    let mut after = before.clone();
+    after.services[0].versions[1]
+        .servers
+        .push("draft-west-09".into());
+    after.routes.swap(0, 1);
+    after.moves.clear();
+    after.teams.remove("members");
+    after.levels[0].objective = 0.99;
+    let lines: Vec<_> = difference(&before, &after)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!("difference", lines.join("\n"));
+    assert_eq!(difference(&before, &before), []);
+}
+
+#[rstest]
+#[case("/svc/ledger/payouts", "members", "", Some("ledger"))]
+#[case("/v1/completions", "statements", "rota-writer", Some("statements"))]
+#[case("/v1/completions", "members", "rota-writer", Some("questions"))]
+#[case("/other", "members", "", None)]
+fn a_request_finds_the_first_route_that_matches(
+    #[case] path: &str,
+    #[case] team: &str,
+    #[case] model: &str,
+    #[case] route: Option<&str>,
+) {
+    let target = example(PAYOUT).route(path, team, model, |_| None);
+    assert_eq!(target.map(|target| target.route).as_deref(), route);
+}
+
+#[test]
+fn a_route_matches_headers_and_model() {
+    let text = "
+environment: a
+services:
+  - { name: s, kind: plain, versions: [{ name: '1', servers: ['x-*'] }] }
+routes:
+  - { name: canary, match: { headers: { x-try: 'yes' }, model: m }, service: s, version: '1' }
+  - { name: rest, service: s, version: '1' }
+";
+    let document = example(text);
+    let headers = BTreeMap::from([("x-try", "yes")]);
+    let header = |name: &str| headers.get(name).map(ToString::to_string);
+    let target = |model: &str| document.route("/", "t", model, header);
+    let canary = Target {
+        service: "s".into(),
+        version: "1".into(),
+        route: "canary".into(),
+    };
+    assert_eq!(target("m"), Some(canary));
+    assert_eq!(target("n").map(|t| t.route).as_deref(), Some("rest"));
+    let release = &document.services[0].versions[0];
+    assert!(release.runs_on("x-1") && !release.runs_on("y-1"));
+}
+
+#[test]
+fn limits_fall_back_to_those_of_default() {
+    let document = example(PAYOUT);
+    assert_eq!(document.limit("statements").weight, 4);
+    assert_eq!(document.limit("nobody").in_flight, 20);
+}
