Add the entry

Cause: callers need a door. Ruled out: decisions about epochs inside the driver; they stay in the answer crate. Change: callers' and operators' HTTP, links, answers, calls.

--- a/components/daemon/src/greeting.rs
+++ b/components/daemon/src/greeting.rs
@@ -3,8 +3,15 @@
 use std::time::Duration;
 
 use tokio::{
-    sync::watch,
-    time::timeout, //
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::{
+        MissedTickBehavior,
+        interval,
+        timeout, //
+    },
 };
 use wire::{
     Error,
@@ -41,15 +48,23 @@
     timeout(limit, greet).await.unwrap_or_else(|_| Err(late()))
 }
 
-/// Sends heartbeats at a fixed pace, and at once when what they say changes; ends with the link.
-pub async fn beat(mut sender: Sender, mut state: watch::Receiver<Heartbeat>, pace: Duration) {
+/// Sends heartbeats at a fixed pace, and at once when what they say changes; between them the
+/// frames of `others`. Ends with the link.
+pub async fn beat(
+    mut sender: Sender,
+    mut state: watch::Receiver<Heartbeat>,
+    mut others: mpsc::Receiver<Frame>,
+    pace: Duration,
+) {
+    let mut ticks = interval(pace);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let heartbeat = state.borrow_and_update().clone();
-        if sender.send(&Frame::Heartbeat(heartbeat)).await.is_err() {
-            return;
-        }
-        // A timeout is the normal case: nothing changed, and the next heartbeat is due.
-        if let Ok(Err(_)) = timeout(pace, state.changed()).await {
+        let frame = tokio::select! {
+            _ = ticks.tick() => Frame::Heartbeat(state.borrow_and_update().clone()),
+            Ok(()) = state.changed() => Frame::Heartbeat(state.borrow_and_update().clone()),
+            Some(frame) = others.recv() => frame,
+        };
+        if sender.send(&frame).await.is_err() {
             return;
         }
     }
--- /dev/null
+++ b/components/entry/src/answers.rs
@@ -0,0 +1,374 @@
+//! Answers: the driver of the decisions in [`answer::resume`].
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use answer::{
+    Finish,
+    mark::Mark,
+    resume::{
+        Action,
+        Cause,
+        Event,
+        Interruption,
+        Resume,
+        Settings, //
+    },
+};
+use environment::{
+    Target,
+    document::Release, //
+};
+use events::answers;
+use names::{
+    Epoch,
+    Index,
+    Request,
+    Server,
+    Team, //
+};
+use tokio::{
+    sync::mpsc,
+    time::{
+        Instant,
+        sleep_until, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+use wire::frame::{
+    Start,
+    Usage, //
+};
+
+use crate::{
+    attempt::{
+        self,
+        Attempt, //
+    },
+    state::State,
+};
+
+/// Events of an answer's epochs that wait for its driver.
+const WAITING: usize = 64;
+
+/// Pieces that wait for the caller's connection.
+const AHEAD: usize = 256;
+
+/// Time to come back when no replica of a version is to be had.
+const NO_REPLICA: Duration = Duration::from_secs(1);
+
+/// A request for an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) request: Request,
+    pub(crate) team: Team,
+    pub(crate) target: Target,
+    pub(crate) release: Release,
+    pub(crate) continues: bool,
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: u64,
+    pub(crate) seed: u64,
+    pub(crate) temperature: u32,
+    pub(crate) priority: u8,
+    /// Tokens go to the caller as they come.
+    pub(crate) streamed: bool,
+    /// The caller named the request, so that it can come back for it.
+    pub(crate) resumable: bool,
+    /// What the caller has already.
+    pub(crate) mark: Option<Mark>,
+}
+
+/// A part of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Piece {
+    /// Further tokens, each with the mark after it.
+    Tokens(Vec<(Mark, String)>),
+    /// What was sent so far is void; these are the first tokens of the answer that counts.
+    Restart(Vec<(Mark, String)>),
+    /// The answer is whole.
+    Finish(Finish, Usage),
+    /// The answer ends here.
+    Interrupt(Interruption, Duration),
+}
+
+/// Answers a request; the pieces come through the channel.
+pub(crate) fn answer(state: Arc<State>, ask: Ask) -> mpsc::Receiver<Piece> {
+    let (pieces, receiver) = mpsc::channel(AHEAD);
+    tokio::spawn(drive(state, ask, pieces));
+    receiver
+}
+
+struct Driver {
+    state: Arc<State>,
+    ask: Ask,
+    resume: Resume,
+    attempts: HashMap<Epoch, Arc<Attempt>>,
+    /// Every token of the answer so far, with the mark after it.
+    kept: Vec<(Mark, String)>,
+    events: mpsc::Sender<Event>,
+    begun: Instant,
+    /// When the last tokens came, and from which epoch.
+    last: Option<(Instant, Epoch)>,
+}
+
+async fn drive(state: Arc<State>, ask: Ask, pieces: mpsc::Sender<Piece>) {
+    let (events, mut incoming) = mpsc::channel(WAITING);
+    let now = state.now();
+    let settings = settings(&state, &ask, now);
+    let mut driver = Driver {
+        resume: Resume::new(settings, now),
+        state,
+        attempts: HashMap::new(),
+        kept: Vec::new(),
+        events,
+        begun: Instant::now(),
+        last: None,
+        ask,
+    };
+    let first = match driver.ask.mark {
+        Some(mark) => Event::Return { mark },
+        None => Event::Begin { from: 0 },
+    };
+    let mut given = driver.handle(first);
+    let mut gone = false;
+    loop {
+        for piece in given {
+            if pieces.send(piece).await.is_err() {
+                break;
+            }
+        }
+        if driver.resume.done() {
+            return;
+        }
+        let wake = driver.resume.next_wake().map(|at| driver.state.origin + at);
+        given = tokio::select! {
+            Some(event) = incoming.recv() => driver.handle(event),
+            () = pieces.closed(), if !gone => {
+                gone = true;
+                driver.handle(Event::CallerGone)
+            }
+            () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {
+                driver.handle(Event::Tick)
+            }
+        };
+    }
+}
+
+fn settings(state: &State, ask: &Ask, now: Duration) -> Settings {
+    Settings {
+        continues: ask.continues,
+        streamed: ask.streamed,
+        resumable: ask.resumable,
+        pool: state.gaps.get(&ask.target.service, &ask.target.version),
+        first: state.settings.times.first,
+        deadline: now + state.settings.times.answer,
+        most_epochs: state.settings.limits.epochs,
+        ..Settings::default()
+    }
+}
+
+impl Driver {
+    /// Lets the decisions take an event, and carries out what they ask for.
+    fn handle(&mut self, event: Event) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        let mut waiting = vec![event];
+        while let Some(event) = waiting.pop() {
+            let epoch = match &event {
+                Event::Tokens { epoch, .. } => Some(*epoch),
+                _ => None,
+            };
+            let before = self.resume.next();
+            let mut actions = Vec::new();
+            let now = self.state.now();
+            self.resume.handle(now, event, &mut actions);
+            if let Some(epoch) = epoch {
+                self.time(epoch, self.resume.next() - before.min(self.resume.next()));
+            }
+            for action in actions {
+                if let Some(event) = self.act(action, &mut pieces) {
+                    waiting.push(event);
+                }
+            }
+        }
+        pieces
+    }
+
+    /// Carries out one action; gives the event that follows at once, if any.
+    fn act(&mut self, action: Action, pieces: &mut Vec<Piece>) -> Option<Event> {
+        match action {
+            Action::Start {
+                epoch,
+                avoid,
+                cause,
+                ..
+            } => return self.start(epoch, &avoid, cause),
+            Action::Attach { epoch, from } => self.attach(epoch, from),
+            Action::Cancel { epoch } => {
+                if let Some(attempt) = self.attempts.remove(&epoch) {
+                    attempt.cancel.cancel();
+                }
+            }
+            Action::Keep { tokens, .. } => {
+                self.keep(tokens);
+            }
+            Action::Deliver { tokens, .. } => {
+                let tokens = self.keep(tokens);
+                pieces.push(Piece::Tokens(tokens));
+            }
+            Action::Restart { kept } => {
+                self.kept.truncate(kept as usize);
+                pieces.push(Piece::Restart(self.kept.clone()));
+            }
+            Action::Finish(finish) => {
+                let usage = self.usage();
+                pieces.push(Piece::Finish(finish, usage));
+            }
+            Action::Interrupt {
+                reason,
+                retry_after,
+            } => {
+                events::emit!(
+                    answers::INTERRUPTED,
+                    "request={} reason={reason:?} tokens={}",
+                    self.ask.request,
+                    self.kept.len()
+                );
+                pieces.push(Piece::Interrupt(reason, retry_after));
+            }
+        }
+        None
+    }
+
+    fn start(&mut self, epoch: Epoch, avoid: &[Server], cause: Cause) -> Option<Event> {
+        if cause != Cause::First {
+            events::emit!(
+                answers::RESUMED,
+                "request={} epoch={epoch} cause={cause:?} tokens={}",
+                self.ask.request,
+                self.kept.len()
+            );
+            metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
+        }
+        let service = &self.ask.target.service;
+        let chosen = self.state.fleet.choose(service, &self.ask.release, avoid);
+        let Some((peer, joined, server)) = chosen else {
+            return Some(Event::NoPlace {
+                epoch,
+                retry_after: NO_REPLICA,
+            });
+        };
+        let attempt = Arc::new(Attempt {
+            epoch,
+            nonce: rand::random(),
+            server,
+            _sent: peer.send(),
+            peer,
+            cancel: CancellationToken::new(),
+            usage: Mutex::default(),
+        });
+        let start = self.frame(&attempt);
+        self.attempts.insert(epoch, attempt.clone());
+        tokio::spawn(attempt::start(attempt, joined, start, self.events.clone()));
+        None
+    }
+
+    fn frame(&self, attempt: &Attempt) -> Start {
+        Start {
+            request: self.ask.request.clone(),
+            epoch: attempt.epoch,
+            nonce: attempt.nonce,
+            team: self.ask.team.clone(),
+            service: self.ask.target.service.clone(),
+            version: self.ask.target.version.clone(),
+            model: self.ask.model.clone(),
+            prompt: self.ask.prompt.clone(),
+            max_tokens: self.ask.max_tokens,
+            seed: self.ask.seed,
+            temperature: self.ask.temperature,
+            priority: self.ask.priority,
+            delivered: self.kept.iter().map(|(_, token)| token.clone()).collect(),
+        }
+    }
+
+    fn attach(&mut self, epoch: Epoch, from: Index) {
+        let Some(attempt) = self.attempts.get(&epoch) else {
+            return;
+        };
+        tokio::spawn(attempt::attach(
+            attempt.clone(),
+            self.ask.request.clone(),
+            from,
+            self.state.settings.times.silence,
+            self.events.clone(),
+        ));
+    }
+
+    fn keep(&mut self, tokens: Vec<String>) -> Vec<(Mark, String)> {
+        let mut mark = self.kept.last().map(|(mark, _)| *mark).unwrap_or_default();
+        let from = self.kept.len();
+        for token in tokens {
+            mark.push(&token);
+            self.kept.push((mark, token));
+        }
+        self.kept[from..].to_vec()
+    }
+
+    /// Learns from the time between tokens, and records it.
+    fn time(&mut self, epoch: Epoch, fresh: Index) {
+        if fresh == 0 {
+            return;
+        }
+        let target = &self.ask.target;
+        let now = Instant::now();
+        match self.last {
+            None => {
+                let first = now - self.begun;
+                metrics::histogram!(
+                    "medlarhatch_first_token_seconds",
+                    "service" => target.service.clone(),
+                    "version" => target.version.clone()
+                )
+                .record(first);
+            }
+            Some((last, of)) => {
+                let gap = now - last;
+                if of != epoch {
+                    metrics::histogram!("medlarhatch_resume_seconds").record(gap);
+                } else if fresh == 1 {
+                    self.state.gaps.learn(&target.service, &target.version, gap);
+                }
+                metrics::histogram!(
+                    "medlarhatch_token_gap_seconds",
+                    "service" => target.service.clone(),
+                    "version" => target.version.clone()
+                )
+                .record(gap / u32::try_from(fresh).unwrap_or(u32::MAX));
+            }
+        }
+        self.last = Some((now, epoch));
+    }
+
+    fn usage(&self) -> Usage {
+        let owner = self.resume.owner().and_then(|epoch| self.attempts.get(&epoch));
+        let mut usage = owner
+            .map(|attempt| *attempt.usage.lock().expect("no panic while held"))
+            .unwrap_or_default();
+        usage.completion = self.kept.len() as u64;
+        usage
+    }
+}
+
+fn name(cause: Cause) -> &'static str {
+    match cause {
+        Cause::First => "first",
+        Cause::Loss => "loss",
+        Cause::Suspicion => "suspicion",
+    }
+}
--- /dev/null
+++ b/components/entry/src/attempt.rs
@@ -0,0 +1,184 @@
+//! One epoch of an answer: a stream to a sidecar, turned into events for the answer's decisions.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use answer::resume::Event;
+use names::{
+    Epoch,
+    Index,
+    Nonce,
+    Request,
+    Server, //
+};
+use tokio::{
+    sync::mpsc,
+    time::timeout, //
+};
+use tokio_util::sync::CancellationToken;
+use wire::{
+    Frame,
+    Stream,
+    frame::{
+        Attach,
+        Start,
+        Usage, //
+    },
+};
+
+use crate::fleet::{
+    Joined,
+    Peer,
+    Sent, //
+};
+
+/// What an epoch needs to run and to be found again.
+pub(crate) struct Attempt {
+    pub(crate) epoch: Epoch,
+    pub(crate) nonce: Nonce,
+    pub(crate) server: Server,
+    pub(crate) peer: Arc<Peer>,
+    /// Cancelled when the answer goes on without this epoch.
+    pub(crate) cancel: CancellationToken,
+    /// What the epoch cost, once it has ended.
+    pub(crate) usage: Mutex<Usage>,
+    /// Counts the work at the peer while the epoch is wanted.
+    pub(crate) _sent: Sent,
+}
+
+/// Where the events of an epoch go.
+pub(crate) type Events = mpsc::Sender<Event>;
+
+/// Sends a generation to the chosen sidecar and listens to it.
+pub(crate) async fn start(attempt: Arc<Attempt>, joined: Joined, start: Start, events: Events) {
+    let epoch = attempt.epoch;
+    let begun = async {
+        let mut stream = joined.link.open().await?;
+        stream.send(&Frame::Start(Box::new(start))).await?;
+        Ok::<_, wire::Error>(stream)
+    };
+    // Placed even when the sending failed: an error doesn't tell whether the sidecar has it.
+    let begun = begun.await;
+    let server = attempt.server.clone();
+    give(&events, Event::Placed { epoch, server }).await;
+    match begun {
+        Ok(stream) => listen(&attempt, stream, &events, false).await,
+        Err(_) => give(&events, Event::LinkLost { epoch }).await,
+    }
+}
+
+/// Listens to a generation over a new link to its sidecar.
+pub(crate) async fn attach(
+    attempt: Arc<Attempt>,
+    request: Request,
+    from: Index,
+    limit: Duration,
+    events: Events,
+) {
+    let frame = Frame::Attach(Attach {
+        request,
+        epoch: attempt.epoch,
+        nonce: attempt.nonce,
+        from,
+    });
+    let dial = async {
+        let joined = up(&attempt.peer).await?;
+        let mut stream = joined.link.open().await.ok()?;
+        stream.send(&frame).await.ok()?;
+        Some(stream)
+    };
+    match timeout(limit, dial).await {
+        Ok(Some(stream)) => listen(&attempt, stream, &events, true).await,
+        Ok(None) | Err(_) => {
+            let epoch = attempt.epoch;
+            give(&events, Event::LinkLost { epoch }).await;
+        }
+    }
+}
+
+/// Waits for a link to the peer that is up.
+async fn up(peer: &Peer) -> Option<Joined> {
+    let mut links = peer.link.subscribe();
+    loop {
+        let joined = links.borrow_and_update().clone();
+        if let Some(joined) = joined.filter(|joined| !joined.link.is_closed()) {
+            return Some(joined);
+        }
+        links.changed().await.ok()?;
+    }
+}
+
+async fn listen(attempt: &Attempt, stream: Stream, events: &Events, attached: bool) {
+    let Stream {
+        mut sender,
+        mut receiver,
+    } = stream;
+    let read = async {
+        loop {
+            let event = match receiver.receive().await {
+                Ok(Some(frame)) => sort(attempt, frame, attached),
+                Ok(None) | Err(_) => Some(Event::LinkLost {
+                    epoch: attempt.epoch,
+                }),
+            };
+            let Some(event) = event else {
+                continue;
+            };
+            let last = !matches!(event, Event::Tokens { .. } | Event::Attached { .. });
+            give(events, event).await;
+            if last {
+                return;
+            }
+        }
+    };
+    let cancelled = tokio::select! {
+        () = read => false,
+        () = attempt.cancel.cancelled() => true,
+        // The answer's driver is gone; the sidecar's grace time decides about the generation.
+        () = events.closed() => false,
+    };
+    if cancelled {
+        // When the link is down, the sidecar ends the generation after its grace time.
+        let _ = sender.send(&Frame::Cancel).await;
+        sender.finish();
+        sender.stopped().await;
+    }
+}
+
+/// Turns a frame into an event; none when there is nothing to tell.
+fn sort(attempt: &Attempt, frame: Frame, attached: bool) -> Option<Event> {
+    let epoch = attempt.epoch;
+    match frame {
+        Frame::Started if attached => Some(Event::Attached { epoch }),
+        Frame::Started => None,
+        Frame::Missing => Some(Event::AttachMissed { epoch }),
+        Frame::Refused(refused) => Some(Event::Refused {
+            epoch,
+            retry_after: refused.retry_after,
+        }),
+        Frame::Tokens(tokens) => Some(Event::Tokens {
+            epoch,
+            index: tokens.index,
+            tokens: tokens.tokens,
+        }),
+        Frame::End(end) => {
+            *attempt.usage.lock().expect("no panic while held") = end.usage;
+            Some(Event::End {
+                epoch,
+                total: end.total,
+                finish: end.finish,
+            })
+        }
+        _ => Some(Event::LinkLost { epoch }),
+    }
+}
+
+async fn give(events: &Events, event: Event) {
+    // The driver is gone when the answer has ended.
+    let _ = events.send(event).await;
+}
--- /dev/null
+++ b/components/entry/src/callers/mod.rs
@@ -0,0 +1,10 @@
+//! The interface for callers.
+
+mod body;
+mod completions;
+mod router;
+mod service;
+mod shape;
+
+pub(crate) use router::payload;
+pub(crate) use router::router;
--- /dev/null
+++ b/components/entry/src/daemon.rs
@@ -0,0 +1,195 @@
+//! Start and stop of an entry.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use daemon::{
+    Error,
+    http,
+    metrics,
+    probe::{
+        self,
+        Readiness, //
+    },
+};
+use events::process;
+use settings::Keys;
+use tokio::{
+    sync::watch,
+    task::JoinHandle,
+    time::{
+        Instant,
+        sleep, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+use wire::{
+    Node,
+    frame::{
+        Heartbeat,
+        Hello,
+        PROTOCOL, //
+    },
+};
+
+use crate::{
+    callers,
+    documents::{
+        self,
+        Documents, //
+    },
+    fleet::Fleet,
+    links,
+    operators,
+    state::{
+        Pools,
+        Requests,
+        State, //
+    },
+};
+
+/// Pace at which a shutdown looks whether requests are still in progress.
+const DRAIN_PACE: Duration = Duration::from_millis(20);
+
+/// An entry that runs.
+pub struct Entry {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address of its links.
+    pub links: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Entry {
+    /// Starts an entry. Once `stop` is cancelled it takes no new requests, finishes those in
+    /// progress within the drain time, and ends.
+    pub async fn start(
+        settings: settings::Entry,
+        keys: &Keys,
+        stop: CancellationToken,
+    ) -> Result<Self, Error> {
+        let node = Node::bind(settings.links, keys, settings.times.silence)?;
+        let links = node.address().map_err(|source| wire::Error::Bind {
+            address: settings.links,
+            source,
+        })?;
+        let handle = metrics::install();
+        let state = Arc::new(state(settings, node, stop.clone())?);
+        let (ready, readiness) = watch::channel(Readiness::Waiting("no document yet".into()));
+        let callers = http::serve(
+            state.settings.callers,
+            callers::router(&state),
+            limits(&state.settings),
+            state.ended.clone(),
+        )
+        .await?;
+        let router = probe::router(handle, readiness).push(operators::router(&state));
+        let operators = http::serve(
+            state.settings.operators,
+            router,
+            http::Limits::default(),
+            state.ended.clone(),
+        )
+        .await?;
+        tokio::spawn(links::follow(state.clone()));
+        tokio::spawn(links::accept(state.clone()));
+        tokio::spawn(documents::follow(state.clone()));
+        tokio::spawn(announce(state.clone(), ready));
+        events::emit!(
+            process::STARTED,
+            "role=entry host={} callers={} operators={} links={links}",
+            state.settings.name,
+            callers.address,
+            operators.address
+        );
+        let started = Self {
+            callers: callers.address,
+            operators: operators.address,
+            links,
+            task: tokio::spawn(async move {
+                stop.cancelled().await;
+                drain(&state).await;
+                state.ended.cancel();
+                state.node.close().await;
+                let _ = callers.task.await;
+                let _ = operators.task.await;
+                events::emit!(process::STOPPED, "host={}", state.settings.name);
+            }),
+        };
+        Ok(started)
+    }
+
+    /// Waits until the entry has stopped.
+    pub async fn ended(self) {
+        let _ = self.task.await;
+    }
+}
+
+fn limits(settings: &settings::Entry) -> http::Limits {
+    http::Limits {
+        header: settings.times.header,
+        idle: settings.times.idle,
+        connections: settings.limits.connections,
+        drain: settings.times.drain,
+    }
+}
+
+fn state(settings: settings::Entry, node: Node, leaving: CancellationToken) -> Result<State, Error> {
+    let platform = platform::Client::new(&settings.platform, settings.times.platform)
+        .map_err(|error| wire::Error::Keys(error.to_string()))?;
+    let hello = Hello {
+        protocol: PROTOCOL,
+        host: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: rand::random(),
+        backend: None,
+    };
+    let (heartbeat, _) = watch::channel(Heartbeat::default());
+    Ok(State {
+        node,
+        hello,
+        heartbeat,
+        platform,
+        fleet: Fleet::default(),
+        documents: Documents::default(),
+        gaps: Pools::default(),
+        requests: Requests::default(),
+        origin: Instant::now(),
+        leaving,
+        ended: CancellationToken::new(),
+        settings,
+    })
+}
+
+/// Becomes ready with the first document; stops being ready when the entry leaves, so that the
+/// balancer sends nothing more.
+async fn announce(state: Arc<State>, ready: watch::Sender<Readiness>) {
+    let mut revisions = state.documents.revisions();
+    if revisions.wait_for(|revision| *revision > 0).await.is_ok() {
+        events::emit!(process::READY, "host={}", state.settings.name);
+        ready.send_replace(Readiness::Ready);
+    }
+    state.leaving.cancelled().await;
+    ready.send_replace(Readiness::Waiting("shutting down".into()));
+    state.ended.cancelled().await;
+}
+
+async fn drain(state: &State) {
+    let count = state.requests.count();
+    let host = &state.settings.name;
+    events::emit!(process::STOPPING, "host={host} in_progress={count}");
+    state.heartbeat.send_modify(|heartbeat| heartbeat.leaving = true);
+    let limit = Instant::now() + state.settings.times.drain;
+    while state.requests.count() > 0 {
+        if Instant::now() >= limit {
+            events::emit!(process::CUT, "in_progress={}", state.requests.count());
+            return;
+        }
+        sleep(DRAIN_PACE).await;
+    }
+}
--- /dev/null
+++ b/components/entry/src/fleet.rs
@@ -0,0 +1,165 @@
+//! The other processes that this entry knows, its links to them, and what they last said.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
+};
+
+use environment::document::Release;
+use names::{
+    Host,
+    Server,
+    Service, //
+};
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
+use wire::{
+    Frame,
+    Link,
+    frame::{
+        Heartbeat,
+        Hello, //
+    },
+};
+
+/// The processes that this entry has a link to, or had one.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    peers: Mutex<HashMap<Host, Arc<Peer>>>,
+}
+
+/// One other process.
+pub(crate) struct Peer {
+    /// Its host.
+    pub(crate) host: Host,
+    /// The link, while there is one.
+    pub(crate) link: watch::Sender<Option<Joined>>,
+    /// What it last said.
+    pub(crate) heartbeat: Mutex<Heartbeat>,
+    /// The platform's list says that the host leaves.
+    pub(crate) listed_leaving: Mutex<bool>,
+    in_flight: Arc<AtomicU32>,
+}
+
+/// A link that is up.
+#[derive(Clone)]
+pub(crate) struct Joined {
+    pub(crate) link: Link,
+    pub(crate) hello: Hello,
+    /// Frames for the link's first stream.
+    pub(crate) frames: mpsc::Sender<Frame>,
+}
+
+/// One piece of work at a peer; dropping it ends the count.
+pub(crate) struct Sent(Arc<AtomicU32>);
+
+impl Peer {
+    fn new(host: Host) -> Self {
+        Self {
+            host,
+            link: watch::Sender::new(None),
+            heartbeat: Mutex::default(),
+            listed_leaving: Mutex::new(false),
+            in_flight: Arc::default(),
+        }
+    }
+
+    /// The link, when it is up.
+    pub(crate) fn joined(&self) -> Option<Joined> {
+        let joined = self.link.borrow().clone();
+        joined.filter(|joined| !joined.link.is_closed())
+    }
+
+    /// Counts a piece of work sent to this peer.
+    pub(crate) fn send(&self) -> Sent {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Sent(self.in_flight.clone())
+    }
+
+    /// May this peer get new work?
+    fn takes_work(&self) -> bool {
+        let heartbeat = self.heartbeat.lock().expect("no panic while held");
+        let listed_leaving = *self.listed_leaving.lock().expect("no panic while held");
+        heartbeat.healthy && !heartbeat.leaving && !listed_leaving
+    }
+
+    fn load(&self) -> u32 {
+        let heartbeat = self.heartbeat.lock().expect("no panic while held");
+        let reported = heartbeat.load.map_or(0, |load| load.running + load.queued);
+        // The report lags; what we have sent ourselves is known at once.
+        reported.max(self.in_flight.load(Ordering::Acquire))
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Fleet {
+    /// The peer of that name; made when it is new.
+    pub(crate) fn peer(&self, host: &str) -> Arc<Peer> {
+        let mut peers = self.peers.lock().expect("no panic while held");
+        peers
+            .entry(host.to_string())
+            .or_insert_with(|| Arc::new(Peer::new(host.to_string())))
+            .clone()
+    }
+
+    /// Every peer.
+    pub(crate) fn all(&self) -> Vec<Arc<Peer>> {
+        let peers = self.peers.lock().expect("no panic while held");
+        peers.values().cloned().collect()
+    }
+
+    /// The peer beside a backend server.
+    pub(crate) fn beside(&self, server: &str) -> Option<Arc<Peer>> {
+        self.all().into_iter().find(|peer| {
+            let link = peer.link.borrow();
+            let backend = link.as_ref().and_then(|joined| joined.hello.backend.as_ref());
+            backend.is_some_and(|backend| backend.server == server)
+        })
+    }
+
+    /// Chooses a replica: the least loaded that is not to be avoided, or else the least loaded.
+    pub(crate) fn choose(
+        &self,
+        service: &Service,
+        release: &Release,
+        avoid: &[Server],
+    ) -> Option<(Arc<Peer>, Joined, Server)> {
+        let mut best: Option<(bool, u32, Arc<Peer>, Joined, Server)> = None;
+        for peer in self.all() {
+            if !peer.takes_work() {
+                continue;
+            }
+            let Some(joined) = peer.joined() else {
+                continue;
+            };
+            let Some(backend) = joined.hello.backend.clone() else {
+                continue;
+            };
+            if backend.service != *service
+                || backend.version != release.name
+                || !release.runs_on(&backend.server)
+            {
+                continue;
+            }
+            let rank = (avoid.contains(&backend.server), peer.load());
+            if best.as_ref().is_none_or(|best| rank < (best.0, best.1)) {
+                best = Some((rank.0, rank.1, peer, joined, backend.server));
+            }
+        }
+        best.map(|(_, _, peer, joined, server)| (peer, joined, server))
+    }
+}
--- /dev/null
+++ b/components/entry/src/operators.rs
@@ -0,0 +1,111 @@
+//! The interface for operators: documents and what is in force here.
+
+use std::sync::Arc;
+
+use platform::store::{
+    Expect,
+    Write, //
+};
+use salvo::{
+    Request,
+    Response,
+    Router,
+    handler,
+    writing::Json, //
+};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{
+    callers::payload,
+    documents::key,
+    problem::{
+        Code,
+        Problem, //
+    },
+    state::State,
+};
+
+/// Largest document in bytes: the platform's store takes no more.
+const LARGEST: u64 = 1 << 20;
+
+/// The operators' interface.
+pub(crate) fn router(state: &Arc<State>) -> Router {
+    let path = "environments/{environment}";
+    Router::new()
+        .push(Router::with_path(path).put(Put {
+            state: state.clone(),
+        }))
+        .push(Router::with_path("status").get(Status {
+            state: state.clone(),
+        }))
+}
+
+struct Put {
+    state: Arc<State>,
+}
+
+#[handler]
+impl Put {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        match self.put(req).await {
+            Ok(revision) => res.render(Json(json!({"revision": revision}))),
+            Err(problem) => problem.write(res),
+        }
+    }
+}
+
+impl Put {
+    async fn put(&self, req: &mut Request) -> Result<u64, Problem> {
+        let environment: String = req.param("environment").unwrap_or_default();
+        let bytes = payload(req, LARGEST).await?;
+        let text = String::from_utf8(bytes)
+            .map_err(|error| Problem::invalid("body", format!("not UTF-8: {error}")))?;
+        let document = environment::read(&text).map_err(|problems| {
+            let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            Problem::invalid("body", lines.join("\n"))
+        })?;
+        if document.environment != environment {
+            let message = format!("the document is for `{}`", document.environment);
+            return Err(Problem::invalid("environment", message));
+        }
+        let key = key(&environment);
+        match self.state.platform.put(&key, &text, Expect::Any, None).await {
+            Ok(Write::Done { revision }) => Ok(revision),
+            Ok(Write::Conflict { .. }) => {
+                Err(Problem::new(Code::Unavailable, "another edit came first"))
+            }
+            Err(error) => Err(Problem::new(Code::Unavailable, error.to_string())),
+        }
+    }
+}
+
+struct Status {
+    state: Arc<State>,
+}
+
+/// What is in force at one entry.
+#[derive(Serialize)]
+struct InForce<'a> {
+    host: &'a str,
+    environment: &'a str,
+    revision: u64,
+    digest: String,
+}
+
+#[handler]
+impl Status {
+    async fn handle(&self, res: &mut Response) {
+        let held = self.state.documents.current();
+        let revision = held.as_ref().map_or(0, |held| held.revision);
+        let digest = held.map_or_else(String::new, |held| {
+            format!("{:016x}", environment::digest(&held.text))
+        });
+        res.render(Json(InForce {
+            host: &self.state.settings.name,
+            environment: &self.state.settings.environment,
+            revision,
+            digest,
+        }));
+    }
+}
--- a/components/sidecar/src/generation.rs
+++ b/components/sidecar/src/generation.rs
@@ -62,12 +62,8 @@
 impl Generation {
     /// A generation that begins after the tokens that its caller has already.
     pub fn new(delivered: &[String], bound: usize) -> Result<Self, Fault> {
-        let mut log = Log::new(0, bound);
-        for (index, token) in delivered.iter().enumerate() {
-            log.append(index as Index, token.clone())?;
-        }
         Ok(Self {
-            log: watch::Sender::new(log),
+            log: watch::Sender::new(Log::with_prefix(delivered, bound)?),
             usage: Mutex::new(Usage::default()),
             cancel: CancellationToken::new(),
         })
@@ -142,10 +138,9 @@
     }
 
     fn end(&self, finish: Finish) -> Finish {
-        let kept = finish.clone();
         // A log that has ended already keeps its first end.
         self.log.send_modify(|log| {
-            let _ = log.end(kept);
+            let _ = log.end(finish);
         });
         finish
     }
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -7,6 +7,7 @@
 
 use daemon::greeting;
 use events::links;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::{
     Error,
