Add the stand-ins: engine, plain service, platform

Cause: every other part needs something to stand for engines, services and the platform, with the faults that the interface pages list. Ruled out: a router with one handler a call (a pause or a silence must act before any of them), and ending connections by a panic (the library's connection control aborts them cleanly). Calls run in a task of their own, so that a caller that gives up doesn't undo what a paused process reads later.

--- /dev/null
+++ b/components/fakes/src/engine.rs
@@ -0,0 +1,356 @@
+//! The model engine's stand-in. The contract is `docs/interfaces/engine.md`.
+//!
+//! Its cost model is that of continuous batching, kept small. Reading the prompt takes
+//! `first` for the first thousand tokens that are not cached and as much again for each further
+//! thousand, in proportion. Tokens then come `between` apart. Beyond `capacity` runs at a time
+//! both times grow in proportion to the number of runs that go before or beside a run by
+//! priority. At `full` runs new ones are refused.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration, //
+};
+
+use futures_util::FutureExt;
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+
+use crate::server::{
+    self,
+    Answer,
+    Call,
+    Process,
+    lock, //
+};
+
+mod cache;
+mod fault;
+mod order;
+mod run;
+mod text;
+
+pub use fault::{
+    Fault,
+    Slow, //
+};
+pub use run::{
+    Run,
+    State, //
+};
+pub use text::{
+    length,
+    prefix,
+    token, //
+};
+
+/// How the engine behaves when nothing is wrong.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to listen on; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// Model that it serves.
+    pub model: String,
+    /// Version that is loaded at the start.
+    pub version: String,
+    /// Runs at full speed.
+    pub capacity: u32,
+    /// Runs at which new ones are refused with 429; `None` is four times `capacity`.
+    pub full: Option<u32>,
+    /// Time to the first token of a prompt of up to a thousand tokens.
+    pub first: Duration,
+    /// Time between tokens.
+    pub between: Duration,
+    /// How late load readings and cache events are.
+    pub lag: Duration,
+    /// How long loading a version takes.
+    pub load: Duration,
+    /// Prompts that the prefix cache holds.
+    pub cache: usize,
+    /// Seed of the draws for shares of runs that fail.
+    pub seed: u64,
+    /// Ends the operating system's process on death. For the program only.
+    pub exit: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            model: "m".to_string(),
+            version: "v1".to_string(),
+            capacity: 32,
+            full: None,
+            first: Duration::from_millis(20),
+            between: Duration::from_millis(5),
+            lag: Duration::from_millis(100),
+            load: Duration::ZERO,
+            cache: 64,
+            seed: 1,
+            exit: false,
+        }
+    }
+}
+
+/// A running stand-in engine. Dropping it stops it.
+pub struct Engine {
+    address: SocketAddr,
+    core: Arc<Core>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// Gives the error of binding the address.
+    pub async fn start(settings: Settings) -> io::Result<Engine> {
+        let process = Process::new(settings.exit);
+        let address = settings.address;
+        let core = Arc::new(Core::new(settings, Arc::clone(&process)));
+        let answering = Arc::clone(&core);
+        let respond = Box::new(move |call| answer(Arc::clone(&answering), call).boxed());
+        let address = server::start(address, process, respond).await?;
+        Ok(Engine { address, core })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets a fault, as `POST /fault` does.
+    pub fn fault(&self, fault: Fault) {
+        self.core.fault(&fault);
+    }
+
+    /// Every run so far, oldest first.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.core.state).runs.clone()
+    }
+
+    /// Drops the listener and all connections at once, as a process's death does.
+    pub fn stop(&self) {
+        self.core.process.stop();
+    }
+
+    /// Waits until the engine is dead, by [`Engine::stop`] or by a fault.
+    pub async fn dead(&self) {
+        self.core.process.dead().cancelled().await;
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// What the engine does; shared by its handlers and runs.
+struct Core {
+    settings: Settings,
+    process: Arc<Process>,
+    state: Mutex<Inner>,
+}
+
+struct Inner {
+    faults: fault::Faults,
+    runs: Vec<Run>,
+    /// Runs in progress with their priority.
+    running: BTreeMap<usize, i64>,
+    cancels: BTreeMap<String, Vec<tokio_util::sync::CancellationToken>>,
+    cache: cache::Cache,
+    orders: order::Orders,
+    /// Number of runs over time, for readings that lag.
+    load: VecDeque<(Instant, usize)>,
+    rng: StdRng,
+}
+
+/// Answer of `GET /load`.
+#[derive(Serialize)]
+struct Load {
+    running: u64,
+    queued: u64,
+    capacity: u32,
+    kv_used: f64,
+    model: String,
+    versions: Vec<String>,
+    role: String,
+    age_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    id: String,
+}
+
+impl Core {
+    fn new(settings: Settings, process: Arc<Process>) -> Core {
+        let state = Inner {
+            faults: fault::Faults::default(),
+            runs: Vec::new(),
+            running: BTreeMap::new(),
+            cancels: BTreeMap::new(),
+            cache: cache::Cache::new(settings.cache),
+            orders: order::Orders::new(&settings.version),
+            load: VecDeque::from([(Instant::now(), 0)]),
+            rng: StdRng::seed_from_u64(settings.seed),
+        };
+        Core {
+            settings,
+            process,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn full(&self) -> usize {
+        let full = self.settings.full;
+        full.unwrap_or(4 * self.settings.capacity) as usize
+    }
+
+    fn fault(&self, fault: &Fault) {
+        if fault.clear {
+            self.process.clear();
+        }
+        {
+            let mut state = lock(&self.state);
+            if state.faults.defer(fault) {
+                return;
+            }
+            state.faults.add(fault);
+        }
+        if let Some(pause) = fault.pause_ms {
+            self.process.pause(Duration::from_millis(pause));
+        }
+        if fault.silence {
+            self.process.silence();
+        }
+        if fault.die {
+            self.process.die();
+        }
+    }
+
+    fn load(&self) -> Load {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let lag = self.settings.lag;
+        // The reading is the last one that is old enough; those before it are of no use.
+        while state.load.len() > 1 && now.duration_since(state.load[1].0) >= lag {
+            state.load.pop_front();
+        }
+        let seen = state.load[0].1 as u64;
+        let running = seen.min(u64::from(self.settings.capacity));
+        Load {
+            running,
+            queued: seen - running,
+            capacity: self.settings.capacity,
+            kv_used: state.cache.used(),
+            model: self.settings.model.clone(),
+            versions: state.orders.versions(now),
+            role: state.orders.role().to_string(),
+            age_ms: lag.as_millis() as u64,
+        }
+    }
+
+    fn cancel(&self, id: &str) {
+        let cancels = lock(&self.state).cancels.remove(id);
+        for cancel in cancels.unwrap_or_default() {
+            cancel.cancel();
+        }
+    }
+
+    fn order(&self, order: &order::Order) -> Answer {
+        let mut state = lock(&self.state);
+        let ignore = state.faults.now.ignore_fence;
+        let ready = Instant::now() + self.settings.load;
+        match state
+            .orders
+            .take(order, ignore, &self.settings.model, ready)
+        {
+            order::Outcome::Applied => Answer::json(200, &serde_json::json!({ "applied": true })),
+            order::Outcome::Old { highest } => {
+                Answer::json(409, &serde_json::json!({ "highest": highest }))
+            }
+            order::Outcome::Wrong(error) => Answer::bad(&error),
+        }
+    }
+
+    fn health(&self) -> Answer {
+        let versions = lock(&self.state).orders.versions(Instant::now());
+        if versions.is_empty() {
+            return Answer::error(503, "no version is loaded");
+        }
+        Answer::json(200, &serde_json::json!({ "ok": true }))
+    }
+}
+
+impl Inner {
+    fn note_load(&mut self) {
+        let running = self.running.len();
+        self.load.push_back((Instant::now(), running));
+        // Nobody may ask for the load for long; the oldest readings go first.
+        if self.load.len() > 10_000 {
+            self.load.pop_front();
+        }
+    }
+}
+
+async fn answer(core: Arc<Core>, call: Call) -> Answer {
+    match (call.method.as_str(), call.path.as_str()) {
+        // What steers the stand-in works also while it is paused or silent.
+        ("POST", "/fault") => {
+            return match call.json::<Fault>() {
+                Ok(fault) => {
+                    core.fault(&fault);
+                    Answer::json(200, &serde_json::json!({}))
+                }
+                Err(answer) => answer,
+            };
+        }
+        ("GET", "/runs") => return Answer::json(200, &lock(&core.state).runs),
+        _ => core.process.pass(call.connection).await,
+    }
+    match (call.method.as_str(), call.path.as_str()) {
+        ("POST", "/generate") => match call.json() {
+            Ok(ask) => run::start(&core, ask, call.connection),
+            Err(answer) => answer,
+        },
+        ("POST", "/cancel") => match call.json::<Cancel>() {
+            Ok(cancel) => {
+                core.cancel(&cancel.id);
+                Answer::json(200, &serde_json::json!({}))
+            }
+            Err(answer) => answer,
+        },
+        ("GET", "/load") => Answer::json(200, &core.load()),
+        ("GET", "/cache-events") => match call.number("after") {
+            Ok(after) => {
+                let lag = core.settings.lag;
+                let events = lock(&core.state).cache.events(after.unwrap_or(0), lag);
+                Answer::json(200, &serde_json::json!({ "events": events }))
+            }
+            Err(answer) => answer,
+        },
+        ("POST", "/orders") => match call.json() {
+            Ok(order) => core.order(&order),
+            Err(answer) => answer,
+        },
+        ("GET", "/health") => core.health(),
+        _ => Answer::error(404, "no such call"),
+    }
+}
--- /dev/null
+++ b/components/fakes/src/platform/store.rs
@@ -0,0 +1,221 @@
+//! Keys, revisions, leases and the log of changes.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration, //
+};
+
+use serde::Serialize;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Entry {
+    pub(super) key: String,
+    pub(super) value: String,
+    pub(super) revision: u64,
+    pub(super) lease: Option<u64>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Event {
+    pub(super) key: String,
+    pub(super) value: Option<String>,
+    pub(super) revision: u64,
+}
+
+struct Lease {
+    ttl: Duration,
+    end: Instant,
+}
+
+/// Why a write didn't take effect.
+pub(super) enum Refusal {
+    Conflict(Option<Entry>),
+    UnknownLease,
+}
+
+pub(super) struct Store {
+    kept: usize,
+    revision: u64,
+    entries: BTreeMap<String, Entry>,
+    log: VecDeque<Event>,
+    /// Highest revision that is no longer in the log.
+    forgotten: u64,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+}
+
+impl Store {
+    pub(super) fn new(kept: usize) -> Store {
+        Store {
+            kept,
+            revision: 0,
+            entries: BTreeMap::new(),
+            log: VecDeque::new(),
+            forgotten: 0,
+            leases: BTreeMap::new(),
+            last_lease: 0,
+        }
+    }
+
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(super) fn leases(&self) -> u64 {
+        self.leases.len() as u64
+    }
+
+    pub(super) fn get(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    pub(super) fn list(&self, prefix: &str, after: &str, limit: usize) -> Vec<Entry> {
+        let mut found = Vec::new();
+        let start = if after > prefix { after } else { prefix };
+        for (key, entry) in self.entries.range(start.to_string()..) {
+            if !key.starts_with(prefix) || found.len() >= limit {
+                break;
+            }
+            if key.as_str() <= after {
+                continue;
+            }
+            found.push(entry.clone());
+        }
+        found
+    }
+
+    pub(super) fn put(
+        &mut self,
+        key: &str,
+        value: &str,
+        expect: Option<u64>,
+        lease: Option<u64>,
+    ) -> Result<u64, Refusal> {
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(Refusal::UnknownLease);
+        }
+        self.check(key, expect)?;
+        let revision = self.note(key, Some(value));
+        let entry = Entry {
+            key: key.to_string(),
+            value: value.to_string(),
+            revision,
+            lease,
+        };
+        self.entries.insert(key.to_string(), entry);
+        Ok(revision)
+    }
+
+    pub(super) fn delete(&mut self, key: &str, expect: Option<u64>) -> Result<u64, Refusal> {
+        self.check(key, expect)?;
+        if self.entries.remove(key).is_none() {
+            return Ok(self.revision);
+        }
+        Ok(self.note(key, None))
+    }
+
+    fn check(&self, key: &str, expect: Option<u64>) -> Result<(), Refusal> {
+        let Some(expect) = expect else {
+            return Ok(());
+        };
+        let entry = self.entries.get(key);
+        let stands = entry.map_or(0, |entry| entry.revision);
+        if stands == expect {
+            return Ok(());
+        }
+        Err(Refusal::Conflict(entry.cloned()))
+    }
+
+    fn note(&mut self, key: &str, value: Option<&str>) -> u64 {
+        self.revision += 1;
+        self.log.push_back(Event {
+            key: key.to_string(),
+            value: value.map(str::to_string),
+            revision: self.revision,
+        });
+        while self.log.len() > self.kept {
+            if let Some(event) = self.log.pop_front() {
+                self.forgotten = event.revision;
+            }
+        }
+        self.revision
+    }
+
+    /// Changes under the prefix after a revision; `None` when they are no longer kept.
+    pub(super) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Event>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let mut events = Vec::new();
+        for event in &self.log {
+            if event.revision > after && event.key.starts_with(prefix) {
+                events.push(event.clone());
+            }
+        }
+        Some(events)
+    }
+
+    pub(super) fn grant(&mut self, ttl: Duration, now: Instant) -> u64 {
+        self.last_lease += 1;
+        let lease = Lease {
+            ttl,
+            end: now + ttl,
+        };
+        self.leases.insert(self.last_lease, lease);
+        self.last_lease
+    }
+
+    /// Prolongs a lease; `false` when it has lapsed.
+    pub(super) fn keep(&mut self, id: u64, now: Instant) -> bool {
+        let Some(lease) = self.leases.get_mut(&id) else {
+            return false;
+        };
+        lease.end = now + lease.ttl;
+        true
+    }
+
+    /// Ends a lease and deletes its keys.
+    pub(super) fn drop_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let mut gone = Vec::new();
+        for (key, entry) in &self.entries {
+            if entry.lease == Some(id) {
+                gone.push(key.clone());
+            }
+        }
+        for key in gone {
+            self.entries.remove(&key);
+            self.note(&key, None);
+        }
+    }
+
+    /// Ends the leases that have lapsed.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let mut lapsed = Vec::new();
+        for (id, lease) in &self.leases {
+            if lease.end <= now {
+                lapsed.push(*id);
+            }
+        }
+        for id in lapsed {
+            self.drop_lease(id);
+        }
+    }
+}
+
+/// Bytes derived from a name.
+pub(super) fn weights(name: &str, size: usize) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(size);
+    let mut block = 0;
+    while bytes.len() < size {
+        let number = xxh3_64_with_seed(name.as_bytes(), block);
+        bytes.extend_from_slice(&number.to_le_bytes());
+        block += 1;
+    }
+    bytes
+}
--- /dev/null
+++ b/components/fakes/src/server.rs
@@ -0,0 +1,388 @@
+//! The HTTP side that the stand-ins share: one handler a process, and faults of the process as a
+//! whole (death, pause, silent connections).
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        OnceLock,
+        PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use futures_util::{
+    future::BoxFuture,
+    stream::BoxStream, //
+};
+use salvo::{
+    Depot,
+    FlowCtrl,
+    Handler,
+    Request,
+    Response,
+    Router,
+    Server,
+    conn::tcp::TcpAcceptor,
+    fuse::{
+        FuseAction,
+        FuseConfig,
+        FuseInfo, //
+    },
+    http::{
+        StatusCode,
+        header::{
+            CONTENT_TYPE,
+            HeaderMap,
+            HeaderValue,
+            RETRY_AFTER, //
+        }, //
+    }, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use tokio::{
+    net::TcpListener,
+    time::{
+        Instant,
+        sleep_until, //
+    }, //
+};
+use tokio_util::sync::CancellationToken;
+
+/// Largest body that a stand-in reads, in bytes.
+const BODY: usize = 64 << 20;
+
+/// Content type of most answers.
+const JSON: &str = "application/json";
+
+/// Locks state whose every change is a single step, so a panic of another holder leaves it whole.
+pub(crate) fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// One call as a stand-in sees it.
+pub(crate) struct Call {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) query: HashMap<String, String>,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) connection: Connection,
+}
+
+impl Call {
+    /// Reads the body as JSON, or gives the 400 that says why it can't be.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Answer> {
+        serde_json::from_slice(&self.body).map_err(|error| Answer::bad(&error.to_string()))
+    }
+
+    /// Reads a number from the query; 400 when it is there and no number.
+    pub(crate) fn number(&self, name: &str) -> Result<Option<u64>, Answer> {
+        let Some(text) = self.query.get(name) else {
+            return Ok(None);
+        };
+        match text.parse() {
+            Ok(number) => Ok(Some(number)),
+            Err(_) => Err(Answer::bad(&format!("{name} isn't a number"))),
+        }
+    }
+
+    /// The header's text, when it is there and readable.
+    pub(crate) fn header(&self, name: &str) -> Option<String> {
+        let value = self.headers.get(name)?;
+        Some(value.to_str().ok()?.to_string())
+    }
+}
+
+/// Tells connections from before a silence from those after it.
+pub(crate) type Connection = u64;
+
+/// What becomes of a call.
+pub(crate) enum Answer {
+    /// Status, content type and body.
+    Whole {
+        status: u16,
+        kind: String,
+        body: Bytes,
+        retry_after: Option<u64>,
+    },
+    /// Status 200 with lines that come over time; an error closes the connection midway.
+    Lines(BoxStream<'static, io::Result<Bytes>>),
+    /// The connection closes unanswered.
+    Close,
+    /// The connection stays open, unanswered.
+    Never,
+}
+
+impl Answer {
+    /// An answer in JSON.
+    pub(crate) fn json(status: u16, body: &impl Serialize) -> Answer {
+        let body = serde_json::to_vec(body).expect("plain data turns into JSON");
+        Answer::bytes(status, JSON, body)
+    }
+
+    /// An answer of any content type.
+    pub(crate) fn bytes(status: u16, kind: &str, body: impl Into<Bytes>) -> Answer {
+        Answer::Whole {
+            status,
+            kind: kind.to_string(),
+            body: body.into(),
+            retry_after: None,
+        }
+    }
+
+    /// An error in JSON.
+    pub(crate) fn error(status: u16, error: &str) -> Answer {
+        Answer::json(status, &serde_json::json!({ "error": error }))
+    }
+
+    /// A 400.
+    pub(crate) fn bad(error: &str) -> Answer {
+        Answer::error(400, error)
+    }
+
+    /// A 429 with the seconds to wait.
+    pub(crate) fn busy(seconds: u64) -> Answer {
+        let body = serde_json::json!({ "error": "busy" }).to_string();
+        Answer::Whole {
+            status: 429,
+            kind: JSON.to_string(),
+            body: body.into(),
+            retry_after: Some(seconds),
+        }
+    }
+}
+
+/// Faults of a stand-in's process as a whole, and its end.
+pub(crate) struct Process {
+    /// Ends the program's process on death; an embedded stand-in only drops its sockets.
+    exit: bool,
+    dead: CancellationToken,
+    paused: Mutex<Option<Instant>>,
+    silences: AtomicU64,
+    server: OnceLock<tokio::task::AbortHandle>,
+}
+
+impl Process {
+    pub(crate) fn new(exit: bool) -> Arc<Process> {
+        Arc::new(Process {
+            exit,
+            dead: CancellationToken::new(),
+            paused: Mutex::new(None),
+            silences: AtomicU64::new(0),
+            server: OnceLock::new(),
+        })
+    }
+
+    /// Ends the stand-in at once: the listener and all connections drop, tasks in flight end.
+    pub(crate) fn die(&self) {
+        if self.exit {
+            std::process::exit(1);
+        }
+        self.stop();
+    }
+
+    /// Like [`Process::die`], but never ends the operating system's process.
+    pub(crate) fn stop(&self) {
+        self.dead.cancel();
+        if let Some(server) = self.server.get() {
+            server.abort();
+        }
+    }
+
+    /// Cancelled once the stand-in is dead.
+    pub(crate) fn dead(&self) -> &CancellationToken {
+        &self.dead
+    }
+
+    /// Nothing is answered or sent until this time has passed.
+    pub(crate) fn pause(&self, time: Duration) {
+        *lock(&self.paused) = Some(Instant::now() + time);
+    }
+
+    /// Connections that are open now never carry anything again.
+    pub(crate) fn silence(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Takes back pause and silence; connections that fell silent stay so.
+    pub(crate) fn clear(&self) {
+        *lock(&self.paused) = None;
+    }
+
+    /// Whether the connection was open when a silence began.
+    pub(crate) fn silent(&self, connection: Connection) -> bool {
+        connection < self.silences.load(Ordering::SeqCst)
+    }
+
+    /// Waits while the process is paused, and for ever on a silent connection or once it is dead.
+    pub(crate) async fn pass(&self, connection: Connection) {
+        self.awake().await;
+        if self.silent(connection) || self.dead.is_cancelled() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits while the process is paused.
+    pub(crate) async fn awake(&self) {
+        loop {
+            let until = *lock(&self.paused);
+            let Some(until) = until else {
+                return;
+            };
+            if until <= Instant::now() {
+                return;
+            }
+            sleep_until(until).await;
+        }
+    }
+}
+
+/// Answers calls.
+pub(crate) type Respond = Box<dyn Fn(Call) -> BoxFuture<'static, Answer> + Send + Sync>;
+
+/// Which silence, if any, a peer's connection came after.
+type Connections = Arc<Mutex<HashMap<SocketAddr, Connection>>>;
+
+struct Door {
+    process: Arc<Process>,
+    connections: Connections,
+    respond: Respond,
+}
+
+/// Binds the address and serves until the process dies.
+///
+/// # Errors
+///
+/// Gives the error of binding the address.
+pub(crate) async fn start(
+    address: SocketAddr,
+    process: Arc<Process>,
+    respond: Respond,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    let connections = Connections::default();
+    let (known, silences) = (Arc::clone(&connections), Arc::clone(&process));
+    let policy = move |info: &FuseInfo| {
+        if let Some(peer) = info.remote_addr.clone().into_std() {
+            let since = silences.silences.load(Ordering::SeqCst);
+            lock(&known).insert(peer, since);
+        }
+        FuseAction::Accept(FuseConfig::default())
+    };
+    let door = Door {
+        process: Arc::clone(&process),
+        connections,
+        respond,
+    };
+    let router = Router::with_path("{**rest}").goal(door);
+    let server = Server::new(acceptor).fuse_policy(policy);
+    let task = tokio::spawn(async move {
+        // The accept loop only ends with the task.
+        let _ = server.try_serve(router).await;
+    });
+    let handle = task.abort_handle();
+    process
+        .server
+        .set(handle)
+        .expect("a process starts its server once");
+    Ok(address)
+}
+
+impl Door {
+    async fn call(&self, request: &mut Request) -> Result<Call, Answer> {
+        let body = match request.payload_with_max_size(BODY).await {
+            Ok(body) => body.clone(),
+            Err(error) => return Err(Answer::bad(&error.to_string())),
+        };
+        let mut query = HashMap::new();
+        for (name, value) in request.queries().iter() {
+            query.insert(name.clone(), value.clone());
+        }
+        let peer = request.remote_addr().clone().into_std();
+        let connection = match peer {
+            Some(peer) => lock(&self.connections).get(&peer).copied().unwrap_or(0),
+            None => 0,
+        };
+        Ok(Call {
+            method: request.method().to_string(),
+            path: request.uri().path().to_string(),
+            query,
+            headers: request.headers().clone(),
+            body,
+            connection,
+        })
+    }
+
+    /// Answers in a task of its own: a caller that goes away doesn't undo what a process began.
+    async fn answer(&self, call: Call) -> Answer {
+        let dead = self.process.dead().clone();
+        let future = (self.respond)(call);
+        let task = tokio::spawn(async move { dead.run_until_cancelled(future).await });
+        match task.await {
+            Ok(Some(answer)) => answer,
+            Ok(None) | Err(_) => Answer::Close,
+        }
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for Door {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        control: &mut FlowCtrl,
+    ) {
+        let answer = match self.call(request).await {
+            Ok(call) => self.answer(call).await,
+            Err(answer) => answer,
+        };
+        match answer {
+            Answer::Whole {
+                status,
+                kind,
+                body,
+                retry_after,
+            } => {
+                let status = StatusCode::from_u16(status).expect("stand-ins give valid statuses");
+                response.status_code(status);
+                let kind = HeaderValue::from_str(&kind).expect("content types are plain text");
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                if let Some(seconds) = retry_after {
+                    response
+                        .headers_mut()
+                        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+                }
+                // An empty body would be replaced by an error page of the library.
+                response.body(body);
+            }
+            Answer::Lines(lines) => {
+                let kind = HeaderValue::from_static("application/x-ndjson");
+                response.status_code(StatusCode::OK);
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response.stream(lines);
+            }
+            Answer::Close => {
+                control.conn().abort();
+                std::future::pending::<()>().await;
+            }
+            Answer::Never => std::future::pending::<()>().await,
+        }
+    }
+}
