Add the command line, keys and the trial

Cause: the frame needs its commands and a whole system in one process. Ruled out: a shell script as the demo. Change: root package, keys, trial.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -356,7 +356,10 @@
     }
 
     fn usage(&self) -> Usage {
-        let owner = self.resume.owner().and_then(|epoch| self.attempts.get(&epoch));
+        let owner = self
+            .resume
+            .owner()
+            .and_then(|epoch| self.attempts.get(&epoch));
         let mut usage = owner
             .map(|attempt| *attempt.usage.lock().expect("no panic while held"))
             .unwrap_or_default();
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -22,8 +22,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use wire::{
-    Frame,
-    Stream,
+    Frame, Stream,
     frame::{
         Attach,
         Start,
--- a/components/entry/src/callers/body.rs
+++ b/components/entry/src/callers/body.rs
@@ -103,13 +103,22 @@
         return Err(Problem::invalid("prompt", "`prompt` is empty"));
     }
     if common.n.is_some_and(|n| n != 1) {
-        return Err(Problem::invalid("n", "`n` must be 1: one request has one answer"));
+        return Err(Problem::invalid(
+            "n",
+            "`n` must be 1: one request has one answer",
+        ));
     }
     if common.top_p.is_some_and(|top_p| top_p != 1.0) {
-        return Err(Problem::invalid("top_p", "`top_p` must be 1: it is not supported"));
+        return Err(Problem::invalid(
+            "top_p",
+            "`top_p` must be 1: it is not supported",
+        ));
     }
     if common.max_tokens == Some(0) {
-        return Err(Problem::invalid("max_tokens", "`max_tokens` must be at least 1"));
+        return Err(Problem::invalid(
+            "max_tokens",
+            "`max_tokens` must be at least 1",
+        ));
     }
     let temperature = common.temperature.unwrap_or(1.0);
     if !(0.0..=HOTTEST).contains(&temperature) {
--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -84,7 +84,9 @@
         let held = super::router::document(state)?;
         let target = held
             .document
-            .route(req.uri().path(), &team, &body.model, |name| header(req, name))
+            .route(req.uri().path(), &team, &body.model, |name| {
+                header(req, name)
+            })
             .ok_or_else(|| {
                 let message = format!("no route takes model `{}` for this team", body.model);
                 let mut problem = Problem::new(Code::NotFound, message);
@@ -97,7 +99,10 @@
             versions.find(|release| release.name == target.version)
         });
         let (Some(provision), Some(release)) = (provision, release) else {
-            return Err(Problem::new(Code::Unavailable, "the route has no such version"));
+            return Err(Problem::new(
+                Code::Unavailable,
+                "the route has no such version",
+            ));
         };
         let key = header(req, "idempotency-key");
         let mark = match header(req, "last-event-id") {
@@ -164,7 +169,9 @@
                     push(&mut text, &tokens);
                 }
                 Piece::Finish(finish, usage) => {
-                    res.render(Json(shape::whole(self.kind, id, model, &text, finish, usage)));
+                    res.render(Json(shape::whole(
+                        self.kind, id, model, &text, finish, usage,
+                    )));
                     return;
                 }
                 Piece::Interrupt(reason, after) => {
@@ -246,5 +253,7 @@
 fn token_event(kind: Kind, id: &str, model: &str, token: (Mark, String)) -> SseEvent {
     let (mark, text) = token;
     let chunk = shape::chunk(kind, id, model, &text, None);
-    SseEvent::default().id(mark.to_string()).text(chunk.to_string())
+    SseEvent::default()
+        .id(mark.to_string())
+        .text(chunk.to_string())
 }
--- a/components/entry/src/callers/router.rs
+++ b/components/entry/src/callers/router.rs
@@ -75,9 +75,10 @@
 
 /// The document in force.
 pub(crate) fn document(state: &State) -> Result<Arc<Held>, Problem> {
-    state.documents.current().ok_or_else(|| {
-        Problem::new(Code::Unavailable, "no document is in force yet").retry(RETRY)
-    })
+    state
+        .documents
+        .current()
+        .ok_or_else(|| Problem::new(Code::Unavailable, "no document is in force yet").retry(RETRY))
 }
 
 /// A header as text.
--- a/components/entry/src/callers/service.rs
+++ b/components/entry/src/callers/service.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use salvo::{
-    Request,
-    Response,
-    handler,
+    Request, Response, handler,
     http::{
         HeaderValue,
         StatusCode,
@@ -64,7 +62,10 @@
             .route(req.uri().path(), &team, "", |name| header(req, name))
             .filter(|target| target.service == service)
             .ok_or_else(|| {
-                Problem::new(Code::NotFound, format!("no route takes service `{service}`"))
+                Problem::new(
+                    Code::NotFound,
+                    format!("no route takes service `{service}`"),
+                )
             })?;
         let provision = held.document.service(&service).ok_or_else(|| {
             Problem::new(Code::NotFound, format!("there is no service `{service}`"))
@@ -98,14 +99,20 @@
     if service.is_empty() {
         return Err(Problem::invalid("path", "the path names no service"));
     }
-    let path = if path.starts_with('/') { path.to_string() } else { format!("/{path}") };
+    let path = if path.starts_with('/') {
+        path.to_string()
+    } else {
+        format!("/{path}")
+    };
     Ok((service.to_string(), path))
 }
 
 fn write(answer: Answer, res: &mut Response) {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     res.status_code(status);
-    let content_type = answer.content_type.and_then(|text| HeaderValue::from_str(&text).ok());
+    let content_type = answer
+        .content_type
+        .and_then(|text| HeaderValue::from_str(&text).ok());
     if let Some(value) = content_type {
         res.headers_mut().insert(CONTENT_TYPE, value);
     }
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -90,12 +90,20 @@
         avoid.push(server);
     }
     if lost {
-        events::emit!(calls::UNKNOWN, "service={} key={:?}", provision.name, call.key);
+        events::emit!(
+            calls::UNKNOWN,
+            "service={} key={:?}",
+            provision.name,
+            call.key
+        );
         let message = "the call was handed over and its answer was lost";
         return Err(Problem::new(Code::Unknown, message).run(Run::Unknown));
     }
-    Err(Problem::new(Code::Unavailable, "no replica of the service takes the call")
-        .retry(NO_REPLICA))
+    Err(Problem::new(
+        Code::Unavailable,
+        "no replica of the service takes the call",
+    )
+    .retry(NO_REPLICA))
 }
 
 async fn send(state: &State, joined: &Joined, call: &Call) -> Tried {
@@ -103,7 +111,10 @@
         return Tried::NotSent;
     };
     let answered = async {
-        stream.send(&Frame::Call(Box::new(call.clone()))).await.ok()?;
+        stream
+            .send(&Frame::Call(Box::new(call.clone())))
+            .await
+            .ok()?;
         match stream.receive().await {
             Ok(Some(Frame::Reply(reply))) => Some(reply),
             Ok(_) | Err(_) => None,
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -7,9 +7,7 @@
 };
 
 use daemon::{
-    Error,
-    http,
-    metrics,
+    Error, http, metrics,
     probe::{
         self,
         Readiness, //
@@ -42,8 +40,7 @@
         Documents, //
     },
     fleet::Fleet,
-    links,
-    operators,
+    links, operators,
     state::{
         Pools,
         Requests,
@@ -139,7 +136,11 @@
     }
 }
 
-fn state(settings: settings::Entry, node: Node, leaving: CancellationToken) -> Result<State, Error> {
+fn state(
+    settings: settings::Entry,
+    node: Node,
+    leaving: CancellationToken,
+) -> Result<State, Error> {
     let platform = platform::Client::new(&settings.platform, settings.times.platform)
         .map_err(|error| wire::Error::Keys(error.to_string()))?;
     let hello = Hello {
@@ -183,7 +184,9 @@
     let count = state.requests.count();
     let host = &state.settings.name;
     events::emit!(process::STOPPING, "host={host} in_progress={count}");
-    state.heartbeat.send_modify(|heartbeat| heartbeat.leaving = true);
+    state
+        .heartbeat
+        .send_modify(|heartbeat| heartbeat.leaving = true);
     let limit = Instant::now() + state.settings.times.drain;
     while state.requests.count() > 0 {
         if Instant::now() >= limit {
--- a/components/entry/src/documents.rs
+++ b/components/entry/src/documents.rs
@@ -73,7 +73,10 @@
                 self.revision.send_replace(revision);
             }
             Err(error) => {
-                events::emit!(documents::UNREADABLE, "revision={revision} reason=\"{error}\"");
+                events::emit!(
+                    documents::UNREADABLE,
+                    "revision={revision} reason=\"{error}\""
+                );
             }
         }
     }
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -3,8 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
-        Mutex,
+        Arc, Mutex,
         atomic::{
             AtomicU32,
             Ordering, //
@@ -23,8 +22,7 @@
     watch, //
 };
 use wire::{
-    Frame,
-    Link,
+    Frame, Link,
     frame::{
         Heartbeat,
         Hello, //
@@ -126,11 +124,27 @@
     pub(crate) fn beside(&self, server: &str) -> Option<Arc<Peer>> {
         self.all().into_iter().find(|peer| {
             let link = peer.link.borrow();
-            let backend = link.as_ref().and_then(|joined| joined.hello.backend.as_ref());
+            let backend = link
+                .as_ref()
+                .and_then(|joined| joined.hello.backend.as_ref());
             backend.is_some_and(|backend| backend.server == server)
         })
     }
 
+    /// Backend servers that may get work, in order.
+    pub(crate) fn servers(&self) -> Vec<Server> {
+        let mut servers = Vec::new();
+        for peer in self.all() {
+            if !peer.takes_work() {
+                continue;
+            }
+            let backend = peer.joined().and_then(|joined| joined.hello.backend);
+            servers.extend(backend.map(|backend| backend.server));
+        }
+        servers.sort();
+        servers
+    }
+
     /// Chooses a replica: the least loaded that is not to be avoided, or else the least loaded.
     pub(crate) fn choose(
         &self,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,8 +1,8 @@
 //! The entry daemon's library: callers and operators in, links to sidecars out.
 
-pub mod callers;
 mod answers;
 mod attempt;
+pub mod callers;
 mod calls;
 mod daemon;
 mod documents;
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -70,7 +70,12 @@
             return Err(Problem::invalid("environment", message));
         }
         let key = key(&environment);
-        match self.state.platform.put(&key, &text, Expect::Any, None).await {
+        match self
+            .state
+            .platform
+            .put(&key, &text, Expect::Any, None)
+            .await
+        {
             Ok(Write::Done { revision }) => Ok(revision),
             Ok(Write::Conflict { .. }) => {
                 Err(Problem::new(Code::Unavailable, "another edit came first"))
@@ -91,6 +96,8 @@
     environment: &'a str,
     revision: u64,
     digest: String,
+    /// Backend servers that this entry has a link to and that are healthy.
+    servers: Vec<String>,
 }
 
 #[handler]
@@ -106,6 +113,7 @@
             environment: &self.state.settings.environment,
             revision,
             digest,
+            servers: self.state.fleet.servers(),
         }));
     }
 }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -3,8 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
-        Mutex,
+        Arc, Mutex,
         atomic::{
             AtomicUsize,
             Ordering, //
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -46,11 +46,10 @@
     };
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
-    tokio::spawn(greeting::beat(
-        first.sender,
-        beats,
-        state.settings.times.heartbeat,
-    ));
+    // A sidecar has nothing to send between heartbeats.
+    let (_others, nothing) = mpsc::channel(1);
+    let pace = state.settings.times.heartbeat;
+    tokio::spawn(greeting::beat(first.sender, beats, nothing, pace));
     tokio::spawn(listen(first.receiver));
     loop {
         let stream = tokio::select! {
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,179 @@
+//! The command line.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use argh::FromArgs;
+
+use crate::messages::USAGE;
+
+/// medlarhatch serves long model generations on engines that fail.
+///
+/// Exit codes: 0 done; 1 refused or failed; 2 wrong arguments; 3 a process or the platform can't be
+/// reached, so that nothing is known.
+#[derive(FromArgs)]
+pub struct Args {
+    /// log more: debug events too
+    #[argh(switch, short = 'v')]
+    pub verbose: bool,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Run an entry.
+    Entry(Entry),
+    /// Run a sidecar.
+    Sidecar(Sidecar),
+    /// Work with documents.
+    Env(Env),
+    /// Make keys.
+    Keys(Keys),
+    /// Show it all in one process.
+    Demo(Demo),
+}
+
+/// Run an entry: callers and operators in, links to sidecars out.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct Entry {
+    /// settings file, YAML (see examples/entry.yaml)
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// keys file, YAML (see `medlarhatch keys`)
+    #[argh(option)]
+    pub keys: Option<PathBuf>,
+    /// check the files, and don't start
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Run a sidecar beside one backend server.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sidecar")]
+pub struct Sidecar {
+    /// settings file, YAML (see examples/sidecar.yaml)
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// keys file, YAML (see `medlarhatch keys`)
+    #[argh(option)]
+    pub keys: Option<PathBuf>,
+    /// check the files, and don't start
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Work with environments' documents.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "env")]
+pub struct Env {
+    #[argh(subcommand)]
+    pub command: EnvCommand,
+}
+
+/// What to do with documents.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum EnvCommand {
+    /// Check a file.
+    Check(EnvCheck),
+    /// Put a document in force.
+    Put(EnvPut),
+    /// Show what is in force.
+    Status(EnvStatus),
+}
+
+/// Check a document without putting it; works offline.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct EnvCheck {
+    /// the document, YAML
+    #[argh(positional)]
+    pub document: PathBuf,
+}
+
+/// Put a document in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "put")]
+pub struct EnvPut {
+    /// the document, YAML
+    #[argh(positional)]
+    pub document: PathBuf,
+    /// operators' address of any entry, such as http://127.0.0.1:7101
+    #[argh(option)]
+    pub entry: String,
+}
+
+/// Show which document is in force at entries.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct EnvStatus {
+    /// operators' address of an entry; may be given more than once
+    #[argh(option)]
+    pub entry: Vec<String>,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+}
+
+/// How to print.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// For a person.
+    Text,
+    /// For a program.
+    Json,
+}
+
+impl std::str::FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!("`{text}` is no format; accepted are text and json")),
+        }
+    }
+}
+
+/// Make an authority and keys for hosts, for a trial.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "keys")]
+pub struct Keys {
+    /// folder for the files; authority.yaml in it is used again when it is there
+    #[argh(option)]
+    pub out: PathBuf,
+    /// names of the hosts
+    #[argh(positional)]
+    pub hosts: Vec<String>,
+}
+
+/// Show the main job on stand-ins in one process: an answer is streamed, its engine killed halfway.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// length of the answer in tokens
+    #[argh(option, default = "60")]
+    pub tokens: u64,
+}
+
+/// Reads the arguments; help and errors are printed here.
+pub fn parse(args: Vec<String>) -> Result<Args, ExitCode> {
+    let words: Vec<&str> = args.iter().map(String::as_str).collect();
+    let (name, rest) = words.split_first().unwrap_or((&"medlarhatch", &[]));
+    let name = name.rsplit('/').next().unwrap_or(name);
+    Args::from_args(&[name], rest).map_err(|early| {
+        if early.status.is_ok() {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        eprintln!("{}\nRun {name} --help for more.", early.output.trim_end());
+        ExitCode::from(USAGE)
+    })
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,27 @@
+//! `medlarhatch entry`.
+
+use entry::Entry;
+
+use super::stop;
+use crate::{
+    cli,
+    messages::Failure, //
+};
+
+/// Runs an entry until it is told to stop.
+pub async fn run(args: cli::Entry) -> Result<(), Failure> {
+    let settings: settings::Entry = settings::read(&args.settings)?;
+    let keys = super::keys::read(args.keys.as_deref(), args.check)?;
+    let Some(keys) = keys else {
+        println!("{}: fine", args.settings.display());
+        return Ok(());
+    };
+    let entry = Entry::start(settings, &keys, stop::on_signal()?)
+        .await
+        .map_err(|error| Failure::Failed(error.to_string()))?;
+    println!("callers {}", entry.callers);
+    println!("operators {}", entry.operators);
+    println!("links {}", entry.links);
+    entry.ended().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,24 @@
+//! The subcommands, a file each.
+
+mod demo;
+mod entry;
+mod env;
+mod keys;
+mod sidecar;
+mod stop;
+
+use crate::{
+    cli::Command,
+    messages::Failure, //
+};
+
+/// Runs a subcommand.
+pub async fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Entry(args) => entry::run(args).await,
+        Command::Sidecar(args) => sidecar::run(args).await,
+        Command::Env(args) => env::run(args.command).await,
+        Command::Keys(args) => keys::run(&args),
+        Command::Demo(args) => demo::run(args).await,
+    }
+}
--- /dev/null
+++ b/src/cmd/stop.rs
@@ -0,0 +1,29 @@
+//! Stops a daemon on the platform's signal.
+
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::messages::Failure;
+
+/// A token that is cancelled by SIGTERM or SIGINT.
+pub fn on_signal() -> Result<CancellationToken, Failure> {
+    let token = CancellationToken::new();
+    let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let stop = token.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        stop.cancel();
+    });
+    Ok(token)
+}
+
+fn listen(kind: SignalKind) -> Result<tokio::signal::unix::Signal, Failure> {
+    signal(kind).map_err(|error| Failure::Failed(format!("signals can't be heard: {error}")))
+}
