Add the platform's client with lost answers settled

Cause: the store, the host list and the weight store are the only things that outlast a process, and any answer of theirs can be lost. Ruled out: retrying writes in the client (a write that timed out may land later), reading the key back alone (an edit that was overwritten since reads as lost, and one that lands late reads as absent). Change: one attempt a call with typed errors; settle() reads back by nonce, decides open writes by a second conditional one, and looks through the watch's history for overwritten ones; else it says unknown.

--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,1 +1,13 @@
 //! The edge to the platform: key-value store, host list, weight store.
+//!
+//! The contracts are `docs/interfaces/store.md` and `docs/interfaces/hosts.md`. One method of
+//! [`Client`] is one attempt; [`Client::settle`] and [`Client::get_within`] stand above that.
+
+mod client;
+mod error;
+pub mod hosts;
+mod settle;
+pub mod store;
+
+pub use client::Client;
+pub use error::Error;
--- /dev/null
+++ b/components/platform/tests/settle.rs
@@ -0,0 +1,244 @@
+//! Writes whose answers are lost, and what is found out about them.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use fakes::platform::{
+    Fault,
+    Platform,
+    Settings, //
+};
+use platform::{
+    Client,
+    Error,
+    store::{
+        Expect,
+        Settled,
+        Write, //
+    }, //
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const LONG: Duration = Duration::from_secs(30);
+
+async fn start() -> (Platform, Client) {
+    let platform = Platform::start(Settings::default()).await;
+    let platform = platform.expect("loopback can be bound");
+    let base = format!("http://{}", platform.address());
+    let client = Client::new(&base, LONG).expect("the base is a URL");
+    (platform, client)
+}
+
+fn lose(answers: u64, writes: u64) -> Fault {
+    Fault {
+        lose_answers: Some(answers),
+        lose_writes: Some(writes),
+        ..Fault::default()
+    }
+}
+
+async fn revision(client: &Client, value: &str) -> u64 {
+    match client.put("k", value, Expect::Any, None).await {
+        Ok(Write::Done { revision }) => revision,
+        other => panic!("the store takes a plain write: {other:?}"),
+    }
+}
+
+// A write's answer is lost after it took effect, or the write itself is lost. The writer must
+// learn which: taken for lost, an order would be given twice; taken for done, a call would run
+// without its record.
+#[rstest]
+#[case::answered(0, 0, 1)]
+#[case::answer_lost(1, 0, 1)]
+#[case::answers_lost(3, 0, 1)]
+#[case::write_lost(0, 1, 2)]
+#[case::writes_lost(0, 3, 4)]
+#[case::both_lost(1, 1, 2)]
+#[tokio::test]
+async fn lost_answers_are_settled(
+    #[case] answers: u64,
+    #[case] writes: u64,
+    #[case] attempts: u64,
+    #[values(Expect::Absent, Expect::Revision(1))] expect: Expect,
+) {
+    let (platform, client) = start().await;
+    if expect != Expect::Absent {
+        revision(&client, "before").await;
+    }
+    let before = platform.counts().writes;
+    platform.fault(lose(answers, writes));
+    let settled = client.settle("k", "nonce-1", expect, None).await;
+    assert_matches!(settled, Ok(Settled::Won { .. }));
+    assert_eq!(platform.counts().writes - before, attempts);
+    let entry = client.get("k").await.expect("the store answers");
+    assert_eq!(entry.expect("the key is there").value, "nonce-1");
+}
+
+#[rstest]
+#[case::lost_write(lose(0, 1))]
+#[case::plain(Fault::default())]
+#[tokio::test]
+async fn other_creator_wins(#[case] fault: Fault) {
+    let (platform, client) = start().await;
+    revision(&client, "other").await;
+    platform.fault(fault);
+    let settled = client.settle("k", "nonce-1", Expect::Absent, None).await;
+    let Ok(Settled::Lost { entry }) = settled else {
+        panic!("the other's key stands: {settled:?}");
+    };
+    assert_eq!(entry.expect("the key is there").value, "other");
+}
+
+// An edit takes effect, its answer is lost, and another operator edits on top before the first one
+// looks. Reading the key alone would say that the first edit never was.
+#[tokio::test]
+async fn overwritten_write_is_still_won() {
+    let (platform, client) = start().await;
+    let first = revision(&client, "before").await;
+    platform.fault(Fault {
+        lose_answers: Some(1),
+        ..Fault::default()
+    });
+    let expect = Expect::Revision(first);
+    let lost = client.put("k", "nonce-1", expect, None).await;
+    assert_eq!(lost, Err(Error::Unanswered));
+    revision(&client, "on top").await;
+    let settled = client.settle("k", "nonce-1", expect, None).await;
+    assert_eq!(
+        settled,
+        Ok(Settled::Won {
+            revision: first + 1
+        })
+    );
+}
+
+#[tokio::test]
+async fn passed_revision_is_lost() {
+    let (platform, client) = start().await;
+    let first = revision(&client, "before").await;
+    revision(&client, "other").await;
+    platform.fault(lose(0, 1));
+    let settled = client.settle("k", "nonce-1", Expect::Revision(first), None);
+    assert_matches!(settled.await, Ok(Settled::Lost { entry: Some(_) }));
+}
+
+// The changes since the expected revision are no longer kept, so nobody can say whether the edit
+// was in force for a while.
+#[tokio::test]
+async fn forgotten_history_is_unknown() {
+    let platform = Platform::start(Settings {
+        kept: 1,
+        ..Settings::default()
+    });
+    let platform = platform.await.expect("loopback can be bound");
+    let base = format!("http://{}", platform.address());
+    let client = Client::new(&base, LONG).expect("the base is a URL");
+    let first = revision(&client, "before").await;
+    revision(&client, "other").await;
+    revision(&client, "another").await;
+    let settled = client.settle("k", "nonce-1", Expect::Revision(first), None);
+    assert_eq!(settled.await, Ok(Settled::Unknown));
+}
+
+// The store goes down right after it took a write. The writer can't learn what came of it, and
+// must not guess.
+#[tokio::test]
+async fn outage_after_the_write_is_unknown() {
+    let (platform, client) = start().await;
+    let client = client.with_patience(Duration::from_millis(200));
+    platform.fault(Fault {
+        slow_ms: Some(50),
+        lose_answers: Some(1),
+        ..Fault::default()
+    });
+    let settling = client.clone();
+    let task = tokio::spawn(async move { settling.settle("k", "n-1", Expect::Absent, None).await });
+    let end = Instant::now() + LONG;
+    while platform.counts().reads == 0 {
+        assert!(Instant::now() < end, "the write is read back");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    platform.fault(Fault {
+        outage: true,
+        ..Fault::default()
+    });
+    assert_eq!(task.await.expect("the task ends"), Ok(Settled::Unknown));
+}
+
+// A write times out on its way and lands late, after the writer looked and saw nothing. A reader
+// of the key alone would say "lost" of a write that then takes effect; the second conditional
+// write makes the late one harmless.
+#[tokio::test]
+async fn late_write_lands_once() {
+    let (platform, _) = start().await;
+    let base = format!("http://{}", platform.address());
+    let client = Client::new(&base, Duration::from_millis(100));
+    let client = client.expect("the base is a URL").with_patience(LONG);
+    platform.fault(Fault {
+        slow_ms: Some(400),
+        ..Fault::default()
+    });
+    let settling = client.clone();
+    let task = tokio::spawn(async move { settling.settle("k", "n-1", Expect::Absent, None).await });
+    let end = Instant::now() + LONG;
+    while platform.counts().reads == 0 {
+        assert!(Instant::now() < end, "the write is read back");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    platform.fault(Fault {
+        clear: true,
+        ..Fault::default()
+    });
+    let settled = task.await.expect("the task ends");
+    let Ok(Settled::Won { revision }) = settled else {
+        panic!("the write is decided: {settled:?}");
+    };
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let change = client.watch("k", 0, Duration::ZERO).await;
+    let change = change.expect("the store answers");
+    assert_eq!(change.events.len(), 1, "{change:?}");
+    assert_eq!(change.events[0].revision, revision);
+}
+
+#[rstest]
+#[case::outage(Fault { outage: true, ..Fault::default() }, Error::Outage)]
+#[case::rate(
+    Fault { writes_per_s: Some(0.5), ..Fault::default() },
+    Error::Busy { retry_after: Duration::from_secs(1) }
+)]
+#[tokio::test]
+async fn refused_writes_had_no_effect(#[case] fault: Fault, #[case] error: Error) {
+    let (platform, client) = start().await;
+    platform.fault(fault);
+    let settled = client.settle("k", "nonce-1", Expect::Absent, None).await;
+    assert_eq!(settled, Err(error));
+    assert_eq!(platform.counts().writes, 1);
+}
+
+#[tokio::test]
+async fn unconditional_write_is_not_repeated() {
+    let (platform, client) = start().await;
+    platform.fault(lose(0, 1));
+    let settled = client.settle("k", "nonce-1", Expect::Any, None).await;
+    assert_eq!(settled, Ok(Settled::Unknown));
+    assert_eq!(platform.counts().writes, 1);
+}
+
+// The store is out for a moment; a read goes on as soon as it is back.
+#[tokio::test]
+async fn reads_are_retried_until_their_deadline() {
+    let (platform, client) = start().await;
+    platform.fault(Fault {
+        outage_ms: Some(100),
+        ..Fault::default()
+    });
+    let read = client.get_within("k", Instant::now() + LONG).await;
+    assert_eq!(read, Ok(None));
+    platform.fault(Fault {
+        outage: true,
+        ..Fault::default()
+    });
+    let deadline = Instant::now() + Duration::from_millis(200);
+    assert_eq!(client.get_within("k", deadline).await, Err(Error::Outage));
+}
