--- a/components/entry/src/documents.rs
+++ b/components/entry/src/documents.rs
@@ -85,7 +85,7 @@
 /// Reads the document and watches it for changes.
 pub(crate) async fn follow(state: Arc<State>) {
     let key = key(&state.settings.environment);
-    let mut after = 0;
+    let mut after = None;
     let mut out = false;
     loop {
         let step = tokio::select! {
@@ -94,7 +94,7 @@
         };
         match step {
             Ok(revision) => {
-                after = revision;
+                after = Some(revision);
                 out = false;
             }
             Err(error) => {
@@ -102,23 +102,27 @@
                     events::emit!(documents::STORE_OUT, "reason=\"{error}\"");
                 }
                 out = true;
-                after = 0;
+                after = None;
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
-async fn read(state: &State, key: &str, after: Revision) -> Result<Revision, platform::Error> {
-    if after == 0 {
+async fn read(
+    state: &State,
+    key: &str,
+    after: Option<Revision>,
+) -> Result<Revision, platform::Error> {
+    let Some(after) = after else {
         let listing = state.platform.list(key).await?;
         for entry in listing.entries {
             if entry.key == key {
                 state.documents.take(entry.revision, entry.value);
             }
         }
-        return Ok(listing.revision.max(1));
-    }
+        return Ok(listing.revision);
+    };
     let change = state
         .platform
         .watch(key, after, state.settings.times.watch)
