--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -114,7 +114,7 @@
     pub heartbeat: Duration,
     /// A link on which nothing came for this time is given up, and a new one is dialled.
     #[serde(with = "humantime_serde")]
-    #[garde(custom(bounded))]
+    #[garde(custom(bounded), custom(above(&self.heartbeat)))]
     pub silence: Duration,
     /// Time between readings of the platform's host list.
     #[serde(with = "humantime_serde")]
@@ -171,3 +171,14 @@
     }
     Err(garde::Error::new("accepted are 1ms to 24h"))
 }
+
+/// Refuses a silence within which fewer than two heartbeats come: one lost packet would then cost
+/// the link.
+pub(crate) fn above(heartbeat: &Duration) -> impl FnOnce(&Duration, &()) -> garde::Result + '_ {
+    move |silence, &()| {
+        if *silence > *heartbeat * 2 {
+            return Ok(());
+        }
+        Err(garde::Error::new("accepted is more than two heartbeats"))
+    }
+}
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -8,6 +8,9 @@
 use garde::Validate;
 use serde::de::DeserializeOwned;
 
+/// How the library for durations says what it wanted.
+const DURATION: &str = "expected a duration";
+
 /// Why settings were refused.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -57,7 +60,7 @@
 {
     let settings: T = serde_norway::from_str(text).map_err(|error| Error::Shape {
         path: name.to_string(),
-        message: error.to_string(),
+        message: explain(&error.to_string()),
     })?;
     settings.validate().map_err(|report| Error::Bounds {
         path: name.to_string(),
@@ -65,3 +68,12 @@
     })?;
     Ok(settings)
 }
+
+/// Adds what is accepted where the libraries' messages leave it out.
+fn explain(message: &str) -> String {
+    message.replacen(
+        DURATION,
+        "expected a duration with its unit, such as `500ms` or `3s`",
+        1,
+    )
+}
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -19,7 +19,10 @@
 };
 
 use crate::{
-    entry::bounded,
+    entry::{
+        above,
+        bounded, //
+    },
     size, //
 };
 
@@ -136,7 +139,7 @@
     pub heartbeat: Duration,
     /// A link on which nothing came for this time is given up.
     #[serde(with = "humantime_serde")]
-    #[garde(custom(bounded))]
+    #[garde(custom(bounded), custom(above(&self.heartbeat)))]
     pub silence: Duration,
     /// A generation runs on for this time after nobody listens to it any more.
     #[serde(with = "humantime_serde")]
--- /dev/null
+++ b/components/settings/tests/settings.rs
@@ -0,0 +1,78 @@
+//! Settings files: the examples are fine, and each mistake is named.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+use rstest::rstest;
+use settings::{
+    Entry,
+    Sidecar, //
+};
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/walk")
+}
+
+#[rstest]
+#[case("entry-a")]
+#[case("entry-b")]
+fn the_entries_examples_are_fine(#[case] name: &str) {
+    let path = examples().join(format!("{name}.yaml"));
+    let entry: Entry = settings::read(&path).expect("fine");
+    assert_eq!(entry.name, name);
+}
+
+#[rstest]
+#[case("draft-a")]
+#[case("draft-b")]
+#[case("ledger-a")]
+fn the_sidecars_examples_are_fine(#[case] name: &str) {
+    let path = examples().join(format!("{name}.yaml"));
+    let sidecar: Sidecar = settings::read(&path).expect("fine");
+    assert_eq!(sidecar.name, name);
+}
+
+/// The example of an entry with one line changed or added.
+fn spoiled(from: &str, to: &str) -> String {
+    let text = fs::read_to_string(examples().join("entry-a.yaml")).expect("it is there");
+    assert!(text.contains(from), "{from}");
+    let spoiled = text.replace(from, to);
+    match settings::parse::<Entry>("entry.yaml", &spoiled) {
+        Ok(_) => "fine".to_string(),
+        Err(error) => error.to_string(),
+    }
+}
+
+#[rstest]
+#[case::unknown_field("unknown_field", "name:", "nam:")]
+#[case::unknown_time("unknown_time", "heartbeat:", "hartbeat:")]
+#[case::no_unit("no_unit", "heartbeat: 500ms", "heartbeat: 500")]
+#[case::zero("zero", "heartbeat: 500ms", "heartbeat: 0ms")]
+#[case::too_long("too_long", "heartbeat: 500ms", "heartbeat: 48h")]
+#[case::short_silence("short_silence", "1500ms", "900ms")]
+#[case::no_address("no_address", "127.0.0.1:7101", "localhost")]
+#[case::no_scheme("no_scheme", "http://127.0.0.1:7000", "127.0.0.1:7000")]
+#[case::empty_name("empty_name", "name: entry-a", "name: \"\"")]
+#[case::no_size("no_size", "times:", "limits: {body: 4 megs}\ntimes:")]
+#[case::size_too_small("size_too_small", "times:", "limits: {body: 1KB}\ntimes:")]
+#[case::size_of_nothing("size_of_nothing", "times:", "limits: {body: 0}\ntimes:")]
+fn each_mistake_is_named(#[case] case: &str, #[case] from: &str, #[case] to: &str) {
+    insta::assert_snapshot!(format!("mistake_{case}"), spoiled(from, to));
+}
+
+#[rstest]
+#[case("65536", 65536)]
+#[case("64KiB", 64 << 10)]
+#[case("4 MiB", 4 << 20)]
+#[case("1GiB", 1 << 30)]
+fn sizes_have_units(#[case] text: &str, #[case] bytes: u64) {
+    let example = fs::read_to_string(examples().join("entry-a.yaml")).expect("it is there");
+    let text = format!("{example}limits: {{body: {text}}}\n");
+    let entry: Entry = settings::parse("entry.yaml", &text).expect("fine");
+    assert_eq!(entry.limits.body, bytes);
+}
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -39,7 +39,7 @@
 }
 
 /// A connection to another of our processes.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Link {
     connection: Connection,
 }
