Name the field of a body of the wrong type

Ruled out: reading the fields by hand from a map, which loses line and column. Change: one flat struct, read through serde_path_to_error.

--- a/components/entry/src/callers/body.rs
+++ b/components/entry/src/callers/body.rs
@@ -22,35 +22,14 @@
     pub(crate) stream: bool,
 }
 
+/// The fields of both kinds of body. `n`, `top_p` and `user` are taken with the only values that
+/// leave the answer as it is.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Completion {
-    model: String,
-    prompt: String,
-    #[serde(flatten)]
-    common: Common,
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Chat {
+struct Fields {
     model: String,
-    messages: Vec<Message>,
-    #[serde(flatten)]
-    common: Common,
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Message {
-    role: String,
-    content: String,
-}
-
-/// Parameters that both kinds have. `n`, `top_p` and `user` are taken with the only values that
-/// leave the answer as it is.
-#[derive(Deserialize)]
-struct Common {
+    prompt: Option<String>,
+    messages: Option<Vec<Message>>,
     max_tokens: Option<u64>,
     seed: Option<u64>,
     temperature: Option<f64>,
@@ -62,75 +41,103 @@
     _user: Option<String>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Message {
+    role: String,
+    content: String,
+}
+
 /// Highest sampling temperature.
 const HOTTEST: f64 = 2.0;
 
 /// Reads the body of `POST /v1/completions`.
 pub(crate) fn completion(bytes: &[u8]) -> Result<Body, Problem> {
-    let completion: Completion = read(bytes)?;
-    finish(completion.model, completion.prompt, completion.common)
+    let mut fields = read(bytes)?;
+    if fields.messages.is_some() {
+        return Err(Problem::invalid(
+            "messages",
+            "`messages` belongs to chat completions",
+        ));
+    }
+    let prompt = fields.prompt.take().unwrap_or_default();
+    if prompt.is_empty() {
+        return Err(Problem::invalid("prompt", "`prompt` is missing or empty"));
+    }
+    finish(fields, prompt)
 }
 
 /// Reads the body of `POST /v1/chat/completions`.
 pub(crate) fn chat(bytes: &[u8]) -> Result<Body, Problem> {
-    let chat: Chat = read(bytes)?;
-    if chat.messages.is_empty() {
-        return Err(Problem::invalid("messages", "`messages` is empty"));
+    let mut fields = read(bytes)?;
+    if fields.prompt.is_some() {
+        return Err(Problem::invalid(
+            "prompt",
+            "`prompt` belongs to completions",
+        ));
+    }
+    let messages = fields.messages.take().unwrap_or_default();
+    if messages.is_empty() {
+        return Err(Problem::invalid(
+            "messages",
+            "`messages` is missing or empty",
+        ));
     }
     let mut prompt = String::new();
-    for message in &chat.messages {
+    for message in &messages {
         prompt.push_str(&format!("{}: {}\n", message.role, message.content));
     }
     prompt.push_str("assistant:");
-    finish(chat.model, prompt, chat.common)
+    finish(fields, prompt)
 }
 
-fn read<'a, T>(bytes: &'a [u8]) -> Result<T, Problem>
-where
-    T: Deserialize<'a>,
-{
-    serde_json::from_slice(bytes).map_err(|error| {
-        let message = error.to_string();
-        let mut problem = Problem::new(Code::Invalid, format!("the body can't be read: {message}"));
-        // The library names the field between the first two back quotes, when it is about one.
-        problem.field = message.split('`').nth(1).map(str::to_string);
+fn read(bytes: &[u8]) -> Result<Fields, Problem> {
+    let mut json = serde_json::Deserializer::from_slice(bytes);
+    let fields = serde_path_to_error::deserialize(&mut json).map_err(|error| {
+        let path = error.path().to_string();
+        let inner = error.into_inner();
+        let message = format!("the body can't be read: {inner}");
+        let mut problem = Problem::new(Code::Invalid, message);
+        // An unknown or missing field has no path; the message names it in back quotes.
+        let named = inner.to_string().split('`').nth(1).map(str::to_string);
+        problem.field = (path != ".").then_some(path).or(named);
         problem
-    })
+    })?;
+    json.end()
+        .map_err(|error| Problem::new(Code::Invalid, format!("the body can't be read: {error}")))?;
+    Ok(fields)
 }
 
-fn finish(model: String, prompt: String, common: Common) -> Result<Body, Problem> {
-    if prompt.is_empty() {
-        return Err(Problem::invalid("prompt", "`prompt` is empty"));
-    }
-    if common.n.is_some_and(|n| n != 1) {
+fn finish(fields: Fields, prompt: String) -> Result<Body, Problem> {
+    if fields.n.is_some_and(|n| n != 1) {
         return Err(Problem::invalid(
             "n",
             "`n` must be 1: one request has one answer",
         ));
     }
-    if common.top_p.is_some_and(|top_p| top_p != 1.0) {
+    if fields.top_p.is_some_and(|top_p| top_p != 1.0) {
         return Err(Problem::invalid(
             "top_p",
             "`top_p` must be 1: it is not supported",
         ));
     }
-    if common.max_tokens == Some(0) {
+    if fields.max_tokens == Some(0) {
         return Err(Problem::invalid(
             "max_tokens",
             "`max_tokens` must be at least 1",
         ));
     }
-    let temperature = common.temperature.unwrap_or(1.0);
+    let temperature = fields.temperature.unwrap_or(1.0);
     if !(0.0..=HOTTEST).contains(&temperature) {
         let message = format!("`temperature` must be between 0 and {HOTTEST}");
         return Err(Problem::invalid("temperature", message));
     }
     Ok(Body {
-        model,
+        model: fields.model,
         prompt,
-        max_tokens: common.max_tokens,
-        seed: common.seed,
+        max_tokens: fields.max_tokens,
+        seed: fields.seed,
         temperature: (temperature * 1000.0).round() as u32,
-        stream: common.stream,
+        stream: fields.stream,
     })
 }
--- /dev/null
+++ b/components/trial/tests/support/mod.rs
@@ -0,0 +1,58 @@
+//! What the tests over a whole system share.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use fakes::engine::{
+    self,
+    Settings, //
+};
+use trial::Trial;
+
+/// The document of these tests: one model, one ledger.
+pub const DOCUMENT: &str = "\
+environment: production
+services:
+  - name: draft
+    kind: engine
+    model: m
+    versions:
+      - {name: v1, servers: ['draft-*']}
+  - name: ledger
+    kind: plain
+    versions:
+      - {name: v1, servers: ['ledger-*']}
+routes:
+  - {name: letters, match: {path: /v1/, model: m}, service: draft, version: v1}
+  - {name: payouts, match: {path: /svc/ledger}, service: ledger, version: v1}
+";
+
+/// A system of one entry and some engines, ready.
+pub async fn system(engines: usize) -> Trial {
+    let mut trial = Trial::start().await.expect("a platform");
+    for number in 0..engines {
+        let settings = Settings {
+            between: Duration::from_millis(2),
+            first: Duration::from_millis(2),
+            ..Settings::default()
+        };
+        let name = format!("draft-{number}");
+        let data_centre = format!("dc{}", number % 3 + 1);
+        trial
+            .engine(&name, &data_centre, settings)
+            .await
+            .expect("an engine");
+    }
+    trial.entry("entry-0", "dc1").await.expect("an entry");
+    let revision = trial.put(0, "production", DOCUMENT).await.expect("put");
+    trial.ready(revision).await.expect("ready");
+    trial
+}
+
+/// The stand-in's text for a request.
+pub fn known(prompt: &str, seed: u64, max_tokens: u64) -> Vec<String> {
+    (0..engine::length(prompt, seed, max_tokens))
+        .map(|index| engine::token(prompt, seed, "v1", index))
+        .collect()
+}
