--- /dev/null
+++ b/components/contract/src/poison/ledger.rs
@@ -0,0 +1,236 @@
+//! Verdicts on fingerprints, derived from the facts.
+
+use std::time::Duration;
+
+use names::{
+    Clock,
+    Nonce, //
+};
+
+use super::{
+    Death,
+    Facts,
+    Fingerprint,
+    Flight, //
+};
+
+/// Deaths that it takes to refuse a fingerprint.
+const DEATHS: usize = 2;
+
+/// Bounds and times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// A request that has run this long beside others is no longer fresh.
+    pub probation: Duration,
+    /// How long a death blames.
+    pub blame: Duration,
+    /// How long a fingerprint is refused.
+    pub refusal: Duration,
+    /// Most deaths, refusals and passes that are kept, each.
+    pub most: usize,
+    /// Most flights of a death that are kept; the freshest stay.
+    pub flights: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            probation: Duration::from_secs(2),
+            blame: Duration::from_secs(30 * 60),
+            refusal: Duration::from_secs(60 * 60),
+            most: 256,
+            flights: 256,
+        }
+    }
+}
+
+/// What is held of a fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// Nothing.
+    Clear,
+    /// It was in flight at one death that nobody else explains: at most one such on a server.
+    Suspect,
+    /// It was in flight at several: it runs with no other request that may be to blame.
+    Solitary,
+    /// It is refused.
+    Refused {
+        /// For how long.
+        left: Duration,
+    },
+}
+
+/// Whether a request may start on a server now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Place {
+    /// It may.
+    Free,
+    /// Not now: a death could not be told apart. Another server, or a little later.
+    Later,
+}
+
+/// The facts and what follows from them.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    settings: Settings,
+    facts: Facts,
+}
+
+impl Ledger {
+    /// Starts with no facts.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            facts: Facts::default(),
+        }
+    }
+
+    /// The facts, to be spread.
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// Takes facts of another process; tells whether anything was new.
+    pub fn merge(&mut self, facts: &Facts, now: Clock) -> bool {
+        let new = self.facts.merge(facts);
+        self.settle(now);
+        new
+    }
+
+    /// Takes the death of a server that this process saw.
+    pub fn died(&mut self, number: Nonce, mut death: Death, now: Clock) {
+        death.flights.sort_by_key(|flight| flight.ran);
+        death.flights.truncate(self.settings.flights);
+        self.facts.deaths.entry(number).or_insert(death);
+        self.settle(now);
+    }
+
+    /// A request ran to its end. If it was a suspect, it is cleared.
+    pub fn ended(&mut self, fingerprint: Fingerprint, now: Clock) {
+        if self.blames(fingerprint).is_empty() {
+            return;
+        }
+        self.facts.passed.insert(fingerprint, now);
+        self.settle(now);
+    }
+
+    /// What is held of a fingerprint.
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Clock) -> Verdict {
+        if let Some(until) = self.facts.refused.get(&fingerprint)
+            && *until > now
+        {
+            return Verdict::Refused { left: *until - now };
+        }
+        match self.blames(fingerprint).len() {
+            0 => Verdict::Clear,
+            1 => Verdict::Suspect,
+            _ => Verdict::Solitary,
+        }
+    }
+
+    /// Tells whether a request may start on a server beside what runs there.
+    ///
+    /// A fresh request beside a suspect would make the next death ambiguous: one would notice an
+    /// innocent refused, or a third server lost. So a suspect starts beside no fresh request and no
+    /// fresh suspect, nothing starts beside a fresh suspect, and nothing at all beside a solitary
+    /// one.
+    pub fn place(&self, fingerprint: Fingerprint, running: &[Flight], now: Clock) -> Place {
+        let verdict = self.verdict(fingerprint, now);
+        for flight in running {
+            let fresh = flight.ran < self.settings.probation;
+            let apart = match (verdict, self.verdict(flight.fingerprint, now)) {
+                (_, Verdict::Solitary) => true,
+                (Verdict::Clear, Verdict::Clear | Verdict::Refused { .. }) => false,
+                (_, _) => fresh,
+            };
+            if apart {
+                return Place::Later;
+            }
+        }
+        Place::Free
+    }
+
+    /// Refuses whoever is proven, then forgets what has expired.
+    fn settle(&mut self, now: Clock) {
+        let until = now + self.settings.refusal;
+        while let Some(fingerprint) = self.proven() {
+            self.facts.refused.insert(fingerprint, until);
+        }
+        self.facts
+            .trim(now, self.settings.blame, self.settings.most);
+    }
+
+    /// A fingerprint that the deaths prove, and that isn't refused yet.
+    fn proven(&self) -> Option<Fingerprint> {
+        let deaths = self.facts.deaths.values();
+        let mut flights = deaths.flat_map(|death| &death.flights);
+        flights
+            .find(|flight| self.guilty(flight.fingerprint))
+            .map(|flight| flight.fingerprint)
+    }
+
+    fn guilty(&self, fingerprint: Fingerprint) -> bool {
+        if self.facts.refused.contains_key(&fingerprint) {
+            return false;
+        }
+        let blames = self.blames(fingerprint);
+        blames.len() >= DEATHS
+            && blames
+                .iter()
+                .any(|death| !self.has_rival(fingerprint, death, &blames))
+    }
+
+    /// Tells whether somebody else in flight at a death may be to blame for it: a fresh request, or
+    /// one that was at another death with this one. The latter doesn't count beside a request that
+    /// was fresh each time, since it has run on its own before this one came.
+    fn has_rival(&self, fingerprint: Fingerprint, death: &Death, blames: &[&Death]) -> bool {
+        let prompt = blames.iter().all(|death| self.fresh(fingerprint, death));
+        death.flights.iter().any(|flight| {
+            let shared = || {
+                blames
+                    .iter()
+                    .any(|other| *other != death && holds(other, flight.fingerprint))
+            };
+            flight.fingerprint != fingerprint
+                && (flight.ran < self.settings.probation || !prompt && shared())
+        })
+    }
+
+    fn fresh(&self, fingerprint: Fingerprint, death: &Death) -> bool {
+        death
+            .flights
+            .iter()
+            .any(|flight| flight.fingerprint == fingerprint && flight.ran < self.settings.probation)
+    }
+
+    /// Deaths that blame a fingerprint: it was there, nobody refused was, and it has not run to
+    /// its end since.
+    fn blames(&self, fingerprint: Fingerprint) -> Vec<&Death> {
+        let passed = self.facts.passed.get(&fingerprint).copied();
+        let mut blames = Vec::new();
+        for death in self.facts.deaths.values() {
+            if !holds(death, fingerprint) || passed.is_some_and(|at| at >= death.at) {
+                continue;
+            }
+            if self.explained(death) {
+                continue;
+            }
+            blames.push(death);
+        }
+        blames
+    }
+
+    fn explained(&self, death: &Death) -> bool {
+        death
+            .flights
+            .iter()
+            .any(|flight| self.facts.refused.contains_key(&flight.fingerprint))
+    }
+}
+
+fn holds(death: &Death, fingerprint: Fingerprint) -> bool {
+    death
+        .flights
+        .iter()
+        .any(|flight| flight.fingerprint == fingerprint)
+}
