--- a/components/contract/src/lib.rs
+++ b/components/contract/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod outcome;
 pub mod poison;
 pub mod record;
+pub mod seen;
 pub mod store;
 
 pub use outcome::Outcome;
--- a/components/orders/src/keeper.rs
+++ b/components/orders/src/keeper.rs
@@ -8,7 +8,10 @@
 
 use std::time::Duration;
 
-use names::Fence;
+use names::{
+    Clock,
+    Fence, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -121,8 +124,8 @@
     Idle,
     /// An order is with it.
     Busy(Fence),
-    /// An order may still take effect; its connection is gone.
-    Settling,
+    /// An order may still take effect until then; its connection is gone.
+    Settling(Clock),
 }
 
 /// State of the keeper.
@@ -156,28 +159,27 @@
     }
 
     /// Takes an event; events that don't fit are ignored.
-    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+    pub fn handle(&mut self, event: Event, now: Clock) -> Vec<Action> {
         match event {
-            Event::Started => self.started(),
+            Event::Started => self.started(now),
             Event::Newest(fence) => self.newest(fence),
             Event::StoreOut => self.store_out(),
             Event::Order(order) => self.order(order),
             Event::Applied(fence) => self.answered(fence, Answer::Applied),
             Event::Refused { fence, highest } => self.refused(fence, highest),
             Event::Slow(fence) => vec![answer(fence, Answer::Unknown)],
-            Event::Closed(fence) => self.closed(fence),
+            Event::Closed(fence) => self.closed(fence, now),
             Event::Restarted => self.idle(),
-            Event::Waited => self.waited(),
+            Event::Waited => self.waited(now),
         }
     }
 
-    fn started(&mut self) -> Vec<Action> {
+    fn started(&mut self, now: Clock) -> Vec<Action> {
         self.knowledge = Knowledge::Asking;
         let mut actions = vec![Action::ReadStore];
         // The last sidecar may have left an order with a server that doesn't check.
         if !self.settings.checks {
-            self.server = Server::Settling;
-            actions.push(Action::Wait(self.settings.settle));
+            actions.push(self.settle(now));
         }
         actions
     }
@@ -266,7 +268,7 @@
         actions
     }
 
-    fn closed(&mut self, fence: Fence) -> Vec<Action> {
+    fn closed(&mut self, fence: Fence, now: Clock) -> Vec<Action> {
         let mut actions = vec![answer(fence, Answer::Unknown)];
         if self.server != Server::Busy(fence) {
             return actions;
@@ -275,16 +277,21 @@
             actions.extend(self.idle());
             return actions;
         }
-        self.server = Server::Settling;
-        actions.push(Action::Wait(self.settings.settle));
+        actions.push(self.settle(now));
         actions
     }
 
-    fn waited(&mut self) -> Vec<Action> {
-        if self.server != Server::Settling {
-            return Vec::new();
+    fn settle(&mut self, now: Clock) -> Action {
+        self.server = Server::Settling(now + self.settings.settle);
+        Action::Wait(self.settings.settle)
+    }
+
+    /// A timer from an earlier settling may end within a later one, so the time decides.
+    fn waited(&mut self, now: Clock) -> Vec<Action> {
+        match self.server {
+            Server::Settling(until) if now >= until => self.idle(),
+            _ => Vec::new(),
         }
-        self.idle()
     }
 
     fn idle(&mut self) -> Vec<Action> {
