Keep calls in the daemons: record, hand over once, prove not_run, GET /v1/calls/<key>

Cause: the daemons passed calls through without a record. Ruled out: platform's settle (the machines read back themselves, and void records are changed by others than their creator); a retained connection to the service (one that died in between looks like one that died with the call). Change: daemon::records, sidecar::kept, entry::calls over contract::attempt, a circuit of half a second when the store is out. wire::frame::Call gained kept, Reply gained Kept.

--- a/components/contract/src/record.rs
+++ b/components/contract/src/record.rs
@@ -196,7 +196,7 @@
 }
 
 /// Escapes everything but letters, digits, `-`, `_` and `.` of ASCII.
-fn escape(part: &str) -> String {
+pub fn escape(part: &str) -> String {
     let mut escaped = String::with_capacity(part.len());
     for byte in part.bytes() {
         if byte.is_ascii_alphanumeric() || b"-_.".contains(&byte) {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod metrics;
 pub mod probe;
+pub mod records;
 
 /// Why a daemon can't start.
 #[derive(Debug, thiserror::Error)]
--- a/components/entry/src/callers/mod.rs
+++ b/components/entry/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod router;
 mod service;
 mod shape;
+mod status;
 
 pub(crate) use router::payload;
 pub(crate) use router::router;
--- a/components/entry/src/callers/router.rs
+++ b/components/entry/src/callers/router.rs
@@ -16,7 +16,8 @@
 use super::{
     completions::Completions,
     service::Service,
-    shape::Kind, //
+    shape::Kind,
+    status::Status, //
 };
 use crate::{
     documents::Held,
@@ -48,9 +49,13 @@
     let service = || Service {
         state: state.clone(),
     };
+    let status = Status {
+        state: state.clone(),
+    };
     Router::new()
         .push(Router::with_path("v1/completions").post(completions(Kind::Completion)))
         .push(Router::with_path("v1/chat/completions").post(completions(Kind::Chat)))
+        .push(Router::with_path("v1/calls/{key}").get(status))
         .push(Router::with_path("svc/{service}").goal(service()))
         .push(Router::with_path("svc/{service}/{**rest}").goal(service()))
         .push(Router::with_path("{**rest}").goal(unknown))
--- a/components/entry/src/callers/service.rs
+++ b/components/entry/src/callers/service.rs
@@ -82,6 +82,7 @@
             content_type: header(req, "content-type"),
             accept: header(req, "accept"),
             body,
+            kept: None,
         };
         calls::call(state, provision, &target.version, call).await
     }
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -1,14 +1,49 @@
-//! Calls to plain services, through the sidecars beside them.
+//! Calls to plain services, through the sidecars beside them: the driver of the decisions in
+//! [`contract::attempt`].
 
-use std::sync::Arc;
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
 
-use environment::document::Provision;
+use contract::{
+    Outcome,
+    attempt::{
+        Action,
+        Attempt,
+        Class,
+        Event,
+        Settings, //
+    },
+    handover,
+    outcome::Reason,
+    record,
+    store::{
+        Read,
+        Write, //
+    },
+};
+use environment::document::{
+    Provision,
+    Release, //
+};
 use events::calls;
-use tokio::time::timeout;
+use names::{
+    Revision,
+    Server, //
+};
+use tokio::time::{
+    Instant,
+    timeout, //
+};
 use wire::{
     Frame,
     frame::{
         Call,
+        Kept,
         Reply, //
     },
 };
@@ -23,11 +58,8 @@
     state::State,
 };
 
-/// Time to come back when no replica is to be had.
-const NO_REPLICA: std::time::Duration = std::time::Duration::from_secs(1);
-
-/// Replicas that a call which may be repeated is tried at.
-const TRIES: usize = 2;
+/// Time for which kept calls are refused at once after the store was found out.
+const OUTAGE: Duration = Duration::from_millis(500);
 
 /// A service's answer.
 pub(crate) struct Answer {
@@ -37,13 +69,22 @@
     pub(crate) replayed: bool,
 }
 
-/// What became of one try of a call.
-enum Tried {
-    Answered(Reply),
-    /// No byte left this process.
-    NotSent,
-    /// The call left, and nothing came back.
-    Lost,
+/// Whether the store was out a moment ago.
+///
+/// Without this, each kept call of a long outage would wait for a time-out of its own before it is
+/// refused.
+#[derive(Default)]
+pub(crate) struct Outage(Mutex<Option<Instant>>);
+
+impl Outage {
+    fn note(&self) {
+        *self.0.lock().expect("no panic while held") = Some(Instant::now());
+    }
+
+    fn over(&self) -> bool {
+        let noted = *self.0.lock().expect("no panic while held");
+        noted.is_none_or(|at| at.elapsed() >= OUTAGE)
+    }
 }
 
 /// Makes a call.
@@ -58,70 +99,244 @@
         .iter()
         .find(|release| release.name == version)
         .ok_or_else(|| Problem::new(Code::Unavailable, "the route has no such version"))?;
-    let mut avoid = Vec::new();
-    let mut lost = false;
-    for _ in 0..TRIES {
-        let Some((peer, joined, server)) = state.fleet.choose(&provision.name, release, &avoid)
-        else {
-            break;
-        };
-        let _sent = peer.send();
-        match send(state, &joined, &call).await {
-            Tried::Answered(Reply::Ran {
-                status,
-                content_type,
-                body,
-                replayed,
-            }) => {
-                return Ok(Answer {
-                    status,
-                    content_type,
-                    body,
-                    replayed,
-                });
-            }
-            Tried::Answered(Reply::NotRun(_)) | Tried::NotSent => {}
-            Tried::Answered(Reply::Unknown) | Tried::Lost if call.repeatable => {}
-            Tried::Answered(Reply::Unknown) | Tried::Lost => {
-                lost = true;
-                break;
-            }
-        }
-        avoid.push(server);
-    }
-    if lost {
+    let mut driver = Driver::new(state, provision, release, call);
+    let outcome = driver.run().await;
+    if matches!(outcome, Outcome::Unknown { .. }) {
         events::emit!(
             calls::UNKNOWN,
             "service={} key={:?}",
             provision.name,
-            call.key
+            driver.call.key
         );
-        let message = "the call was handed over and its answer was lost";
-        return Err(Problem::new(Code::Unknown, message).run(Run::Unknown));
     }
-    Err(Problem::new(
-        Code::Unavailable,
-        "no replica of the service takes the call",
+    answer(outcome)
+}
+
+/// What `GET /v1/calls/<key>` says.
+///
+/// The record is read from the store for this request alone: a read that began before the caller
+/// asked, or one shared with another caller, could tell it something older than it knows already.
+pub(crate) async fn status(
+    state: &State,
+    service: &str,
+    team: &str,
+    key: &str,
+) -> Result<Option<Outcome>, Problem> {
+    match state.records.read(&record::key(service, team, key)).await {
+        Read::Found(standing) => Ok(Some(standing.record.status(&ask(service, key)))),
+        Read::Absent => Ok(None),
+        Read::Failed => {
+            state.outage.note();
+            let message = "the store that holds the call's record doesn't answer";
+            Err(Problem::new(Code::Unavailable, message)
+                .run(Run::Unknown)
+                .retry(OUTAGE * 2))
+        }
+    }
+}
+
+/// Path where a caller can ask about a call.
+fn ask(service: &str, key: &str) -> String {
+    format!(
+        "/v1/calls/{}?service={}",
+        record::escape(key),
+        record::escape(service)
     )
-    .retry(NO_REPLICA))
 }
 
-async fn send(state: &State, joined: &Joined, call: &Call) -> Tried {
-    let Ok(mut stream) = joined.link.open().await else {
-        return Tried::NotSent;
-    };
-    let answered = async {
-        stream
-            .send(&Frame::Call(Box::new(call.clone())))
-            .await
-            .ok()?;
-        match stream.receive().await {
-            Ok(Some(Frame::Reply(reply))) => Some(reply),
-            Ok(_) | Err(_) => None,
+struct Driver<'a> {
+    state: &'a State,
+    provision: &'a Provision,
+    release: &'a Release,
+    call: Call,
+    class: Class,
+    digest: String,
+    ask: String,
+    machine: Attempt,
+    avoid: Vec<Server>,
+}
+
+impl<'a> Driver<'a> {
+    fn new(
+        state: &'a State,
+        provision: &'a Provision,
+        release: &'a Release,
+        mut call: Call,
+    ) -> Self {
+        let drops_repeats = provision.contract.drops_repeats;
+        let class = Class::of(call.repeatable, drops_repeats, call.key.is_some());
+        call.repeatable = class == Class::Repeatable;
+        let digest = record::digest(&call.method, &call.path, &call.body);
+        let ask = ask(&call.service, call.key.as_deref().unwrap_or_default());
+        let decisions = contract::attempt::Call {
+            class,
+            digest: digest.clone(),
+            ask: ask.clone(),
+            nonce: rand::random(),
+        };
+        Self {
+            state,
+            provision,
+            release,
+            call,
+            class,
+            digest,
+            ask,
+            machine: Attempt::new(decisions, Settings::default()),
+            avoid: Vec::new(),
+        }
+    }
+
+    /// Drives the call to its outcome.
+    async fn run(&mut self) -> Outcome {
+        let store = self.state.outage.over();
+        let mut event = Event::Start { store };
+        loop {
+            let mut actions = self.machine.handle(event).into_iter();
+            event = match actions.next() {
+                Some(Action::Send { base }) => self.send(base).await,
+                Some(Action::Void { expect, record }) => {
+                    let key = self.key();
+                    let write = self.state.records.write(&key, expect, &record).await;
+                    if matches!(write, Write::Won(_)) {
+                        events::emit!(calls::VOIDED, "key={key}");
+                    }
+                    Event::Voided(write)
+                }
+                Some(Action::ReadBack) => Event::Read(self.state.records.read(&self.key()).await),
+                Some(Action::Reply(outcome)) => return self.note(outcome),
+                None => unreachable!("each event of an open attempt is followed by an action"),
+            };
         }
+    }
+
+    fn note(&self, outcome: Outcome) -> Outcome {
+        if let Outcome::NotRun {
+            reason: Reason::StoreOut,
+            ..
+        } = &outcome
+        {
+            self.state.outage.note();
+            events::emit!(calls::REFUSED, "service={}", self.provision.name);
+        }
+        outcome
+    }
+
+    fn key(&self) -> String {
+        let key = self.call.key.as_deref().unwrap_or_default();
+        record::key(&self.call.service, &self.call.team, key)
+    }
+
+    /// Sends the call to a replica that was not tried yet, and waits for what becomes of it.
+    async fn send(&mut self, base: Revision) -> Event {
+        let chosen = self
+            .state
+            .fleet
+            .choose(&self.provision.name, self.release, &self.avoid);
+        let Some((peer, joined, server)) = chosen else {
+            return Event::Unsent;
+        };
+        let _sent = peer.send();
+        self.avoid.push(server);
+        self.call.kept = (self.class == Class::Kept).then(|| Kept {
+            send: rand::random(),
+            base,
+            digest: self.digest.clone(),
+            ask: self.ask.clone(),
+        });
+        self.exchange(&joined).await
+    }
+
+    async fn exchange(&self, joined: &Joined) -> Event {
+        let Ok(mut stream) = joined.link.open().await else {
+            return Event::Unsent;
+        };
+        let replied = async {
+            let frame = Frame::Call(Box::new(self.call.clone()));
+            stream.send(&frame).await.ok()?;
+            match stream.receive().await {
+                Ok(Some(Frame::Reply(reply))) => Some(reply),
+                Ok(_) | Err(_) => None,
+            }
+        };
+        // The retry budget is the `admission` crate's; until it is here, the bound on the sends of
+        // one call is all there is.
+        let silent = Event::Silent { budget: true };
+        match timeout(self.state.settings.times.call, replied).await {
+            Ok(Some(reply)) => event(reply).unwrap_or(silent),
+            Ok(None) | Err(_) => silent,
+        }
+    }
+}
+
+/// What a sidecar's reply means; none when the service may have run a call without a record.
+fn event(reply: Reply) -> Option<Event> {
+    match reply {
+        Reply::Kept(reply) => Some(Event::Replied(*reply)),
+        // The sidecar refused before it did anything.
+        Reply::NotRun(_) => Some(Event::Unsent),
+        Reply::Unknown => None,
+        Reply::Ran {
+            status,
+            content_type,
+            body,
+            replayed,
+        } => Some(Event::Replied(handover::Reply::Outcome(Outcome::Ran {
+            status,
+            content_type: content_type.unwrap_or_default(),
+            body,
+            replayed,
+        }))),
+    }
+}
+
+fn answer(outcome: Outcome) -> Result<Answer, Problem> {
+    match outcome {
+        Outcome::Ran {
+            status,
+            content_type,
+            body,
+            replayed,
+        } => Ok(Answer {
+            status,
+            content_type: (!content_type.is_empty()).then_some(content_type),
+            body,
+            replayed,
+        }),
+        Outcome::NotRun {
+            reason,
+            retry_after,
+        } => Err(refusal(reason, retry_after)),
+        Outcome::Unknown { ask } => {
+            let message = "the call may have run, and its answer was lost";
+            let mut problem = Problem::new(Code::Unknown, message).run(Run::Unknown);
+            problem.ask = ask;
+            Err(problem)
+        }
+    }
+}
+
+fn refusal(reason: Reason, retry_after: Option<Duration>) -> Problem {
+    let (code, message) = match reason {
+        Reason::StoreOut => (Code::Unavailable, "the call can't be recorded now"),
+        Reason::Silent => (Code::Unavailable, "the replica fell silent before the call"),
+        Reason::NoServer => (
+            Code::Unavailable,
+            "no replica of the service takes the call",
+        ),
+        Reason::Unreachable => (Code::Unavailable, "the service refuses connections"),
+        Reason::Leaving => (Code::Unavailable, "the replica is leaving"),
+        Reason::Late => (Code::Unavailable, "the store was too slow for the call"),
+        Reason::CallerGone => (Code::Unavailable, "the caller was gone before the call"),
+        Reason::KeyReused => (Code::KeyReused, "the key came with another request before"),
+        Reason::Poisonous => (
+            Code::Refused,
+            "the request is known to bring backend servers down",
+        ),
     };
-    match timeout(state.settings.times.call, answered).await {
-        Ok(Some(reply)) => Tried::Answered(reply),
-        Ok(None) | Err(_) => Tried::Lost,
+    let problem = Problem::new(code, message);
+    match retry_after {
+        Some(after) => problem.retry(after),
+        None => problem,
     }
 }
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -12,6 +12,7 @@
         self,
         Readiness, //
     },
+    records::Records,
 };
 use events::process;
 use settings::Keys;
@@ -35,6 +36,7 @@
 
 use crate::{
     callers,
+    calls::Outage,
     documents::{
         self,
         Documents, //
@@ -155,6 +157,8 @@
         node,
         hello,
         heartbeat,
+        records: Records::new(platform.clone()),
+        outage: Outage::default(),
         platform,
         fleet: Fleet::default(),
         documents: Documents::default(),
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -13,6 +13,7 @@
 };
 
 use answer::threshold::Gaps;
+use daemon::records::Records;
 use names::{
     Service,
     Version, //
@@ -32,6 +33,7 @@
 };
 
 use crate::{
+    calls::Outage,
     documents::Documents,
     fleet::Fleet, //
 };
@@ -44,6 +46,9 @@
     /// What our next heartbeat says.
     pub(crate) heartbeat: watch::Sender<Heartbeat>,
     pub(crate) platform: platform::Client,
+    /// Records of calls that run at most once.
+    pub(crate) records: Records,
+    pub(crate) outage: Outage,
     pub(crate) fleet: Fleet,
     pub(crate) documents: Documents,
     pub(crate) gaps: Pools,
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -1,6 +1,11 @@
 //! Calls to the plain service beside this sidecar.
 
-use std::time::Duration;
+use std::{
+    sync::Mutex,
+    time::Duration, //
+};
+
+use contract::seen::Seen;
 
 use reqwest::{
     Client, Method,
@@ -13,19 +18,25 @@
     Sidecar,
     sidecar::Kind, //
 };
+use tokio::time::timeout;
 use wire::{
     Frame, Stream,
     frame::{
         Call,
+        Kept,
         Reason,
         Refused,
         Reply, //
     },
 };
 
-use crate::state::{
-    State,
-    Work, //
+use crate::{
+    kept,
+    state::{
+        Piece,
+        State,
+        Work, //
+    }, //
 };
 
 /// Header with the caller's key.
@@ -37,78 +48,140 @@
 /// Time to come back after a refusal.
 const RETRY: Duration = Duration::from_secs(1);
 
+/// Sends of kept calls that are remembered, so that each begins once.
+const SENDS: usize = 4096;
+
+/// A service that answers after the time limit of a call may still do so for this many times it,
+/// so that the outcome gets recorded.
+const LATE: u32 = 5;
+
+/// What came of a hand-over.
+pub(crate) enum Handed {
+    /// The service answered.
+    Answered {
+        status: u16,
+        content_type: Option<String>,
+        body: Vec<u8>,
+    },
+    /// No connection, so no byte of the call left this process.
+    NotSent,
+    /// The service had the call, and its answer was lost.
+    Lost,
+}
+
 /// Hands calls to the plain service.
 pub struct Calls {
     client: Client,
     address: String,
+    most: u64,
     work: Work,
+    seen: Mutex<Seen>,
 }
 
 impl Calls {
     pub(crate) fn new(settings: &Sidecar, work: Work) -> Self {
+        // Each call gets a connection of its own: on one that was used before, a service that died
+        // in between looks like one that died with the call. Nothing is sent again unseen.
         let client = Client::builder()
-            .timeout(settings.times.call)
+            .timeout(settings.times.call * LATE)
             .connect_timeout(settings.times.silence)
+            .pool_max_idle_per_host(0)
+            .retry(reqwest::retry::never())
+            .no_proxy()
             .build()
             .expect("a client without TLS can always be built");
         Self {
             client,
             address: settings.server.address.clone(),
+            most: settings.limits.answer,
             work,
+            seen: Mutex::new(Seen::new(SENDS)),
         }
     }
 
     /// Hands a call over and sends what became of it.
     pub(crate) async fn call(&self, state: &State, call: Call, mut stream: Stream) {
-        let reply = self.run(state, call).await;
+        let reply = match (self.admit(state, &call), &call.kept) {
+            (Err(reply), _) => reply,
+            (Ok(_piece), Some(kept)) => {
+                if self.begins(kept) {
+                    kept::run(state, self, &call, kept, stream).await;
+                }
+                return;
+            }
+            (Ok(_piece), None) => self.pass(state, &call).await,
+        };
         if stream.send(&Frame::Reply(reply)).await.is_ok() {
             stream.sender.finish();
             stream.sender.stopped().await;
         }
     }
 
-    async fn run(&self, state: &State, call: Call) -> Reply {
+    /// Refuses a call before anything was done about it.
+    fn admit(&self, state: &State, call: &Call) -> Result<Piece, Reply> {
         if state.leaving.is_cancelled() {
-            return not_run(Reason::Leaving);
+            return Err(not_run(Reason::Leaving));
         }
-        if state.settings.server.kind != Kind::Plain {
-            return not_run(Reason::Invalid);
+        if state.settings.server.kind != Kind::Plain
+            || Method::from_bytes(call.method.as_bytes()).is_err()
+        {
+            return Err(not_run(Reason::Invalid));
         }
-        let Some(_piece) = self.work.begin(state.settings.limits.runs) else {
-            return not_run(Reason::Full);
-        };
-        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
-            return not_run(Reason::Invalid);
-        };
-        self.hand_over(method, call, state.settings.limits.answer)
-            .await
+        self.work
+            .begin(state.settings.limits.runs)
+            .ok_or_else(|| not_run(Reason::Full))
     }
 
-    async fn hand_over(&self, method: Method, call: Call, most: u64) -> Reply {
+    fn begins(&self, kept: &Kept) -> bool {
+        let mut seen = self.seen.lock().expect("no panic while held");
+        seen.begin(kept.send)
+    }
+
+    /// Passes a call on of which no record is kept.
+    async fn pass(&self, state: &State, call: &Call) -> Reply {
+        match timeout(state.settings.times.call, self.hand_over(call)).await {
+            Ok(Handed::Answered {
+                status,
+                content_type,
+                body,
+            }) => Reply::Ran {
+                status,
+                content_type,
+                body,
+                replayed: false,
+            },
+            Ok(Handed::NotSent) => not_run(Reason::Down),
+            Ok(Handed::Lost) | Err(_) => Reply::Unknown,
+        }
+    }
+
+    pub(crate) async fn hand_over(&self, call: &Call) -> Handed {
+        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+            return Handed::NotSent;
+        };
         let mut request = self
             .client
             .request(method, format!("{}{}", self.address, call.path))
-            .header(TEAM, call.team)
-            .body(call.body);
-        if let Some(key) = call.key {
+            .header(TEAM, &call.team)
+            .body(call.body.clone());
+        if let Some(key) = &call.key {
             request = request.header(KEY, key);
         }
-        if let Some(value) = call.content_type {
+        if let Some(value) = &call.content_type {
             request = request.header(CONTENT_TYPE, value);
         }
-        if let Some(value) = call.accept {
+        if let Some(value) = &call.accept {
             request = request.header(ACCEPT, value);
         }
         match request.send().await {
-            Ok(answer) => read(answer, most).await,
-            // No connection, so no byte of the call left this process.
-            Err(error) if error.is_connect() || error.is_builder() => not_run(Reason::Down),
-            Err(_) => Reply::Unknown,
+            Ok(answer) => read(answer, self.most).await,
+            Err(error) if error.is_connect() || error.is_builder() => Handed::NotSent,
+            Err(_) => Handed::Lost,
         }
     }
 }
 
-async fn read(mut answer: reqwest::Response, most: u64) -> Reply {
+async fn read(mut answer: reqwest::Response, most: u64) -> Handed {
     let status = answer.status().as_u16();
     let content_type = answer
         .headers()
@@ -123,14 +196,13 @@
             }
             Ok(None) => break,
             // The service ran the call; what it said can't be told whole.
-            Ok(Some(_)) | Err(_) => return Reply::Unknown,
+            Ok(Some(_)) | Err(_) => return Handed::Lost,
         }
     }
-    Reply::Ran {
+    Handed::Answered {
         status,
         content_type,
         body,
-        replayed: false,
     }
 }
 
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -11,6 +11,7 @@
         self,
         Readiness, //
     },
+    records::Records,
 };
 use events::process;
 use settings::Keys;
@@ -70,7 +71,7 @@
             source,
         })?;
         let ended = CancellationToken::new();
-        let state = std::sync::Arc::new(state(settings, stop.clone()));
+        let state = std::sync::Arc::new(state(settings, stop.clone())?);
         let (ready, readiness) = watch::channel(Readiness::Waiting("backend server unseen".into()));
         let served = http::serve(
             state.settings.operators,
@@ -115,7 +116,9 @@
     }
 }
 
-fn state(settings: settings::Sidecar, leaving: CancellationToken) -> State {
+fn state(settings: settings::Sidecar, leaving: CancellationToken) -> Result<State, Error> {
+    let platform = platform::Client::new(&settings.platform, settings.times.platform)
+        .map_err(|error| wire::Error::Keys(error.to_string()))?;
     let work = Work::default();
     let hello = Hello {
         protocol: PROTOCOL,
@@ -129,15 +132,17 @@
         }),
     };
     let (heartbeat, _) = watch::channel(Heartbeat::default());
-    State {
+    Ok(State {
         hello,
         heartbeat,
         generations: Generations::new(&settings, work.clone()),
         calls: Calls::new(&settings, work.clone()),
         work,
+        records: Records::new(platform),
+        origin: Instant::now(),
         leaving,
         settings,
-    }
+    })
 }
 
 /// Says that this host leaves, and waits until nothing is in progress.
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -9,7 +9,8 @@
 pub mod engine;
 pub mod generation;
 pub mod generations;
-pub mod line;
+pub mod kept;
+mod line;
 mod links;
 mod state;
 
--- a/components/sidecar/src/state.rs
+++ b/components/sidecar/src/state.rs
@@ -1,15 +1,22 @@
 //! What the parts of a sidecar share.
 
-use std::sync::{
-    Arc,
-    atomic::{
-        AtomicU32,
-        Ordering, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
     },
+    time::Duration,
 };
 
+use daemon::records::Records;
 use settings::Sidecar;
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
 use tokio_util::sync::CancellationToken;
 use wire::frame::{
     Heartbeat,
@@ -30,10 +37,21 @@
     pub(crate) generations: Generations,
     pub(crate) calls: Calls,
     pub(crate) work: Work,
+    /// Records of calls that run at most once.
+    pub(crate) records: Records,
+    /// Origin of the clock readings that decision code gets.
+    pub(crate) origin: Instant,
     /// Set when the sidecar leaves: no new work.
     pub(crate) leaving: CancellationToken,
 }
 
+impl State {
+    /// Time since the process began.
+    pub(crate) fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+}
+
 /// Counts the runs and calls in progress.
 #[derive(Clone, Default)]
 pub struct Work(Arc<AtomicU32>);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use answer::Finish;
+use contract::handover;
 use names::{
     DataCentre,
     Epoch,
@@ -10,6 +11,7 @@
     Index,
     Nonce,
     Request,
+    Revision,
     Server,
     Service,
     Team,
@@ -223,6 +225,21 @@
     pub body: Vec<u8>,
     /// The call may run more than once.
     pub repeatable: bool,
+    /// What the record of a call needs; none for calls of which no record is kept.
+    pub kept: Option<Kept>,
+}
+
+/// What the record of a kept call needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Number of this send, freshly drawn; the sidecar begins each send once.
+    pub send: Nonce,
+    /// Revision that the record must still have when the sidecar writes it.
+    pub base: Revision,
+    /// Digest of the request.
+    pub digest: String,
+    /// Path where the caller can ask about the call.
+    pub ask: String,
 }
 
 /// What became of a call.
@@ -243,4 +260,6 @@
     NotRun(Refused),
     /// The service had it, and its answer was lost.
     Unknown,
+    /// What became of a kept call.
+    Kept(Box<handover::Reply>),
 }
