Choose the holders of a generation's pointer and bound their tables

Cause: an entry that didn't start a generation must find it when a caller comes back. Change: rendezvous choice of two sidecars in two data centres, and the holder's bounded, expiring table. Tests: cargo test -p answer, 10 passed.

--- /dev/null
+++ b/components/answer/tests/pointer.rs
@@ -0,0 +1,149 @@
+//! Who holds a pointer, and what a holder keeps.
+
+use std::time::Duration;
+
+use answer::pointer::{
+    Candidate,
+    Pointer,
+    Settings,
+    Table,
+    holders, //
+};
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn candidates(data_centres: u32, each: u32) -> Vec<Candidate> {
+    let mut all = Vec::new();
+    for data_centre in 0..data_centres {
+        for server in 0..each {
+            all.push(Candidate {
+                server: format!("s{data_centre}-{server}"),
+                data_centre: format!("dc{data_centre}"),
+            });
+        }
+    }
+    all
+}
+
+fn pointer(epoch: u32, nonce: u64) -> Pointer {
+    Pointer {
+        server: format!("server-of-{nonce}"),
+        epoch,
+        nonce,
+    }
+}
+
+/// A data centre is lost with all sidecars in it. If both holders stood there, every caller's retry
+/// through another entry would begin its answer again.
+#[test]
+fn holders_stand_in_two_data_centres() {
+    let all = candidates(3, 4);
+    for request in 0..500 {
+        let two = holders(&format!("team/{request}"), &all);
+        assert_eq!(two.len(), 2);
+        assert_ne!(two[0].data_centre, two[1].data_centre);
+    }
+}
+
+#[rstest]
+#[case::nobody(0, 0, 0)]
+#[case::one_sidecar(1, 1, 1)]
+#[case::one_data_centre(1, 3, 2)]
+fn few_candidates_still_give_holders(
+    #[case] data_centres: u32,
+    #[case] each: u32,
+    #[case] expected: usize,
+) {
+    assert_eq!(
+        holders("r", &candidates(data_centres, each)).len(),
+        expected
+    );
+}
+
+/// A host leaves. Pointers of other holders must stay where they are, or all running answers would
+/// lose theirs at once.
+#[test]
+fn a_host_that_goes_moves_only_its_own_pointers() {
+    let all = candidates(3, 4);
+    let fewer: Vec<Candidate> = all[1..].to_vec();
+    for request in 0..500 {
+        let request = format!("team/{request}");
+        let before = holders(&request, &all);
+        if before.contains(&&all[0]) {
+            continue;
+        }
+        assert_eq!(holders(&request, &fewer), before);
+    }
+}
+
+#[test]
+fn every_sidecar_gets_its_share() {
+    let all = candidates(3, 4);
+    let mut first = vec![0; all.len()];
+    for request in 0..12_000 {
+        let two = holders(&format!("team/{request}"), &all);
+        let place = all.iter().position(|one| one == two[0]).expect("is listed");
+        first[place] += 1;
+    }
+    assert!(
+        first.iter().all(|share| (800..1200).contains(share)),
+        "{first:?}"
+    );
+}
+
+/// A put of the first epoch is late and comes after the second epoch's. A retry that followed it
+/// would attach to a run that was cancelled.
+#[test]
+fn a_late_put_of_an_older_epoch_is_dropped() {
+    let mut table = Table::new(Settings::default());
+    table.put(SECOND, "r".into(), pointer(2, 20));
+    table.put(SECOND * 2, "r".into(), pointer(1, 10));
+    assert_eq!(table.get(SECOND * 2, "r"), Some(&pointer(2, 20)));
+}
+
+#[test]
+fn a_removal_of_a_replaced_run_leaves_its_successor() {
+    let mut table = Table::new(Settings::default());
+    table.put(SECOND, "r".into(), pointer(2, 20));
+    table.remove("r", 10);
+    assert_eq!(table.len(), 1);
+    table.remove("r", 20);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn pointers_expire_after_their_last_put() {
+    let settings = Settings {
+        most: 10,
+        keep: SECOND * 10,
+    };
+    let mut table = Table::new(settings);
+    table.put(SECOND, "old".into(), pointer(1, 1));
+    table.put(SECOND, "renewed".into(), pointer(1, 2));
+    table.put(SECOND * 8, "renewed".into(), pointer(1, 2));
+    assert_eq!(table.get(SECOND * 11, "old"), None);
+    assert_eq!(table.get(SECOND * 11, "renewed"), Some(&pointer(1, 2)));
+    assert_eq!(table.get(SECOND * 18, "renewed"), None);
+    assert!(table.is_empty());
+}
+
+/// Many answers run at once. A holder without a bound would grow past its memory.
+#[test]
+fn a_full_table_drops_the_oldest() {
+    let settings = Settings {
+        most: 3,
+        keep: SECOND * 10,
+    };
+    let mut table = Table::new(settings);
+    for nonce in 0..50 {
+        table.put(
+            SECOND,
+            format!("r{}", nonce % 5),
+            pointer(nonce as u32, nonce),
+        );
+        assert!(table.len() <= 3);
+    }
+    assert_eq!(table.get(SECOND, "r4"), Some(&pointer(49, 49)));
+    assert_eq!(table.get(SECOND, "r1"), None);
+}
