Add the parts of the spread: slots, gate, facts, watch, membership, edits

Cause: accepted documents must be in force everywhere and never revert, over restarts, pauses, outages, silent watches and wrong host lists.

Ruled out: putting a document in force at once when a reader gets it from the store (a reader that dies right after, replaced during an outage, would go back); heartbeats that list all revisions (bytes); sending whole documents on each edit (bytes).

The board itself isn't tested yet.

--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -1,1 +1,36 @@
-//! Documents and monotone facts carried to every process; membership.
+//! Documents and facts carried to every process, and which processes there are.
+//!
+//! Everything here is decision code: events and times go in, actions come out. [`Board`] is the
+//! whole of one process; its parts stand alone, so that each can be read, tested and searched.
+
+pub mod board;
+pub mod delta;
+pub mod edit;
+mod exchange;
+pub mod fact;
+pub mod gate;
+pub mod membership;
+pub mod message;
+mod reach;
+pub mod slot;
+pub mod watch;
+
+pub use board::{
+    Action,
+    Board,
+    Event,
+    Place, //
+};
+pub use edit::Edit;
+pub use fact::{
+    Fact,
+    Facts,
+    Key, //
+};
+pub use gate::Gate;
+pub use membership::Membership;
+pub use message::Message;
+pub use slot::{
+    Edition,
+    Slot, //
+};
--- /dev/null
+++ b/components/spread/tests/edit.rs
@@ -0,0 +1,197 @@
+//! Edits: races, lost answers, changed trials, outages.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use assert_matches::assert_matches;
+use rstest::rstest;
+use spread::{
+    Edit,
+    edit::{
+        Answer,
+        Draft,
+        Outcome,
+        Pin,
+        Step,
+        Stored, //
+    }, //
+};
+
+/// What the store does with one call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// It answers that it can't.
+    Refuse,
+    /// It takes a write, and the answer is lost.
+    LoseAnswer,
+    /// A write is lost on its way.
+    LoseWrite,
+}
+
+#[derive(Default)]
+struct Store {
+    documents: BTreeMap<String, Stored>,
+    revision: u64,
+}
+
+impl Store {
+    fn step(&mut self, step: &Step, fault: Fault) -> Answer {
+        if fault == Fault::Refuse {
+            return Answer::Refused;
+        }
+        match step {
+            Step::Read(environment) => Answer::Read(self.documents.get(environment).cloned()),
+            Step::Write {
+                environment,
+                expect,
+                envelope,
+            } => {
+                if fault == Fault::LoseWrite {
+                    return Answer::Silent;
+                }
+                let stands = self.documents.get(environment);
+                if stands.map_or(0, |stored| stored.revision) != *expect {
+                    return Answer::Conflict(stands.cloned());
+                }
+                self.revision += 1;
+                let stored = Stored {
+                    revision: self.revision,
+                    envelope: envelope.clone(),
+                };
+                self.documents.insert(environment.clone(), stored);
+                match fault {
+                    Fault::LoseAnswer => Answer::Silent,
+                    _ => Answer::Written(self.revision),
+                }
+            }
+            Step::Done(_) => unreachable!("an edit that is done asks for nothing"),
+        }
+    }
+
+    fn run(&mut self, draft: Draft, faults: &[Fault]) -> Outcome {
+        let (mut edit, mut step) = Edit::new(draft);
+        let mut faults = faults.iter().copied();
+        loop {
+            if let Step::Done(outcome) = step {
+                return outcome;
+            }
+            let answer = self.step(&step, faults.next().unwrap_or(Fault::None));
+            step = edit.answer(answer);
+        }
+    }
+}
+
+fn draft(environment: &str, id: &str, base: u64) -> Draft {
+    Draft {
+        environment: environment.into(),
+        id: id.into(),
+        operator: format!("operator of {id}"),
+        at: Duration::ZERO,
+        base,
+        text: format!("text: {id}"),
+        trial: None,
+    }
+}
+
+fn accepted(revision: u64) -> Outcome {
+    Outcome::Accepted {
+        revision,
+        replaced_by: None,
+    }
+}
+
+// The store does something to each of the calls of a put. An operator who is told "accepted" must
+// find the document there, and one who is told "no" must not.
+#[rstest]
+#[case("plain", &[], accepted(1), true)]
+#[case("answer lost", &[Fault::None, Fault::LoseAnswer], accepted(1), true)]
+#[case("write lost", &[Fault::None, Fault::LoseWrite], accepted(1), true)]
+#[case("refused once", &[Fault::Refuse, Fault::None, Fault::Refuse], accepted(1), true)]
+#[case("out from the start", &[Fault::Refuse; 9], Outcome::Unavailable, false)]
+#[case("out before the write", &[&[Fault::None], [Fault::Refuse; 9].as_slice()].concat(), Outcome::Unavailable, false)]
+#[case("out after a lost answer", &[&[Fault::None, Fault::LoseAnswer], [Fault::Refuse; 9].as_slice()].concat(), Outcome::Unknown, true)]
+#[case("out after a lost write", &[&[Fault::None, Fault::LoseWrite], [Fault::Refuse; 9].as_slice()].concat(), Outcome::Unknown, false)]
+fn a_put_tells_the_truth(
+    #[case] name: &str,
+    #[case] faults: &[Fault],
+    #[case] outcome: Outcome,
+    #[case] written: bool,
+) {
+    let mut store = Store::default();
+    assert_eq!(store.run(draft("e", "a", 0), faults), outcome, "{name}");
+    assert_eq!(store.documents.contains_key("e"), written, "{name}");
+    // The operator repeats the same edit once the store is well: it stands there once.
+    assert_eq!(store.run(draft("e", "a", 0), &[]), accepted(1), "{name}");
+    assert_eq!(store.revision, 1, "{name}");
+}
+
+// Two operators start from the same document. The second must not undo the first without knowing.
+#[test]
+fn the_second_of_two_racing_operators_is_told_of_the_first() {
+    let mut store = Store::default();
+    assert_eq!(store.run(draft("e", "a", 0), &[]), accepted(1));
+    let outcome = store.run(draft("e", "b", 0), &[]);
+    assert_matches!(outcome, Outcome::Raced { revision: 1, other: Some(other) } => {
+        assert_eq!(other.operator, "operator of a");
+    });
+}
+
+// An operator's write is taken, its answer is lost, and somebody replaces the document before the
+// operator looks again. "Not accepted" would be false, and writing again would undo the other.
+#[test]
+fn an_edit_that_was_replaced_meanwhile_is_known_as_accepted() {
+    let mut store = Store::default();
+    let (mut edit, step) = Edit::new(draft("e", "a", 0));
+    let answer = store.step(&step, Fault::None);
+    let step = edit.answer(answer);
+    let answer = store.step(&step, Fault::LoseAnswer);
+    let step = edit.answer(answer);
+    assert_eq!(store.run(draft("e", "b", 1), &[]), accepted(2));
+    let answer = store.step(&step, Fault::None);
+    let step = edit.answer(answer);
+    assert_matches!(step, Step::Done(Outcome::Accepted { revision: 0, replaced_by: Some(by) }) => {
+        assert_eq!(by.id, "b");
+    });
+}
+
+fn promote(store: &Store, id: &str, base: u64) -> Draft {
+    let trial = &store.documents["trial"];
+    Draft {
+        trial: Some(Pin {
+            environment: "trial".into(),
+            revision: trial.revision,
+            digest: trial.envelope.edit.digest,
+        }),
+        ..draft("production", id, base)
+    }
+}
+
+// Somebody edits the trial after it was tried and before it is promoted. What would go to
+// production is what nobody has tried.
+#[test]
+fn a_trial_that_changed_is_not_promoted() {
+    let mut store = Store::default();
+    store.run(draft("trial", "a", 0), &[]);
+    let promotion = promote(&store, "p", 0);
+    store.run(draft("trial", "b", 1), &[]);
+    let outcome = store.run(promotion, &[]);
+    assert_matches!(outcome, Outcome::Changed { revision: 2, other: Some(other) } => {
+        assert_eq!(other.id, "b");
+    });
+    assert!(!store.documents.contains_key("production"));
+}
+
+// A promotion was accepted and its answer lost; the trial has changed since. The repeat must say
+// that it was accepted, and not that the trial changed and nothing was written.
+#[test]
+fn a_repeated_promotion_is_found_although_the_trial_changed() {
+    let mut store = Store::default();
+    store.run(draft("trial", "a", 0), &[]);
+    let promotion = promote(&store, "p", 0);
+    assert_eq!(store.run(promotion.clone(), &[]), accepted(2));
+    store.run(draft("trial", "b", 1), &[]);
+    assert_eq!(store.run(promotion, &[]), accepted(2));
+}
