Add the moves' ramp, evidence, judge and mover

Here each failing request is compared with the share under which its version was picked. Change: the crate moves; the document's Plan derives Eq and Hash, which the exhaustive search needs.

--- a/components/environment/src/document.rs
+++ b/components/environment/src/document.rs
@@ -153,7 +153,7 @@
 }
 
 /// A move of a service's traffic from one version to another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Name, unique within the environment for good: its outcome is kept under this name.
--- /dev/null
+++ b/components/moves/src/mover/count.rs
@@ -0,0 +1,191 @@
+//! Counting this entry's own requests, and telling the others.
+
+use std::time::{
+    Duration,
+    SystemTime, //
+};
+
+use names::Clock;
+
+use crate::{
+    evidence::{
+        Cells,
+        Key,
+        Tally, //
+    },
+    mover::Mover,
+    share::{
+        Level,
+        Side, //
+    },
+    step::{
+        Action,
+        Ending,
+        Fact,
+        Pick, //
+    },
+};
+
+/// Time between two tellings of the cells that changed.
+const CELLS_EVERY: Duration = Duration::from_secs(1);
+
+/// Time between two tellings of the histograms.
+const TIMES_EVERY: Duration = Duration::from_secs(20);
+
+/// A time slower than this share of the old version's times is slow.
+const SLOW: f64 = 0.9;
+
+/// Fewest times of the old version from which a limit is taken.
+const ENOUGH_TIMES: u64 = 40;
+
+/// Failing requests that are remembered, so that a retry isn't counted again.
+const REMEMBERED: usize = 256;
+
+impl Mover {
+    pub(super) fn first(
+        &mut self,
+        pick: &Pick,
+        time: Duration,
+        wall: SystemTime,
+        out: &mut Vec<Action>,
+    ) {
+        let times = self
+            .evidence
+            .times(&self.owner.source, &pick.route, pick.side);
+        times.first.record(time);
+        let Some(limit) = self.limits.get(&pick.route).and_then(|limit| limit.first) else {
+            return;
+        };
+        if self.overload && pick.level == Level::FULL {
+            return;
+        }
+        let slow = time > limit;
+        self.count(pick, |tally| {
+            tally.firsts += 1;
+            tally.slow_first += u32::from(slow);
+        });
+        if slow && pick.side == Side::New {
+            self.judge(wall, out);
+        }
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        pick: &Pick,
+        ending: Ending,
+        wall: SystemTime,
+        out: &mut Vec<Action>,
+    ) {
+        match ending {
+            Ending::Excused => {}
+            Ending::Failed => self.failed(pick, wall, out),
+            Ending::Whole(between) => {
+                self.count(pick, |tally| tally.requests += 1);
+                if let Some(between) = between {
+                    self.between(pick, between, wall, out);
+                }
+            }
+        }
+    }
+
+    fn failed(&mut self, pick: &Pick, wall: SystemTime, out: &mut Vec<Action>) {
+        // The pick's hash is small for the new version; the other half is as good for both.
+        let hash = (pick.hash & u64::from(u32::MAX)) as u32;
+        if !self.failing.insert(hash) {
+            return;
+        }
+        if self.failing.len() > REMEMBERED {
+            self.failing.pop_first();
+        }
+        self.count(pick, |tally| {
+            tally.requests += 1;
+            tally.failed += 1;
+            tally.failures.add(hash);
+        });
+        if pick.side == Side::New {
+            self.judge(wall, out);
+        }
+    }
+
+    fn between(&mut self, pick: &Pick, time: Duration, wall: SystemTime, out: &mut Vec<Action>) {
+        let times = self
+            .evidence
+            .times(&self.owner.source, &pick.route, pick.side);
+        times.between.record(time);
+        let Some(limit) = self.limits.get(&pick.route).and_then(|limit| limit.between) else {
+            return;
+        };
+        if self.overload && pick.level == Level::FULL {
+            return;
+        }
+        let slow = time > limit;
+        self.count(pick, |tally| {
+            tally.betweens += 1;
+            tally.slow_between += u32::from(slow);
+        });
+        if slow && pick.side == Side::New {
+            self.judge(wall, out);
+        }
+    }
+
+    fn count(&mut self, pick: &Pick, change: impl Fn(&mut Tally)) {
+        let key = Key {
+            slot: pick.slot,
+            level: pick.level,
+            route: pick.route.clone(),
+        };
+        change(self.evidence.cell(&self.owner.source, &key).side(pick.side));
+        change(self.total.entry(key.clone()).or_default().side(pick.side));
+        self.changed.insert(key);
+    }
+
+    pub(super) fn tell(&mut self, now: Clock, wall: SystemTime, actions: &mut Vec<Action>) {
+        if self.outcome.is_some() {
+            return;
+        }
+        if now.saturating_sub(self.told) >= CELLS_EVERY && !self.changed.is_empty() {
+            self.told = now;
+            let source = self.owner.source.clone();
+            let mut cells = Cells::new();
+            for key in std::mem::take(&mut self.changed) {
+                let pair = self.evidence.cell(&source, &key).clone();
+                cells.insert(key, pair);
+            }
+            actions.push(Action::Publish(Fact::Cells { source, cells }));
+        }
+        if now.saturating_sub(self.told_times) >= TIMES_EVERY {
+            self.told_times = now;
+            actions.push(Action::Publish(Fact::Began(self.ramp.began())));
+            self.tell_times(actions);
+            self.set_limits(wall);
+        }
+    }
+
+    fn tell_times(&mut self, actions: &mut Vec<Action>) {
+        for (route, side, times) in self.evidence.times_of(&self.owner.source) {
+            actions.push(Action::Publish(Fact::Times {
+                source: self.owner.source.clone(),
+                route: route.clone(),
+                side,
+                times: times.clone(),
+            }));
+        }
+    }
+
+    /// Takes the limits from the old version's times, while it has traffic to take them from.
+    fn set_limits(&mut self, wall: SystemTime) {
+        if self.ramp.slot(wall) > 0 && self.level == Level::FULL {
+            return;
+        }
+        for route in &self.routes {
+            let times = self.evidence.all_times(route, Side::Old);
+            let limit = self.limits.entry(route.clone()).or_default();
+            if times.first.count() >= ENOUGH_TIMES {
+                limit.first = times.first.quantile(SLOW);
+            }
+            if times.between.count() >= ENOUGH_TIMES {
+                limit.between = times.between.quantile(SLOW);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/moves/src/mover/settle.rs
@@ -0,0 +1,176 @@
+//! The share that follows from what is known, and the move's record.
+
+use std::time::{
+    Duration,
+    SystemTime, //
+};
+
+use names::Clock;
+
+use crate::{
+    judge::{
+        self,
+        LEAN, //
+    },
+    mover::Mover,
+    outcome::{
+        End,
+        Outcome,
+        Reason,
+        Record, //
+    },
+    share::{
+        Level,
+        Side, //
+    },
+    step::{
+        Action,
+        Notice, //
+    },
+};
+
+/// Time after which a call of the store without an answer is tried again, times the rank.
+const RETRY: Duration = Duration::from_secs(5);
+
+/// How much longer each rank waits with a write, so that usually one entry writes.
+const RANK_WAIT: Duration = Duration::from_secs(5);
+
+impl Mover {
+    /// Brings share, concentration and record in line with what is known.
+    pub(super) fn settle(&mut self, now: Clock, wall: SystemTime, actions: &mut Vec<Action>) {
+        let level = self.wanted(now, wall);
+        if level != self.level {
+            self.level = level;
+            self.stepped = now;
+            actions.push(Action::Share(level));
+        }
+        if level == Level::FULL && self.full.is_none() {
+            self.full = Some(wall);
+        }
+        let concentrated = self.replicas();
+        if concentrated != self.concentrated {
+            self.concentrated = concentrated;
+            actions.push(Action::Concentrate(concentrated));
+        }
+        let moving = self.veto.is_none() && self.outcome.is_none() && self.dropped.is_none();
+        if moving && wall > self.plan.by && level < Level::FULL && !self.late {
+            self.late = true;
+            actions.push(Action::Notice(Notice::Late));
+        }
+        self.keep_record(now, wall, actions);
+    }
+
+    fn wanted(&self, now: Clock, wall: SystemTime) -> Level {
+        let settled = match (&self.outcome, &self.veto, &self.dropped) {
+            (Some(outcome), _, _) => Some(outcome.side()),
+            (None, Some(_), _) => Some(Side::Old),
+            (None, None, Some((side, _))) => Some(*side),
+            (None, None, None) => None,
+        };
+        match settled {
+            Some(Side::New) => return Level::FULL,
+            Some(Side::Old) => return Level::ZERO,
+            None => {}
+        }
+        let (_, ready) = self.ready.unwrap_or_default();
+        if !self.synced || ready == 0 || self.level == Level::FULL {
+            return self.level;
+        }
+        let latest = self.ramp.latest(wall);
+        let earliest = self.ramp.earliest(wall);
+        if self.level >= earliest {
+            return self.level;
+        }
+        let behind = self.level < latest;
+        if !behind && now.saturating_sub(self.stepped) < self.dwell() {
+            return self.level;
+        }
+        let carried = judge::carried(&self.total, &self.routes);
+        let wanted = earliest.min(carried.max(latest).max(Level::ZERO.next()));
+        if wanted <= self.level {
+            return self.level;
+        }
+        if latest < Level::FULL && self.verdict().against >= LEAN {
+            return self.level;
+        }
+        self.level.next()
+    }
+
+    /// Time between two steps up, so that what a step shows is known before the next.
+    fn dwell(&self) -> Duration {
+        (self.ramp.span() / 120).clamp(Duration::from_secs(5), Duration::from_secs(60))
+    }
+
+    /// How many replicas of the new version carry its share, so that each has the load that the
+    /// old version's replicas have with all traffic. Spread thin over all replicas, a fault that
+    /// shows only under load would stay hidden until most traffic has moved.
+    fn replicas(&self) -> Option<u32> {
+        let (old, new) = self.ready?;
+        if self.level == Level::ZERO || self.level == Level::FULL {
+            return None;
+        }
+        let wanted = (self.level.permille() * old.max(new)).div_ceil(1000);
+        Some(wanted.clamp(1, new.max(1)))
+    }
+
+    fn keep_record(&mut self, now: Clock, wall: SystemTime, actions: &mut Vec<Action>) {
+        if self.outcome.is_some() {
+            return;
+        }
+        let ended = self.ended(wall);
+        let begun = self.revision.is_some_and(|revision| revision > 0);
+        if ended.is_none() && begun {
+            self.due = None;
+            return;
+        }
+        let due = *self.due.get_or_insert(now);
+        if now < due + RANK_WAIT * self.rank {
+            return;
+        }
+        let pause = RETRY * (self.rank + 1);
+        if self.asked.is_some_and(|asked| now < asked + pause) {
+            return;
+        }
+        self.asked = Some(now);
+        if !self.synced {
+            actions.push(Action::Read);
+            return;
+        }
+        let record = Box::new(self.record(ended, wall));
+        let expect = self.revision.unwrap_or(0);
+        actions.push(Action::Write { record, expect });
+    }
+
+    /// How the move ends, if it ends now.
+    fn ended(&self, wall: SystemTime) -> Option<(End, Reason)> {
+        if let Some(veto) = &self.veto {
+            return Some((End::Reverted, Reason::Vetoed(veto.clone())));
+        }
+        if let Some((side, reason)) = &self.dropped {
+            let end = match side {
+                Side::Old => End::Reverted,
+                Side::New => End::Done,
+            };
+            return Some((end, reason.clone()));
+        }
+        let watched = self.full? + self.plan.watch;
+        (wall >= watched).then_some((End::Done, Reason::Watched))
+    }
+
+    fn record(&self, ended: Option<(End, Reason)>, wall: SystemTime) -> Record {
+        Record {
+            name: self.plan.name.clone(),
+            from: self.plan.from.clone(),
+            to: self.plan.to.clone(),
+            by: self.plan.by,
+            began: self.ramp.began(),
+            outcome: ended.map(|(end, reason)| Outcome {
+                end,
+                reason,
+                full: self.full,
+                at: wall,
+                by: self.owner.source.clone(),
+            }),
+        }
+    }
+}
