Measure moves over generated evidence

Change: `measure moves` feeds the production movers of four entries with requests drawn in virtual time, beside a fixed ramp with thresholds and an immediate switch.

--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 
+mod moves;
 mod table;
 
 /// Measures parts of medlarhatch and prints tables in Markdown.
@@ -17,6 +18,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Moves(moves::Args),
     Version(Version),
 }
 
@@ -28,6 +30,7 @@
 fn main() {
     let args: Args = argh::from_env();
     match args.what {
+        What::Moves(args) => moves::print(&args),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
             table::print(&["version"], &rows);
