--- a/components/measure/src/moves/baseline.rs
+++ b/components/measure/src/moves/baseline.rs
@@ -13,7 +13,8 @@
     ROUTES, //
 };
 
-/// Length of the window over which the thresholds are checked, in seconds.
+/// Length of the window over which the thresholds are checked, in seconds. It reaches further back
+/// until it holds enough requests of the new version.
 const WINDOW: f64 = 300.0;
 
 /// Fewest requests of the new version in the window.
@@ -106,11 +107,13 @@
             return;
         }
         self.checked = now;
-        while self
-            .window
-            .front()
-            .is_some_and(|sample| sample.at < now - WINDOW)
-        {
+        let mut new = self.window.iter().filter(|sample| sample.new).count();
+        while let Some(sample) = self.window.front() {
+            let needed = sample.new && new <= FEWEST as usize;
+            if sample.at >= now - WINDOW || needed {
+                break;
+            }
+            new -= usize::from(sample.new);
             self.window.pop_front();
         }
         if self.is_bad() {
--- a/components/moves/src/evidence.rs
+++ b/components/moves/src/evidence.rs
@@ -156,6 +156,12 @@
         self.failures.merge(&other.failures);
     }
 
+    /// Number of events that speak against the version.
+    pub fn against(&self) -> u32 {
+        let slow = self.slow_first.saturating_add(self.slow_between);
+        slow.saturating_add(self.distinct_failures())
+    }
+
     /// Number of distinct requests that failed.
     pub fn distinct_failures(&self) -> u32 {
         self.failures.distinct(self.failed)
--- a/components/moves/src/judge.rs
+++ b/components/moves/src/judge.rs
@@ -286,6 +286,14 @@
     };
     let mut most = 0.0;
     for metric in METRICS {
+        if metric == Metric::Died && deaths.is_empty() {
+            continue;
+        }
+        // Without an event of the new version nothing can speak against it.
+        let mut new = total.values().map(|pair| metric.count(&pair.new).0);
+        if metric != Metric::Died && new.all(|events| events == 0) {
+            continue;
+        }
         let mut family = Family::new(metric, total);
         if metric == Metric::Died {
             take_deaths(&mut family.all, &deaths);
--- a/components/moves/src/mover.rs
+++ b/components/moves/src/mover.rs
@@ -90,6 +90,8 @@
     limits: BTreeMap<Route, Limit>,
     failing: BTreeSet<u32>,
     changed: BTreeSet<Key>,
+    /// Something was heard that speaks against the new version and hasn't been judged.
+    unjudged: bool,
 
     level: Level,
     stepped: Clock,
@@ -134,6 +136,7 @@
             limits: BTreeMap::new(),
             failing: BTreeSet::new(),
             changed: BTreeSet::new(),
+            unjudged: false,
             level: Level::ZERO,
             stepped: now,
             ready: None,
@@ -176,7 +179,10 @@
             Event::Heard(fact) => self.hear(fact, &mut actions),
             Event::Stored(answer) => self.stored(answer, &mut actions),
             Event::Tick => {
-                self.judge(wall, &mut actions);
+                if self.unjudged {
+                    self.unjudged = false;
+                    self.judge(wall, &mut actions);
+                }
                 self.tell(now, wall, &mut actions);
             }
         }
@@ -200,6 +206,11 @@
         self.level
     }
 
+    /// How many replicas of the new version get its traffic; all of them when none.
+    pub fn concentration(&self) -> Option<u32> {
+        self.concentrated
+    }
+
     /// The move as the document has it.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -273,7 +284,10 @@
                 self.evidence.merge_cells(&source, &cells);
                 for key in cells.keys() {
                     let sum = self.evidence.total_of(&self.owner.home, key);
-                    self.total.insert(key.clone(), sum);
+                    let against = sum.new.against();
+                    let before = self.total.insert(key.clone(), sum);
+                    let before = before.map_or(0, |pair| pair.new.against());
+                    self.unjudged |= against > before;
                 }
             }
             Fact::Times {
@@ -286,9 +300,7 @@
                     self.evidence.merge_times(&source, &route, side, &times);
                 }
             }
-            Fact::Death(death) => {
-                self.evidence.merge_death(&death);
-            }
+            Fact::Death(death) => self.unjudged |= self.evidence.merge_death(&death),
             Fact::Veto(veto) => self.take_veto(veto, actions),
             Fact::Outcome(outcome) => self.take_outcome(outcome, actions),
         }
--- a/components/moves/src/mover/settle.rs
+++ b/components/moves/src/mover/settle.rs
@@ -32,6 +32,12 @@
 /// Time after which a call of the store without an answer is tried again, times the rank.
 const RETRY: Duration = Duration::from_secs(5);
 
+/// Time between two steps up while the share is below the ramp's lower bound.
+///
+/// An entry that was paused finds itself far behind. If it leapt, it would send much traffic to a
+/// version that the others may have found bad meanwhile, before their facts are read.
+const CATCH_UP: Duration = Duration::from_secs(2);
+
 /// How much longer each rank waits with a write, so that usually one entry writes.
 const RANK_WAIT: Duration = Duration::from_secs(5);
 
@@ -81,8 +87,11 @@
         if self.level >= earliest {
             return self.level;
         }
-        let behind = self.level < latest;
-        if !behind && now.saturating_sub(self.stepped) < self.dwell() {
+        let dwell = match self.level < latest {
+            true => CATCH_UP,
+            false => self.dwell(),
+        };
+        if now.saturating_sub(self.stepped) < dwell {
             return self.level;
         }
         let carried = judge::carried(&self.total, &self.routes);
