Give the reason of a retried read's last try, not of its deadline

Cause: a retried read slept past its deadline and then gave Unanswered instead of the reason. Ruled out: easing the test to take either error. Change: no sleep that would pass the deadline; the last try that ended by itself gives the error.

--- a/components/platform/src/settle.rs
+++ b/components/platform/src/settle.rs
@@ -9,11 +9,15 @@
 use std::time::Duration;
 
 use backon::{
-    ExponentialBuilder,
-    Retryable, //
+    BackoffBuilder,
+    ExponentialBuilder, //
 };
 use names::Revision;
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout_at, //
+};
 
 use crate::{
     Client,
@@ -48,20 +52,24 @@
     ///
     /// # Errors
     ///
-    /// The last try's [`Error`].
+    /// The [`Error`] of the last try that came to an end by itself; [`Error::Unanswered`] if none
+    /// did.
     pub async fn get_within(&self, key: &str, deadline: Instant) -> Result<Option<Entry>, Error> {
-        let attempt = || async {
-            let left = deadline.saturating_duration_since(Instant::now());
-            match tokio::time::timeout(left, self.get(key)).await {
-                Ok(read) => read,
-                Err(_) => Err(Error::Unanswered),
+        let mut last = Error::Unanswered;
+        for wait in backoff().build() {
+            match timeout_at(deadline, self.get(key)).await {
+                Ok(Ok(entry)) => return Ok(entry),
+                Ok(Err(error)) if error.passing() => last = error,
+                Ok(Err(error)) => return Err(error),
+                Err(_) => return Err(last),
             }
-        };
-        attempt
-            .retry(backoff())
-            .sleep(tokio::time::sleep)
-            .when(|error| error.passing() && Instant::now() + FIRST < deadline)
-            .await
+            // A sleep past the deadline would only hide the reason.
+            if Instant::now() + wait >= deadline {
+                return Err(last);
+            }
+            sleep(wait).await;
+        }
+        Err(last)
     }
 
     /// Writes a key and finds out what came of it, also when the answer is lost.
@@ -107,7 +115,7 @@
             if Instant::now() + wait >= deadline {
                 return Ok(Settled::Unknown);
             }
-            tokio::time::sleep(wait).await;
+            sleep(wait).await;
             wait = (wait * 2).min(LONGEST);
         }
     }
