Bring the lints back to none

Ruled out: allowing the lints. Change: the names and the remainders. Conclusion: clippy with warnings as errors passes.

--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -54,6 +54,7 @@
     pub(crate) link: Link,
     pub(crate) hello: Hello,
     /// Frames for the link's first stream.
+    #[expect(dead_code, reason = "The spread of documents goes through it.")]
     pub(crate) frames: mpsc::Sender<Frame>,
 }
 
@@ -120,17 +121,6 @@
         peers.values().cloned().collect()
     }
 
-    /// The peer beside a backend server.
-    pub(crate) fn beside(&self, server: &str) -> Option<Arc<Peer>> {
-        self.all().into_iter().find(|peer| {
-            let link = peer.link.borrow();
-            let backend = link
-                .as_ref()
-                .and_then(|joined| joined.hello.backend.as_ref());
-            backend.is_some_and(|backend| backend.server == server)
-        })
-    }
-
     /// Backend servers that may get work, in order.
     pub(crate) fn servers(&self) -> Vec<Server> {
         let mut servers = Vec::new();
--- a/components/measure/src/moves/run.rs
+++ b/components/measure/src/moves/run.rs
@@ -276,8 +276,8 @@
         let second = now as u64;
         let minutes = (900..2700).contains(&second);
         match self.case.fault {
-            Fault::Poison if minutes && second % 30 == 0 => self.poison(now),
-            Fault::Repeated if minutes && second % 20 == 0 => self.repeated(now),
+            Fault::Poison if minutes && second.is_multiple_of(30) => self.poison(now),
+            Fault::Repeated if minutes && second.is_multiple_of(20) => self.repeated(now),
             Fault::LostHost if second == 1500 || second == 1530 => {
                 let explained = second == 1530;
                 self.died(1, explained, Cause::HostLoss, now);
