--- a/components/moves/src/lib.rs
+++ b/components/moves/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A move's [`plan::Ramp`] says between which bounds the new version's share of the traffic lies
 //! at a wall-clock time. Each entry's [`Mover`] takes its share from the ramp and from the
-//! [`evidence::Evidence`] that all entries gossip, and a [`judge::Judge`] compares the new version
+//! [`evidence::Evidence`] that all entries gossip, and [`judge::assess`] compares the new version
 //! with the old one over the same time. An entry whose judge trips stops sending traffic to the
 //! new version at once and spreads a [`outcome::Veto`]. One entry writes the outcome.
 //!
--- a/components/spread/src/slot.rs
+++ b/components/spread/src/slot.rs
@@ -17,7 +17,7 @@
 pub struct Edition {
     /// The store's revision of it.
     pub revision: Revision,
-    /// Digest of what it says, see [`environment::digest`].
+    /// Digest of what it says, see [`environment::digest()`].
     pub digest: u64,
     /// The YAML text.
     pub text: String,
