Keep links to a part of a large fleet, and beat seldom at rest

Ruled out: a longer pace for all links (a silent link with an answer on it would stand for seconds). Change: routing::subset, entry::hosts (arrange, on demand, forget), two paces, a watch on busy links.

--- a/components/daemon/src/greeting.rs
+++ b/components/daemon/src/greeting.rs
@@ -8,6 +8,7 @@
         watch, //
     },
     time::{
+        Instant,
         MissedTickBehavior,
         interval,
         timeout, //
@@ -48,25 +49,38 @@
     timeout(limit, greet).await.unwrap_or_else(|_| Err(late()))
 }
 
-/// Sends heartbeats at a fixed pace, and at once when what they say changes; between them the
-/// frames of `others`. Ends with the link.
+/// Sends heartbeats, and at once when what they say changes; between them the frames of `others`.
+/// Ends with the link.
+///
+/// `pace` says how long a heartbeat may be off now; it is asked every `shortest`. A link at rest
+/// needs few heartbeats, one with work on it many, so that silence is noticed soon.
 pub async fn beat(
     mut sender: Sender,
     mut state: watch::Receiver<Heartbeat>,
     mut others: mpsc::Receiver<Frame>,
-    pace: Duration,
+    shortest: Duration,
+    pace: impl Fn() -> Duration,
 ) {
-    let mut ticks = interval(pace);
+    let mut ticks = interval(shortest);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last: Option<Instant> = None;
     loop {
         let frame = tokio::select! {
-            _ = ticks.tick() => Frame::Heartbeat(state.borrow_and_update().clone()),
-            Ok(()) = state.changed() => Frame::Heartbeat(state.borrow_and_update().clone()),
-            Some(frame) = others.recv() => frame,
+            _ = ticks.tick() => {
+                // Half a tick early is better than half a tick late.
+                let due = last.is_none_or(|last| last.elapsed() + shortest / 2 >= pace());
+                due.then(|| Frame::Heartbeat(state.borrow_and_update().clone()))
+            }
+            Ok(()) = state.changed() => Some(Frame::Heartbeat(state.borrow_and_update().clone())),
+            Some(frame) = others.recv() => Some(frame),
+        };
+        let Some(frame) = frame else {
+            continue;
         };
         if sender.send(&frame).await.is_err() {
             return;
         }
+        last = Some(Instant::now());
     }
 }
 
--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -302,10 +302,10 @@
             return;
         };
         tokio::spawn(attempt::attach(
+            self.state.clone(),
             attempt.clone(),
             self.ask.request.clone(),
             from,
-            self.state.settings.times.silence,
             self.events.clone(),
         ));
     }
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -1,11 +1,8 @@
 //! One epoch of an answer: a stream to a sidecar, turned into events for the answer's decisions.
 
-use std::{
-    sync::{
-        Arc,
-        Mutex, //
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    Mutex, //
 };
 
 use answer::resume::Event;
@@ -16,10 +13,7 @@
     Request,
     Server, //
 };
-use tokio::{
-    sync::mpsc,
-    time::timeout, //
-};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::{
     Frame, Stream,
@@ -30,10 +24,14 @@
     },
 };
 
-use crate::fleet::{
-    Joined,
-    Peer,
-    Sent, //
+use crate::{
+    fleet::{
+        Joined,
+        Peer,
+        Sent, //
+    },
+    hosts::reach,
+    state::State,
 };
 
 /// What an epoch needs to run and to be found again.
@@ -73,10 +71,10 @@
 
 /// Listens to a generation over a new link to its sidecar.
 pub(crate) async fn attach(
+    state: Arc<State>,
     attempt: Arc<Attempt>,
     request: Request,
     from: Index,
-    limit: Duration,
     events: Events,
 ) {
     let frame = Frame::Attach(Attach {
@@ -86,32 +84,20 @@
         from,
     });
     let dial = async {
-        let joined = up(&attempt.peer).await?;
+        let joined = reach(&state, &attempt.peer.host).await?;
         let mut stream = joined.link.open().await.ok()?;
         stream.send(&frame).await.ok()?;
         Some(stream)
     };
-    match timeout(limit, dial).await {
-        Ok(Some(stream)) => listen(&attempt, stream, &events, true).await,
-        Ok(None) | Err(_) => {
+    match dial.await {
+        Some(stream) => listen(&attempt, stream, &events, true).await,
+        None => {
             let epoch = attempt.epoch;
             give(&events, Event::LinkLost { epoch }).await;
         }
     }
 }
 
-/// Waits for a link to the peer that is up.
-async fn up(peer: &Peer) -> Option<Joined> {
-    let mut links = peer.link.subscribe();
-    loop {
-        let joined = links.borrow_and_update().clone();
-        if let Some(joined) = joined.filter(|joined| !joined.link.is_closed()) {
-            return Some(joined);
-        }
-        links.changed().await.ok()?;
-    }
-}
-
 async fn listen(attempt: &Attempt, stream: Stream, events: &Events, attached: bool) {
     let Stream {
         mut sender,
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -42,6 +42,10 @@
         Documents, //
     },
     fleet::Fleet,
+    hosts::{
+        self,
+        Hosts, //
+    },
     links, operators,
     state::{
         Pools,
@@ -53,6 +57,9 @@
 /// Pace at which a shutdown looks whether requests are still in progress.
 const DRAIN_PACE: Duration = Duration::from_millis(20);
 
+/// Heartbeats of a link at rest that may be missed.
+const RESTS: u32 = 3;
+
 /// An entry that runs.
 pub struct Entry {
     /// Address for callers.
@@ -72,7 +79,7 @@
         keys: &Keys,
         stop: CancellationToken,
     ) -> Result<Self, Error> {
-        let node = Node::bind(settings.links, keys, settings.times.silence)?;
+        let node = Node::bind(settings.links, keys, settings.times.rest * RESTS)?;
         let links = node.address().map_err(|source| wire::Error::Bind {
             address: settings.links,
             source,
@@ -95,7 +102,7 @@
             state.ended.clone(),
         )
         .await?;
-        tokio::spawn(links::follow(state.clone()));
+        tokio::spawn(hosts::follow(state.clone()));
         tokio::spawn(links::accept(state.clone()));
         tokio::spawn(documents::follow(state.clone()));
         tokio::spawn(announce(state.clone(), ready));
@@ -161,6 +168,7 @@
         outage: Outage::default(),
         platform,
         fleet: Fleet::default(),
+        hosts: Hosts::default(),
         documents: Documents::default(),
         gaps: Pools::default(),
         requests: Requests::default(),
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -5,6 +5,7 @@
     sync::{
         Arc, Mutex,
         atomic::{
+            AtomicBool,
             AtomicU32,
             Ordering, //
         },
@@ -44,7 +45,7 @@
     /// What it last said.
     pub(crate) heartbeat: Mutex<Heartbeat>,
     /// The platform's list says that the host leaves.
-    pub(crate) listed_leaving: Mutex<bool>,
+    listed_leaving: AtomicBool,
     in_flight: Arc<AtomicU32>,
 }
 
@@ -67,7 +68,7 @@
             host,
             link: watch::Sender::new(None),
             heartbeat: Mutex::default(),
-            listed_leaving: Mutex::new(false),
+            listed_leaving: AtomicBool::new(false),
             in_flight: Arc::default(),
         }
     }
@@ -84,10 +85,20 @@
         Sent(self.in_flight.clone())
     }
 
+    /// Takes the host list's word on whether the host leaves.
+    pub(crate) fn listed(&self, leaving: bool) {
+        self.listed_leaving.store(leaving, Ordering::Release);
+    }
+
+    /// Pieces of work of this entry at the peer.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
     /// May this peer get new work?
     fn takes_work(&self) -> bool {
         let heartbeat = self.heartbeat.lock().expect("no panic while held");
-        let listed_leaving = *self.listed_leaving.lock().expect("no panic while held");
+        let listed_leaving = self.listed_leaving.load(Ordering::Acquire);
         heartbeat.healthy && !heartbeat.leaving && !listed_leaving
     }
 
@@ -95,7 +106,7 @@
         let heartbeat = self.heartbeat.lock().expect("no panic while held");
         let reported = heartbeat.load.map_or(0, |load| load.running + load.queued);
         // The report lags; what we have sent ourselves is known at once.
-        reported.max(self.in_flight.load(Ordering::Acquire))
+        reported.max(self.in_flight())
     }
 }
 
@@ -115,6 +126,12 @@
             .clone()
     }
 
+    /// Drops a peer that is gone for good.
+    pub(crate) fn forget(&self, host: &str) {
+        let mut peers = self.peers.lock().expect("no panic while held");
+        peers.remove(host);
+    }
+
     /// Every peer.
     pub(crate) fn all(&self) -> Vec<Arc<Peer>> {
         let peers = self.peers.lock().expect("no panic while held");
--- /dev/null
+++ b/components/entry/src/hosts.rs
@@ -0,0 +1,212 @@
+//! The platform's host list, and which of its hosts this entry keeps a link to.
+//!
+//! The list lags and can be wrong. A host that is missing from it keeps its link while the link is
+//! up; dialling ends only when a host has been missing for [`FORGET`] and can't be reached. So an
+//! empty list takes nothing away.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use events::links;
+use names::{
+    DataCentre,
+    Host, //
+};
+use platform::hosts::{
+    Role,
+    State as HostState, //
+};
+use routing::subset::{
+    self,
+    Candidate, //
+};
+use tokio::time::{
+    Instant,
+    MissedTickBehavior,
+    interval,
+    timeout, //
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    fleet::Joined,
+    links::keep,
+    state::State, //
+};
+
+/// Time after which a host that isn't listed any more and can't be reached is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+
+/// Time that a link which was dialled on demand is kept without work.
+const SPARE: Duration = Duration::from_secs(30);
+
+/// The hosts that the platform has listed.
+#[derive(Default)]
+pub(crate) struct Hosts {
+    known: Mutex<HashMap<Host, Known>>,
+}
+
+/// A listed host.
+#[derive(Clone)]
+struct Known {
+    address: SocketAddr,
+    data_centre: DataCentre,
+    role: Role,
+    /// When it was last in the list.
+    listed: Instant,
+    /// Ends the task that keeps the link; none while there is no such task.
+    kept: Option<CancellationToken>,
+    /// When a link was last asked for on demand.
+    asked: Option<Instant>,
+}
+
+/// Follows the list.
+pub(crate) async fn follow(state: Arc<State>) {
+    let mut ticks = interval(state.settings.times.hosts);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut out = false;
+    loop {
+        tokio::select! {
+            () = state.ended.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        match state.platform.hosts().await {
+            Ok(hosts) => {
+                out = false;
+                state.hosts.learn(&state, hosts);
+            }
+            Err(error) => {
+                if !out {
+                    events::emit!(links::HOSTS, "reason=\"{error}\"");
+                }
+                out = true;
+            }
+        }
+        state.hosts.arrange(&state);
+    }
+}
+
+/// A link to a host, dialled now if there is none.
+pub(crate) async fn reach(state: &Arc<State>, host: &str) -> Option<Joined> {
+    let peer = state.fleet.peer(host);
+    if let Some(joined) = peer.joined() {
+        return Some(joined);
+    }
+    state.hosts.ask(state, host);
+    let mut links = peer.link.subscribe();
+    let up = links.wait_for(|link| link.as_ref().is_some_and(|one| !one.link.is_closed()));
+    let joined = timeout(state.settings.times.silence, up).await.ok()?.ok()?;
+    joined.clone()
+}
+
+impl Hosts {
+    /// Takes a reading of the list.
+    fn learn(&self, state: &State, hosts: Vec<platform::hosts::Host>) {
+        let mut known = self.known.lock().expect("no panic while held");
+        let now = Instant::now();
+        for host in hosts {
+            if host.name == state.settings.name {
+                continue;
+            }
+            let leaving = host.state == HostState::Leaving;
+            state.fleet.peer(&host.name).listed(leaving);
+            let entry = known.entry(host.name).or_insert_with(|| Known {
+                address: host.address,
+                data_centre: host.data_centre.clone(),
+                role: host.role,
+                listed: now,
+                kept: None,
+                asked: None,
+            });
+            entry.listed = now;
+            entry.data_centre = host.data_centre;
+            // The host was replaced by another one of its name.
+            if entry.address != host.address {
+                entry.address = host.address;
+                stop(entry);
+            }
+        }
+    }
+
+    /// Starts and ends the tasks that keep links.
+    fn arrange(&self, state: &Arc<State>) {
+        let mut known = self.known.lock().expect("no panic while held");
+        let now = Instant::now();
+        known.retain(|name, host| {
+            let up = state.fleet.peer(name).joined().is_some();
+            let stays = up || now.duration_since(host.listed) < FORGET;
+            if !stays {
+                stop(host);
+                state.fleet.forget(name);
+            }
+            stays
+        });
+        let wanted = wanted(state, &known);
+        for (name, host) in known.iter_mut() {
+            let asked = host.asked.is_some_and(|at| now.duration_since(at) < SPARE);
+            let busy = state.fleet.peer(name).in_flight() > 0;
+            if wanted.contains(name) || asked || busy {
+                start(state, name, host);
+            } else {
+                stop(host);
+            }
+        }
+    }
+
+    /// Asks for a link that the entry doesn't keep all the time.
+    fn ask(&self, state: &Arc<State>, name: &str) {
+        let mut known = self.known.lock().expect("no panic while held");
+        if let Some(host) = known.get_mut(name) {
+            host.asked = Some(Instant::now());
+            start(state, name, host);
+        }
+    }
+}
+
+/// The hosts that this entry keeps a link to all the time.
+fn wanted(state: &State, known: &HashMap<Host, Known>) -> HashSet<Host> {
+    let own = &state.settings.name;
+    let candidates = |role| {
+        known
+            .iter()
+            .filter(|(_, host)| host.role == role)
+            .map(|(name, host)| Candidate {
+                host: name.clone(),
+                data_centre: host.data_centre.clone(),
+            })
+            .collect::<Vec<_>>()
+    };
+    let limits = &state.settings.limits;
+    let data_centre = &state.settings.data_centre;
+    let sidecars = subset::choose(own, data_centre, &candidates(Role::Sidecar), limits.links);
+    let entries = subset::choose(own, data_centre, &candidates(Role::Entry), limits.peers);
+    // Of two entries the one with the lower name dials, so that they have one link.
+    let entries = entries.into_iter().filter(|name| name > own);
+    sidecars.into_iter().chain(entries).collect()
+}
+
+fn start(state: &Arc<State>, name: &str, host: &mut Known) {
+    if host.kept.is_some() {
+        return;
+    }
+    let token = state.ended.child_token();
+    host.kept = Some(token.clone());
+    let peer = state.fleet.peer(name);
+    tokio::spawn(keep(state.clone(), peer, host.address, token));
+}
+
+fn stop(host: &mut Known) {
+    if let Some(token) = host.kept.take() {
+        token.cancel();
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod documents;
 mod fleet;
+mod hosts;
 mod links;
 mod operators;
 pub mod problem;
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -1,7 +1,6 @@
-//! Links to sidecars and to other entries: whom to dial, when to dial again.
+//! Links to sidecars and to other entries: dialling, answering, and when a link is lost.
 
 use std::{
-    collections::HashSet,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -9,19 +8,16 @@
 
 use daemon::greeting;
 use events::links;
-use names::Host;
-use platform::hosts::{
-    Role,
-    State as HostState, //
-};
 use tokio::{
     sync::mpsc,
     time::{
+        Instant,
         MissedTickBehavior,
         interval,
         sleep, //
     },
 };
+use tokio_util::sync::CancellationToken;
 use wire::{
     Error,
     Frame,
@@ -44,67 +40,35 @@
 const PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Looks at a busy link within the time of silence.
+const LOOKS: u32 = 8;
+
 /// Frames that wait for a link's first stream; beyond it the newest are dropped, since what is
 /// sent there is repeated anyway.
 const WAITING: usize = 256;
 
-/// Follows the platform's host list and keeps links to the hosts in it.
-pub(crate) async fn follow(state: Arc<State>) {
-    let mut dialled: HashSet<(Host, SocketAddr)> = HashSet::new();
-    let mut ticks = interval(state.settings.times.hosts);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut out = false;
-    loop {
-        tokio::select! {
-            () = state.ended.cancelled() => return,
-            _ = ticks.tick() => {}
-        }
-        let hosts = match state.platform.hosts().await {
-            Ok(hosts) => hosts,
-            Err(error) => {
-                if !out {
-                    events::emit!(links::HOSTS, "reason=\"{error}\"");
-                }
-                out = true;
-                continue;
-            }
-        };
-        out = false;
-        for host in hosts {
-            if host.name == state.settings.name {
-                continue;
-            }
-            let peer = state.fleet.peer(&host.name);
-            *peer.listed_leaving.lock().expect("no panic while held") =
-                host.state == HostState::Leaving;
-            // Of two entries the one with the lower name dials, so that they have one link.
-            if host.role == Role::Entry && host.name < state.settings.name {
-                continue;
-            }
-            if dialled.insert((host.name.clone(), host.address)) {
-                tokio::spawn(keep(state.clone(), peer, host.address));
-            }
-        }
-    }
-}
-
 /// Keeps a link to one host: dials, and dials again when the link is lost.
-async fn keep(state: Arc<State>, peer: Arc<Peer>, address: SocketAddr) {
+pub(crate) async fn keep(
+    state: Arc<State>,
+    peer: Arc<Peer>,
+    address: SocketAddr,
+    stop: CancellationToken,
+) {
     let mut pause = PAUSE;
     loop {
         let joined = tokio::select! {
-            () = state.ended.cancelled() => return,
+            () = stop.cancelled() => return,
             joined = dial(&state, &peer.host, address) => joined,
         };
         match joined {
             Ok((link, stream, hello)) => {
                 pause = PAUSE;
-                join(&state, &peer, link, stream, hello).await;
+                join(&state, &peer, link, stream, hello, &stop).await;
             }
             Err(error) => note(&peer.host, &error, pause),
         }
         tokio::select! {
-            () = state.ended.cancelled() => return,
+            () = stop.cancelled() => return,
             () = sleep(pause) => {}
         }
         pause = (pause * 2).min(LONGEST_PAUSE);
@@ -147,35 +111,72 @@
     match greet.await {
         Ok((link, stream, hello)) => {
             let peer = state.fleet.peer(&hello.host);
-            join(&state, &peer, link, stream, hello).await;
+            join(&state, &peer, link, stream, hello, &state.ended).await;
         }
         Err(error) => note(&address.to_string(), &error, PAUSE),
     }
 }
 
 /// Uses a link until it is lost.
-async fn join(state: &Arc<State>, peer: &Arc<Peer>, link: Link, stream: Stream, hello: Hello) {
+async fn join(
+    state: &Arc<State>,
+    peer: &Arc<Peer>,
+    link: Link,
+    stream: Stream,
+    hello: Hello,
+    stop: &CancellationToken,
+) {
     events::emit!(links::UP, "host={}", peer.host);
     let (frames, waiting) = mpsc::channel(WAITING);
     let beats = state.heartbeat.subscribe();
-    let pace = state.settings.times.heartbeat;
-    tokio::spawn(greeting::beat(stream.sender, beats, waiting, pace));
+    let times = &state.settings.times;
+    let pace = {
+        let peer = peer.clone();
+        let (busy, rest) = (times.heartbeat, times.rest);
+        move || if peer.in_flight() > 0 { busy } else { rest }
+    };
+    let beat = greeting::beat(stream.sender, beats, waiting, times.heartbeat, pace);
+    tokio::spawn(beat);
     let joined = Joined {
         link: link.clone(),
         hello,
         frames,
     };
     peer.link.send_replace(Some(joined));
-    let read = read(peer, stream.receiver);
     let reason = tokio::select! {
         reason = link.closed() => reason,
-        reason = read => reason,
-        () = state.ended.cancelled() => "closed".into(),
+        reason = read(peer, stream.receiver) => reason,
+        () = hush(peer, &link, times.silence) => "silent while there is work on it".into(),
+        () = stop.cancelled() => "not needed any more".into(),
     };
     link.close();
     events::emit!(links::LOST, "host={} reason=\"{reason}\"", peer.host);
 }
 
+/// Ends when nothing at all came on a link for `silence` while there is work on it.
+///
+/// The peer is stopped, or something between the two ends has forgotten the connection: then no
+/// error ever comes, and an answer would stand still. Our heartbeats on a busy link make the peer
+/// send acknowledgements at least, so silence means that it is not there, or not on this link. The
+/// limit of a link at rest is longer, as heartbeats are rare there: the transport's idle timeout.
+async fn hush(peer: &Peer, link: &Link, silence: Duration) {
+    let mut ticks = interval(silence / LOOKS);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut received = link.bytes().1;
+    let mut heard = Instant::now();
+    loop {
+        ticks.tick().await;
+        let now = link.bytes().1;
+        if now != received || peer.in_flight() == 0 {
+            received = now;
+            heard = Instant::now();
+        }
+        if heard.elapsed() >= silence {
+            return;
+        }
+    }
+}
+
 /// Reads a link's first stream, and says why that ended.
 async fn read(peer: &Peer, mut receiver: Receiver) -> String {
     loop {
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -35,7 +35,8 @@
 use crate::{
     calls::Outage,
     documents::Documents,
-    fleet::Fleet, //
+    fleet::Fleet,
+    hosts::Hosts, //
 };
 
 /// Shared by the tasks of one entry.
@@ -50,6 +51,7 @@
     pub(crate) records: Records,
     pub(crate) outage: Outage,
     pub(crate) fleet: Fleet,
+    pub(crate) hosts: Hosts,
     pub(crate) documents: Documents,
     pub(crate) gaps: Pools,
     pub(crate) requests: Requests,
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,1 +1,3 @@
 //! Replica choice: load, prefix affinity, ejection, data centres.
+
+pub mod subset;
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -75,6 +75,12 @@
     /// Requests in progress.
     #[garde(range(min = 1, max = 1_000_000))]
     pub requests: usize,
+    /// Sidecars that a link is kept to; others are dialled when they are needed.
+    #[garde(range(min = 1, max = 10_000))]
+    pub links: usize,
+    /// Entries that a link is kept to.
+    #[garde(range(min = 1, max = 10_000))]
+    pub peers: usize,
     /// Tokens that an answer may have when the caller doesn't say.
     #[garde(range(min = 1, max = 1_000_000))]
     pub tokens: u64,
@@ -90,6 +96,8 @@
             answer: 16 << 20,
             connections: 20_000,
             requests: 4_000,
+            links: 128,
+            peers: 32,
             tokens: 4_096,
             epochs: 8,
         }
@@ -108,11 +116,16 @@
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub idle: Duration,
-    /// Time between heartbeats on a link.
+    /// Time between heartbeats on a link with work on it.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub heartbeat: Duration,
-    /// A link on which nothing came for this time is given up, and a new one is dialled.
+    /// Time between heartbeats on a link at rest; it is lost after three of them.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(bounded))]
+    pub rest: Duration,
+    /// A link with work on it on which nothing came for this time is given up, and a new one is
+    /// dialled.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded), custom(above(&self.heartbeat)))]
     pub silence: Duration,
@@ -152,6 +165,7 @@
             header: Duration::from_secs(10),
             idle: Duration::from_secs(75),
             heartbeat: Duration::from_millis(500),
+            rest: Duration::from_secs(2),
             silence: Duration::from_millis(1500),
             hosts: Duration::from_secs(1),
             watch: Duration::from_secs(20),
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -19,10 +19,7 @@
 };
 
 use crate::{
-    entry::{
-        above,
-        bounded, //
-    },
+    entry::bounded,
     size, //
 };
 
@@ -133,13 +130,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct Times {
-    /// Time between heartbeats on a link.
+    /// Time between heartbeats on a link; it is lost after three of them.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
-    pub heartbeat: Duration,
-    /// A link on which nothing came for this time is given up.
+    pub rest: Duration,
+    /// Time limit of a greeting, of a health check, and of connecting to the backend server.
     #[serde(with = "humantime_serde")]
-    #[garde(custom(bounded), custom(above(&self.heartbeat)))]
+    #[garde(custom(bounded))]
     pub silence: Duration,
     /// A generation runs on for this time after nobody listens to it any more.
     #[serde(with = "humantime_serde")]
@@ -170,7 +167,7 @@
 impl Default for Times {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(500),
+            rest: Duration::from_secs(2),
             silence: Duration::from_millis(1500),
             grace: Duration::from_secs(30),
             load: Duration::from_millis(500),
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -48,6 +48,9 @@
 /// Pace at which a shutdown looks whether work is still in progress.
 const DRAIN_PACE: Duration = Duration::from_millis(20);
 
+/// Heartbeats of a link at rest that may be missed.
+const RESTS: u32 = 3;
+
 /// A sidecar that runs.
 pub struct Sidecar {
     /// Address of its links.
@@ -65,7 +68,7 @@
         keys: &Keys,
         stop: CancellationToken,
     ) -> Result<Self, Error> {
-        let node = Node::bind(settings.links, keys, settings.times.silence)?;
+        let node = Node::bind(settings.links, keys, settings.times.rest * RESTS)?;
         let links = node.address().map_err(|source| wire::Error::Bind {
             address: settings.links,
             source,
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -48,8 +48,14 @@
     let beats = state.heartbeat.subscribe();
     // A sidecar has nothing to send between heartbeats.
     let (_others, nothing) = mpsc::channel(1);
-    let pace = state.settings.times.heartbeat;
-    tokio::spawn(greeting::beat(first.sender, beats, nothing, pace));
+    let rest = state.settings.times.rest;
+    tokio::spawn(greeting::beat(
+        first.sender,
+        beats,
+        nothing,
+        rest,
+        move || rest,
+    ));
     tokio::spawn(listen(first.receiver));
     loop {
         let stream = tokio::select! {
