Measure links and tokens; let links at rest sleep

Ruled out: heartbeats themselves (one each way in 2 s). Change: both loops wait for work to begin instead of looking; measure links and measure tokens are new.

--- a/components/daemon/src/greeting.rs
+++ b/components/daemon/src/greeting.rs
@@ -9,8 +9,7 @@
     },
     time::{
         Instant,
-        MissedTickBehavior,
-        interval,
+        sleep_until,
         timeout, //
     },
 };
@@ -49,38 +48,47 @@
     timeout(limit, greet).await.unwrap_or_else(|_| Err(late()))
 }
 
-/// Sends heartbeats, and at once when what they say changes; between them the frames of `others`.
-/// Ends with the link.
-///
-/// `pace` says how long a heartbeat may be off now; it is asked every `shortest`. A link at rest
-/// needs few heartbeats, one with work on it many, so that silence is noticed soon.
+/// Paces of heartbeats on one link.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// While there is work on the link, so that silence is noticed soon.
+    pub busy: Duration,
+    /// While there is none.
+    pub rest: Duration,
+}
+
+/// Sends heartbeats, and at once when what they say changes or work begins; between them the
+/// frames of `others`. Ends with the link. `work` is the number of pieces of work on the link.
 pub async fn beat(
     mut sender: Sender,
     mut state: watch::Receiver<Heartbeat>,
     mut others: mpsc::Receiver<Frame>,
-    shortest: Duration,
-    pace: impl Fn() -> Duration,
+    mut work: watch::Receiver<u32>,
+    pace: Pace,
 ) {
-    let mut ticks = interval(shortest);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last: Option<Instant> = None;
+    let mut due = Instant::now();
     loop {
         let frame = tokio::select! {
-            _ = ticks.tick() => {
-                // Half a tick early is better than half a tick late.
-                let due = last.is_none_or(|last| last.elapsed() + shortest / 2 >= pace());
-                due.then(|| Frame::Heartbeat(state.borrow_and_update().clone()))
-            }
-            Ok(()) = state.changed() => Some(Frame::Heartbeat(state.borrow_and_update().clone())),
+            () = sleep_until(due) => None,
+            Ok(()) = state.changed() => None,
+            Ok(_) = work.wait_for(|work| *work > 0), if due - Instant::now() > pace.busy => None,
             Some(frame) = others.recv() => Some(frame),
         };
-        let Some(frame) = frame else {
-            continue;
+        let frame = match frame {
+            Some(frame) => frame,
+            None => {
+                let next = if *work.borrow() > 0 {
+                    pace.busy
+                } else {
+                    pace.rest
+                };
+                due = Instant::now() + next;
+                Frame::Heartbeat(state.borrow_and_update().clone())
+            }
         };
         if sender.send(&frame).await.is_err() {
             return;
         }
-        last = Some(Instant::now());
     }
 }
 
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -6,7 +6,6 @@
         Arc, Mutex,
         atomic::{
             AtomicBool,
-            AtomicU32,
             Ordering, //
         },
     },
@@ -46,7 +45,8 @@
     pub(crate) heartbeat: Mutex<Heartbeat>,
     /// The platform's list says that the host leaves.
     listed_leaving: AtomicBool,
-    in_flight: Arc<AtomicU32>,
+    /// Pieces of work of this entry at the peer.
+    work: Arc<watch::Sender<u32>>,
 }
 
 /// A link that is up.
@@ -60,7 +60,7 @@
 }
 
 /// One piece of work at a peer; dropping it ends the count.
-pub(crate) struct Sent(Arc<AtomicU32>);
+pub(crate) struct Sent(Arc<watch::Sender<u32>>);
 
 impl Peer {
     fn new(host: Host) -> Self {
@@ -69,7 +69,7 @@
             link: watch::Sender::new(None),
             heartbeat: Mutex::default(),
             listed_leaving: AtomicBool::new(false),
-            in_flight: Arc::default(),
+            work: Arc::new(watch::Sender::new(0)),
         }
     }
 
@@ -81,8 +81,8 @@
 
     /// Counts a piece of work sent to this peer.
     pub(crate) fn send(&self) -> Sent {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        Sent(self.in_flight.clone())
+        self.work.send_modify(|work| *work += 1);
+        Sent(self.work.clone())
     }
 
     /// Takes the host list's word on whether the host leaves.
@@ -92,7 +92,12 @@
 
     /// Pieces of work of this entry at the peer.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Acquire)
+        *self.work.borrow()
+    }
+
+    /// Changes of the number of pieces of work.
+    pub(crate) fn work(&self) -> watch::Receiver<u32> {
+        self.work.subscribe()
     }
 
     /// May this peer get new work?
@@ -112,7 +117,7 @@
 
 impl Drop for Sent {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.0.send_modify(|work| *work -= 1);
     }
 }
 
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -6,14 +6,15 @@
     time::Duration, //
 };
 
-use daemon::greeting;
+use daemon::greeting::{
+    self,
+    Pace, //
+};
 use events::links;
 use tokio::{
     sync::mpsc,
     time::{
         Instant,
-        MissedTickBehavior,
-        interval,
         sleep, //
     },
 };
@@ -130,13 +131,17 @@
     let (frames, waiting) = mpsc::channel(WAITING);
     let beats = state.heartbeat.subscribe();
     let times = &state.settings.times;
-    let pace = {
-        let peer = peer.clone();
-        let (busy, rest) = (times.heartbeat, times.rest);
-        move || if peer.in_flight() > 0 { busy } else { rest }
+    let pace = Pace {
+        busy: times.heartbeat,
+        rest: times.rest,
     };
-    let beat = greeting::beat(stream.sender, beats, waiting, times.heartbeat, pace);
-    tokio::spawn(beat);
+    tokio::spawn(greeting::beat(
+        stream.sender,
+        beats,
+        waiting,
+        peer.work(),
+        pace,
+    ));
     let joined = Joined {
         link: link.clone(),
         hello,
@@ -160,14 +165,18 @@
 /// send acknowledgements at least, so silence means that it is not there, or not on this link. The
 /// limit of a link at rest is longer, as heartbeats are rare there: the transport's idle timeout.
 async fn hush(peer: &Peer, link: &Link, silence: Duration) {
-    let mut ticks = interval(silence / LOOKS);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut work = peer.work();
     let mut received = link.bytes().1;
     let mut heard = Instant::now();
     loop {
-        ticks.tick().await;
+        if *work.borrow_and_update() == 0 {
+            // The peer lives as long as the link does, so this wait ends only with work.
+            let _ = work.wait_for(|work| *work > 0).await;
+            heard = Instant::now();
+        }
+        sleep(silence / LOOKS).await;
         let now = link.bytes().1;
-        if now != received || peer.in_flight() == 0 {
+        if now != received {
             received = now;
             heard = Instant::now();
         }
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -3,10 +3,19 @@
 //! Each figure in the docs names the command that gave it. Baselines run in the same process and
 //! over the same seeds as what they are compared with.
 
+use std::{
+    future::Future,
+    io,
+    process::ExitCode, //
+};
+
 use argh::FromArgs;
 
+mod links;
 mod moves;
+mod process;
 mod table;
+mod tokens;
 
 /// Measures parts of medlarhatch and prints tables in Markdown.
 #[derive(FromArgs)]
@@ -18,7 +27,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Links(links::Args),
     Moves(moves::Args),
+    Tokens(tokens::Args),
     Version(Version),
 }
 
@@ -27,13 +38,34 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn main() {
+fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match args.what {
-        What::Moves(args) => moves::print(&args),
+    let measured = match args.what {
+        What::Links(args) => live(links::run(args)),
+        What::Moves(args) => {
+            moves::print(&args);
+            Ok(())
+        }
+        What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
             table::print(&["version"], &rows);
+            Ok(())
+        }
+    };
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
         }
     }
 }
+
+/// Runs a measurement that needs sockets and time.
+fn live(measurement: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(measurement)
+}
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -5,9 +5,15 @@
     sync::Arc, //
 };
 
-use daemon::greeting;
+use daemon::greeting::{
+    self,
+    Pace, //
+};
 use events::links;
-use tokio::sync::mpsc;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
 use tokio_util::sync::CancellationToken;
 use wire::{
     Error,
@@ -46,16 +52,14 @@
     };
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
-    // A sidecar has nothing to send between heartbeats.
+    // A sidecar has nothing to send between heartbeats, and leaves watching to the entries.
     let (_others, nothing) = mpsc::channel(1);
-    let rest = state.settings.times.rest;
-    tokio::spawn(greeting::beat(
-        first.sender,
-        beats,
-        nothing,
-        rest,
-        move || rest,
-    ));
+    let (_work, rest) = watch::channel(0);
+    let pace = Pace {
+        busy: state.settings.times.rest,
+        rest: state.settings.times.rest,
+    };
+    tokio::spawn(greeting::beat(first.sender, beats, nothing, rest, pace));
     tokio::spawn(listen(first.receiver));
     loop {
         let stream = tokio::select! {
