Report the time between tokens before the answer's end

Change: Between is an event of its own, given after some dozen tokens; requests no longer bring the share in line unless one trips.

--- a/components/measure/src/moves.rs
+++ b/components/measure/src/moves.rs
@@ -42,6 +42,9 @@
     /// only faults whose name holds this
     #[argh(option, default = "String::new()")]
     only: String,
+    /// only rates whose name holds this
+    #[argh(option, default = "String::new()")]
+    rate: String,
     /// leave the baselines out
     #[argh(switch)]
     alone: bool,
@@ -88,15 +91,15 @@
     policies
 }
 
-fn wanted(args: &Args, fault: Fault) -> bool {
-    format!("{fault:?}").contains(&args.only)
+fn wanted(args: &Args, fault: Fault, rate: &str) -> bool {
+    format!("{fault:?}").contains(&args.only) && rate.contains(&args.rate)
 }
 
 fn good(args: &Args) {
     let mut rows = Vec::new();
     for fault in GOOD {
         for (index, (name, rate, replicas)) in RATES.into_iter().enumerate() {
-            if !wanted(args, fault) {
+            if !wanted(args, fault, name) {
                 continue;
             }
             let case = Case {
@@ -137,7 +140,7 @@
         for onset in [Onset::AtOnce, Onset::Later, Onset::AfterFull] {
             for strength in 0..3 {
                 for (index, rate) in RATES.into_iter().enumerate() {
-                    if !wanted(args, fault) {
+                    if !wanted(args, fault, rate.0) {
                         continue;
                     }
                     let seeds = [args.seeds, args.seeds, args.seeds / 5][index];
--- a/components/measure/src/moves/fleet.rs
+++ b/components/measure/src/moves/fleet.rs
@@ -150,12 +150,21 @@
         self.on(entry, event, now, rng);
     }
 
+    /// The time between tokens is known.
+    pub fn between(&mut self, entry: usize, pick: &Pick, fate: &Fate, now: f64, rng: &mut StdRng) {
+        let event = Event::Between {
+            pick: pick.clone(),
+            time: fate.between,
+        };
+        self.on(entry, event, now, rng);
+    }
+
     /// A request ended.
     pub fn finished(&mut self, entry: usize, pick: &Pick, fate: &Fate, now: f64, rng: &mut StdRng) {
         let ending = if fate.fails {
             Ending::Failed
         } else {
-            Ending::Whole(Some(fate.between))
+            Ending::Whole
         };
         let event = Event::Finished {
             pick: pick.clone(),
--- a/components/measure/src/moves/run.rs
+++ b/components/measure/src/moves/run.rs
@@ -38,6 +38,9 @@
 /// The operator's time, in seconds.
 const BY: f64 = 3600.0;
 
+/// Tokens after which the time between tokens is known.
+const TOKENS: u32 = 50;
+
 /// When a run is given up.
 const LAST: f64 = 5400.0;
 
@@ -74,6 +77,7 @@
 
 enum What {
     First,
+    Between,
     Last,
 }
 
@@ -176,6 +180,8 @@
             fate,
             What::First,
         );
+        let some = (fate.first + fate.between * TOKENS).min(fate.lasts);
+        self.later(now + some.as_secs_f64(), entry, &pick, fate, What::Between);
         self.later(
             now + fate.lasts.as_secs_f64(),
             entry,
@@ -186,7 +192,7 @@
     }
 
     fn later(&mut self, at: f64, entry: usize, pick: &Pick, fate: Fate, what: What) {
-        if matches!(what, What::First) && fate.first > fate.lasts {
+        if !matches!(what, What::Last) && fate.first > fate.lasts {
             return;
         }
         let due = Due {
@@ -224,10 +230,13 @@
             (Control::Movers(fleet), What::First) => {
                 fleet.first(due.entry, &due.pick, &due.fate, now, &mut self.rng);
             }
+            (Control::Movers(fleet), What::Between) => {
+                fleet.between(due.entry, &due.pick, &due.fate, now, &mut self.rng);
+            }
             (Control::Movers(fleet), What::Last) => {
                 fleet.finished(due.entry, &due.pick, &due.fate, now, &mut self.rng);
             }
-            (Control::Fixed(_), What::First) => {}
+            (Control::Fixed(_), What::First | What::Between) => {}
             (Control::Fixed(fixed), What::Last) => fixed.finished(&due.pick, &due.fate, now),
         }
     }
@@ -276,8 +285,8 @@
         let second = now as u64;
         let minutes = (900..2700).contains(&second);
         match self.case.fault {
-            Fault::Poison if minutes && second % 30 == 0 => self.poison(now),
-            Fault::Repeated if minutes && second % 20 == 0 => self.repeated(now),
+            Fault::Poison if minutes && second.is_multiple_of(30) => self.poison(now),
+            Fault::Repeated if minutes && second.is_multiple_of(20) => self.repeated(now),
             Fault::LostHost if second == 1500 || second == 1530 => {
                 let explained = second == 1530;
                 self.died(1, explained, Cause::HostLoss, now);
--- a/components/measure/src/moves/traffic.rs
+++ b/components/measure/src/moves/traffic.rs
@@ -132,7 +132,7 @@
                 slower_first = 4.0;
                 slower_between = 1.5;
             }
-            Fault::NoisyOld if !new && (now / 180.0) as u64 % 3 == 0 => {
+            Fault::NoisyOld if !new && ((now / 180.0) as u64).is_multiple_of(3) => {
                 fails = 0.03;
                 slower_first = 1.5;
             }
--- a/components/moves/src/mover.rs
+++ b/components/moves/src/mover.rs
@@ -161,6 +161,11 @@
     /// Takes in an event.
     pub fn on(&mut self, event: Event, now: Clock, wall: SystemTime) -> Vec<Action> {
         let mut actions = Vec::new();
+        // Requests come by the hundred a second; unless one trips, they change no share.
+        let frequent = matches!(
+            event,
+            Event::First { .. } | Event::Between { .. } | Event::Finished { .. }
+        );
         match event {
             Event::Planned { plan, routes } => self.replan(plan, routes),
             Event::Dropped(side) => self.dropped = Some((side, Reason::Dropped)),
@@ -169,6 +174,7 @@
             Event::Rank(rank) => self.rank = rank,
             Event::Overload(overload) => self.overload = overload,
             Event::First { pick, time } => self.first(&pick, time, wall, &mut actions),
+            Event::Between { pick, time } => self.between(&pick, time, wall, &mut actions),
             Event::Finished { pick, ending } => self.finished(&pick, ending, wall, &mut actions),
             Event::Died(death) => {
                 if self.evidence.merge_death(&death) {
@@ -186,7 +192,9 @@
                 self.tell(now, wall, &mut actions);
             }
         }
-        self.settle(now, wall, &mut actions);
+        if !frequent || !actions.is_empty() {
+            self.settle(now, wall, &mut actions);
+        }
         actions
     }
 
--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -79,12 +79,7 @@
         match ending {
             Ending::Excused => {}
             Ending::Failed => self.failed(pick, wall, out),
-            Ending::Whole(between) => {
-                self.count(pick, |tally| tally.requests += 1);
-                if let Some(between) = between {
-                    self.between(pick, between, wall, out);
-                }
-            }
+            Ending::Whole => self.count(pick, |tally| tally.requests += 1),
         }
     }
 
@@ -107,7 +102,13 @@
         }
     }
 
-    fn between(&mut self, pick: &Pick, time: Duration, wall: SystemTime, out: &mut Vec<Action>) {
+    pub(super) fn between(
+        &mut self,
+        pick: &Pick,
+        time: Duration,
+        wall: SystemTime,
+        out: &mut Vec<Action>,
+    ) {
         let times = self
             .evidence
             .times(&self.owner.source, &pick.route, pick.side);
--- a/components/moves/src/step.rs
+++ b/components/moves/src/step.rs
@@ -51,8 +51,8 @@
 /// How a request ended, as far as it says something about its version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
-    /// It got its answer; the mean time between tokens is known for streams.
-    Whole(Option<Duration>),
+    /// It got its answer.
+    Whole,
     /// The version failed it: an error, a broken or stalled stream.
     Failed,
     /// Something else ended it: the caller, a refusal, a lost host, a server's death.
@@ -138,6 +138,16 @@
         /// Time since the request's arrival.
         time: Duration,
     },
+    /// The mean time between the first tokens of an answer is known; once a request.
+    ///
+    /// A few dozen tokens are enough. The answer of a slow version takes long to end, and until
+    /// then its slowness would stay unseen.
+    Between {
+        /// The request's pick.
+        pick: Pick,
+        /// Mean time between tokens.
+        time: Duration,
+    },
     /// A request ended.
     Finished {
         /// The request's pick.
--- a/components/moves/tests/bench/mod.rs
+++ b/components/moves/tests/bench/mod.rs
@@ -212,11 +212,14 @@
     }
 
     pub fn request(&mut self, entry: usize, pick: &Pick, fate: Fate) {
-        let (first, ending) = match fate {
-            Fate::Fine => (800, Ending::Whole(Some(Duration::from_millis(40)))),
-            Fate::Failed => (800, Ending::Failed),
-            Fate::LateFirst => (9000, Ending::Whole(Some(Duration::from_millis(40)))),
-            Fate::LateBetween => (800, Ending::Whole(Some(Duration::from_millis(400)))),
+        let (first, between) = match fate {
+            Fate::Fine | Fate::Failed => (800, 40),
+            Fate::LateFirst => (9000, 40),
+            Fate::LateBetween => (800, 400),
+        };
+        let ending = match fate {
+            Fate::Failed => Ending::Failed,
+            _ => Ending::Whole,
         };
         let pick = pick.clone();
         let time = Duration::from_millis(first);
@@ -227,6 +230,14 @@
                 time,
             },
         );
+        let time = Duration::from_millis(between);
+        self.on(
+            entry,
+            Event::Between {
+                pick: pick.clone(),
+                time,
+            },
+        );
         self.on(entry, Event::Finished { pick, ending });
     }
 
