Take the limits of slowness from a dozen times of the old version

Cause: with few requests no limit was known before the share was large, so slow versions were never taken back (72 requests an hour, 5 times slower: 0%). Ruled out: limits from the service level, which a version may meet while far slower than the old one. Change: 12 times instead of 40.

--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -36,7 +36,7 @@
 const SLOW: f64 = 0.9;
 
 /// Fewest times of the old version from which a limit is taken.
-const ENOUGH_TIMES: u64 = 40;
+const ENOUGH_TIMES: u64 = 12;
 
 /// Failing requests that are remembered, so that a retry isn't counted again.
 const REMEMBERED: usize = 256;
