--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -36,7 +36,7 @@
 const SLOW: f64 = 0.9;
 
 /// Fewest times of the old version from which a limit is taken.
-const ENOUGH_TIMES: u64 = 40;
+const ENOUGH_TIMES: u64 = 12;
 
 /// Failing requests that are remembered, so that a retry isn't counted again.
 const REMEMBERED: usize = 256;
@@ -79,12 +79,7 @@
         match ending {
             Ending::Excused => {}
             Ending::Failed => self.failed(pick, wall, out),
-            Ending::Whole(between) => {
-                self.count(pick, |tally| tally.requests += 1);
-                if let Some(between) = between {
-                    self.between(pick, between, wall, out);
-                }
-            }
+            Ending::Whole => self.count(pick, |tally| tally.requests += 1),
         }
     }
 
@@ -107,7 +102,13 @@
         }
     }
 
-    fn between(&mut self, pick: &Pick, time: Duration, wall: SystemTime, out: &mut Vec<Action>) {
+    pub(super) fn between(
+        &mut self,
+        pick: &Pick,
+        time: Duration,
+        wall: SystemTime,
+        out: &mut Vec<Action>,
+    ) {
         let times = self
             .evidence
             .times(&self.owner.source, &pick.route, pick.side);
