--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -63,6 +63,7 @@
     owner: Option<Epoch>,
     next_epoch: Epoch,
     started: u32,
+    /// Servers that lost an epoch or refused one, in order.
     avoid: Vec<Server>,
     /// No suspicion before this time: the last one was denied or found no place.
     quiet_until: Clock,
@@ -113,7 +114,7 @@
             Event::Refused { epoch, retry_after } => {
                 self.refused(now, epoch, retry_after, actions);
             }
-            Event::Denied { epoch } => self.denied(now, epoch),
+            Event::Denied { epoch } => self.denied(now, epoch, actions),
             Event::Tokens {
                 epoch,
                 index,
@@ -146,6 +147,11 @@
         self.owner
     }
 
+    /// Whether an epoch is listened to; what still comes of another one is dropped.
+    pub fn listens_to(&self, epoch: Epoch) -> bool {
+        self.attempts.iter().any(|attempt| attempt.epoch == epoch)
+    }
+
     /// Whether the answer ended, one way or the other.
     pub fn done(&self) -> bool {
         self.done
@@ -237,11 +243,17 @@
         self.replace(now, actions);
     }
 
-    fn denied(&mut self, now: Clock, epoch: Epoch) {
+    fn denied(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
         if self.remove(epoch).is_none() {
             return;
         }
         self.started -= 1;
+        // The epoch that was suspected may have been lost in between. Then no suspicion is left,
+        // and without a next epoch nobody would ever answer the caller.
+        if self.attempts.is_empty() {
+            self.replace(now, actions);
+            return;
+        }
         self.quiet_until = now + self.threshold.limit();
     }
 
@@ -492,8 +504,8 @@
         let Some(server) = server else {
             return;
         };
-        if !self.avoid.contains(&server) {
-            self.avoid.push(server);
+        if let Err(place) = self.avoid.binary_search(&server) {
+            self.avoid.insert(place, server);
         }
     }
 }
--- a/components/models/src/lib.rs
+++ b/components/models/src/lib.rs
@@ -4,4 +4,5 @@
 //! a broken twin, a variant of the specification that the search must catch; a model that can't
 //! fail proves nothing.
 
+pub mod answer;
 pub mod search;
