--- /dev/null
+++ b/components/entry/src/links.rs
@@ -0,0 +1,212 @@
+//! Links to sidecars and to other entries: dialling, answering, and when a link is lost.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use daemon::greeting;
+use events::links;
+use tokio::{
+    sync::mpsc,
+    time::{
+        Instant,
+        MissedTickBehavior,
+        interval,
+        sleep, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+use wire::{
+    Error,
+    Frame,
+    Link,
+    Stream,
+    frame::Hello,
+    link::Knock,
+    stream::Receiver, //
+};
+
+use crate::{
+    fleet::{
+        Joined,
+        Peer, //
+    },
+    state::State,
+};
+
+/// First and longest pause between two dials of one host.
+const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Looks at a busy link within the time of silence.
+const LOOKS: u32 = 8;
+
+/// Frames that wait for a link's first stream; beyond it the newest are dropped, since what is
+/// sent there is repeated anyway.
+const WAITING: usize = 256;
+
+/// Keeps a link to one host: dials, and dials again when the link is lost.
+pub(crate) async fn keep(
+    state: Arc<State>,
+    peer: Arc<Peer>,
+    address: SocketAddr,
+    stop: CancellationToken,
+) {
+    let mut pause = PAUSE;
+    loop {
+        let joined = tokio::select! {
+            () = stop.cancelled() => return,
+            joined = dial(&state, &peer.host, address) => joined,
+        };
+        match joined {
+            Ok((link, stream, hello)) => {
+                pause = PAUSE;
+                join(&state, &peer, link, stream, hello, &stop).await;
+            }
+            Err(error) => note(&peer.host, &error, pause),
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(pause) => {}
+        }
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn dial(
+    state: &State,
+    host: &str,
+    address: SocketAddr,
+) -> Result<(Link, Stream, Hello), Error> {
+    let link = state.node.dial(address, host).await?;
+    let silence = state.settings.times.silence;
+    let (stream, hello) = greeting::dialled(&link, &state.hello, silence).await?;
+    Ok((link, stream, hello))
+}
+
+/// Answers processes that dial us.
+pub(crate) async fn accept(state: Arc<State>) {
+    loop {
+        let knock = tokio::select! {
+            () = state.ended.cancelled() => return,
+            knock = state.node.accept() => knock,
+        };
+        let Some(knock) = knock else {
+            return;
+        };
+        tokio::spawn(answer(state.clone(), knock));
+    }
+}
+
+async fn answer(state: Arc<State>, knock: Knock) {
+    let address = knock.address();
+    let silence = state.settings.times.silence;
+    let greet = async {
+        let link = knock.answer().await?;
+        let (stream, hello) = greeting::answered(&link, &state.hello, silence).await?;
+        Ok((link, stream, hello))
+    };
+    match greet.await {
+        Ok((link, stream, hello)) => {
+            let peer = state.fleet.peer(&hello.host);
+            join(&state, &peer, link, stream, hello, &state.ended).await;
+        }
+        Err(error) => note(&address.to_string(), &error, PAUSE),
+    }
+}
+
+/// Uses a link until it is lost.
+async fn join(
+    state: &Arc<State>,
+    peer: &Arc<Peer>,
+    link: Link,
+    stream: Stream,
+    hello: Hello,
+    stop: &CancellationToken,
+) {
+    events::emit!(links::UP, "host={}", peer.host);
+    let (frames, waiting) = mpsc::channel(WAITING);
+    let beats = state.heartbeat.subscribe();
+    let times = &state.settings.times;
+    let pace = {
+        let peer = peer.clone();
+        let (busy, rest) = (times.heartbeat, times.rest);
+        move || if peer.in_flight() > 0 { busy } else { rest }
+    };
+    let beat = greeting::beat(stream.sender, beats, waiting, times.heartbeat, pace);
+    tokio::spawn(beat);
+    let joined = Joined {
+        link: link.clone(),
+        hello,
+        frames,
+    };
+    peer.link.send_replace(Some(joined));
+    let reason = tokio::select! {
+        reason = link.closed() => reason,
+        reason = read(peer, stream.receiver) => reason,
+        () = hush(peer, &link, times.silence) => "silent while there is work on it".into(),
+        () = stop.cancelled() => "not needed any more".into(),
+    };
+    link.close();
+    events::emit!(links::LOST, "host={} reason=\"{reason}\"", peer.host);
+}
+
+/// Ends when nothing at all came on a link for `silence` while there is work on it.
+///
+/// The peer is stopped, or something between the two ends has forgotten the connection: then no
+/// error ever comes, and an answer would stand still. Our heartbeats on a busy link make the peer
+/// send acknowledgements at least, so silence means that it is not there, or not on this link. The
+/// limit of a link at rest is longer, as heartbeats are rare there: the transport's idle timeout.
+async fn hush(peer: &Peer, link: &Link, silence: Duration) {
+    let mut ticks = interval(silence / LOOKS);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut received = link.bytes().1;
+    let mut heard = Instant::now();
+    loop {
+        ticks.tick().await;
+        let now = link.bytes().1;
+        if now != received || peer.in_flight() == 0 {
+            received = now;
+            heard = Instant::now();
+        }
+        if heard.elapsed() >= silence {
+            return;
+        }
+    }
+}
+
+/// Reads a link's first stream, and says why that ended.
+async fn read(peer: &Peer, mut receiver: Receiver) -> String {
+    loop {
+        match receiver.receive().await {
+            Ok(Some(Frame::Heartbeat(heartbeat))) => {
+                let mut last = peer.heartbeat.lock().expect("no panic while held");
+                if heartbeat.leaving && !last.leaving {
+                    events::emit!(links::LEAVING, "host={}", peer.host);
+                }
+                *last = heartbeat;
+            }
+            Ok(Some(_)) => {}
+            Ok(None) => return "ended by the peer".into(),
+            Err(error) => return error.to_string(),
+        }
+    }
+}
+
+fn note(host: &str, error: &Error, pause: Duration) {
+    match error {
+        Error::Foreign(reason) => {
+            events::emit!(links::FOREIGN, "host={host} reason=\"{reason}\"");
+        }
+        Error::Malformed(reason) => {
+            events::emit!(links::PROTOCOL, "host={host} reason=\"{reason}\"");
+        }
+        // A host that is gone stays in the list for a while: say it once a second or less.
+        _ if pause >= Duration::from_millis(800) => {
+            events::emit!(links::LOST, "host={host} reason=\"{error}\"");
+        }
+        _ => {}
+    }
+}
--- a/components/models/src/lib.rs
+++ b/components/models/src/lib.rs
@@ -5,4 +5,6 @@
 //! fail proves nothing.
 
 pub mod answer;
+pub mod contract;
+pub mod orders;
 pub mod search;
