Count no epoch for a wrong suspicion; test the decisions fault by fault

Cause: eight wrong suspicions used up an answer's epochs, and its first real loss interrupted it. Change: an epoch that is fenced because the suspected one spoke first gives its count back.

--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -62,6 +62,7 @@
     attempts: Vec<Attempt>,
     owner: Option<Epoch>,
     next_epoch: Epoch,
+    /// Epochs that count against the bound.
     started: u32,
     /// Servers that lost an epoch or refused one, in order.
     avoid: Vec<Server>,
@@ -283,11 +284,17 @@
     /// Makes an epoch the owner and fences all others.
     fn own(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
         for attempt in &self.attempts {
-            if attempt.epoch != epoch {
-                actions.push(Action::Cancel {
-                    epoch: attempt.epoch,
-                });
+            if attempt.epoch == epoch {
+                continue;
+            }
+            // A wrong suspicion costs no epoch. Else a long answer of a slow engine would use all
+            // of them up, and the first real loss would interrupt it.
+            if attempt.epoch > epoch {
+                self.started -= 1;
             }
+            actions.push(Action::Cancel {
+                epoch: attempt.epoch,
+            });
         }
         self.attempts.retain(|attempt| attempt.epoch == epoch);
         self.owner = Some(epoch);
--- a/components/answer/src/resume/message.rs
+++ b/components/answer/src/resume/message.rs
@@ -36,7 +36,7 @@
     pub first: Duration,
     /// Time at which the answer is given up.
     pub deadline: Clock,
-    /// Epochs that one answer may start.
+    /// Epochs that one answer may start, without those of wrong suspicions.
     pub most_epochs: u32,
     /// Times that a link is dialled anew without a token in between, until its epoch counts as lost.
     pub most_attaches: u32,
--- /dev/null
+++ b/components/answer/tests/log.rs
@@ -0,0 +1,153 @@
+//! The token log, the cursor and the mark.
+
+use answer::{
+    Breakage, Finish,
+    cursor::{
+        Cursor,
+        Verdict, //
+    },
+    log::{
+        Fault,
+        Log,
+        TOKEN_OVERHEAD, //
+    },
+    mark::{
+        Malformed,
+        Mark, //
+    },
+};
+use names::Index;
+use rstest::rstest;
+
+fn words(many: Index) -> Vec<String> {
+    (0..many).map(|index| format!("t{index} ")).collect()
+}
+
+fn filled(many: Index) -> Log {
+    Log::with_prefix(&words(many), 1 << 20).expect("the words fit")
+}
+
+/// An engine sends a token twice, or leaves one out. If the log took it, a caller's letter would
+/// read a word twice, or lack one.
+#[rstest]
+#[case::repeat_of_the_last(2, Err(Fault::Repeat))]
+#[case::repeat_of_the_first(0, Err(Fault::Repeat))]
+#[case::next(3, Ok(()))]
+#[case::one_left_out(4, Err(Fault::Hole { expected: 3 }))]
+#[case::far_ahead(Index::MAX, Err(Fault::Hole { expected: 3 }))]
+fn only_the_next_index_is_taken(#[case] index: Index, #[case] expected: Result<(), Fault>) {
+    let mut log = filled(3);
+    assert_eq!(log.append(index, "x".into()), expected);
+    let taken = Index::from(expected.is_ok());
+    assert_eq!(log.next(), 3 + taken);
+}
+
+/// An engine goes on after its end line. Those tokens don't belong to the answer.
+#[test]
+fn nothing_follows_the_end() {
+    let mut log = filled(3);
+    assert_eq!(log.end(Finish::Stop), Ok(()));
+    assert_eq!(log.append(3, "x".into()), Err(Fault::Ended));
+    let late = log.end(Finish::Broken(Breakage::EngineDied));
+    assert_eq!(late, Err(Fault::Ended));
+    assert_eq!(log.finish(), Some(&Finish::Stop));
+}
+
+#[rstest]
+#[case::all(0, 10, Some(3))]
+#[case::part(1, 1, Some(1))]
+#[case::at_the_end(3, 10, Some(0))]
+#[case::beyond(4, 10, None)]
+fn reads_are_bounded(#[case] from: Index, #[case] most: usize, #[case] expected: Option<usize>) {
+    let log = filled(3);
+    assert_eq!(log.read(from, most).map(<[String]>::len), expected);
+}
+
+/// A generation runs for minutes and nobody reads. The sidecar's memory must not grow with it.
+#[test]
+fn a_full_log_takes_no_more() {
+    let bound = 3 * (TOKEN_OVERHEAD + 2);
+    let mut log = Log::new(0, bound);
+    for index in 0..3 {
+        assert_eq!(log.append(index, "ab".into()), Ok(()));
+    }
+    assert_eq!(log.bytes(), bound);
+    assert_eq!(log.append(3, String::new()), Err(Fault::Full));
+    assert_eq!(log.next(), 3);
+}
+
+/// A log at its bound still serves the entry that follows it: what was sent makes room.
+#[test]
+fn a_trimmed_log_goes_on_and_has_no_beginning() {
+    let bound = 3 * (TOKEN_OVERHEAD + 2);
+    let mut log = Log::new(0, bound);
+    for index in 0..3 {
+        log.append(index, "ab".into()).expect("there is room");
+    }
+    log.trim(2);
+    assert_eq!(log.append(3, "cd".into()), Ok(()));
+    assert_eq!(log.first(), 2);
+    assert_eq!(log.read(0, 10), None);
+    assert_eq!(
+        log.read(2, 10),
+        Some(&["ab".to_string(), "cd".to_string()][..])
+    );
+    log.trim(100);
+    assert_eq!((log.first(), log.next(), log.bytes()), (4, 4, 0));
+}
+
+#[rstest]
+#[case::next(5, 2, Verdict::Fresh { skip: 0 })]
+#[case::overlap(3, 4, Verdict::Fresh { skip: 2 })]
+#[case::old(3, 2, Verdict::Repeat)]
+#[case::none(5, 0, Verdict::Repeat)]
+#[case::ahead(6, 1, Verdict::Hole)]
+fn the_cursor_takes_each_index_once(
+    #[case] index: Index,
+    #[case] count: usize,
+    #[case] expected: Verdict,
+) {
+    let mut cursor = Cursor::default();
+    cursor.advance(5);
+    assert_eq!(cursor.judge(index, count), expected);
+    assert_eq!(cursor.next(), 5);
+}
+
+#[test]
+fn a_mark_survives_its_text() {
+    let mut mark = Mark::default();
+    for word in words(13) {
+        mark.push(&word);
+    }
+    let text = mark.to_string();
+    assert!(text.starts_with("12-"), "{text}");
+    assert_eq!(text.parse(), Ok(mark));
+}
+
+/// Two texts of equal length must not have equal marks, also where one only cuts its words
+/// differently: a caller would be given the rest of another text.
+#[test]
+fn marks_tell_texts_apart() {
+    let mark = |words: &[&str]| {
+        let mut mark = Mark::default();
+        for word in words {
+            mark.push(word);
+        }
+        mark
+    };
+    assert_ne!(mark(&["a", "b"]), mark(&["a", "c"]));
+    assert_ne!(mark(&["ab", ""]), mark(&["a", "b"]));
+    assert_ne!(mark(&["a", "b"]), mark(&["b", "a"]));
+}
+
+#[rstest]
+#[case::index_only("12")]
+#[case::empty("")]
+#[case::no_index("-12ab")]
+#[case::no_digest("12-")]
+#[case::not_hex("12-xyz")]
+#[case::too_long("12-11112222333344445")]
+#[case::overflow("18446744073709551615-00")]
+fn other_texts_are_no_marks(#[case] text: &str) {
+    assert_eq!(text.parse::<Mark>(), Err(Malformed));
+}
--- /dev/null
+++ b/components/answer/tests/resume.rs
@@ -0,0 +1,347 @@
+//! The resume decisions fault by fault: what the driver is told to do, as snapshots.
+//!
+//! Bounds of the threshold are equal, so an engine is suspected 1 s after a token and 4 s after its
+//! placing.
+
+use std::time::Duration;
+
+use answer::{
+    Breakage,
+    Finish,
+    mark::Mark,
+    resume::{
+        Action,
+        Event,
+        Resume,
+        Settings, //
+    },
+    threshold, //
+};
+use assert_matches::assert_matches;
+use names::{
+    Epoch,
+    Index, //
+};
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settings() -> Settings {
+    Settings {
+        suspicion: threshold::Settings {
+            lowest: SECOND,
+            highest: SECOND,
+            ..threshold::Settings::default()
+        },
+        deadline: SECOND * 60,
+        most_epochs: 4,
+        ..Settings::default()
+    }
+}
+
+fn begin() -> Event {
+    Event::Begin { from: 0 }
+}
+
+fn placed(epoch: Epoch) -> Event {
+    let server = format!("s{epoch}");
+    Event::Placed { epoch, server }
+}
+
+fn no_place(epoch: Epoch) -> Event {
+    let retry_after = SECOND * 3;
+    Event::NoPlace { epoch, retry_after }
+}
+
+fn refused(epoch: Epoch) -> Event {
+    let retry_after = SECOND * 3;
+    Event::Refused { epoch, retry_after }
+}
+
+fn tokens(epoch: Epoch, index: Index, words: &str) -> Event {
+    let tokens = words.split(' ').map(str::to_string).collect();
+    Event::Tokens {
+        epoch,
+        index,
+        tokens,
+    }
+}
+
+fn end(epoch: Epoch, total: Index) -> Event {
+    let finish = Finish::Stop;
+    Event::End {
+        epoch,
+        total,
+        finish,
+    }
+}
+
+fn broken(epoch: Epoch, total: Index, breakage: Breakage) -> Event {
+    let finish = Finish::Broken(breakage);
+    Event::End {
+        epoch,
+        total,
+        finish,
+    }
+}
+
+fn lost(epoch: Epoch) -> Event {
+    Event::LinkLost { epoch }
+}
+
+fn mark(words: &str) -> Mark {
+    let mut mark = Mark::default();
+    for word in words.split(' ') {
+        mark.push(word);
+    }
+    mark
+}
+
+fn found(epoch: Epoch, mark: Mark) -> Event {
+    let server = format!("s{epoch}");
+    Event::Found {
+        epoch,
+        server,
+        mark,
+    }
+}
+
+/// Runs a script of (milliseconds, event) and gives what followed each event, line by line.
+fn run(settings: Settings, script: Vec<(u64, Event)>) -> Vec<String> {
+    let mut resume = Resume::new(settings, Duration::ZERO);
+    let mut lines = Vec::new();
+    for (at, event) in script {
+        let mut actions = Vec::new();
+        let mut line = format!("{at} ms {event:?}");
+        resume.handle(Duration::from_millis(at), event, &mut actions);
+        for action in &actions {
+            line += &format!("\n    {action:?}");
+        }
+        lines.push(line);
+    }
+    let wake = resume.next_wake().map(|wake| wake.as_millis());
+    lines.push(format!("next {}, wake {wake:?}", resume.next()));
+    lines
+}
+
+/// Engines, hosts and links fail in each phase of an answer. A caller would see a letter that stops
+/// midway, lacks a word, or has one twice.
+#[rstest]
+#[case::nothing_fails("nothing_fails", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a b")), (90, tokens(1, 2, "c")), (91, end(1, 3)),
+])]
+#[case::engine_dies_before_its_first_token("engine_dies_first", vec![
+    (0, begin()), (1, placed(1)), (20, broken(1, 0, Breakage::EngineDied)), (21, placed(2)),
+    (80, tokens(2, 0, "a")), (81, end(2, 1)),
+])]
+#[case::engine_dies_midway("engine_dies_midway", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a b")), (60, broken(1, 2, Breakage::EngineDied)),
+    (61, placed(2)), (90, tokens(2, 2, "c")), (91, end(2, 3)),
+])]
+#[case::engine_dies_between_last_token_and_end("engine_dies_before_end", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a b")), (60, broken(1, 2, Breakage::EngineDied)),
+    (61, placed(2)), (90, end(2, 2)),
+])]
+#[case::engine_stops_and_wakes_after_the_answer_moved("engine_wakes_late", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1049, Event::Tick), (1050, Event::Tick),
+    (1051, placed(2)), (1100, tokens(2, 1, "b")), (1101, tokens(1, 1, "B C")), (1102, end(1, 3)),
+    (1103, end(2, 2)),
+])]
+#[case::engine_is_slow_and_goes_on("engine_slow", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick), (1051, placed(2)),
+    (1060, tokens(1, 1, "b")), (1070, tokens(2, 1, "B")), (1080, end(1, 2)),
+])]
+#[case::second_epoch_is_placed_after_it_was_fenced("placed_late", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick),
+    (1060, tokens(1, 1, "b")), (1070, placed(2)),
+])]
+#[case::link_is_lost_and_read_again("link_lost", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a b")), (60, lost(1)),
+    (70, Event::Attached { epoch: 1 }), (71, tokens(1, 1, "b c")), (72, end(1, 3)),
+])]
+#[case::host_is_gone_dials_fail("dials_fail", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60, lost(1)), (61, lost(1)),
+    (161, Event::Tick), (162, lost(1)), (362, Event::Tick), (363, lost(1)), (763, Event::Tick),
+    (764, lost(1)), (765, placed(2)), (800, tokens(2, 1, "b")), (801, end(2, 2)),
+])]
+#[case::sidecar_came_back_empty("attach_missed", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60, lost(1)),
+    (70, Event::AttachMissed { epoch: 1 }), (71, placed(2)), (100, tokens(2, 1, "b")), (101, end(2, 2)),
+])]
+#[case::tokens_are_missing_in_the_stream("hole", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60, tokens(1, 2, "c")),
+    (70, Event::Attached { epoch: 1 }), (71, tokens(1, 1, "b c")), (72, end(1, 3)),
+])]
+#[case::the_end_comes_before_the_last_token("end_early", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60, end(1, 2)),
+    (70, Event::Attached { epoch: 1 }), (71, tokens(1, 1, "b")), (72, end(1, 2)),
+])]
+#[case::both_engines_are_silent("two_faults", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick), (1051, placed(2)),
+    (5051, Event::Tick), (5052, placed(3)), (5100, tokens(3, 1, "b")), (5101, end(3, 2)),
+])]
+#[case::a_suspicion_is_denied_by_the_retry_budget("denied", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick),
+    (1050, Event::Denied { epoch: 2 }), (2049, Event::Tick), (2050, Event::Tick),
+])]
+#[case::the_suspected_epoch_is_lost_before_the_denial("denied_alone", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick),
+    (1051, broken(1, 1, Breakage::EngineDied)), (1052, Event::Denied { epoch: 2 }), (1053, placed(3)),
+])]
+#[case::a_suspicion_finds_no_place("suspicion_no_place", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick), (1051, no_place(2)),
+    (1100, tokens(1, 1, "b")), (1101, end(1, 2)),
+])]
+#[case::no_replica_is_left("no_replica", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")),
+    (60, broken(1, 1, Breakage::EngineDied)), (60, no_place(2)),
+])]
+#[case::every_replica_refuses("refused", vec![
+    (0, begin()), (1, placed(1)), (2, refused(1)), (3, placed(2)), (4, refused(2)), (5, placed(3)),
+    (6, refused(3)), (7, placed(4)), (8, refused(4)),
+])]
+#[case::epochs_are_used_up("too_many", vec![
+    (0, begin()), (1, placed(1)), (2, broken(1, 0, Breakage::Repeat)), (3, placed(2)),
+    (4, broken(2, 0, Breakage::Hole)), (5, placed(3)), (6, broken(3, 0, Breakage::LogFull)),
+    (7, placed(4)), (8, broken(4, 0, Breakage::EngineStalled)),
+])]
+#[case::the_host_is_said_to_be_gone("host_gone", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")),
+    (60, Event::HostGone { server: "s1".into() }), (61, placed(2)), (90, tokens(1, 1, "b")),
+])]
+#[case::the_deadline_passes("deadline", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60_000, Event::Tick),
+])]
+#[case::the_caller_goes_and_may_come_back("caller_gone", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick), (1051, placed(2)),
+    (1060, Event::CallerGone), (1070, tokens(1, 1, "b")),
+])]
+#[case::a_retry_finds_its_text("found", vec![
+    (0, found(3, mark("a b"))), (5, Event::Attached { epoch: 3 }), (6, tokens(3, 0, "a b c")),
+    (7, end(3, 3)),
+])]
+#[case::a_retry_finds_another_text("found_other", vec![
+    (0, found(3, mark("a x"))), (5, Event::Attached { epoch: 3 }), (6, tokens(3, 0, "a b c")),
+    (7, end(3, 3)),
+])]
+#[case::a_retry_finds_a_shorter_text("found_shorter", vec![
+    (0, found(3, mark("a b c"))), (5, Event::Attached { epoch: 3 }), (6, tokens(3, 0, "a b")),
+    (7, end(3, 2)),
+])]
+#[case::the_found_run_is_gone("found_gone", vec![
+    (0, found(3, mark("a b"))), (5, Event::AttachMissed { epoch: 3 }), (6, placed(4)),
+    (50, tokens(4, 0, "a b c")), (51, end(4, 3)),
+])]
+#[case::a_retry_finds_no_pointer("return", vec![
+    (0, Event::Return { mark: mark("a b") }), (1, placed(1)), (50, tokens(1, 0, "a")),
+    (60, tokens(1, 1, "y")), (70, tokens(1, 2, "z")), (71, end(1, 3)),
+])]
+#[case::a_retry_gives_an_index_only("index_only", vec![
+    (0, Event::Begin { from: 2 }), (1, placed(1)), (50, tokens(1, 0, "a b c")), (51, end(1, 3)),
+])]
+fn continuing_engines(#[case] name: &str, #[case] script: Vec<(u64, Event)>) {
+    insta::assert_snapshot!(name, run(settings(), script).join("\n"));
+}
+
+/// An engine that can't go on from given tokens dies. Whoever began again would splice two texts.
+#[rstest]
+#[case::streamed_before_a_token("plain_streamed_early", true, vec![
+    (0, begin()), (1, placed(1)), (20, broken(1, 0, Breakage::EngineDied)), (21, placed(2)),
+    (80, tokens(2, 0, "a")), (81, end(2, 1)),
+])]
+#[case::streamed_midway("plain_streamed_midway", true, vec![
+    (0, begin()), (1, placed(1)), (20, tokens(1, 0, "a")), (1020, Event::Tick),
+    (1021, broken(1, 1, Breakage::EngineDied)),
+])]
+#[case::whole_midway("plain_whole_midway", false, vec![
+    (0, begin()), (1, placed(1)), (20, tokens(1, 0, "a")), (21, broken(1, 1, Breakage::EngineDied)),
+    (22, placed(2)), (80, tokens(2, 0, "b c")), (81, end(2, 2)),
+])]
+#[case::retry_before_its_place_is_reached("plain_found", true, vec![
+    (0, found(1, mark("a b"))), (1, Event::Attached { epoch: 1 }), (2, tokens(1, 0, "a")),
+    (3, broken(1, 1, Breakage::EngineDied)), (4, placed(2)), (80, tokens(2, 0, "x y z")), (81, end(2, 3)),
+])]
+fn engines_without_continuation(
+    #[case] name: &str,
+    #[case] streamed: bool,
+    #[case] script: Vec<(u64, Event)>,
+) {
+    let settings = Settings {
+        continues: false,
+        streamed,
+        ..settings()
+    };
+    insta::assert_snapshot!(name, run(settings, script).join("\n"));
+}
+
+/// A caller that gave no key can't come back: what runs for it would run for nobody.
+#[test]
+fn without_a_key_nothing_runs_on() {
+    let settings = Settings {
+        resumable: false,
+        ..settings()
+    };
+    let mut resume = Resume::new(settings, Duration::ZERO);
+    let mut actions = Vec::new();
+    resume.handle(Duration::ZERO, begin(), &mut actions);
+    resume.handle(SECOND, placed(1), &mut actions);
+    actions.clear();
+    resume.handle(SECOND, Event::CallerGone, &mut actions);
+    assert_eq!(actions, [Action::Cancel { epoch: 1 }]);
+    assert!(resume.done());
+}
+
+/// An engine is slow again and again over a long answer, and dies near its end. If wrong suspicions
+/// used up the answer's epochs, the caller would get an interruption instead of the rest.
+#[test]
+fn wrong_suspicions_use_up_no_epochs() {
+    let mut resume = Resume::new(settings(), Duration::ZERO);
+    let mut actions = Vec::new();
+    let mut now = Duration::ZERO;
+    resume.handle(now, begin(), &mut actions);
+    resume.handle(now, placed(1), &mut actions);
+    resume.handle(now, tokens(1, 0, "a"), &mut actions);
+    for index in 1..10 {
+        now += SECOND;
+        resume.handle(now, Event::Tick, &mut actions);
+        resume.handle(now, tokens(1, index, "a"), &mut actions);
+    }
+    actions.clear();
+    resume.handle(now, broken(1, 10, Breakage::EngineDied), &mut actions);
+    assert_matches!(
+        actions[..],
+        [Action::Start {
+            continue_from: 10,
+            ..
+        }]
+    );
+}
+
+/// An engine that gives a token every 10 ms stops. With a fixed limit of 2 s the caller would wait
+/// that long; the learned limit is the lower bound.
+#[rstest]
+#[case::quick_engine(10, 250)]
+#[case::middling_engine(100, 400)]
+#[case::slow_engine(1000, 2000)]
+fn the_threshold_follows_the_gaps(#[case] gap: u64, #[case] limit: u64) {
+    let settings = Settings {
+        suspicion: threshold::Settings {
+            lowest: Duration::from_millis(250),
+            highest: SECOND * 2,
+            means: 4,
+            deviations: 8,
+        },
+        ..Settings::default()
+    };
+    let mut resume = Resume::new(settings, Duration::ZERO);
+    let mut actions = Vec::new();
+    resume.handle(Duration::ZERO, begin(), &mut actions);
+    resume.handle(Duration::ZERO, placed(1), &mut actions);
+    let mut now = Duration::ZERO;
+    for index in 0..100 {
+        now += Duration::from_millis(gap);
+        resume.handle(now, tokens(1, index, "a"), &mut actions);
+    }
+    let wake = resume.next_wake().expect("the answer goes on");
+    assert_eq!((wake - now).as_millis() as u64, limit);
+}
