Measure idle processes

Cause: the frame owes the idle cost of one entry and one sidecar. Ruled out: reading it off the trial, which runs all in one process. Change: measure idle.

--- a/components/measure/src/links.rs
+++ b/components/measure/src/links.rs
@@ -35,7 +35,8 @@
 
 use crate::{
     process::Bench,
-    table, //
+    table,
+    tokens, //
 };
 
 /// What links cost an entry at rest: processor time, memory and bytes, against their number.
@@ -90,7 +91,7 @@
     for index in 0..number {
         let host = format!("draft-{index}");
         let node = Node::bind(any(), &bench.keys(&host)?, REST * 3).map_err(io::Error::other)?;
-        hosts.push(listed(&host, node.address()?));
+        hosts.push(tokens::listed(&host, node.address()?));
         tokio::spawn(stand_in(node, host, links.clone()));
     }
     platform.set_hosts(hosts);
@@ -171,17 +172,6 @@
     all.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
 }
 
-fn listed(host: &str, address: SocketAddr) -> platform::Host {
-    platform::Host {
-        name: host.into(),
-        data_centre: "dc1".into(),
-        region: "r1".into(),
-        role: platform::Role::Sidecar,
-        address,
-        state: platform::State::Live,
-    }
-}
-
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,6 +11,7 @@
 
 use argh::FromArgs;
 
+mod idle;
 mod links;
 mod moves;
 mod process;
@@ -27,6 +28,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
     Tokens(tokens::Args),
@@ -41,6 +43,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Idle(args) => live(idle::run(args)),
         What::Links(args) => live(links::run(args)),
         What::Moves(args) => {
             moves::print(&args);
--- a/components/measure/src/tokens.rs
+++ b/components/measure/src/tokens.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -116,14 +117,7 @@
         "dc1",
         platform.address(),
     ))?;
-    platform.set_hosts(vec![platform::Host {
-        name: "draft-a".into(),
-        data_centre: "dc1".into(),
-        region: "r1".into(),
-        role: platform::Role::Sidecar,
-        address: sidecar.address("links")?,
-        state: platform::State::Live,
-    }]);
+    platform.set_hosts(vec![listed("draft-a", sidecar.address("links")?)]);
     ready(&format!("http://{}", entry.address("operators")?)).await?;
     let before = (entry.cost()?, sidecar.cost()?);
     let url = format!("http://{}/v1/completions", entry.address("callers")?);
@@ -149,7 +143,20 @@
     ])
 }
 
-async fn ready(operators: &str) -> io::Result<()> {
+/// A sidecar's line in the host list.
+pub fn listed(host: &str, address: SocketAddr) -> platform::Host {
+    platform::Host {
+        name: host.into(),
+        data_centre: "dc1".into(),
+        region: "r1".into(),
+        role: platform::Role::Sidecar,
+        address,
+        state: platform::State::Live,
+    }
+}
+
+/// Puts the document and waits until the entry serves it over a link.
+pub async fn ready(operators: &str) -> io::Result<()> {
     let client = reqwest::Client::new();
     let put = client
         .put(format!("{operators}/environments/production"))
