Keep suspects apart and refuse poisonous requests in the daemons; measure calls

Cause: a request that crashes each server was run again and again. Ruled out: choosing places at the entries (none sees all that runs on a server); waiting in no order (fresh requests overtake a suspect). Change: sidecar::flights admits requests by the ledger and notes deaths, daemon::suspects carries the facts over the links' first streams (Frame::Suspects) and with the Start of a suspect, entries refuse with 422. measure calls: poison, latency, faults, leaving. Two more fault cases.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod metrics;
 pub mod probe;
 pub mod records;
+pub mod suspects;
 
 /// Why a daemon can't start.
 #[derive(Debug, thiserror::Error)]
--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -21,6 +21,12 @@
         Settings, //
     },
 };
+use contract::poison::{
+    self,
+    Facts,
+    Fingerprint,
+    Verdict, //
+};
 use environment::{
     Target,
     document::Release, //
@@ -85,6 +91,12 @@
     pub(crate) mark: Option<Mark>,
 }
 
+impl Ask {
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        poison::of_generation(&self.team, &self.target.service, &self.model, &self.prompt)
+    }
+}
+
 /// A part of an answer.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Piece {
@@ -256,6 +268,13 @@
             );
             metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
         }
+        let fingerprint = self.ask.fingerprint();
+        if let Verdict::Refused { left } = self.state.suspects.verdict(fingerprint) {
+            return Some(Event::NoPlace {
+                epoch,
+                retry_after: left,
+            });
+        }
         let service = &self.ask.target.service;
         let chosen = self.state.fleet.choose(service, &self.ask.release, avoid);
         let Some((peer, joined, server)) = chosen else {
@@ -293,10 +312,18 @@
             seed: self.ask.seed,
             temperature: self.ask.temperature,
             priority: self.ask.priority,
+            suspects: self.suspects(),
             delivered: self.kept.iter().map(|(_, token)| token.clone()).collect(),
         }
     }
 
+    /// Facts for the sidecar, when the request is under suspicion.
+    fn suspects(&self) -> Option<Box<Facts>> {
+        let suspects = &self.state.suspects;
+        let clear = suspects.verdict(self.ask.fingerprint()) == Verdict::Clear;
+        (!clear).then(|| Box::new(suspects.facts()))
+    }
+
     fn attach(&mut self, epoch: Epoch, from: Index) {
         let Some(attempt) = self.attempts.get(&epoch) else {
             return;
--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -6,6 +6,10 @@
 };
 
 use answer::mark::Mark;
+use contract::{
+    outcome::Reason,
+    poison::Verdict, //
+};
 use futures_util::{
     Stream,
     StreamExt,
@@ -45,6 +49,7 @@
         payload,
         team, //
     },
+    calls,
     problem::{
         Code,
         Problem, //
@@ -128,6 +133,9 @@
             mark,
             prompt: body.prompt,
         };
+        if let Verdict::Refused { left } = state.suspects.verdict(ask.fingerprint()) {
+            return Err(calls::refusal(Reason::Poisonous, Some(left)));
+        }
         Ok((ask, ticket))
     }
 
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -20,6 +20,10 @@
     },
     handover,
     outcome::Reason,
+    poison::{
+        self,
+        Verdict, //
+    },
     record,
     store::{
         Read,
@@ -100,6 +104,9 @@
         .find(|release| release.name == version)
         .ok_or_else(|| Problem::new(Code::Unavailable, "the route has no such version"))?;
     let mut driver = Driver::new(state, provision, release, call);
+    if let Verdict::Refused { left } = driver.verdict() {
+        return Err(refusal(Reason::Poisonous, Some(left)));
+    }
     let outcome = driver.run().await;
     if matches!(outcome, Outcome::Unknown { .. }) {
         events::emit!(
@@ -187,6 +194,12 @@
         }
     }
 
+    fn verdict(&self) -> Verdict {
+        let call = &self.call;
+        let fingerprint = poison::of_call(&call.team, &call.service, &self.digest);
+        self.state.suspects.verdict(fingerprint)
+    }
+
     /// Drives the call to its outcome.
     async fn run(&mut self) -> Outcome {
         let store = self.state.outage.over();
@@ -273,6 +286,10 @@
 fn event(reply: Reply) -> Option<Event> {
     match reply {
         Reply::Kept(reply) => Some(Event::Replied(*reply)),
+        Reply::NotRun(refused) if refused.reason == wire::frame::Reason::Poisonous => {
+            let outcome = Outcome::not_run(Reason::Poisonous, refused.retry_after);
+            Some(Event::Replied(handover::Reply::Outcome(outcome)))
+        }
         // The sidecar refused before it did anything.
         Reply::NotRun(_) => Some(Event::Unsent),
         Reply::Unknown => None,
@@ -316,7 +333,8 @@
     }
 }
 
-fn refusal(reason: Reason, retry_after: Option<Duration>) -> Problem {
+/// A call or request that was not run.
+pub(crate) fn refusal(reason: Reason, retry_after: Option<Duration>) -> Problem {
     let (code, message) = match reason {
         Reason::StoreOut => (Code::Unavailable, "the call can't be recorded now"),
         Reason::Silent => (Code::Unavailable, "the replica fell silent before the call"),
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -159,6 +159,7 @@
         heartbeat,
         records: Records::new(platform.clone()),
         outage: Outage::default(),
+        suspects: Arc::default(),
         platform,
         fleet: Fleet::default(),
         documents: Documents::default(),
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -160,13 +160,15 @@
     let beats = state.heartbeat.subscribe();
     let pace = state.settings.times.heartbeat;
     tokio::spawn(greeting::beat(stream.sender, beats, waiting, pace));
+    let (told, others) = (state.clone(), frames.clone());
+    tokio::spawn(async move { told.suspects.tell(others).await });
     let joined = Joined {
         link: link.clone(),
         hello,
         frames,
     };
     peer.link.send_replace(Some(joined));
-    let read = read(peer, stream.receiver);
+    let read = read(state, peer, stream.receiver);
     let reason = tokio::select! {
         reason = link.closed() => reason,
         reason = read => reason,
@@ -177,7 +179,7 @@
 }
 
 /// Reads a link's first stream, and says why that ended.
-async fn read(peer: &Peer, mut receiver: Receiver) -> String {
+async fn read(state: &State, peer: &Peer, mut receiver: Receiver) -> String {
     loop {
         match receiver.receive().await {
             Ok(Some(Frame::Heartbeat(heartbeat))) => {
@@ -187,6 +189,7 @@
                 }
                 *last = heartbeat;
             }
+            Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
             Ok(Some(_)) => {}
             Ok(None) => return "ended by the peer".into(),
             Err(error) => return error.to_string(),
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -13,7 +13,10 @@
 };
 
 use answer::threshold::Gaps;
-use daemon::records::Records;
+use daemon::{
+    records::Records,
+    suspects::Suspects, //
+};
 use names::{
     Service,
     Version, //
@@ -49,6 +52,8 @@
     /// Records of calls that run at most once.
     pub(crate) records: Records,
     pub(crate) outage: Outage,
+    /// What is known of requests that bring servers down.
+    pub(crate) suspects: Arc<Suspects>,
     pub(crate) fleet: Fleet,
     pub(crate) documents: Documents,
     pub(crate) gaps: Pools,
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 
+mod calls;
 mod moves;
 mod table;
 
@@ -18,6 +19,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Calls(calls::Args),
     Moves(moves::Args),
     Version(Version),
 }
@@ -30,6 +32,7 @@
 fn main() {
     let args: Args = argh::from_env();
     match args.what {
+        What::Calls(args) => calls::print(&args),
         What::Moves(args) => moves::print(&args),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -5,7 +5,14 @@
     time::Duration, //
 };
 
-use contract::seen::Seen;
+use contract::{
+    poison::{
+        self,
+        Fingerprint, //
+    },
+    record,
+    seen::Seen, //
+};
 
 use reqwest::{
     Client, Method,
@@ -31,6 +38,10 @@
 };
 
 use crate::{
+    flights::{
+        Flying,
+        Refusal, //
+    },
     kept,
     state::{
         Piece,
@@ -103,13 +114,16 @@
     pub(crate) async fn call(&self, state: &State, call: Call, mut stream: Stream) {
         let reply = match (self.admit(state, &call), &call.kept) {
             (Err(reply), _) => reply,
-            (Ok(_piece), Some(kept)) => {
-                if self.begins(kept) {
-                    kept::run(state, self, &call, kept, stream).await;
+            (Ok(_piece), kept) => match (state.flights.admit(fingerprint(&call)).await, kept) {
+                (Err(refusal), _) => apart(refusal),
+                (Ok(flying), Some(kept)) => {
+                    if self.begins(kept) {
+                        kept::run(state, self, &call, kept, &flying, stream).await;
+                    }
+                    return;
                 }
-                return;
-            }
-            (Ok(_piece), None) => self.pass(state, &call).await,
+                (Ok(flying), None) => self.pass(state, &call, &flying).await,
+            },
         };
         if stream.send(&Frame::Reply(reply)).await.is_ok() {
             stream.sender.finish();
@@ -138,8 +152,8 @@
     }
 
     /// Passes a call on of which no record is kept.
-    async fn pass(&self, state: &State, call: &Call) -> Reply {
-        match timeout(state.settings.times.call, self.hand_over(call)).await {
+    async fn pass(&self, state: &State, call: &Call, flying: &Flying) -> Reply {
+        match timeout(state.settings.times.call, self.hand_over(call, flying)).await {
             Ok(Handed::Answered {
                 status,
                 content_type,
@@ -155,7 +169,17 @@
         }
     }
 
-    pub(crate) async fn hand_over(&self, call: &Call) -> Handed {
+    pub(crate) async fn hand_over(&self, call: &Call, flying: &Flying) -> Handed {
+        let handed = self.request(call).await;
+        match handed {
+            Handed::Answered { .. } => flying.ended(),
+            Handed::Lost => flying.broke().await,
+            Handed::NotSent => {}
+        }
+        handed
+    }
+
+    async fn request(&self, call: &Call) -> Handed {
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
             return Handed::NotSent;
         };
@@ -206,6 +230,21 @@
     }
 }
 
+fn fingerprint(call: &Call) -> Fingerprint {
+    let digest = record::digest(&call.method, &call.path, &call.body);
+    poison::of_call(&call.team, &call.service, &digest)
+}
+
+fn apart(refusal: Refusal) -> Reply {
+    match refusal {
+        Refusal::Poisonous(left) => Reply::NotRun(Refused {
+            reason: Reason::Poisonous,
+            retry_after: left,
+        }),
+        Refusal::Apart => not_run(Reason::Apart),
+    }
+}
+
 fn not_run(reason: Reason) -> Reply {
     Reply::NotRun(Refused {
         reason,
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -12,6 +13,7 @@
         Readiness, //
     },
     records::Records,
+    suspects::Suspects,
 };
 use events::process;
 use settings::Keys;
@@ -37,6 +39,7 @@
 use crate::{
     backend,
     calls::Calls,
+    flights::Flights,
     generations::Generations,
     links,
     state::{
@@ -71,7 +74,7 @@
             source,
         })?;
         let ended = CancellationToken::new();
-        let state = std::sync::Arc::new(state(settings, stop.clone())?);
+        let state = Arc::new(state(settings, stop.clone())?);
         let (ready, readiness) = watch::channel(Readiness::Waiting("backend server unseen".into()));
         let served = http::serve(
             state.settings.operators,
@@ -132,7 +135,10 @@
         }),
     };
     let (heartbeat, _) = watch::channel(Heartbeat::default());
+    let suspects = Arc::new(Suspects::default());
     Ok(State {
+        flights: Flights::new(&settings, suspects.clone()),
+        suspects,
         hello,
         heartbeat,
         generations: Generations::new(&settings, work.clone()),
--- a/components/sidecar/src/generation.rs
+++ b/components/sidecar/src/generation.rs
@@ -35,6 +35,7 @@
         Lines,
         Next, //
     },
+    flights::Flying,
     line::Line,
 };
 
@@ -90,7 +91,7 @@
     }
 
     /// Fills the log until the generation ends; gives up after `grace` without a listener.
-    pub async fn fill(&self, mut lines: Lines, grace: Duration) -> Finish {
+    pub(crate) async fn fill(&self, mut lines: Lines, grace: Duration, flying: &Flying) -> Finish {
         let mut alone = Alone::new(grace);
         loop {
             let next = tokio::select! {
@@ -108,7 +109,10 @@
                         Finish::Stop
                     })
                 }
-                Next::Broken => Some(Finish::Broken(Breakage::EngineDied)),
+                Next::Broken => {
+                    flying.broke().await;
+                    Some(Finish::Broken(Breakage::EngineDied))
+                }
                 Next::Stalled => Some(Finish::Broken(Breakage::EngineStalled)),
             };
             if let Some(finish) = finish {
--- a/components/sidecar/src/generations.rs
+++ b/components/sidecar/src/generations.rs
@@ -13,6 +13,7 @@
     Finish,
     log::Log, //
 };
+use contract::poison;
 use events::answers;
 use names::Index;
 use settings::{
@@ -37,6 +38,7 @@
 
 use crate::{
     engine::Engine,
+    flights::Refusal,
     generation::{
         Generation,
         Key, //
@@ -130,6 +132,12 @@
         }
         let generation = Generation::new(&start.delivered, limits.log as usize)
             .map_err(|_| refused(Reason::Invalid, FULL_RETRY))?;
+        if let Some(facts) = &start.suspects {
+            state.suspects.merge(facts);
+        }
+        let fingerprint =
+            poison::of_generation(&start.team, &start.service, &start.model, &start.prompt);
+        let flying = state.flights.admit(fingerprint).await.map_err(apart)?;
         let lines = self.engine.generate(&start).await?;
         let generation = Arc::new(generation);
         let key = Key {
@@ -142,7 +150,11 @@
         let grace = state.settings.times.grace;
         let filled = generation.clone();
         tokio::spawn(async move {
-            let finish = filled.fill(lines, grace).await;
+            let finish = filled.fill(lines, grace, &flying).await;
+            if matches!(finish, Finish::Stop | Finish::Length) {
+                flying.ended();
+            }
+            drop(flying);
             drop(piece);
             note(&key, &finish);
             // An entry that lost its link may still come back for the rest.
@@ -254,6 +266,13 @@
     );
 }
 
+fn apart(refusal: Refusal) -> Refused {
+    match refusal {
+        Refusal::Poisonous(left) => refused(Reason::Poisonous, left),
+        Refusal::Apart => refused(Reason::Apart, FULL_RETRY),
+    }
+}
+
 fn refused(reason: Reason, retry_after: Duration) -> Refused {
     Refused {
         reason,
--- a/components/sidecar/src/kept.rs
+++ b/components/sidecar/src/kept.rs
@@ -35,6 +35,7 @@
         Calls,
         Handed, //
     },
+    flights::Flying,
     state::State,
 };
 
@@ -46,6 +47,7 @@
     calls: &Calls,
     call: &frame::Call,
     kept: &Kept,
+    flying: &Flying,
     stream: Stream,
 ) {
     let mut driver = Driver {
@@ -67,6 +69,7 @@
             },
             Settings::default(),
         ),
+        flying,
         stream,
         gone: false,
     };
@@ -97,6 +100,7 @@
     state: &'a State,
     calls: &'a Calls,
     call: &'a frame::Call,
+    flying: &'a Flying,
     key: String,
     machine: Handover,
     stream: Stream,
@@ -109,7 +113,7 @@
         let mut next = None;
         let actions = self.machine.handle(event, self.state.now());
         for action in actions {
-            let (state, calls, call) = (self.state, self.calls, self.call);
+            let (state, calls, call, flying) = (self.state, self.calls, self.call, self.flying);
             let key = self.key.clone();
             next = match action {
                 Action::Reply(reply) => {
@@ -127,7 +131,9 @@
                 Action::ReadBack => {
                     future(async move { Event::Read(state.records.read(&key).await) })
                 }
-                Action::HandOver => future(async move { service(calls.hand_over(call).await) }),
+                Action::HandOver => {
+                    future(async move { service(calls.hand_over(call, flying).await) })
+                }
                 Action::Wait(time) => future(wait(time)),
             };
         }
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod calls;
 mod daemon;
 pub mod engine;
+pub mod flights;
 pub mod generation;
 pub mod generations;
 pub mod kept;
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -46,11 +46,12 @@
     };
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
-    // A sidecar has nothing to send between heartbeats.
-    let (_others, nothing) = mpsc::channel(1);
+    let (others, waiting) = mpsc::channel(1);
     let pace = state.settings.times.heartbeat;
-    tokio::spawn(greeting::beat(first.sender, beats, nothing, pace));
-    tokio::spawn(listen(first.receiver));
+    tokio::spawn(greeting::beat(first.sender, beats, waiting, pace));
+    tokio::spawn(listen(state.clone(), first.receiver));
+    let told = state.clone();
+    tokio::spawn(async move { told.suspects.tell(others).await });
     loop {
         let stream = tokio::select! {
             () = ended.cancelled() => return,
@@ -66,10 +67,14 @@
     }
 }
 
-/// Reads a peer's heartbeats. What they say is of no use to a sidecar; that they are read keeps the
-/// stream's window open.
-async fn listen(mut receiver: Receiver) {
-    while let Ok(Some(_)) = receiver.receive().await {}
+/// Reads a link's first stream. What heartbeats say is of no use to a sidecar; that they are read
+/// keeps the stream's window open.
+async fn listen(state: Arc<State>, mut receiver: Receiver) {
+    while let Ok(Some(frame)) = receiver.receive().await {
+        if let Frame::Suspects(facts) = frame {
+            state.suspects.merge(&facts);
+        }
+    }
 }
 
 async fn serve(state: Arc<State>, mut stream: Stream) {
--- a/components/sidecar/src/state.rs
+++ b/components/sidecar/src/state.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use daemon::records::Records;
+use daemon::{
+    records::Records,
+    suspects::Suspects, //
+};
 use settings::Sidecar;
 use tokio::{
     sync::watch,
@@ -25,6 +28,7 @@
 
 use crate::{
     calls::Calls,
+    flights::Flights,
     generations::Generations, //
 };
 
@@ -39,6 +43,9 @@
     pub(crate) work: Work,
     /// Records of calls that run at most once.
     pub(crate) records: Records,
+    /// What is known of requests that bring servers down.
+    pub(crate) suspects: Arc<Suspects>,
+    pub(crate) flights: Arc<Flights>,
     /// Origin of the clock readings that decision code gets.
     pub(crate) origin: Instant,
     /// Set when the sidecar leaves: no new work.
--- a/components/trial/tests/calls.rs
+++ b/components/trial/tests/calls.rs
@@ -4,20 +4,27 @@
 
 use fakes::{
     platform,
-    service, //
+    service::{
+        self,
+        Service, //
+    }, //
 };
 use reqwest::StatusCode;
 use serde_json::{
     Value,
     json, //
 };
+use settings::sidecar::Kind;
 use tokio::time::{
     Instant,
     sleep, //
 };
 use trial::{
     Trial,
-    trial::entry_settings, //
+    trial::{
+        entry_settings,
+        sidecar_settings, //
+    },
 };
 
 const DOCUMENT: &str = "\
@@ -37,6 +44,21 @@
 /// A refusal must come long before a caller's deadline.
 const AT_ONCE: Duration = Duration::from_secs(8);
 
+/// Longest times of a call.
+struct Times {
+    entry: Duration,
+    sidecar: Duration,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            entry: Duration::from_secs(30),
+            sidecar: Duration::from_secs(30),
+        }
+    }
+}
+
 /// Two entries, and replicas of the ledger that share no state.
 struct Desk(Trial);
 
@@ -61,22 +83,25 @@
 
 impl Desk {
     async fn open(replicas: usize) -> Self {
-        Self::open_with(replicas, Duration::from_secs(30)).await
+        Self::open_with(replicas, Times::default()).await
     }
 
-    async fn open_with(replicas: usize, call: Duration) -> Self {
+    async fn open_with(replicas: usize, times: Times) -> Self {
         let mut trial = Trial::start().await.unwrap();
         for number in 0..replicas {
             let name = format!("ledger-{number}");
-            let settings = service::Settings::default();
-            trial
-                .service(&name, "dc1", "ledger", settings)
-                .await
-                .unwrap();
+            let service = Service::start(service::Settings::default()).await.unwrap();
+            let mut settings = sidecar_settings(&name, "dc1", trial.platform.address());
+            settings.server.address = format!("http://{}", service.address());
+            settings.server.kind = Kind::Plain;
+            settings.server.service = "ledger".into();
+            settings.times.call = times.sidecar;
+            trial.services.push(service);
+            trial.sidecar(settings).await.unwrap();
         }
         for name in ["entry-a", "entry-b"] {
             let mut settings = entry_settings(name, "dc1", trial.platform.address());
-            settings.times.call = call;
+            settings.times.call = times.entry;
             trial.entry_with(settings).await.unwrap();
         }
         let revision = trial.put(0, "production", DOCUMENT).await.unwrap();
@@ -414,10 +439,17 @@
     }
 }
 
-/// The entry gives up on a slow service, and the service answers after that.
+/// The entry or the sidecar gives up on a slow service, and the service answers after that.
+#[rstest::rstest]
+#[case::entry(300, 30_000)]
+#[case::sidecar(30_000, 300)]
 #[tokio::test(flavor = "multi_thread")]
-async fn an_answer_after_the_entry_gave_up_is_recorded() {
-    let desk = Desk::open_with(1, Duration::from_millis(300)).await;
+async fn an_answer_after_the_time_limit_is_recorded(#[case] entry: u64, #[case] sidecar: u64) {
+    let times = Times {
+        entry: Duration::from_millis(entry),
+        sidecar: Duration::from_millis(sidecar),
+    };
+    let desk = Desk::open_with(1, times).await;
     desk.services(&slow(1200));
     let told = desk.deposit(0, Some("k")).await;
     assert_eq!(told.run(), "unknown", "{told:?}");
@@ -425,6 +457,26 @@
     assert_eq!(desk.taken(), 1);
 }
 
+/// The store goes out while a call runs. The caller gets its answer, and the outcome is recorded
+/// once the store is back, so that a repeat isn't told `unknown` for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outcome_is_recorded_once_the_store_is_back() {
+    let desk = Desk::open(1).await;
+    desk.services(&slow(300));
+    let running = desk.send(0, Some("k"), 5);
+    desk.handed().await;
+    let before = desk.0.platform.counts().writes;
+    desk.0.platform.fault(platform::Fault {
+        outage: true,
+        ..platform::Fault::default()
+    });
+    assert_eq!(running.await.unwrap().status, StatusCode::CREATED);
+    desk.store_writes(before).await;
+    clear(&desk);
+    recorded(&desk, "k").await;
+    assert_eq!(desk.taken(), 1);
+}
+
 /// A sidecar leaves while a call runs. The call is answered and recorded; new calls go elsewhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_cuts_no_call_and_takes_no_new_one() {
--- /dev/null
+++ b/components/trial/tests/poison.rs
@@ -0,0 +1,163 @@
+//! Requests that crash each engine or service that runs them, with real daemons over loopback.
+
+use std::time::Duration;
+
+use fakes::{
+    engine,
+    service, //
+};
+use reqwest::StatusCode;
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::{
+    task::JoinHandle,
+    time::timeout, //
+};
+use trial::Trial;
+
+const DOCUMENT: &str = "\
+environment: production
+services:
+  - name: draft
+    kind: engine
+    model: m
+    versions:
+      - {name: v1, servers: ['draft-*']}
+  - name: ledger
+    kind: plain
+    versions:
+      - {name: v1, servers: ['ledger-*']}
+routes:
+  - {name: letters, match: {path: /v1/}, service: draft, version: v1}
+  - {name: ledger, match: {path: /svc/ledger}, service: ledger, version: v1}
+";
+
+const ENGINES: usize = 4;
+
+/// Longest time that any answer may take.
+const LIMIT: Duration = Duration::from_secs(60);
+
+struct Desk(Trial);
+
+impl Desk {
+    async fn open(engines: usize, services: usize) -> Self {
+        let mut trial = Trial::start().await.unwrap();
+        for number in 0..engines {
+            let settings = engine::Settings {
+                between: Duration::from_millis(40),
+                ..engine::Settings::default()
+            };
+            let name = format!("draft-{number}");
+            trial.engine(&name, "dc1", settings).await.unwrap();
+        }
+        for number in 0..services {
+            let name = format!("ledger-{number}");
+            let settings = service::Settings::default();
+            let started = trial.service(&name, "dc1", "ledger", settings);
+            started.await.unwrap();
+        }
+        for name in ["entry-a", "entry-b"] {
+            trial.entry(name, "dc1").await.unwrap();
+        }
+        let revision = trial.put(0, "production", DOCUMENT).await.unwrap();
+        trial.ready(revision).await.unwrap();
+        Self(trial)
+    }
+
+    fn complete(
+        &self,
+        entry: usize,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> JoinHandle<(StatusCode, Value)> {
+        let address = format!("{}/v1/completions", self.0.callers(entry));
+        let body = json!({"model": "m", "prompt": prompt, "max_tokens": max_tokens, "seed": 7});
+        let request = self.0.client.post(address).json(&body);
+        tokio::spawn(async move {
+            let answer = timeout(LIMIT, request.send()).await.unwrap().unwrap();
+            (answer.status(), answer.json().await.unwrap_or_default())
+        })
+    }
+
+    async fn dead_engines(&self) -> usize {
+        let mut dead = 0;
+        for engine in &self.0.engines {
+            let health = format!("http://{}/health", engine.address());
+            dead += usize::from(self.0.client.get(health).send().await.is_err());
+        }
+        dead
+    }
+}
+
+/// A request crashes each engine that runs it, in the midst of others, and its caller sends it again
+/// through either entry. Every other caller must get its whole answer, and two engines may be lost.
+#[rstest::rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_costs_two_engines_and_no_answer(#[values(1, 8, 30)] innocents: usize) {
+    let desk = Desk::open(ENGINES, 0).await;
+    for engine in &desk.0.engines {
+        engine.fault(engine::Fault {
+            crash_on: Some("poison".into()),
+            ..engine::Fault::default()
+        });
+    }
+    let prompts: Vec<String> = (0..innocents * ENGINES)
+        .map(|n| format!("letter {n}"))
+        .collect();
+    let length = 60;
+    let mut answers = Vec::new();
+    for (number, prompt) in prompts.iter().enumerate() {
+        answers.push(desk.complete(number % 2, prompt, length));
+        if number == prompts.len() / 2 {
+            answers.push(desk.complete(0, "poison", length));
+        }
+    }
+    let poison = answers.remove(prompts.len() / 2 + 1);
+    let (status, body) = poison.await.unwrap();
+    assert!(
+        status.is_client_error() || status.is_server_error(),
+        "{body}"
+    );
+    for again in 0..6 {
+        let (status, body) = desk.complete(again % 2, "poison", length).await.unwrap();
+        assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{body}");
+        assert_eq!(body["error"]["run"], "not_run");
+    }
+    for (prompt, answer) in prompts.iter().zip(answers) {
+        let (status, body) = answer.await.unwrap();
+        assert_eq!(status, StatusCode::OK, "{prompt}: {body}");
+        let tokens = 0..engine::length(prompt, 7, length);
+        let whole: String = tokens.map(|i| engine::token(prompt, 7, "v1", i)).collect();
+        assert_eq!(body["choices"][0]["text"], whole, "{prompt}");
+    }
+    assert_eq!(desk.dead_engines().await, 2);
+}
+
+/// A deposit crashes each ledger that takes it up, and its caller sends it again under new keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poisonous_call_costs_two_services() {
+    let desk = Desk::open(0, 3).await;
+    for service in &desk.0.services {
+        service.fault(service::Fault {
+            crash_on: Some("poison".into()),
+            ..service::Fault::default()
+        });
+    }
+    let mut told = Vec::new();
+    for send in 0..6 {
+        let address = format!("{}/svc/ledger/deposits", desk.0.callers(send % 2));
+        let request = desk
+            .0
+            .client
+            .post(address)
+            .body(r#"{"account":"poison","amount":5}"#);
+        let request = request.header("idempotency-key", format!("k{send}"));
+        let body: Value = request.send().await.unwrap().json().await.unwrap();
+        told.push(body["error"]["code"].as_str().unwrap_or("ran").to_string());
+    }
+    let refused = ["refused"; 4];
+    assert_eq!(told[..2], ["unknown", "unknown"]);
+    assert_eq!(told[2..], refused);
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use answer::Finish;
-use contract::handover;
+use contract::{
+    handover,
+    poison, //
+};
 use names::{
     DataCentre,
     Epoch,
@@ -36,6 +39,8 @@
     Heartbeat(Heartbeat),
     /// Documents and facts; the bytes are the `spread` crate's message.
     Spread(Vec<u8>),
+    /// Facts about requests that bring servers down; on a link's first stream, each way.
+    Suspects(Box<poison::Facts>),
     /// Asks a sidecar to begin a generation; opens a stream.
     Start(Box<Start>),
     /// Asks a sidecar for the tokens of a generation that it has; opens a stream.
@@ -139,6 +144,8 @@
     pub priority: u8,
     /// Tokens that the caller has already.
     pub delivered: Vec<String>,
+    /// Facts about the request when it is under suspicion.
+    pub suspects: Option<Box<poison::Facts>>,
 }
 
 /// A generation to listen to.
@@ -178,6 +185,10 @@
     Continuation,
     /// The backend server calls the request wrong.
     Invalid,
+    /// The request brought servers down and is refused everywhere.
+    Poisonous,
+    /// The request must be kept apart from what runs here.
+    Apart,
     /// The platform's store, without which the call may not run, doesn't answer.
     Store,
 }
