--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -38,7 +38,8 @@
 use crate::{
     calls::Outage,
     documents::Documents,
-    fleet::Fleet, //
+    fleet::Fleet,
+    hosts::Hosts, //
 };
 
 /// Shared by the tasks of one entry.
@@ -55,6 +56,7 @@
     /// What is known of requests that bring servers down.
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) fleet: Fleet,
+    pub(crate) hosts: Hosts,
     pub(crate) documents: Documents,
     pub(crate) gaps: Pools,
     pub(crate) requests: Requests,
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -47,8 +47,14 @@
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
     let (others, waiting) = mpsc::channel(1);
-    let pace = state.settings.times.heartbeat;
-    tokio::spawn(greeting::beat(first.sender, beats, waiting, pace));
+    let rest = state.settings.times.rest;
+    tokio::spawn(greeting::beat(
+        first.sender,
+        beats,
+        waiting,
+        rest,
+        move || rest,
+    ));
     tokio::spawn(listen(state.clone(), first.receiver));
     let told = state.clone();
     tokio::spawn(async move { told.suspects.tell(others).await });
