--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,6 +11,7 @@
 
 use argh::FromArgs;
 
+mod calls;
 mod idle;
 mod links;
 mod moves;
@@ -28,6 +29,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Calls(calls::Args),
     Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
@@ -43,6 +45,10 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Calls(args) => {
+            calls::print(&args);
+            Ok(())
+        }
         What::Idle(args) => live(idle::run(args)),
         What::Links(args) => live(links::run(args)),
         What::Moves(args) => {
