--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -11,7 +11,8 @@
     evidence::{
         Cells,
         Key,
-        Tally, //
+        Tally,
+        Times, //
     },
     mover::Mover,
     share::{
@@ -24,6 +25,7 @@
         Fact,
         Pick, //
     },
+    times::Histogram,
 };
 
 /// Time between two tellings of the cells that changed.
@@ -178,15 +180,30 @@
         if self.ramp.slot(wall) > 0 && self.level == Level::FULL {
             return;
         }
+        let mut all = Times::default();
+        let mut by_route = Vec::new();
         for route in &self.routes {
             let times = self.evidence.all_times(route, Side::Old);
+            all.first.add(&times.first);
+            all.between.add(&times.between);
+            by_route.push((route, times));
+        }
+        for (route, times) in by_route {
             let limit = self.limits.entry(route.clone()).or_default();
-            if times.first.count() >= ENOUGH_TIMES {
-                limit.first = times.first.quantile(SLOW);
-            }
-            if times.between.count() >= ENOUGH_TIMES {
-                limit.between = times.between.quantile(SLOW);
-            }
+            let first = quantile(&times.first, &all.first);
+            let between = quantile(&times.between, &all.between);
+            limit.first = first.or(limit.first);
+            limit.between = between.or(limit.between);
+        }
+    }
+}
+
+/// The limit of slowness by a route's own times, or by all routes' while it has too few.
+fn quantile(route: &Histogram, all: &Histogram) -> Option<Duration> {
+    for times in [route, all] {
+        if times.count() >= ENOUGH_TIMES {
+            return times.quantile(SLOW);
         }
     }
+    None
 }
