--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -62,7 +62,9 @@
     attempts: Vec<Attempt>,
     owner: Option<Epoch>,
     next_epoch: Epoch,
+    /// Epochs that count against the bound.
     started: u32,
+    /// Servers that lost an epoch or refused one, in order.
     avoid: Vec<Server>,
     /// No suspicion before this time: the last one was denied or found no place.
     quiet_until: Clock,
@@ -113,7 +115,7 @@
             Event::Refused { epoch, retry_after } => {
                 self.refused(now, epoch, retry_after, actions);
             }
-            Event::Denied { epoch } => self.denied(now, epoch),
+            Event::Denied { epoch } => self.denied(now, epoch, actions),
             Event::Tokens {
                 epoch,
                 index,
@@ -146,6 +148,11 @@
         self.owner
     }
 
+    /// Whether an epoch is listened to; what still comes of another one is dropped.
+    pub fn listens_to(&self, epoch: Epoch) -> bool {
+        self.attempts.iter().any(|attempt| attempt.epoch == epoch)
+    }
+
     /// Whether the answer ended, one way or the other.
     pub fn done(&self) -> bool {
         self.done
@@ -237,11 +244,17 @@
         self.replace(now, actions);
     }
 
-    fn denied(&mut self, now: Clock, epoch: Epoch) {
+    fn denied(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
         if self.remove(epoch).is_none() {
             return;
         }
         self.started -= 1;
+        // The epoch that was suspected may have been lost in between. Then no suspicion is left,
+        // and without a next epoch nobody would ever answer the caller.
+        if self.attempts.is_empty() {
+            self.replace(now, actions);
+            return;
+        }
         self.quiet_until = now + self.threshold.limit();
     }
 
@@ -271,11 +284,17 @@
     /// Makes an epoch the owner and fences all others.
     fn own(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
         for attempt in &self.attempts {
-            if attempt.epoch != epoch {
-                actions.push(Action::Cancel {
-                    epoch: attempt.epoch,
-                });
+            if attempt.epoch == epoch {
+                continue;
+            }
+            // A wrong suspicion costs no epoch. Else a long answer of a slow engine would use all
+            // of them up, and the first real loss would interrupt it.
+            if attempt.epoch > epoch {
+                self.started -= 1;
             }
+            actions.push(Action::Cancel {
+                epoch: attempt.epoch,
+            });
         }
         self.attempts.retain(|attempt| attempt.epoch == epoch);
         self.owner = Some(epoch);
@@ -492,8 +511,8 @@
         let Some(server) = server else {
             return;
         };
-        if !self.avoid.contains(&server) {
-            self.avoid.push(server);
+        if let Err(place) = self.avoid.binary_search(&server) {
+            self.avoid.insert(place, server);
         }
     }
 }
--- a/components/daemon/src/greeting.rs
+++ b/components/daemon/src/greeting.rs
@@ -3,8 +3,15 @@
 use std::time::Duration;
 
 use tokio::{
-    sync::watch,
-    time::timeout, //
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::{
+        Instant,
+        sleep_until,
+        timeout, //
+    },
 };
 use wire::{
     Error,
@@ -41,15 +48,45 @@
     timeout(limit, greet).await.unwrap_or_else(|_| Err(late()))
 }
 
-/// Sends heartbeats at a fixed pace, and at once when what they say changes; ends with the link.
-pub async fn beat(mut sender: Sender, mut state: watch::Receiver<Heartbeat>, pace: Duration) {
+/// Paces of heartbeats on one link.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// While there is work on the link, so that silence is noticed soon.
+    pub busy: Duration,
+    /// While there is none.
+    pub rest: Duration,
+}
+
+/// Sends heartbeats, and at once when what they say changes or work begins; between them the
+/// frames of `others`. Ends with the link. `work` is the number of pieces of work on the link.
+pub async fn beat(
+    mut sender: Sender,
+    mut state: watch::Receiver<Heartbeat>,
+    mut others: mpsc::Receiver<Frame>,
+    mut work: watch::Receiver<u32>,
+    pace: Pace,
+) {
+    let mut due = Instant::now();
     loop {
-        let heartbeat = state.borrow_and_update().clone();
-        if sender.send(&Frame::Heartbeat(heartbeat)).await.is_err() {
-            return;
-        }
-        // A timeout is the normal case: nothing changed, and the next heartbeat is due.
-        if let Ok(Err(_)) = timeout(pace, state.changed()).await {
+        let frame = tokio::select! {
+            () = sleep_until(due) => None,
+            Ok(()) = state.changed() => None,
+            Ok(_) = work.wait_for(|work| *work > 0), if due - Instant::now() > pace.busy => None,
+            Some(frame) = others.recv() => Some(frame),
+        };
+        let frame = match frame {
+            Some(frame) => frame,
+            None => {
+                let next = if *work.borrow() > 0 {
+                    pace.busy
+                } else {
+                    pace.rest
+                };
+                due = Instant::now() + next;
+                Frame::Heartbeat(state.borrow_and_update().clone())
+            }
+        };
+        if sender.send(&frame).await.is_err() {
             return;
         }
     }
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -5,8 +5,15 @@
     sync::Arc, //
 };
 
-use daemon::greeting;
+use daemon::greeting::{
+    self,
+    Pace, //
+};
 use events::links;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
 use tokio_util::sync::CancellationToken;
 use wire::{
     Error,
@@ -45,11 +52,14 @@
     };
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
-    tokio::spawn(greeting::beat(
-        first.sender,
-        beats,
-        state.settings.times.heartbeat,
-    ));
+    // A sidecar has nothing to send between heartbeats, and leaves watching to the entries.
+    let (_others, nothing) = mpsc::channel(1);
+    let (_work, rest) = watch::channel(0);
+    let pace = Pace {
+        busy: state.settings.times.rest,
+        rest: state.settings.times.rest,
+    };
+    tokio::spawn(greeting::beat(first.sender, beats, nothing, rest, pace));
     tokio::spawn(listen(first.receiver));
     loop {
         let stream = tokio::select! {
