Choose replicas by load, prefix, failures and data centre

Cause: entries need one decision where a piece of work goes, from reports that lag, cache events that are late and have gaps, and replicas that fail. Ruled out: plain least load (reports lag: a burst goes to whichever was idle last, and a replica that fails at once always is); consistent hashing without a bound (a prefix that all use overruns its replicas); a threshold of failures alone (when all fail, it empties the pool).

--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,1 +1,35 @@
 //! Replica choice: load, prefix affinity, ejection, data centres.
+//!
+//! [`Pool`] is a plain state machine. Its driver tells it which backend servers there are, what
+//! they report, what was sent and what came of it, and asks it for a server for each piece of
+//! work. `docs/design/routing.md` gives the reasons and the figures.
+
+mod cache;
+mod choose;
+mod decay;
+mod far;
+mod member;
+mod pool;
+mod settings;
+
+pub use cache::{
+    Event,
+    Kind, //
+};
+pub use choose::{
+    Ask,
+    Choice, //
+};
+pub use far::Summary;
+pub use member::{
+    Outcome,
+    Report, //
+};
+pub use pool::{
+    Place,
+    Pool, //
+};
+pub use settings::Settings;
+
+/// Hash of the first bytes of a prompt, as cache events give it.
+pub type Prefix = u64;
--- /dev/null
+++ b/components/routing/tests/common/mod.rs
@@ -0,0 +1,123 @@
+//! A pool with replicas, and short ways to speak to it.
+
+use std::time::Duration;
+
+use names::{
+    Clock,
+    DataCentre,
+    Server,
+    Service,
+    Version, //
+};
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use routing::{
+    Ask,
+    Choice,
+    Outcome,
+    Place,
+    Pool,
+    Prefix,
+    Report,
+    Settings, //
+};
+
+pub const CAPACITY: u32 = 10;
+
+pub struct Bench {
+    pub pool: Pool,
+    pub now: Clock,
+    pub rng: StdRng,
+    service: Service,
+    version: Version,
+    near: DataCentre,
+}
+
+pub fn name(number: usize) -> Server {
+    format!("s{number:03}")
+}
+
+pub fn place(data_centre: &str) -> Place {
+    Place {
+        service: "letters".to_string(),
+        version: "v1".to_string(),
+        data_centre: data_centre.to_string(),
+    }
+}
+
+pub fn report(running: u32) -> Report {
+    Report {
+        running,
+        queued: 0,
+        capacity: CAPACITY,
+        healthy: true,
+        leaving: false,
+        age: Duration::ZERO,
+    }
+}
+
+#[allow(dead_code, reason = "each test file uses its part of this module")]
+impl Bench {
+    /// Idle replicas in the data centre "near".
+    pub fn new(replicas: usize, settings: Settings, seed: u64) -> Bench {
+        let mut bench = Bench {
+            pool: Pool::new(settings),
+            now: Duration::from_secs(1),
+            rng: StdRng::seed_from_u64(seed),
+            service: "letters".to_string(),
+            version: "v1".to_string(),
+            near: "near".to_string(),
+        };
+        for number in 0..replicas {
+            bench.pool.place(bench.now, &name(number), &place("near"));
+            bench.report(number, report(0));
+        }
+        bench
+    }
+
+    pub fn report(&mut self, number: usize, report: Report) {
+        self.pool.learn(self.now, &name(number), &report);
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    pub fn ask(&mut self, prefix: Option<Prefix>, avoid: &[Server], resume: bool) -> Choice {
+        let ask = Ask {
+            service: &self.service,
+            version: &self.version,
+            data_centre: &self.near,
+            prefix,
+            avoid,
+            resume,
+        };
+        self.pool.choose(self.now, &ask, &mut self.rng)
+    }
+
+    pub fn choose(&mut self, prefix: Option<Prefix>) -> Choice {
+        self.ask(prefix, &[], false)
+    }
+
+    /// Chooses and sends.
+    pub fn send(&mut self, prefix: Option<Prefix>) -> Server {
+        match self.choose(prefix) {
+            Choice::Server(server) => {
+                self.pool.sent(self.now, &server, prefix);
+                server
+            }
+            other => panic!("there is a server for this: {other:?}"),
+        }
+    }
+
+    pub fn done(&mut self, server: &Server, outcome: Outcome) {
+        self.pool.done(self.now, server, outcome);
+    }
+
+    pub fn serve(&mut self, server: &Server) {
+        let time = Duration::from_secs(1);
+        self.done(server, Outcome::Served { time });
+    }
+}
