Admit work by fair shares, priorities and what can be in time

Cause: 2,300 teams share the engines, a few of them large; load beyond capacity must not lower what is served in time, and refused callers must not come back together. Ruled out: first come, first served (one team fills the queue); deficit round robin (needs a quantum that fits unknown request sizes; start-time fair queueing needs none and charges what the work turned out to be); one Retry-After for all. Change: crate admission: Gate (fair queueing within strict priorities, team limits, a queue bounded by the wait that still meets the first token, each refused caller told a later time than the one before, concurrency from reports lowered by late first tokens, continuations first and past team limits, idle teams forgotten) and Budget (retries at a tenth, resumes never refused). A fault found on the way: with only one-off teams the virtual time stands still and no team was ever idle; seen failing by idle_teams_are_dropped, mended. Known: an entry that has more traffic than the others keeps its share while all are full, as only free capacity is divided.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -1,1 +1,25 @@
 //! Limits, team fairness, priorities, retry budgets, shedding.
+//!
+//! [`Gate`] decides which piece of work goes on, waits, or is refused; [`Budget`] bounds retries.
+//! Both are plain state machines. `docs/design/admission.md` gives the reasons and the figures.
+
+mod budget;
+mod fair;
+mod gate;
+mod pace;
+mod settings;
+mod team;
+
+pub use budget::Budget;
+pub use gate::{
+    Arrival,
+    Done,
+    Gate,
+    Reason,
+    Released,
+    Report,
+    Ticket,
+    Verdict, //
+};
+pub use settings::Settings;
+pub use team::Limit;
--- /dev/null
+++ b/components/admission/src/settings.rs
@@ -0,0 +1,48 @@
+//! What admission can be tuned by.
+
+use std::time::Duration;
+
+/// Settings of a gate. The defaults are those measured in `docs/design/admission.md`.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Concurrency before any report.
+    pub start: u32,
+    /// Time of a request before any was finished.
+    pub usual: Duration,
+    /// Share of capacity that is aimed at; the rest is for what other entries do meanwhile.
+    pub aim: f64,
+    /// Concurrency above the limit that is kept for continuing answers, as a share.
+    pub reserve: f64,
+    /// First-token time above which a request counts as late.
+    pub first: Duration,
+    /// Share of late requests above which the concurrency is lowered.
+    pub late: f64,
+    /// Lowest factor that late requests bring the concurrency to.
+    pub lowest: f64,
+    /// Requests that wait, at most.
+    pub waiting: usize,
+    /// Teams that are known at once, at most.
+    pub teams: usize,
+    /// Share of the finished work's rate that refused callers are asked to come back at.
+    pub returning: f64,
+    /// Shortest and longest time that a refused caller is asked to wait.
+    pub come_back: (Duration, Duration),
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            start: 16,
+            usual: Duration::from_secs(10),
+            aim: 1.0,
+            reserve: 0.1,
+            first: Duration::from_millis(1900),
+            late: 0.05,
+            lowest: 0.3,
+            waiting: 4096,
+            teams: 8192,
+            returning: 0.5,
+            come_back: (Duration::from_millis(500), Duration::from_secs(60)),
+        }
+    }
+}
