Choose replicas and admit requests by the routing and admission crates

Cause: the entry chose by least load alone and let everything in. Ruled out: a gate for all services together (a slow one would hold up the others). Change: entry::pool drives routing::Pool, entry::gates drives admission::Gate and Budget; suspicions and second sends draw from the budget. The test of a refusal without a replica now allows a time that is spread at random, and checks its bounds and that it comes at once.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -39,6 +39,7 @@
     Server,
     Team, //
 };
+use routing::Prefix;
 use tokio::{
     sync::mpsc,
     time::{
@@ -57,6 +58,8 @@
         self,
         Attempt, //
     },
+    gates::Pass,
+    pool::Wish,
     state::State,
 };
 
@@ -66,9 +69,6 @@
 /// Pieces that wait for the caller's connection.
 const AHEAD: usize = 256;
 
-/// Time to come back when no replica of a version is to be had.
-const NO_REPLICA: Duration = Duration::from_secs(1);
-
 /// A request for an answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
@@ -79,6 +79,8 @@
     pub(crate) continues: bool,
     pub(crate) model: String,
     pub(crate) prompt: String,
+    /// Hash of the prompt's first bytes, as engines name what they have cached.
+    pub(crate) prefix: Prefix,
     pub(crate) max_tokens: u64,
     pub(crate) seed: u64,
     pub(crate) temperature: u32,
@@ -111,15 +113,16 @@
 }
 
 /// Answers a request; the pieces come through the channel.
-pub(crate) fn answer(state: Arc<State>, ask: Ask) -> mpsc::Receiver<Piece> {
+pub(crate) fn answer(state: Arc<State>, ask: Ask, pass: Arc<Pass>) -> mpsc::Receiver<Piece> {
     let (pieces, receiver) = mpsc::channel(AHEAD);
-    tokio::spawn(drive(state, ask, pieces));
+    tokio::spawn(drive(state, ask, pass, pieces));
     receiver
 }
 
 struct Driver {
     state: Arc<State>,
     ask: Ask,
+    pass: Arc<Pass>,
     resume: Resume,
     attempts: HashMap<Epoch, Arc<Attempt>>,
     /// Every token of the answer so far, with the mark after it.
@@ -130,7 +133,7 @@
     last: Option<(Instant, Epoch)>,
 }
 
-async fn drive(state: Arc<State>, ask: Ask, pieces: mpsc::Sender<Piece>) {
+async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
     let (events, mut incoming) = mpsc::channel(WAITING);
     let now = state.now();
     let settings = settings(&state, &ask, now);
@@ -143,6 +146,7 @@
         begun: Instant::now(),
         last: None,
         ask,
+        pass,
     };
     let first = match driver.ask.mark {
         Some(mark) => Event::Return { mark },
@@ -275,20 +279,30 @@
                 retry_after: left,
             });
         }
-        let service = &self.ask.target.service;
-        let chosen = self.state.fleet.choose(service, &self.ask.release, avoid);
-        let Some((peer, joined, server)) = chosen else {
-            return Some(Event::NoPlace {
-                epoch,
-                retry_after: NO_REPLICA,
-            });
+        match cause {
+            Cause::First => {}
+            Cause::Loss => self.state.gates.resume(),
+            Cause::Suspicion if self.state.gates.retry() => {}
+            Cause::Suspicion => return Some(Event::Denied { epoch }),
+        }
+        let wish = Wish {
+            service: &self.ask.target.service,
+            release: &self.ask.release,
+            prefix: Some(self.ask.prefix),
+            avoid,
+            resume: cause != Cause::First,
+        };
+        let replica = match self.state.replica(&wish) {
+            Ok(replica) => replica,
+            Err(retry_after) => return Some(Event::NoPlace { epoch, retry_after }),
         };
+        let joined = replica.joined;
         let attempt = Arc::new(Attempt {
             epoch,
             nonce: rand::random(),
-            server,
-            _sent: peer.send(),
-            peer,
+            server: replica.server,
+            peer: replica.peer,
+            sent: replica.sent,
             cancel: CancellationToken::new(),
             usage: Mutex::default(),
         });
@@ -352,6 +366,8 @@
         if fresh == 0 {
             return;
         }
+        self.pass.first();
+        self.pass.used(fresh);
         let target = &self.ask.target;
         let now = Instant::now();
         match self.last {
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -5,7 +5,11 @@
     Mutex, //
 };
 
-use answer::resume::Event;
+use answer::{
+    Breakage,
+    Finish,
+    resume::Event, //
+};
 use names::{
     Epoch,
     Index,
@@ -13,6 +17,7 @@
     Request,
     Server, //
 };
+use routing::Outcome;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::{
@@ -27,10 +32,10 @@
 use crate::{
     fleet::{
         Joined,
-        Peer,
-        Sent, //
+        Peer, //
     },
     hosts::reach,
+    pool::Sent,
     state::State,
 };
 
@@ -44,8 +49,8 @@
     pub(crate) cancel: CancellationToken,
     /// What the epoch cost, once it has ended.
     pub(crate) usage: Mutex<Usage>,
-    /// Counts the work at the peer while the epoch is wanted.
-    pub(crate) _sent: Sent,
+    /// Counts the work at the replica while the epoch is wanted.
+    pub(crate) sent: Sent,
 }
 
 /// Where the events of an epoch go.
@@ -142,16 +147,26 @@
         Frame::Started if attached => Some(Event::Attached { epoch }),
         Frame::Started => None,
         Frame::Missing => Some(Event::AttachMissed { epoch }),
-        Frame::Refused(refused) => Some(Event::Refused {
-            epoch,
-            retry_after: refused.retry_after,
-        }),
-        Frame::Tokens(tokens) => Some(Event::Tokens {
-            epoch,
-            index: tokens.index,
-            tokens: tokens.tokens,
-        }),
+        Frame::Refused(refused) => {
+            let retry_after = refused.retry_after;
+            attempt.sent.ended(Outcome::Refused { retry_after });
+            Some(Event::Refused { epoch, retry_after })
+        }
+        Frame::Tokens(tokens) => {
+            attempt.sent.answered();
+            Some(Event::Tokens {
+                epoch,
+                index: tokens.index,
+                tokens: tokens.tokens,
+            })
+        }
         Frame::End(end) => {
+            match end.finish {
+                Finish::Stop | Finish::Length => attempt.sent.served(),
+                // That an entry cancelled it says nothing about the replica.
+                Finish::Broken(Breakage::Cancelled | Breakage::LogFull) => {}
+                Finish::Broken(_) => attempt.sent.ended(Outcome::Failed),
+            }
             *attempt.usage.lock().expect("no panic while held") = end.usage;
             Some(Event::End {
                 epoch,
--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -15,6 +15,7 @@
     StreamExt,
     stream, //
 };
+use routing::Prefix;
 use salvo::{
     Request,
     Response,
@@ -46,10 +47,15 @@
     },
     callers::router::{
         header,
+        limit,
         payload,
         team, //
     },
     calls,
+    gates::{
+        Knock,
+        Pass, //
+    },
     problem::{
         Code,
         Problem, //
@@ -60,24 +66,33 @@
     },
 };
 
+/// Bytes of a prompt that its prefix is made of; docs/interfaces/engine.md has the same number.
+const PREFIX: usize = 256;
+
 /// Answers requests of one kind.
 pub(crate) struct Completions {
     pub(crate) state: Arc<State>,
     pub(crate) kind: Kind,
 }
 
+/// What a request in progress holds: its place at the entry, and its pass for the service.
+struct Leave {
+    pass: Arc<Pass>,
+    _ticket: Ticket,
+}
+
 #[handler]
 impl Completions {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         match self.ask(req).await {
-            Ok((ask, ticket)) => self.answer(ask, ticket, res).await,
+            Ok((ask, leave)) => self.answer(ask, leave, res).await,
             Err(problem) => problem.write(res),
         }
     }
 }
 
 impl Completions {
-    async fn ask(&self, req: &mut Request) -> Result<(Ask, Ticket), Problem> {
+    async fn ask(&self, req: &mut Request) -> Result<(Ask, Leave), Problem> {
         let state = &self.state;
         let ticket = super::router::admit(state)?;
         let bytes = payload(req, state.settings.limits.body).await?;
@@ -131,19 +146,35 @@
             temperature: body.temperature,
             streamed: body.stream,
             mark,
+            prefix: prefix(&body.prompt),
             prompt: body.prompt,
         };
         if let Verdict::Refused { left } = state.suspects.verdict(ask.fingerprint()) {
             return Err(calls::refusal(Reason::Poisonous, Some(left)));
         }
-        Ok((ask, ticket))
+        let knock = Knock {
+            service: &ask.target.service,
+            team: &ask.team,
+            limit: limit(state, &held.document.limit(&ask.team)),
+            cost: ask.max_tokens,
+            patience: state.settings.times.first,
+            resume: ask.mark.is_some(),
+        };
+        let pass = Arc::new(state.gates.admit(knock).await?);
+        Ok((
+            ask,
+            Leave {
+                pass,
+                _ticket: ticket,
+            },
+        ))
     }
 
-    async fn answer(&self, ask: Ask, ticket: Ticket, res: &mut Response) {
+    async fn answer(&self, ask: Ask, leave: Leave, res: &mut Response) {
         let id = ask.request.clone();
         let model = ask.model.clone();
         let streamed = ask.streamed;
-        let mut pieces = answers::answer(self.state.clone(), ask);
+        let mut pieces = answers::answer(self.state.clone(), ask, leave.pass.clone());
         if !streamed {
             self.whole(&id, &model, pieces, res).await;
             return;
@@ -154,7 +185,7 @@
                 shape::interrupted(reason, false).retry(after).write(res);
             }
             Some(first) => {
-                let events = events(self.kind, id, model, first, pieces, ticket);
+                let events = events(self.kind, id, model, first, pieces, leave);
                 sse::stream(res, events);
             }
             None => Problem::new(Code::Unavailable, "the answer was dropped").write(res),
@@ -202,24 +233,30 @@
     }
 }
 
+/// Hash of a prompt's beginning, as engines name it in their cache events.
+fn prefix(prompt: &str) -> Prefix {
+    let bytes = prompt.as_bytes();
+    xxh3_64(&bytes[..bytes.len().min(PREFIX)])
+}
+
 fn push(text: &mut String, tokens: &[(Mark, String)]) {
     for (_, token) in tokens {
         text.push_str(token);
     }
 }
 
-/// Turns the pieces of an answer into server-sent events; the ticket lives as long as they do.
+/// Turns the pieces of an answer into server-sent events; the leave lives as long as they do.
 fn events(
     kind: Kind,
     id: String,
     model: String,
     first: Piece,
     pieces: mpsc::Receiver<Piece>,
-    ticket: Ticket,
+    leave: Leave,
 ) -> impl Stream<Item = Result<SseEvent, Infallible>> {
-    let rest = stream::unfold((pieces, ticket), |(mut pieces, ticket)| async move {
+    let rest = stream::unfold((pieces, leave), |(mut pieces, leave)| async move {
         let piece = pieces.recv().await?;
-        Some((piece, (pieces, ticket)))
+        Some((piece, (pieces, leave)))
     });
     stream::once(async { first })
         .chain(rest)
--- a/components/entry/src/callers/router.rs
+++ b/components/entry/src/callers/router.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use environment::document;
 use names::Team;
 use salvo::{
     Depot,
@@ -111,3 +112,14 @@
         )),
     }
 }
+
+/// A team's limits as this entry has to keep them: limits are for the whole system.
+pub(crate) fn limit(state: &State, limit: &document::Limit) -> admission::Limit {
+    let whole = admission::Limit {
+        in_flight: limit.in_flight,
+        rate: limit.rate,
+        weight: limit.weight,
+        priority: limit.priority,
+    };
+    whole.divided(state.hosts.entries())
+}
--- a/components/entry/src/callers/service.rs
+++ b/components/entry/src/callers/service.rs
@@ -16,6 +16,7 @@
     admit,
     document,
     header,
+    limit,
     payload,
     team, //
 };
@@ -24,6 +25,7 @@
         self,
         Answer, //
     },
+    gates::Knock,
     problem::{
         Code,
         Problem, //
@@ -84,7 +86,20 @@
             body,
             kept: None,
         };
-        calls::call(state, provision, &target.version, call).await
+        let team = call.team.clone();
+        let knock = Knock {
+            service: &provision.name,
+            team: &team,
+            limit: limit(state, &held.document.limit(&team)),
+            cost: 1,
+            patience: state.settings.times.first,
+            resume: false,
+        };
+        let pass = state.gates.admit(knock).await?;
+        let answer = calls::call(state, provision, &target.version, call).await;
+        pass.first();
+        pass.used(1);
+        answer
     }
 }
 
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -53,7 +53,10 @@
 };
 
 use crate::{
-    fleet::Joined,
+    pool::{
+        Replica,
+        Wish, //
+    },
     problem::{
         Code,
         Problem,
@@ -242,26 +245,28 @@
 
     /// Sends the call to a replica that was not tried yet, and waits for what becomes of it.
     async fn send(&mut self, base: Revision) -> Event {
-        let chosen = self
-            .state
-            .fleet
-            .choose(&self.provision.name, self.release, &self.avoid);
-        let Some((peer, joined, server)) = chosen else {
+        let wish = Wish {
+            service: &self.provision.name,
+            release: self.release,
+            prefix: None,
+            avoid: &self.avoid,
+            resume: false,
+        };
+        let Ok(replica) = self.state.replica(&wish) else {
             return Event::Unsent;
         };
-        let _sent = peer.send();
-        self.avoid.push(server);
+        self.avoid.push(replica.server.clone());
         self.call.kept = (self.class == Class::Kept).then(|| Kept {
             send: rand::random(),
             base,
             digest: self.digest.clone(),
             ask: self.ask.clone(),
         });
-        self.exchange(&joined).await
+        self.exchange(&replica).await
     }
 
-    async fn exchange(&self, joined: &Joined) -> Event {
-        let Ok(mut stream) = joined.link.open().await else {
+    async fn exchange(&self, replica: &Replica) -> Event {
+        let Ok(mut stream) = replica.joined.link.open().await else {
             return Event::Unsent;
         };
         let replied = async {
@@ -272,13 +277,16 @@
                 Ok(_) | Err(_) => None,
             }
         };
-        // The retry budget is the `admission` crate's; until it is here, the bound on the sends of
-        // one call is all there is.
-        let silent = Event::Silent { budget: true };
-        match timeout(self.state.settings.times.call, replied).await {
-            Ok(Some(reply)) => event(reply).unwrap_or(silent),
-            Ok(None) | Err(_) => silent,
+        let replied = timeout(self.state.settings.times.call, replied).await;
+        let event = replied.ok().flatten().and_then(event);
+        match &event {
+            Some(Event::Replied(_)) => replica.sent.served(),
+            Some(_) => {}
+            None => replica.sent.ended(routing::Outcome::Failed),
         }
+        event.unwrap_or_else(|| Event::Silent {
+            budget: self.class == Class::Repeatable && self.state.gates.retry(),
+        })
     }
 }
 
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -42,11 +42,16 @@
         Documents, //
     },
     fleet::Fleet,
+    gates::{
+        self,
+        Gates, //
+    },
     hosts::{
         self,
         Hosts, //
     },
     links, operators,
+    pool::Pool,
     state::{
         Pools,
         Requests,
@@ -103,6 +108,7 @@
         )
         .await?;
         tokio::spawn(hosts::follow(state.clone()));
+        tokio::spawn(gates::follow(state.clone()));
         tokio::spawn(links::accept(state.clone()));
         tokio::spawn(documents::follow(state.clone()));
         tokio::spawn(announce(state.clone(), ready));
@@ -160,6 +166,7 @@
         backend: None,
     };
     let (heartbeat, _) = watch::channel(Heartbeat::default());
+    let origin = Instant::now();
     Ok(State {
         node,
         hello,
@@ -170,10 +177,12 @@
         platform,
         fleet: Fleet::default(),
         hosts: Hosts::default(),
+        pool: Pool::new(&settings.data_centre, origin),
+        gates: Gates::new(origin),
         documents: Documents::default(),
         gaps: Pools::default(),
         requests: Requests::default(),
-        origin: Instant::now(),
+        origin,
         leaving,
         ended: CancellationToken::new(),
         settings,
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -11,11 +11,9 @@
     },
 };
 
-use environment::document::Release;
 use names::{
     Host,
-    Server,
-    Service, //
+    Server, //
 };
 use tokio::sync::{
     mpsc,
@@ -42,7 +40,7 @@
     /// The link, while there is one.
     pub(crate) link: watch::Sender<Option<Joined>>,
     /// What it last said.
-    pub(crate) heartbeat: Mutex<Heartbeat>,
+    heartbeat: Mutex<Heartbeat>,
     /// The platform's list says that the host leaves.
     listed_leaving: AtomicBool,
     /// Pieces of work of this entry at the peer.
@@ -59,9 +57,6 @@
     pub(crate) frames: mpsc::Sender<Frame>,
 }
 
-/// One piece of work at a peer; dropping it ends the count.
-pub(crate) struct Sent(Arc<watch::Sender<u32>>);
-
 impl Peer {
     fn new(host: Host) -> Self {
         Self {
@@ -79,15 +74,14 @@
         joined.filter(|joined| !joined.link.is_closed())
     }
 
-    /// Counts a piece of work sent to this peer.
-    pub(crate) fn send(&self) -> Sent {
-        self.work.send_modify(|work| *work += 1);
-        Sent(self.work.clone())
+    /// The count of work of this entry at the peer.
+    pub(crate) fn counter(&self) -> &Arc<watch::Sender<u32>> {
+        &self.work
     }
 
-    /// Takes the host list's word on whether the host leaves.
-    pub(crate) fn listed(&self, leaving: bool) {
-        self.listed_leaving.store(leaving, Ordering::Release);
+    /// Takes the host list's word on whether the host leaves; tells whether it changed.
+    pub(crate) fn listed(&self, leaving: bool) -> bool {
+        self.listed_leaving.swap(leaving, Ordering::AcqRel) != leaving
     }
 
     /// Pieces of work of this entry at the peer.
@@ -100,6 +94,23 @@
         self.work.subscribe()
     }
 
+    /// Takes a heartbeat; tells whether the peer began to leave with it.
+    pub(crate) fn hear(&self, heartbeat: Heartbeat) -> bool {
+        let mut last = self.heartbeat.lock().expect("no panic while held");
+        let begins = heartbeat.leaving && !last.leaving;
+        *last = heartbeat;
+        begins
+    }
+
+    /// What the peer last said, and whether the host list says that it leaves.
+    pub(crate) fn last(&self) -> (Heartbeat, bool) {
+        let heartbeat = self.heartbeat.lock().expect("no panic while held");
+        (
+            heartbeat.clone(),
+            self.listed_leaving.load(Ordering::Acquire),
+        )
+    }
+
     /// May this peer get new work?
     fn takes_work(&self) -> bool {
         let heartbeat = self.heartbeat.lock().expect("no panic while held");
@@ -107,17 +118,18 @@
         heartbeat.healthy && !heartbeat.leaving && !listed_leaving
     }
 
-    fn load(&self) -> u32 {
+    /// Capacity and load that the backend server reported, when it may get work.
+    fn reported(&self, service: &str) -> Option<(u32, u32)> {
+        let joined = self.joined()?;
+        let backend = joined.hello.backend.as_ref()?;
+        if backend.service != service || !self.takes_work() {
+            return None;
+        }
         let heartbeat = self.heartbeat.lock().expect("no panic while held");
-        let reported = heartbeat.load.map_or(0, |load| load.running + load.queued);
+        let load = heartbeat.load.unwrap_or_default();
         // The report lags; what we have sent ourselves is known at once.
-        reported.max(self.in_flight())
-    }
-}
-
-impl Drop for Sent {
-    fn drop(&mut self) {
-        self.0.send_modify(|work| *work -= 1);
+        let running = (load.running + load.queued).max(self.in_flight());
+        Some((load.capacity, running))
     }
 }
 
@@ -157,35 +169,24 @@
         servers
     }
 
-    /// Chooses a replica: the least loaded that is not to be avoided, or else the least loaded.
-    pub(crate) fn choose(
-        &self,
-        service: &Service,
-        release: &Release,
-        avoid: &[Server],
-    ) -> Option<(Arc<Peer>, Joined, Server)> {
-        let mut best: Option<(bool, u32, Arc<Peer>, Joined, Server)> = None;
+    /// Capacity and load of the replicas of a service that this entry has links to.
+    pub(crate) fn load(&self, service: &str) -> (u32, u32) {
+        let mut sum = (0, 0);
         for peer in self.all() {
-            if !peer.takes_work() {
-                continue;
-            }
-            let Some(joined) = peer.joined() else {
-                continue;
-            };
-            let Some(backend) = joined.hello.backend.clone() else {
+            let Some((capacity, load)) = peer.reported(service) else {
                 continue;
             };
-            if backend.service != *service
-                || backend.version != release.name
-                || !release.runs_on(&backend.server)
-            {
-                continue;
-            }
-            let rank = (avoid.contains(&backend.server), peer.load());
-            if best.as_ref().is_none_or(|best| rank < (best.0, best.1)) {
-                best = Some((rank.0, rank.1, peer, joined, backend.server));
-            }
+            sum = (sum.0 + capacity, sum.1 + load);
         }
-        best.map(|(_, _, peer, joined, server)| (peer, joined, server))
+        sum
+    }
+
+    /// The peer beside a backend server, while its link is up.
+    pub(crate) fn beside(&self, server: &str) -> Option<(Arc<Peer>, Joined)> {
+        self.all().into_iter().find_map(|peer| {
+            let joined = peer.joined()?;
+            let backend = joined.hello.backend.as_ref()?;
+            (backend.server == server).then(|| (peer.clone(), joined.clone()))
+        })
     }
 }
--- a/components/entry/src/hosts.rs
+++ b/components/entry/src/hosts.rs
@@ -119,7 +119,10 @@
                 continue;
             }
             let leaving = host.state == HostState::Leaving;
-            state.fleet.peer(&host.name).listed(leaving);
+            let peer = state.fleet.peer(&host.name);
+            if peer.listed(leaving) {
+                state.tell_pool(&peer);
+            }
             let entry = known.entry(host.name).or_insert_with(|| Known {
                 address: host.address,
                 data_centre: host.data_centre.clone(),
@@ -138,6 +141,29 @@
         }
     }
 
+    /// Entries that are known, this one included.
+    pub(crate) fn entries(&self) -> u32 {
+        let known = self.known.lock().expect("no panic while held");
+        let others = known
+            .values()
+            .filter(|host| host.role == Role::Entry)
+            .count();
+        u32::try_from(others + 1).unwrap_or(u32::MAX)
+    }
+
+    /// About how many entries have links to the same sidecars, this one included.
+    pub(crate) fn sharing(&self, state: &State) -> u32 {
+        let known = self.known.lock().expect("no panic while held");
+        let sidecars = known
+            .values()
+            .filter(|host| host.role == Role::Sidecar)
+            .count();
+        let entries = known.len() - sidecars + 1;
+        let linked = sidecars.min(state.settings.limits.links);
+        let sharing = (entries * linked).div_ceil(sidecars.max(1));
+        u32::try_from(sharing.max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Starts and ends the tasks that keep links.
     fn arrange(&self, state: &Arc<State>) {
         let mut known = self.known.lock().expect("no panic while held");
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,9 +7,11 @@
 mod daemon;
 mod documents;
 mod fleet;
+mod gates;
 mod hosts;
 mod links;
 mod operators;
+mod pool;
 pub mod problem;
 mod state;
 
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -38,8 +38,13 @@
 use crate::{
     calls::Outage,
     documents::Documents,
-    fleet::Fleet,
-    hosts::Hosts, //
+    fleet::{
+        Fleet,
+        Peer, //
+    },
+    gates::Gates,
+    hosts::Hosts,
+    pool::Pool, //
 };
 
 /// Shared by the tasks of one entry.
@@ -57,6 +62,8 @@
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) fleet: Fleet,
     pub(crate) hosts: Hosts,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) gates: Arc<Gates>,
     pub(crate) documents: Documents,
     pub(crate) gaps: Pools,
     pub(crate) requests: Requests,
@@ -73,6 +80,15 @@
     pub(crate) fn now(&self) -> Duration {
         self.origin.elapsed()
     }
+
+    /// Tells the pool what a peer last said.
+    pub(crate) fn tell_pool(&self, peer: &Peer) {
+        let Some(backend) = peer.joined().and_then(|joined| joined.hello.backend) else {
+            return;
+        };
+        let (heartbeat, leaving) = peer.last();
+        self.pool.heard(&backend.server, &heartbeat, leaving);
+    }
 }
 
 /// Gaps between tokens by service and version, which new answers start from.
--- a/components/trial/tests/callers.rs
+++ b/components/trial/tests/callers.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use fakes::engine;
 use rstest::rstest;
 use serde_json::{
@@ -12,8 +14,12 @@
     known,
     system, //
 };
+use tokio::time::Instant;
 use trial::stream::Stream;
 
+/// Time within which an answer counts as given at once; well below any deadline.
+const AT_ONCE: Duration = Duration::from_secs(1);
+
 /// A refusal as the snapshot shows it.
 async fn refusal(response: reqwest::Response) -> String {
     let status = response.status();
