Dial anew before suspecting, excuse engines that pause, measure resumes

Cause: a silent link cost a whole second prefill, an engine that pauses cost one each pause. Change: at half the threshold of silence the epoch is dialled anew; a silence that was suspected wrongly raises the answer's threshold; the wait for a first token is 2.5 s, not 1.9 s.

--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -283,6 +283,7 @@
 
     /// Makes an epoch the owner and fences all others.
     fn own(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
+        let mut wrong = false;
         for attempt in &self.attempts {
             if attempt.epoch == epoch {
                 continue;
@@ -291,6 +292,7 @@
             // of them up, and the first real loss would interrupt it.
             if attempt.epoch > epoch {
                 self.started -= 1;
+                wrong = true;
             }
             actions.push(Action::Cancel {
                 epoch: attempt.epoch,
@@ -299,8 +301,12 @@
         self.attempts.retain(|attempt| attempt.epoch == epoch);
         self.owner = Some(epoch);
         for attempt in &mut self.attempts {
+            let silence = now.saturating_sub(attempt.heard);
             if attempt.spoke && attempt.dials == 0 {
-                self.threshold.learn(now.saturating_sub(attempt.heard));
+                self.threshold.learn(silence);
+            }
+            if attempt.spoke && wrong {
+                self.threshold.excuse(silence);
             }
             attempt.hear(now);
         }
--- a/components/answer/src/resume/attempt.rs
+++ b/components/answer/src/resume/attempt.rs
@@ -34,6 +34,8 @@
     pub(super) spoke: bool,
     /// Dials since its last fresh token.
     pub(super) dials: u32,
+    /// Whether it was dialled anew because of its silence.
+    pub(super) probed: bool,
     /// Whether a hint says that its server is gone.
     pub(super) suspect: bool,
 }
@@ -48,6 +50,7 @@
             heard: now,
             spoke: false,
             dials: 0,
+            probed: false,
             suspect: false,
         }
     }
@@ -57,6 +60,7 @@
         self.heard = now;
         self.spoke = true;
         self.dials = 0;
+        self.probed = false;
         self.suspect = false;
         self.state = State::Running;
     }
--- a/components/answer/src/resume/message.rs
+++ b/components/answer/src/resume/message.rs
@@ -52,7 +52,7 @@
             resumable: true,
             suspicion: threshold::Settings::default(),
             pool: threshold::Gaps::default(),
-            first: Duration::from_secs(4),
+            first: Duration::from_millis(2500),
             deadline: Clock::from_secs(3600),
             most_epochs: 8,
             most_attaches: 4,
--- a/components/answer/src/resume/suspicion.rs
+++ b/components/answer/src/resume/suspicion.rs
@@ -8,6 +8,7 @@
 
 use names::{
     Clock,
+    Epoch,
     Server, //
 };
 
@@ -22,6 +23,9 @@
 /// Epochs that are listened to at one time.
 const MOST_LIVE: usize = 2;
 
+/// Part of the threshold after which a silent epoch is dialled anew.
+const PROBE: u32 = 2;
+
 impl Resume {
     /// Time at which the driver must give [`super::Event::Tick`].
     pub fn next_wake(&self) -> Option<Clock> {
@@ -33,6 +37,9 @@
             if let State::Waiting(due) = attempt.state {
                 wake = wake.min(due);
             }
+            if let Some(due) = self.probe_due(attempt) {
+                wake = wake.min(due);
+            }
         }
         if let Some(due) = self.suspicion_due() {
             wake = wake.min(due);
@@ -46,6 +53,7 @@
             return;
         }
         self.dial(now, actions);
+        self.probe(now, actions);
         if self.suspicion_due().is_some_and(|due| due <= now) {
             self.hedge(now, actions);
         }
@@ -78,6 +86,34 @@
         }
     }
 
+    /// When an epoch's silence calls for a new link.
+    ///
+    /// A link can go silent for good while the engine goes on; its heartbeats tell only after
+    /// seconds. A dial is cheap: if the tokens are there, it brings them before a second epoch would
+    /// have to prefill, and if the sidecar lost the generation, it says so.
+    fn probe_due(&self, attempt: &Attempt) -> Option<Clock> {
+        let probeable = attempt.spoke && !attempt.probed && attempt.state == State::Running;
+        probeable.then(|| attempt.heard + self.threshold.limit() / PROBE)
+    }
+
+    fn probe(&mut self, now: Clock, actions: &mut Vec<Action>) {
+        let from = self.cursor.next();
+        let due = |attempt: &Attempt| self.probe_due(attempt).is_some_and(|due| due <= now);
+        let epochs: Vec<Epoch> = self
+            .attempts
+            .iter()
+            .filter(|one| due(one))
+            .map(|one| one.epoch)
+            .collect();
+        for epoch in epochs {
+            if let Some(attempt) = self.attempt(epoch) {
+                attempt.probed = true;
+                attempt.state = State::Dialling;
+            }
+            actions.push(Action::Attach { epoch, from });
+        }
+    }
+
     /// When the last of the live epochs is overdue.
     fn suspicion_due(&self) -> Option<Clock> {
         let startable = self.settings.continues || self.cursor.next() == 0;
--- a/components/answer/src/threshold.rs
+++ b/components/answer/src/threshold.rs
@@ -25,6 +25,8 @@
     pub means: u32,
     /// Multiple of the mean deviation, added to it.
     pub deviations: u32,
+    /// Multiple of a silence that was suspected wrongly, as a lower bound for the rest of the answer.
+    pub excuse: u32,
 }
 
 impl Default for Settings {
@@ -34,6 +36,7 @@
             highest: Duration::from_secs(2),
             means: 4,
             deviations: 8,
+            excuse: 2,
         }
     }
 }
@@ -76,6 +79,8 @@
     settings: Settings,
     own: Gaps,
     pool: Gaps,
+    /// Raised by wrong suspicions.
+    floor: Duration,
 }
 
 impl Threshold {
@@ -85,6 +90,7 @@
             settings,
             own: Gaps::default(),
             pool,
+            floor: settings.lowest,
         }
     }
 
@@ -97,6 +103,13 @@
         self.own.learn(gap);
     }
 
+    /// Learns that the engine was suspected after a silence and then went on: it pauses at times, and
+    /// each further wrong suspicion would cost another prefill.
+    pub fn excuse(&mut self, silence: Duration) {
+        let floor = self.floor.max(silence * self.settings.excuse);
+        self.floor = floor.min(self.settings.highest);
+    }
+
     /// Silence after which the engine is suspected.
     pub fn limit(&self) -> Duration {
         let settings = &self.settings;
@@ -108,7 +121,7 @@
         } else {
             settings.highest
         };
-        limit.clamp(settings.lowest, settings.highest)
+        limit.clamp(self.floor, settings.highest)
     }
 
     /// Upper bound of [`Threshold::limit`].
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 mod moves;
+mod resumes;
 mod table;
 
 /// Measures parts of medlarhatch and prints tables in Markdown.
@@ -19,6 +20,7 @@
 #[argh(subcommand)]
 enum What {
     Moves(moves::Args),
+    Resumes(resumes::Args),
     Version(Version),
 }
 
@@ -31,6 +33,7 @@
     let args: Args = argh::from_env();
     match args.what {
         What::Moves(args) => moves::print(&args),
+        What::Resumes(args) => resumes::print(&args),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
             table::print(&["version"], &rows);
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -172,7 +172,7 @@
             platform: Duration::from_secs(2),
             answer: Duration::from_secs(3600),
             call: Duration::from_secs(60),
-            first: Duration::from_millis(1900),
+            first: Duration::from_millis(2500),
             drain: Duration::from_secs(600),
         }
     }
