--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -3,40 +3,27 @@
 //! Each figure in the docs names the command that gave it. Baselines run in the same process and
 //! over the same seeds as what they are compared with.
 
+use std::{
+    future::Future,
+    io,
+    process::ExitCode, //
+};
+
 use argh::FromArgs;
 
+mod calls;
+mod idle;
+mod links;
 mod moves;
-mod resumes;
-mod table;
-
-/// Measures parts of medlarhatch and prints tables in Markdown.
-#[derive(FromArgs)]
-struct Args {
-    #[argh(subcommand)]
-    what: What,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum What {
-    Moves(moves::Args),
-    Resumes(resumes::Args),
-    Version(Version),
-}
-
-/// Prints which build is measured.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "version")]
-struct Version {}
-
-fn main() {
-    let args: Args = argh::from_env();
-    match args.what {
-        What::Moves(args) => moves::print(&args),
-        What::Resumes(args) => resumes::print(&args),
-        What::Version(_) => {
-            let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
-            table::print(&["version"], &rows);
+    let measured = match args.what {
+        What::Calls(args) => {
+            calls::print(&args);
+            Ok(())
+        }
+        What::Idle(args) => live(idle::run(args)),
+        What::Links(args) => live(links::run(args)),
+        What::Moves(args) => {
+            moves::print(&args);
+            Ok(())
         }
-    }
-}
+        What::Tokens(args) => live(tokens::run(args)),
