Find running generations through pointers; dial past a silent link; trim full logs

Cause: a caller that came back through another entry began its answer again; a probe of a silent epoch went over the same silent link; a cancel by one entry ended a generation that another one read; a log at its bound ended its generation; an entry that waited for a slow caller suspected engines that had long answered. Change: frames Point, Find and Found; sidecars hold pointers, entries tell and ask their holders; attaching dials a link of its own when the kept one doesn't answer within 150 ms; only the last stream ends a generation; a full log lets go of what every listener has; events go before the clock.

--- a/components/answer/src/pointer.rs
+++ b/components/answer/src/pointer.rs
@@ -17,9 +17,11 @@
     Clock,
     DataCentre,
     Epoch,
+    Host,
     Nonce,
     Request,
-    Server, //
+    Server,
+    Version, //
 };
 use serde::{
     Deserialize,
@@ -30,8 +32,8 @@
 /// A sidecar that may hold pointers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
-    /// The server beside it.
-    pub server: Server,
+    /// Its host.
+    pub host: Host,
     /// Where it stands.
     pub data_centre: DataCentre,
 }
@@ -44,8 +46,8 @@
 pub fn holders<'a>(request: &str, candidates: &'a [Candidate]) -> Vec<&'a Candidate> {
     let seed = xxh3_64_with_seed(request.as_bytes(), 0);
     let rank = |candidate: &'a Candidate| {
-        let score = xxh3_64_with_seed(candidate.server.as_bytes(), seed);
-        (score, Reverse(candidate.server.as_str()))
+        let score = xxh3_64_with_seed(candidate.host.as_bytes(), seed);
+        (score, Reverse(candidate.host.as_str()))
     };
     let Some(first) = candidates.iter().max_by_key(|candidate| rank(candidate)) else {
         return Vec::new();
@@ -60,8 +62,12 @@
 /// A generation's place.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Pointer {
+    /// The host of the sidecar that runs it.
+    pub host: Host,
     /// The server that runs it.
     pub server: Server,
+    /// The version that the answer is pinned to.
+    pub version: Version,
     /// Its epoch.
     pub epoch: Epoch,
     /// Its nonce.
@@ -81,7 +87,7 @@
     fn default() -> Settings {
         Settings {
             most: 10_000,
-            keep: Duration::from_secs(600),
+            keep: Duration::from_secs(3600),
         }
     }
 }
--- a/components/answer/tests/pointer.rs
+++ b/components/answer/tests/pointer.rs
@@ -18,7 +18,7 @@
     for data_centre in 0..data_centres {
         for server in 0..each {
             all.push(Candidate {
-                server: format!("s{data_centre}-{server}"),
+                host: format!("s{data_centre}-{server}"),
                 data_centre: format!("dc{data_centre}"),
             });
         }
@@ -28,7 +28,9 @@
 
 fn pointer(epoch: u32, nonce: u64) -> Pointer {
     Pointer {
+        host: format!("host-of-{nonce}"),
         server: format!("server-of-{nonce}"),
+        version: "v1".into(),
         epoch,
         nonce,
     }
--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -4,7 +4,8 @@
     collections::HashMap,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic::AtomicU32, //
     },
     time::Duration,
 };
@@ -12,6 +13,7 @@
 use answer::{
     Finish,
     mark::Mark,
+    pointer::Pointer,
     resume::{
         Action,
         Cause,
@@ -48,6 +50,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use wire::frame::{
+    Point,
     Start,
     Usage, //
 };
@@ -57,6 +60,7 @@
         self,
         Attempt, //
     },
+    pointers,
     state::State,
 };
 
@@ -66,6 +70,12 @@
 /// Pieces that wait for the caller's connection.
 const AHEAD: usize = 256;
 
+/// Wait for the pointer of a request that may be new.
+const FIND: Duration = Duration::from_millis(100);
+
+/// Wait for the pointer of a request whose caller came back.
+const FIND_AGAIN: Duration = Duration::from_millis(500);
+
 /// Time to come back when no replica of a version is to be had.
 const NO_REPLICA: Duration = Duration::from_secs(1);
 
@@ -126,6 +136,8 @@
     kept: Vec<(Mark, String)>,
     events: mpsc::Sender<Event>,
     begun: Instant,
+    /// The epoch that the holders were told of.
+    pointed: Option<Epoch>,
     /// When the last tokens came, and from which epoch.
     last: Option<(Instant, Epoch)>,
 }
@@ -141,13 +153,11 @@
         kept: Vec::new(),
         events,
         begun: Instant::now(),
+        pointed: None,
         last: None,
         ask,
     };
-    let first = match driver.ask.mark {
-        Some(mark) => Event::Return { mark },
-        None => Event::Begin { from: 0 },
-    };
+    let first = driver.first().await;
     let mut given = driver.handle(first);
     let mut gone = false;
     loop {
@@ -161,6 +171,9 @@
         }
         let wake = driver.resume.next_wake().map(|at| driver.state.origin + at);
         given = tokio::select! {
+            // What came while this task didn't run goes before the clock. Else an entry that was
+            // paused, or waited for a slow caller, would suspect an engine that has long answered.
+            biased;
             Some(event) = incoming.recv() => driver.handle(event),
             () = pieces.closed(), if !gone => {
                 gone = true;
@@ -187,6 +200,62 @@
 }
 
 impl Driver {
+    /// The event that the answer begins with: a generation may run for this request already.
+    async fn first(&mut self) -> Event {
+        let mark = self.ask.mark;
+        let begin = match mark {
+            Some(mark) => Event::Return { mark },
+            None => Event::Begin { from: 0 },
+        };
+        if !self.ask.resumable {
+            return begin;
+        }
+        let limit = if mark.is_some() { FIND_AGAIN } else { FIND };
+        let found = pointers::find(&self.state, &self.ask.request, limit).await;
+        // Another version's text can't be continued on the pinned one.
+        let version = &self.ask.target.version;
+        let Some(found) = found.filter(|found| found.version == *version) else {
+            return begin;
+        };
+        let peer = self.state.fleet.peer(&found.host);
+        let attempt = Attempt {
+            epoch: found.epoch,
+            nonce: found.nonce,
+            server: found.server.clone(),
+            _sent: peer.send(),
+            peer,
+            cancel: CancellationToken::new(),
+            turn: AtomicU32::new(0),
+            usage: Mutex::default(),
+        };
+        self.attempts.insert(found.epoch, Arc::new(attempt));
+        Event::Found {
+            epoch: found.epoch,
+            server: found.server,
+            mark: mark.unwrap_or_default(),
+        }
+    }
+
+    /// Tells the holders where the answer's generation runs.
+    fn point(&mut self, epoch: Epoch) {
+        if !self.ask.resumable || self.pointed == Some(epoch) {
+            return;
+        }
+        let Some(attempt) = self.attempts.get(&epoch) else {
+            return;
+        };
+        self.pointed = Some(epoch);
+        let pointer = Pointer {
+            host: attempt.peer.host.clone(),
+            server: attempt.server.clone(),
+            version: self.ask.target.version.clone(),
+            epoch,
+            nonce: attempt.nonce,
+        };
+        let request = self.ask.request.clone();
+        pointers::tell(&self.state, Point { request, pointer });
+    }
+
     /// Lets the decisions take an event, and carries out what they ask for.
     fn handle(&mut self, event: Event) -> Vec<Piece> {
         let mut pieces = Vec::new();
@@ -209,6 +278,14 @@
                 }
             }
         }
+        let owner = self.resume.owner();
+        if let Some(owner) = owner {
+            self.point(owner);
+        }
+        // Lost epochs count as work at their peers no longer.
+        let resume = &self.resume;
+        self.attempts
+            .retain(|epoch, _| resume.listens_to(*epoch) || owner == Some(*epoch));
         pieces
     }
 
@@ -290,11 +367,15 @@
             _sent: peer.send(),
             peer,
             cancel: CancellationToken::new(),
+            turn: AtomicU32::new(0),
             usage: Mutex::default(),
         });
         let start = self.frame(&attempt);
         self.attempts.insert(epoch, attempt.clone());
         tokio::spawn(attempt::start(attempt, joined, start, self.events.clone()));
+        if cause == Cause::First {
+            self.point(epoch);
+        }
         None
     }
 
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -1,8 +1,14 @@
 //! One epoch of an answer: a stream to a sidecar, turned into events for the answer's decisions.
 
-use std::sync::{
-    Arc,
-    Mutex, //
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
+    time::Duration,
 };
 
 use answer::resume::Event;
@@ -13,10 +19,13 @@
     Request,
     Server, //
 };
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::timeout, //
+};
 use tokio_util::sync::CancellationToken;
 use wire::{
-    Frame, Stream,
+    Frame, Link, Stream,
     frame::{
         Attach,
         Start,
@@ -30,10 +39,16 @@
         Peer,
         Sent, //
     },
-    hosts::reach,
+    hosts::{
+        dial,
+        reach, //
+    },
     state::State,
 };
 
+/// Time within which a link that works answers.
+const ANSWER: Duration = Duration::from_millis(150);
+
 /// What an epoch needs to run and to be found again.
 pub(crate) struct Attempt {
     pub(crate) epoch: Epoch,
@@ -42,6 +57,8 @@
     pub(crate) peer: Arc<Peer>,
     /// Cancelled when the answer goes on without this epoch.
     pub(crate) cancel: CancellationToken,
+    /// Number of the link that is listened to; what an earlier one says about itself is outdated.
+    pub(crate) turn: AtomicU32,
     /// What the epoch cost, once it has ended.
     pub(crate) usage: Mutex<Usage>,
     /// Counts the work at the peer while the epoch is wanted.
@@ -69,7 +86,7 @@
     }
 }
 
-/// Listens to a generation over a new link to its sidecar.
+/// Listens to a generation over a new stream to its sidecar.
 pub(crate) async fn attach(
     state: Arc<State>,
     attempt: Arc<Attempt>,
@@ -77,24 +94,55 @@
     from: Index,
     events: Events,
 ) {
+    attempt.turn.fetch_add(1, Ordering::AcqRel);
     let frame = Frame::Attach(Attach {
         request,
         epoch: attempt.epoch,
         nonce: attempt.nonce,
         from,
     });
-    let dial = async {
-        let joined = reach(&state, &attempt.peer.host).await?;
-        let mut stream = joined.link.open().await.ok()?;
-        stream.send(&frame).await.ok()?;
-        Some(stream)
+    let epoch = attempt.epoch;
+    let host = &attempt.peer.host;
+    let known = async {
+        let joined = reach(&state, host).await?;
+        ask(&joined.link, &frame).await
+    };
+    if let Ok(Some((stream, first))) = timeout(ANSWER, known).await {
+        follow(&attempt, stream, first, &events).await;
+        return;
+    }
+    // The link that there is doesn't answer. It may have gone silent for good while the sidecar is
+    // well; whoever waits for its heartbeats to tell makes the caller wait for seconds.
+    let fresh = async {
+        let (link, _beats) = dial(&state, host).await?;
+        let (stream, first) = ask(&link, &frame).await?;
+        Some((link, _beats, stream, first))
     };
-    match dial.await {
-        Some(stream) => listen(&attempt, stream, &events, true).await,
-        None => {
-            let epoch = attempt.epoch;
-            give(&events, Event::LinkLost { epoch }).await;
+    match timeout(state.settings.times.silence, fresh).await {
+        Ok(Some((link, _beats, stream, first))) => {
+            follow(&attempt, stream, first, &events).await;
+            link.close();
         }
+        _ => give(&events, Event::LinkLost { epoch }).await,
+    }
+}
+
+/// Opens a stream with a frame, and waits for the first one that comes back.
+async fn ask(link: &Link, frame: &Frame) -> Option<(Stream, Frame)> {
+    let mut stream = link.open().await.ok()?;
+    stream.send(frame).await.ok()?;
+    let first = stream.receive().await.ok()??;
+    Some((stream, first))
+}
+
+async fn follow(attempt: &Attempt, stream: Stream, first: Frame, events: &Events) {
+    let Some(event) = sort(attempt, first, true) else {
+        return;
+    };
+    let attached = matches!(event, Event::Attached { .. });
+    give(events, event).await;
+    if attached {
+        listen(attempt, stream, events, true).await;
     }
 }
 
@@ -103,6 +151,7 @@
         mut sender,
         mut receiver,
     } = stream;
+    let turn = attempt.turn.load(Ordering::Acquire);
     let read = async {
         loop {
             let event = match receiver.receive().await {
@@ -114,6 +163,10 @@
             let Some(event) = event else {
                 continue;
             };
+            let outdated = turn != attempt.turn.load(Ordering::Acquire);
+            if outdated && matches!(event, Event::LinkLost { .. }) {
+                return;
+            }
             let last = !matches!(event, Event::Tokens { .. } | Event::Attached { .. });
             give(events, event).await;
             if last {
--- a/components/entry/src/hosts.rs
+++ b/components/entry/src/hosts.rs
@@ -17,7 +17,8 @@
     time::Duration,
 };
 
-use events::links;
+use answer::pointer;
+use events::links as catalogue;
 use names::{
     DataCentre,
     Host, //
@@ -37,10 +38,17 @@
     timeout, //
 };
 use tokio_util::sync::CancellationToken;
+use wire::{
+    Link,
+    Stream, //
+};
 
 use crate::{
     fleet::Joined,
-    links::keep,
+    links::{
+        self,
+        keep, //
+    },
     state::State, //
 };
 
@@ -87,7 +95,7 @@
             }
             Err(error) => {
                 if !out {
-                    events::emit!(links::HOSTS, "reason=\"{error}\"");
+                    events::emit!(catalogue::HOSTS, "reason=\"{error}\"");
                 }
                 out = true;
             }
@@ -109,7 +117,33 @@
     joined.clone()
 }
 
+/// A link of one's own to a host, beside the one that is kept. The stream must live as long.
+pub(crate) async fn dial(state: &State, host: &str) -> Option<(Link, Stream)> {
+    let address = state.hosts.address(host)?;
+    let (link, stream, _) = links::dial(state, host, address).await.ok()?;
+    Some((link, stream))
+}
+
+/// The hosts that hold a request's pointer.
+pub(crate) fn holders(state: &State, request: &str) -> Vec<Host> {
+    let known = state.hosts.known.lock().expect("no panic while held");
+    let sidecars = known.iter().filter(|(_, host)| host.role == Role::Sidecar);
+    let candidates: Vec<_> = sidecars
+        .map(|(name, host)| pointer::Candidate {
+            host: name.clone(),
+            data_centre: host.data_centre.clone(),
+        })
+        .collect();
+    let holders = pointer::holders(request, &candidates).into_iter();
+    holders.map(|holder| holder.host.clone()).collect()
+}
+
 impl Hosts {
+    fn address(&self, host: &str) -> Option<SocketAddr> {
+        let known = self.known.lock().expect("no panic while held");
+        known.get(host).map(|host| host.address)
+    }
+
     /// Takes a reading of the list.
     fn learn(&self, state: &State, hosts: Vec<platform::hosts::Host>) {
         let mut known = self.known.lock().expect("no panic while held");
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,7 +10,8 @@
 mod hosts;
 mod links;
 mod operators;
-pub mod problem;
+pub mod pointers;
+mod problem;
 mod state;
 
 pub use self::daemon::Entry;
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -76,7 +76,7 @@
     }
 }
 
-async fn dial(
+pub(crate) async fn dial(
     state: &State,
     host: &str,
     address: SocketAddr,
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -15,6 +15,37 @@
 mod idle;
 mod links;
 mod moves;
+mod process;
+mod resumes;
+mod table;
+mod tokens;
+
+/// Measures parts of medlarhatch and prints tables in Markdown.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    what: What,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum What {
+    Calls(calls::Args),
+    Idle(idle::Args),
+    Links(links::Args),
+    Moves(moves::Args),
+    Resumes(resumes::Args),
+    Tokens(tokens::Args),
+    Version(Version),
+}
+
+/// Prints which build is measured.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
     let measured = match args.what {
         What::Calls(args) => {
             calls::print(&args);
@@ -26,4 +57,30 @@
             moves::print(&args);
             Ok(())
         }
+        What::Resumes(args) => {
+            resumes::print(&args);
+            Ok(())
+        }
         What::Tokens(args) => live(tokens::run(args)),
+        What::Version(_) => {
+            let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
+            table::print(&["version"], &rows);
+            Ok(())
+        }
+    };
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a measurement that needs sockets and time.
+fn live(measurement: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(measurement)
+}
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -2,10 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::Duration, //
 };
 
+use answer::pointer;
 use daemon::{
     Error, http, metrics,
     probe::{
@@ -146,6 +150,7 @@
         heartbeat,
         generations: Generations::new(&settings, work.clone()),
         calls: Calls::new(&settings, work.clone()),
+        pointers: Mutex::new(pointer::Table::new(pointer::Settings::default())),
         work,
         records: Records::new(platform),
         origin: Instant::now(),
--- a/components/sidecar/src/generation.rs
+++ b/components/sidecar/src/generation.rs
@@ -1,6 +1,7 @@
 //! One generation: its token log, and the task that fills it from the engine.
 
 use std::{
+    collections::HashMap,
     sync::Mutex,
     time::Duration, //
 };
@@ -55,6 +56,8 @@
     log: watch::Sender<Log>,
     usage: Mutex<Usage>,
     cancel: CancellationToken,
+    /// How far each stream that listens has been sent.
+    sent: Mutex<HashMap<u64, Index>>,
 }
 
 /// Pace at which a generation looks whether somebody still listens.
@@ -67,6 +70,7 @@
             log: watch::Sender::new(Log::with_prefix(delivered, bound)?),
             usage: Mutex::new(Usage::default()),
             cancel: CancellationToken::new(),
+            sent: Mutex::default(),
         })
     }
 
@@ -85,9 +89,32 @@
         self.log.borrow().bytes()
     }
 
-    /// Ends the generation: its answer goes on elsewhere, or nobody wants it.
-    pub fn cancel(&self) {
-        self.cancel.cancel();
+    /// Notes how far a stream has been sent.
+    pub fn note_sent(&self, stream: u64, next: Index) {
+        let mut sent = self.sent.lock().expect("no panic while held");
+        sent.insert(stream, next);
+    }
+
+    /// Drops a stream that ended.
+    pub fn leave(&self, stream: u64) {
+        let mut sent = self.sent.lock().expect("no panic while held");
+        sent.remove(&stream);
+    }
+
+    /// An entry doesn't want the generation any more: its answer goes on elsewhere. Another entry
+    /// may be listening, for the same caller's retry; so only the last one ends the generation.
+    pub fn cancel(&self, stream: u64) {
+        let mut sent = self.sent.lock().expect("no panic while held");
+        sent.remove(&stream);
+        if sent.is_empty() {
+            self.cancel.cancel();
+        }
+    }
+
+    /// The lowest index that some stream still waits for; none when nobody listens.
+    fn lowest_sent(&self) -> Option<Index> {
+        let sent = self.sent.lock().expect("no panic while held");
+        sent.values().min().copied()
     }
 
     /// Fills the log until the generation ends; gives up after `grace` without a listener.
@@ -129,8 +156,16 @@
     /// Appends a token; gives the end when the engine broke the order or the log is full.
     fn append(&self, index: Index, token: String) -> Option<Finish> {
         let mut result = Ok(());
-        self.log
-            .send_modify(|log| result = log.append(index, token));
+        let lowest = self.lowest_sent();
+        self.log.send_modify(|log| {
+            result = log.append(index, token.clone());
+            // A log at its bound lets go of what everybody who listens has: a long answer goes on,
+            // and only an entry that comes later has to begin it again.
+            if let (Err(Fault::Full), Some(lowest)) = (result, lowest) {
+                log.trim(lowest);
+                result = log.append(index, token);
+            }
+        });
         let breakage = match result {
             Ok(()) => return None,
             Err(Fault::Repeat) => Breakage::Repeat,
--- a/components/sidecar/src/generations.rs
+++ b/components/sidecar/src/generations.rs
@@ -181,25 +181,27 @@
 /// Sends tokens from an index on until the generation ends or the entry is gone.
 async fn send(generation: Arc<Generation>, from: Index, stream: Stream) {
     let Stream { sender, receiver } = stream;
+    let number = rand::random();
     let log = generation.listen();
-    let commands = tokio::spawn(obey(generation.clone(), receiver));
-    pump(&generation, log, from, sender).await;
+    generation.note_sent(number, from);
+    let commands = tokio::spawn(obey(generation.clone(), number, receiver));
+    pump(&generation, log, (number, from), sender).await;
     commands.abort();
+    generation.leave(number);
 }
 
 async fn pump(
     generation: &Generation,
     mut log: watch::Receiver<Log>,
-    mut next: Index,
+    (number, mut next): (u64, Index),
     mut sender: Sender,
 ) {
     loop {
         let (tokens, end) = {
             let log = log.borrow_and_update();
-            let tokens = log
-                .read(next, BATCH)
-                .map(<[String]>::to_vec)
-                .unwrap_or_default();
+            let Some(tokens) = log.read(next, BATCH).map(<[String]>::to_vec) else {
+                break;
+            };
             let rest = log.next().saturating_sub(next + tokens.len() as Index);
             let finish = if rest == 0 {
                 log.finish().cloned()
@@ -218,6 +220,7 @@
                 return;
             }
             next += count as Index;
+            generation.note_sent(number, next);
         }
         if let Some((total, finish)) = end {
             let usage = generation.usage();
@@ -243,13 +246,18 @@
             return;
         }
     }
+    // The beginning of the log had to make room.
+    if sender.send(&Frame::Missing).await.is_ok() {
+        sender.finish();
+        sender.stopped().await;
+    }
 }
 
 /// Takes the entry's word that nobody wants the generation any more.
-async fn obey(generation: Arc<Generation>, mut receiver: Receiver) {
+async fn obey(generation: Arc<Generation>, number: u64, mut receiver: Receiver) {
     while let Ok(Some(frame)) = receiver.receive().await {
         if frame == Frame::Cancel {
-            generation.cancel();
+            generation.cancel(number);
         }
     }
 }
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -93,6 +93,14 @@
         Ok(Some(Frame::Start(start))) => state.generations.start(&state, *start, stream).await,
         Ok(Some(Frame::Attach(attach))) => state.generations.attach(attach, stream).await,
         Ok(Some(Frame::Call(call))) => state.calls.call(&state, *call, stream).await,
+        Ok(Some(Frame::Point(point))) => state.point(point),
+        Ok(Some(Frame::Find(request))) => {
+            let found = Frame::Found(state.find(&request));
+            // An entry that is gone needs no answer.
+            let _ = stream.send(&found).await;
+            stream.sender.finish();
+            stream.sender.stopped().await;
+        }
         Ok(Some(frame)) => {
             events::emit!(links::MALFORMED, "frame=\"{frame:?}\"");
         }
--- a/components/sidecar/src/state.rs
+++ b/components/sidecar/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{
             AtomicU32,
             Ordering, //
@@ -11,6 +11,10 @@
     time::Duration,
 };
 
+use answer::pointer::{
+    self,
+    Pointer, //
+};
 use daemon::{
     records::Records,
     suspects::Suspects, //
@@ -23,7 +27,8 @@
 use tokio_util::sync::CancellationToken;
 use wire::frame::{
     Heartbeat,
-    Hello, //
+    Hello,
+    Point, //
 };
 
 use crate::{
@@ -40,6 +45,8 @@
     pub(crate) heartbeat: watch::Sender<Heartbeat>,
     pub(crate) generations: Generations,
     pub(crate) calls: Calls,
+    /// Pointers that this sidecar holds for entries.
+    pub(crate) pointers: Mutex<pointer::Table>,
     pub(crate) work: Work,
     /// Records of calls that run at most once.
     pub(crate) records: Records,
@@ -57,6 +64,18 @@
     pub(crate) fn now(&self) -> Duration {
         self.origin.elapsed()
     }
+
+    /// Holds a pointer for other entries.
+    pub(crate) fn point(&self, point: Point) {
+        let mut pointers = self.pointers.lock().expect("no panic while held");
+        pointers.put(self.now(), point.request, point.pointer);
+    }
+
+    /// The pointer of a request, if this sidecar holds it.
+    pub(crate) fn find(&self, request: &str) -> Option<Pointer> {
+        let mut pointers = self.pointers.lock().expect("no panic while held");
+        pointers.get(self.now(), request).cloned()
+    }
 }
 
 /// Counts the runs and calls in progress.
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use answer::Finish;
+use answer::{
+    Finish,
+    pointer::Pointer, //
+};
 use contract::{
     handover,
     poison, //
@@ -61,6 +64,12 @@
     Call(Box<Call>),
     /// What became of the call.
     Reply(Reply),
+    /// Asks a sidecar to hold a pointer; opens a stream, nothing is answered.
+    Point(Point),
+    /// Asks a sidecar for the pointer that it holds for a request; opens a stream.
+    Find(Request),
+    /// The pointer, if the sidecar holds one.
+    Found(Option<Pointer>),
 }
 
 /// Who speaks.
@@ -161,6 +170,15 @@
     pub from: Index,
 }
 
+/// Where a request's generation runs, for entries that didn't start it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Point {
+    /// The request.
+    pub request: Request,
+    /// The place.
+    pub pointer: Pointer,
+}
+
 /// Why nothing was begun, and when to come back.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refused {
