--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -14,6 +14,7 @@
 
 mod attempt;
 mod message;
+mod refusal;
 mod suspicion;
 
 use std::time::Duration;
@@ -45,6 +46,7 @@
     Interruption,
     Settings, //
 };
+use refusal::Refusals;
 
 /// Number of the first epoch of an answer.
 pub const FIRST_EPOCH: Epoch = 1;
@@ -68,6 +70,7 @@
     avoid: Vec<Server>,
     /// No suspicion before this time: the last one was denied or found no place.
     quiet_until: Clock,
+    refusals: Refusals,
     done: bool,
 }
 
@@ -87,6 +90,7 @@
             started: 0,
             avoid: Vec::new(),
             quiet_until: now,
+            refusals: Refusals::default(),
             done: false,
         }
     }
@@ -222,28 +226,6 @@
         self.quiet_until = now + retry_after.max(self.threshold.limit());
     }
 
-    fn refused(
-        &mut self,
-        now: Clock,
-        epoch: Epoch,
-        retry_after: Duration,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(attempt) = self.remove(epoch) else {
-            return;
-        };
-        self.avoid(attempt.server);
-        if !self.attempts.is_empty() {
-            self.quiet_until = now + self.threshold.limit();
-            return;
-        }
-        if self.started >= self.settings.most_epochs {
-            self.interrupt(Interruption::Refused, retry_after, actions);
-            return;
-        }
-        self.replace(now, actions);
-    }
-
     fn denied(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
         if self.remove(epoch).is_none() {
             return;
@@ -283,6 +265,7 @@
 
     /// Makes an epoch the owner and fences all others.
     fn own(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
+        let mut wrong = false;
         for attempt in &self.attempts {
             if attempt.epoch == epoch {
                 continue;
@@ -291,6 +274,7 @@
             // of them up, and the first real loss would interrupt it.
             if attempt.epoch > epoch {
                 self.started -= 1;
+                wrong = true;
             }
             actions.push(Action::Cancel {
                 epoch: attempt.epoch,
@@ -298,9 +282,14 @@
         }
         self.attempts.retain(|attempt| attempt.epoch == epoch);
         self.owner = Some(epoch);
+        self.refusals = Refusals::default();
         for attempt in &mut self.attempts {
+            let silence = now.saturating_sub(attempt.heard);
             if attempt.spoke && attempt.dials == 0 {
-                self.threshold.learn(now.saturating_sub(attempt.heard));
+                self.threshold.learn(silence);
+            }
+            if attempt.spoke && wrong {
+                self.threshold.excuse(silence);
             }
             attempt.hear(now);
         }
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -16,6 +16,7 @@
 mod links;
 mod moves;
 mod process;
+mod resumes;
 mod table;
 mod tokens;
 
@@ -33,6 +34,7 @@
     Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
+    Resumes(resumes::Args),
     Tokens(tokens::Args),
     Version(Version),
 }
@@ -55,6 +57,10 @@
             moves::print(&args);
             Ok(())
         }
+        What::Resumes(args) => {
+            resumes::print(&args);
+            Ok(())
+        }
         What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
--- a/components/trial/tests/callers.rs
+++ b/components/trial/tests/callers.rs
@@ -152,6 +152,7 @@
     let trial = system(0).await;
     let address = format!("{}/v1/completions", trial.callers(0));
     let body = json!({"model": "m", "prompt": "p", "stream": true});
+    let begun = Instant::now();
     let response = trial
         .client
         .post(address)
@@ -159,5 +160,18 @@
         .send()
         .await
         .expect("an answer");
-    insta::assert_snapshot!("no_replica", refusal(response).await);
+    assert!(begun.elapsed() < AT_ONCE);
+    let retry = response.headers().get("retry-after");
+    let seconds: u64 = retry
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .expect("a time to come back in seconds");
+    assert!((1..=30).contains(&seconds), "{seconds}");
+    let seen = refusal(response).await;
+    // The time is spread at random, so that refused callers don't come back together.
+    let kept: Vec<&str> = seen
+        .lines()
+        .filter(|line| !line.contains("retry"))
+        .collect();
+    insta::assert_snapshot!("no_replica", kept.join("\n"));
 }
