Ask two deaths to look alike before a request is refused; index the suspects

Ruled out: more deaths before a refusal (a third server for every poison). Change: with two deaths the times must be alike, or the second at once; suspects are indexed once a change. The rule of placement is unchanged.

--- a/components/contract/src/poison/ledger.rs
+++ b/components/contract/src/poison/ledger.rs
@@ -1,6 +1,9 @@
 //! Verdicts on fingerprints, derived from the facts.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use names::{
     Clock,
@@ -17,6 +20,9 @@
 /// Deaths that it takes to refuse a fingerprint.
 const DEATHS: usize = 2;
 
+/// A request that strikes within the probation divided by this struck at once.
+const AT_ONCE: u32 = 4;
+
 /// Bounds and times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -74,14 +80,21 @@
 pub struct Ledger {
     settings: Settings,
     facts: Facts,
+    /// Number of deaths that blame each suspect. Worked out once a change of the facts, since it is
+    /// asked for each request in flight whenever one is placed.
+    suspects: BTreeMap<Fingerprint, usize>,
 }
 
+/// Deaths that blame each fingerprint.
+type Blames<'a> = BTreeMap<Fingerprint, Vec<&'a Death>>;
+
 impl Ledger {
     /// Starts with no facts.
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
             facts: Facts::default(),
+            suspects: BTreeMap::new(),
         }
     }
 
@@ -107,7 +120,7 @@
 
     /// A request ran to its end. If it was a suspect, it is cleared.
     pub fn ended(&mut self, fingerprint: Fingerprint, now: Clock) {
-        if self.blames(fingerprint).is_empty() {
+        if !self.suspects.contains_key(&fingerprint) {
             return;
         }
         self.facts.passed.insert(fingerprint, now);
@@ -121,10 +134,10 @@
         {
             return Verdict::Refused { left: *until - now };
         }
-        match self.blames(fingerprint).len() {
-            0 => Verdict::Clear,
-            1 => Verdict::Suspect,
-            _ => Verdict::Solitary,
+        match self.suspects.get(&fingerprint) {
+            None => Verdict::Clear,
+            Some(1) => Verdict::Suspect,
+            Some(_) => Verdict::Solitary,
         }
     }
 
@@ -158,26 +171,45 @@
         }
         self.facts
             .trim(now, self.settings.blame, self.settings.most);
+        let blames = self.blames();
+        self.suspects = blames
+            .iter()
+            .map(|(fingerprint, deaths)| (*fingerprint, deaths.len()))
+            .collect();
     }
 
     /// A fingerprint that the deaths prove, and that isn't refused yet.
     fn proven(&self) -> Option<Fingerprint> {
-        let deaths = self.facts.deaths.values();
-        let mut flights = deaths.flat_map(|death| &death.flights);
-        flights
-            .find(|flight| self.guilty(flight.fingerprint))
-            .map(|flight| flight.fingerprint)
+        for (fingerprint, deaths) in self.blames() {
+            if deaths.len() < DEATHS || self.facts.refused.contains_key(&fingerprint) {
+                continue;
+            }
+            if deaths.len() == DEATHS && !self.alike(fingerprint, &deaths) {
+                continue;
+            }
+            let mut deaths_alone = deaths.iter();
+            if deaths_alone.any(|death| !self.has_rival(fingerprint, death, &deaths)) {
+                return Some(fingerprint);
+            }
+        }
+        None
     }
 
-    fn guilty(&self, fingerprint: Fingerprint) -> bool {
-        if self.facts.refused.contains_key(&fingerprint) {
-            return false;
+    /// Tells whether the deaths look like the work of one request: it struck after about the same
+    /// time, or at once when it was taken up again where it had struck before.
+    ///
+    /// A server that dies by itself while a suspect runs on it would otherwise prove an innocent
+    /// guilty, and clear the poison that was with it the first time.
+    fn alike(&self, fingerprint: Fingerprint, deaths: &[&Death]) -> bool {
+        let (mut shortest, mut longest) = (Duration::MAX, Duration::ZERO);
+        for death in deaths {
+            let time = ran(fingerprint, death);
+            shortest = shortest.min(time);
+            longest = longest.max(time);
         }
-        let blames = self.blames(fingerprint);
-        blames.len() >= DEATHS
-            && blames
-                .iter()
-                .any(|death| !self.has_rival(fingerprint, death, &blames))
+        longest < self.settings.probation
+            || shortest * 2 >= longest
+            || shortest < self.settings.probation / AT_ONCE
     }
 
     /// Tells whether somebody else in flight at a death may be to blame for it: a fresh request, or
@@ -197,25 +229,28 @@
     }
 
     fn fresh(&self, fingerprint: Fingerprint, death: &Death) -> bool {
-        death
-            .flights
-            .iter()
-            .any(|flight| flight.fingerprint == fingerprint && flight.ran < self.settings.probation)
+        ran(fingerprint, death) < self.settings.probation
     }
 
-    /// Deaths that blame a fingerprint: it was there, nobody refused was, and it has not run to
+    /// Deaths that blame each fingerprint: it was there, nobody refused was, and it has not run to
     /// its end since.
-    fn blames(&self, fingerprint: Fingerprint) -> Vec<&Death> {
-        let passed = self.facts.passed.get(&fingerprint).copied();
-        let mut blames = Vec::new();
+    fn blames(&self) -> Blames<'_> {
+        let mut blames = Blames::new();
         for death in self.facts.deaths.values() {
-            if !holds(death, fingerprint) || passed.is_some_and(|at| at >= death.at) {
-                continue;
-            }
             if self.explained(death) {
                 continue;
             }
-            blames.push(death);
+            for flight in &death.flights {
+                let passed = self.facts.passed.get(&flight.fingerprint);
+                if passed.is_some_and(|at| *at >= death.at) {
+                    continue;
+                }
+                let of = blames.entry(flight.fingerprint).or_default();
+                // The same content may have been in flight twice.
+                if of.last().is_none_or(|last| *last != death) {
+                    of.push(death);
+                }
+            }
         }
         blames
     }
@@ -228,6 +263,13 @@
     }
 }
 
+/// How long a request had run when its server died; of several with the content the shortest.
+fn ran(fingerprint: Fingerprint, death: &Death) -> Duration {
+    let flights = death.flights.iter();
+    let own = flights.filter(|flight| flight.fingerprint == fingerprint);
+    own.map(|flight| flight.ran).min().unwrap_or(Duration::MAX)
+}
+
 fn holds(death: &Death, fingerprint: Fingerprint) -> bool {
     death
         .flights
--- a/components/contract/tests/poison.rs
+++ b/components/contract/tests/poison.rs
@@ -168,6 +168,8 @@
 #[case::alone_the_first_time(&[(1, 1), (2, 60)], &[(1, 1), (3, 1)], &[1])]
 #[case::different_batches(&[(1, 1), (2, 1)], &[(3, 1), (4, 1)], &[])]
 #[case::late_strike(&[(1, 60), (2, 60)], &[(1, 60), (3, 60)], &[1])]
+#[case::late_strike_then_accident(&[(1, 60), (2, 60)], &[(1, 1), (3, 60)], &[])]
+#[case::late_strike_then_at_once(&[(1, 60), (2, 60)], &[(1, 0), (3, 60)], &[1])]
 #[case::late_strike_same_batch(&[(1, 60), (2, 60)], &[(1, 60), (2, 60)], &[])]
 #[case::prompt_beside_one_that_ran_on(&[(1, 1), (2, 1)], &[(1, 1), (2, 60)], &[1])]
 fn two_deaths(
--- a/components/measure/src/calls/desk.rs
+++ b/components/measure/src/calls/desk.rs
@@ -105,10 +105,11 @@
         }
     }
 
-    /// Hand-overs that the services saw.
-    pub(super) fn calls(&self) -> usize {
+    /// Hand-overs that the services saw, of calls with this key.
+    pub(super) fn calls(&self, key: Option<&str>) -> usize {
         let services = self.0.services.iter();
-        services.map(|service| service.calls().len()).sum()
+        let calls = services.flat_map(|service| service.calls());
+        calls.filter(|call| call.key.as_deref() == key).count()
     }
 }
 
