--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -6,17 +6,14 @@
         Arc, Mutex,
         atomic::{
             AtomicBool,
-            AtomicU32,
             Ordering, //
         },
     },
 };
 
-use environment::document::Release;
 use names::{
     Host,
-    Server,
-    Service, //
+    Server, //
 };
 use tokio::sync::{
     mpsc,
@@ -43,10 +40,11 @@
     /// The link, while there is one.
     pub(crate) link: watch::Sender<Option<Joined>>,
     /// What it last said.
-    pub(crate) heartbeat: Mutex<Heartbeat>,
+    heartbeat: Mutex<Heartbeat>,
     /// The platform's list says that the host leaves.
     listed_leaving: AtomicBool,
-    in_flight: Arc<AtomicU32>,
+    /// Pieces of work of this entry at the peer.
+    work: Arc<watch::Sender<u32>>,
 }
 
 /// A link that is up.
@@ -59,9 +57,6 @@
     pub(crate) frames: mpsc::Sender<Frame>,
 }
 
-/// One piece of work at a peer; dropping it ends the count.
-pub(crate) struct Sent(Arc<AtomicU32>);
-
 impl Peer {
     fn new(host: Host) -> Self {
         Self {
@@ -69,7 +64,7 @@
             link: watch::Sender::new(None),
             heartbeat: Mutex::default(),
             listed_leaving: AtomicBool::new(false),
-            in_flight: Arc::default(),
+            work: Arc::new(watch::Sender::new(0)),
         }
     }
 
@@ -79,20 +74,41 @@
         joined.filter(|joined| !joined.link.is_closed())
     }
 
-    /// Counts a piece of work sent to this peer.
-    pub(crate) fn send(&self) -> Sent {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        Sent(self.in_flight.clone())
+    /// The count of work of this entry at the peer.
+    pub(crate) fn counter(&self) -> &Arc<watch::Sender<u32>> {
+        &self.work
     }
 
-    /// Takes the host list's word on whether the host leaves.
-    pub(crate) fn listed(&self, leaving: bool) {
-        self.listed_leaving.store(leaving, Ordering::Release);
+    /// Takes the host list's word on whether the host leaves; tells whether it changed.
+    pub(crate) fn listed(&self, leaving: bool) -> bool {
+        self.listed_leaving.swap(leaving, Ordering::AcqRel) != leaving
     }
 
     /// Pieces of work of this entry at the peer.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Acquire)
+        *self.work.borrow()
+    }
+
+    /// Changes of the number of pieces of work.
+    pub(crate) fn work(&self) -> watch::Receiver<u32> {
+        self.work.subscribe()
+    }
+
+    /// Takes a heartbeat; tells whether the peer began to leave with it.
+    pub(crate) fn hear(&self, heartbeat: Heartbeat) -> bool {
+        let mut last = self.heartbeat.lock().expect("no panic while held");
+        let begins = heartbeat.leaving && !last.leaving;
+        *last = heartbeat;
+        begins
+    }
+
+    /// What the peer last said, and whether the host list says that it leaves.
+    pub(crate) fn last(&self) -> (Heartbeat, bool) {
+        let heartbeat = self.heartbeat.lock().expect("no panic while held");
+        (
+            heartbeat.clone(),
+            self.listed_leaving.load(Ordering::Acquire),
+        )
     }
 
     /// May this peer get new work?
@@ -102,17 +118,18 @@
         heartbeat.healthy && !heartbeat.leaving && !listed_leaving
     }
 
-    fn load(&self) -> u32 {
+    /// Capacity and load that the backend server reported, when it may get work.
+    fn reported(&self, service: &str) -> Option<(u32, u32)> {
+        let joined = self.joined()?;
+        let backend = joined.hello.backend.as_ref()?;
+        if backend.service != service || !self.takes_work() {
+            return None;
+        }
         let heartbeat = self.heartbeat.lock().expect("no panic while held");
-        let reported = heartbeat.load.map_or(0, |load| load.running + load.queued);
+        let load = heartbeat.load.unwrap_or_default();
         // The report lags; what we have sent ourselves is known at once.
-        reported.max(self.in_flight())
-    }
-}
-
-impl Drop for Sent {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        let running = (load.running + load.queued).max(self.in_flight());
+        Some((load.capacity, running))
     }
 }
 
@@ -152,35 +169,24 @@
         servers
     }
 
-    /// Chooses a replica: the least loaded that is not to be avoided, or else the least loaded.
-    pub(crate) fn choose(
-        &self,
-        service: &Service,
-        release: &Release,
-        avoid: &[Server],
-    ) -> Option<(Arc<Peer>, Joined, Server)> {
-        let mut best: Option<(bool, u32, Arc<Peer>, Joined, Server)> = None;
+    /// Capacity and load of the replicas of a service that this entry has links to.
+    pub(crate) fn load(&self, service: &str) -> (u32, u32) {
+        let mut sum = (0, 0);
         for peer in self.all() {
-            if !peer.takes_work() {
-                continue;
-            }
-            let Some(joined) = peer.joined() else {
-                continue;
-            };
-            let Some(backend) = joined.hello.backend.clone() else {
+            let Some((capacity, load)) = peer.reported(service) else {
                 continue;
             };
-            if backend.service != *service
-                || backend.version != release.name
-                || !release.runs_on(&backend.server)
-            {
-                continue;
-            }
-            let rank = (avoid.contains(&backend.server), peer.load());
-            if best.as_ref().is_none_or(|best| rank < (best.0, best.1)) {
-                best = Some((rank.0, rank.1, peer, joined, backend.server));
-            }
+            sum = (sum.0 + capacity, sum.1 + load);
         }
-        best.map(|(_, _, peer, joined, server)| (peer, joined, server))
+        sum
+    }
+
+    /// The peer beside a backend server, while its link is up.
+    pub(crate) fn beside(&self, server: &str) -> Option<(Arc<Peer>, Joined)> {
+        self.all().into_iter().find_map(|peer| {
+            let joined = peer.joined()?;
+            let backend = joined.hello.backend.as_ref()?;
+            (backend.server == server).then(|| (peer.clone(), joined.clone()))
+        })
     }
 }
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -6,14 +6,15 @@
     time::Duration, //
 };
 
-use daemon::greeting;
+use daemon::greeting::{
+    self,
+    Pace, //
+};
 use events::links;
 use tokio::{
     sync::mpsc,
     time::{
         Instant,
-        MissedTickBehavior,
-        interval,
         sleep, //
     },
 };
@@ -130,13 +131,17 @@
     let (frames, waiting) = mpsc::channel(WAITING);
     let beats = state.heartbeat.subscribe();
     let times = &state.settings.times;
-    let pace = {
-        let peer = peer.clone();
-        let (busy, rest) = (times.heartbeat, times.rest);
-        move || if peer.in_flight() > 0 { busy } else { rest }
+    let pace = Pace {
+        busy: times.heartbeat,
+        rest: times.rest,
     };
-    let beat = greeting::beat(stream.sender, beats, waiting, times.heartbeat, pace);
-    tokio::spawn(beat);
+    tokio::spawn(greeting::beat(
+        stream.sender,
+        beats,
+        waiting,
+        peer.work(),
+        pace,
+    ));
     let (told, others) = (state.clone(), frames.clone());
     tokio::spawn(async move { told.suspects.tell(others).await });
     let joined = Joined {
@@ -144,6 +149,8 @@
         hello,
         frames,
     };
+    state.pool.up(&joined.hello);
+    let backend = joined.hello.backend.clone();
     peer.link.send_replace(Some(joined));
     let reason = tokio::select! {
         reason = link.closed() => reason,
@@ -152,6 +159,9 @@
         () = stop.cancelled() => "not needed any more".into(),
     };
     link.close();
+    if let Some(backend) = backend {
+        state.pool.lost(&backend.server);
+    }
     events::emit!(links::LOST, "host={} reason=\"{reason}\"", peer.host);
 }
 
@@ -162,14 +172,18 @@
 /// send acknowledgements at least, so silence means that it is not there, or not on this link. The
 /// limit of a link at rest is longer, as heartbeats are rare there: the transport's idle timeout.
 async fn hush(peer: &Peer, link: &Link, silence: Duration) {
-    let mut ticks = interval(silence / LOOKS);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut work = peer.work();
     let mut received = link.bytes().1;
     let mut heard = Instant::now();
     loop {
-        ticks.tick().await;
+        if *work.borrow_and_update() == 0 {
+            // The peer lives as long as the link does, so this wait ends only with work.
+            let _ = work.wait_for(|work| *work > 0).await;
+            heard = Instant::now();
+        }
+        sleep(silence / LOOKS).await;
         let now = link.bytes().1;
-        if now != received || peer.in_flight() == 0 {
+        if now != received {
             received = now;
             heard = Instant::now();
         }
@@ -184,11 +198,10 @@
     loop {
         match receiver.receive().await {
             Ok(Some(Frame::Heartbeat(heartbeat))) => {
-                let mut last = peer.heartbeat.lock().expect("no panic while held");
-                if heartbeat.leaving && !last.leaving {
+                if peer.hear(heartbeat) {
                     events::emit!(links::LEAVING, "host={}", peer.host);
                 }
-                *last = heartbeat;
+                state.tell_pool(peer);
             }
             Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
             Ok(Some(_)) => {}
--- a/components/models/src/lib.rs
+++ b/components/models/src/lib.rs
@@ -4,6 +4,7 @@
 //! a broken twin, a variant of the specification that the search must catch; a model that can't
 //! fail proves nothing.
 
+pub mod answer;
 pub mod contract;
 pub mod orders;
 pub mod search;
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -5,9 +5,15 @@
     sync::Arc, //
 };
 
-use daemon::greeting;
+use daemon::greeting::{
+    self,
+    Pace, //
+};
 use events::links;
-use tokio::sync::mpsc;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
 use tokio_util::sync::CancellationToken;
 use wire::{
     Error,
@@ -47,14 +53,13 @@
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
     let (others, waiting) = mpsc::channel(1);
-    let rest = state.settings.times.rest;
-    tokio::spawn(greeting::beat(
-        first.sender,
-        beats,
-        waiting,
-        rest,
-        move || rest,
-    ));
+    // Watching for silence is left to the entries.
+    let (_work, rest) = watch::channel(0);
+    let pace = Pace {
+        busy: state.settings.times.rest,
+        rest: state.settings.times.rest,
+    };
+    tokio::spawn(greeting::beat(first.sender, beats, waiting, rest, pace));
     tokio::spawn(listen(state.clone(), first.receiver));
     let told = state.clone();
     tokio::spawn(async move { told.suspects.tell(others).await });
