Test sidecars that are stopped and links that fall silent at each step of a call

Ruled out: SIGSTOP of a process of its own (blocking each thread of a daemon's runtime stops it as well, in one process).

--- a/components/trial/src/host.rs
+++ b/components/trial/src/host.rs
@@ -2,7 +2,9 @@
 
 use std::{
     future::Future,
-    io, //
+    io,
+    thread,
+    time::Duration, //
 };
 
 use tokio::runtime::{
@@ -53,6 +55,17 @@
         }
     }
 
+    /// Stops everything that the daemon does for a time, as a stopped process or machine would: each
+    /// thread of its runtime is blocked. Its sockets stay, and its peers hear nothing.
+    pub fn pause(&self, time: Duration) {
+        let Some(runtime) = &self.runtime else {
+            return;
+        };
+        for _ in 0..THREADS {
+            runtime.spawn(async move { thread::sleep(time) });
+        }
+    }
+
     /// Tells the daemon to stop, as the platform's signal does.
     pub fn stop(&self) {
         self.stop.cancel();
--- a/components/trial/src/trial.rs
+++ b/components/trial/src/trial.rs
@@ -148,6 +148,22 @@
         Ok(())
     }
 
+    /// Address of a host's links, as the platform's list has it.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        let host = self.hosts.iter().find(|host| host.name == name);
+        host.map(|host| host.address)
+    }
+
+    /// Makes the platform's list give another address for a host, such as that of a relay.
+    pub fn readdress(&mut self, name: &str, address: SocketAddr) {
+        for host in &mut self.hosts {
+            if host.name == name {
+                host.address = address;
+            }
+        }
+        self.platform.set_hosts(self.hosts.clone());
+    }
+
     /// Callers' base address of an entry.
     pub fn callers(&self, entry: usize) -> String {
         let daemon = self.entries[entry].daemon.as_ref();
