--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,9 +11,13 @@
 
 use argh::FromArgs;
 
+mod admission;
 mod links;
 mod moves;
 mod process;
+mod routing;
+mod slopes;
+mod spread;
 mod table;
 mod tokens;
 
@@ -27,8 +31,11 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Admission(admission::Args),
     Links(links::Args),
     Moves(moves::Args),
+    Routing(routing::Args),
+    Slopes(slopes::Args),
     Tokens(tokens::Args),
     Version(Version),
 }
@@ -41,11 +48,20 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Admission(args) => {
+            admission::print(&args);
+            Ok(())
+        }
         What::Links(args) => live(links::run(args)),
         What::Moves(args) => {
             moves::print(&args);
             Ok(())
         }
+        What::Routing(args) => {
+            routing::print(&args);
+            Ok(())
+        }
+        What::Slopes(args) => slopes::print(&args),
         What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -150,7 +150,9 @@
         let mean = open.iter().map(|number| score(*number)).sum::<f64>() / open.len().max(1) as f64;
         let fits = |number: usize| {
             let slack = self.settings.slack / self.capacity(number);
-            score(number) <= mean * self.settings.bound + slack
+            // Near its capacity a replica would be full before its next report tells.
+            let bound = (mean * self.settings.bound).min(mean.max(self.settings.keep));
+            score(number) <= bound + slack
         };
         let mut found = Vec::new();
         for number in self
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -9,6 +9,9 @@
     pub affine: usize,
     /// Load, relative to the mean of the group, up to which a replica gets work for its prefixes.
     pub bound: f64,
+    /// Load, relative to capacity, above which it gets work for its prefixes only while it is
+    /// below the mean.
+    pub keep: f64,
     /// Runs beyond that bound that are always allowed, so that small groups can keep prefixes.
     pub slack: f64,
     /// Load, relative to capacity, at which a replica gets no new work.
@@ -46,6 +49,7 @@
         Settings {
             affine: 2,
             bound: 1.25,
+            keep: 0.8,
             slack: 1.0,
             full: 1.0,
             assumed: 8,
