--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -8,17 +8,22 @@
     Method,
     Response,
     StatusCode,
-    Url,
-    header::RETRY_AFTER, //
+    Url, //
 };
 use serde::{
     Deserialize,
-    Serialize,
-    de::DeserializeOwned, //
+    Serialize, //
 };
 
 use crate::{
     Error,
+    answer::{
+        expect_ok,
+        failure,
+        read,
+        retry_after,
+        written, //
+    },
     hosts::Host,
     store::{
         Change,
@@ -33,9 +38,6 @@
 /// Entries asked for in one page of a listing.
 const PAGE: usize = 500;
 
-/// Time to come back in when the platform is busy and names none.
-const RETRY: Duration = Duration::from_secs(1);
-
 /// How long reads are retried, in units of one call's time-out, unless set otherwise.
 const PATIENCE: u32 = 4;
 
@@ -90,16 +92,6 @@
     lease: Lease,
 }
 
-#[derive(Deserialize)]
-struct Written {
-    revision: Revision,
-}
-
-#[derive(Deserialize)]
-struct Conflict {
-    entry: Option<Entry>,
-}
-
 #[derive(Deserialize)]
 struct Hosts {
     hosts: Vec<Host>,
@@ -371,56 +363,3 @@
         }
     }
 }
-
-/// A request that never got a connection can't have had an effect; any other may.
-fn failure(error: &reqwest::Error) -> Error {
-    if error.is_connect() {
-        return Error::Outage;
-    }
-    if error.is_builder() {
-        return Error::Malformed(error.to_string());
-    }
-    Error::Unanswered
-}
-
-fn retry_after(response: &Response) -> Duration {
-    let header = response.headers().get(RETRY_AFTER);
-    let seconds = header.and_then(|value| value.to_str().ok()?.parse().ok());
-    seconds.map_or(RETRY, Duration::from_secs)
-}
-
-fn expect_ok(response: &Response) -> Result<(), Error> {
-    if response.status() == StatusCode::OK {
-        return Ok(());
-    }
-    Err(Error::Malformed(format!("status {}", response.status())))
-}
-
-async fn read<T: DeserializeOwned>(response: Response) -> Result<T, Error> {
-    expect_ok(&response)?;
-    body(response).await
-}
-
-async fn body<T: DeserializeOwned>(response: Response) -> Result<T, Error> {
-    // A body that breaks off is a lost answer; one that can't be read is a wrong one.
-    let bytes = response.bytes().await.map_err(|error| failure(&error))?;
-    serde_json::from_slice(&bytes).map_err(|error| Error::Malformed(error.to_string()))
-}
-
-async fn written(response: Response) -> Result<Write, Error> {
-    match response.status() {
-        StatusCode::CONFLICT => {
-            let conflict: Conflict = body(response).await?;
-            Ok(Write::Conflict {
-                entry: conflict.entry,
-            })
-        }
-        StatusCode::NOT_FOUND => Err(Error::UnknownLease),
-        _ => {
-            let written: Written = read(response).await?;
-            Ok(Write::Done {
-                revision: written.revision,
-            })
-        }
-    }
-}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! The contracts are `docs/interfaces/store.md` and `docs/interfaces/hosts.md`. One method of
 //! [`Client`] is one attempt; [`Client::settle`] and [`Client::get_within`] stand above that.
 
+mod answer;
 mod client;
 mod error;
 pub mod hosts;
