--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -20,6 +20,10 @@
     },
     handover,
     outcome::Reason,
+    poison::{
+        self,
+        Verdict, //
+    },
     record,
     store::{
         Read,
@@ -49,7 +53,10 @@
 };
 
 use crate::{
-    fleet::Joined,
+    pool::{
+        Replica,
+        Wish, //
+    },
     problem::{
         Code,
         Problem,
@@ -100,6 +107,9 @@
         .find(|release| release.name == version)
         .ok_or_else(|| Problem::new(Code::Unavailable, "the route has no such version"))?;
     let mut driver = Driver::new(state, provision, release, call);
+    if let Verdict::Refused { left } = driver.verdict() {
+        return Err(refusal(Reason::Poisonous, Some(left)));
+    }
     let outcome = driver.run().await;
     if matches!(outcome, Outcome::Unknown { .. }) {
         events::emit!(
@@ -187,6 +197,12 @@
         }
     }
 
+    fn verdict(&self) -> Verdict {
+        let call = &self.call;
+        let fingerprint = poison::of_call(&call.team, &call.service, &self.digest);
+        self.state.suspects.verdict(fingerprint)
+    }
+
     /// Drives the call to its outcome.
     async fn run(&mut self) -> Outcome {
         let store = self.state.outage.over();
@@ -229,26 +245,28 @@
 
     /// Sends the call to a replica that was not tried yet, and waits for what becomes of it.
     async fn send(&mut self, base: Revision) -> Event {
-        let chosen = self
-            .state
-            .fleet
-            .choose(&self.provision.name, self.release, &self.avoid);
-        let Some((peer, joined, server)) = chosen else {
+        let wish = Wish {
+            service: &self.provision.name,
+            release: self.release,
+            prefix: None,
+            avoid: &self.avoid,
+            resume: false,
+        };
+        let Ok(replica) = self.state.replica(&wish) else {
             return Event::Unsent;
         };
-        let _sent = peer.send();
-        self.avoid.push(server);
+        self.avoid.push(replica.server.clone());
         self.call.kept = (self.class == Class::Kept).then(|| Kept {
             send: rand::random(),
             base,
             digest: self.digest.clone(),
             ask: self.ask.clone(),
         });
-        self.exchange(&joined).await
+        self.exchange(&replica).await
     }
 
-    async fn exchange(&self, joined: &Joined) -> Event {
-        let Ok(mut stream) = joined.link.open().await else {
+    async fn exchange(&self, replica: &Replica) -> Event {
+        let Ok(mut stream) = replica.joined.link.open().await else {
             return Event::Unsent;
         };
         let replied = async {
@@ -259,13 +277,16 @@
                 Ok(_) | Err(_) => None,
             }
         };
-        // The retry budget is the `admission` crate's; until it is here, the bound on the sends of
-        // one call is all there is.
-        let silent = Event::Silent { budget: true };
-        match timeout(self.state.settings.times.call, replied).await {
-            Ok(Some(reply)) => event(reply).unwrap_or(silent),
-            Ok(None) | Err(_) => silent,
+        let replied = timeout(self.state.settings.times.call, replied).await;
+        let event = replied.ok().flatten().and_then(event);
+        match &event {
+            Some(Event::Replied(_)) => replica.sent.served(),
+            Some(_) => {}
+            None => replica.sent.ended(routing::Outcome::Failed),
         }
+        event.unwrap_or_else(|| Event::Silent {
+            budget: self.class == Class::Repeatable && self.state.gates.retry(),
+        })
     }
 }
 
@@ -273,6 +294,10 @@
 fn event(reply: Reply) -> Option<Event> {
     match reply {
         Reply::Kept(reply) => Some(Event::Replied(*reply)),
+        Reply::NotRun(refused) if refused.reason == wire::frame::Reason::Poisonous => {
+            let outcome = Outcome::not_run(Reason::Poisonous, refused.retry_after);
+            Some(Event::Replied(handover::Reply::Outcome(outcome)))
+        }
         // The sidecar refused before it did anything.
         Reply::NotRun(_) => Some(Event::Unsent),
         Reply::Unknown => None,
@@ -316,7 +341,8 @@
     }
 }
 
-fn refusal(reason: Reason, retry_after: Option<Duration>) -> Problem {
+/// A call or request that was not run.
+pub(crate) fn refusal(reason: Reason, retry_after: Option<Duration>) -> Problem {
     let (code, message) = match reason {
         Reason::StoreOut => (Code::Unavailable, "the call can't be recorded now"),
         Reason::Silent => (Code::Unavailable, "the replica fell silent before the call"),
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -12,6 +12,8 @@
 use argh::FromArgs;
 
 mod admission;
+mod calls;
+mod idle;
 mod links;
 mod moves;
 mod process;
@@ -32,6 +34,8 @@
 #[argh(subcommand)]
 enum What {
     Admission(admission::Args),
+    Calls(calls::Args),
+    Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
     Routing(routing::Args),
@@ -52,6 +56,11 @@
             admission::print(&args);
             Ok(())
         }
+        What::Calls(args) => {
+            calls::print(&args);
+            Ok(())
+        }
+        What::Idle(args) => live(idle::run(args)),
         What::Links(args) => live(links::run(args)),
         What::Moves(args) => {
             moves::print(&args);
