Don't believe load reports that can't be true

Ruled out: leaving such a replica out (a sender can't tell a wrong report from one that is a little later than it says), taking the group's mean load (a sender with little work there would shun it). Change: a report below the sender's own work of that time, by more than two, is replaced by own work times what the rest of the group shows for each piece of it. The usual time of a request follows its first readings faster.

--- a/components/admission/src/pace.rs
+++ b/components/admission/src/pace.rs
@@ -6,7 +6,7 @@
 
 use crate::Settings;
 
-/// Weight of a new reading in the usual time.
+/// Weight of a new reading in the usual time, once there have been some.
 const FRESH: f64 = 0.05;
 
 /// How often the concurrency is adapted to late requests.
@@ -25,6 +25,8 @@
     most: f64,
     factor: f64,
     usual: f64,
+    /// Requests that went into the usual time.
+    finished: u32,
     turn: Clock,
     begun: u32,
     late: u32,
@@ -36,6 +38,7 @@
             most: f64::from(settings.start),
             factor: 1.0,
             usual: settings.usual.as_secs_f64(),
+            finished: 0,
             turn: Clock::ZERO,
             begun: 0,
             late: 0,
@@ -48,7 +51,10 @@
 
     /// Notes a finished request.
     pub(crate) fn finished(&mut self, time: Duration, first: Option<Duration>, target: Duration) {
-        self.usual = self.usual * (1.0 - FRESH) + time.as_secs_f64() * FRESH;
+        // The first ones count more, so that a wrong first guess is soon forgotten.
+        self.finished = self.finished.saturating_add(1);
+        let weight = FRESH.max(1.0 / f64::from(self.finished.saturating_add(1)));
+        self.usual = self.usual * (1.0 - weight) + time.as_secs_f64() * weight;
         let Some(first) = first else {
             return;
         };
--- a/components/routing/src/member.rs
+++ b/components/routing/src/member.rs
@@ -21,6 +21,9 @@
 /// Time between two remembered levels; with [`LEVELS`] the longest lag that is corrected exactly.
 const SPACING: Duration = Duration::from_millis(100);
 
+/// Own work that a report may lack and still be true: it was under way when the reading was taken.
+const PLAUSIBLE: u32 = 2;
+
 /// Load by failures below which they no longer count, in runs.
 const FORGOTTEN: f64 = 0.05;
 
@@ -97,6 +100,8 @@
     capacity: u32,
     /// Own work that the report holds.
     own_then: u32,
+    /// Work of other senders for each piece of own work, when the report can't be true.
+    guessed: Option<f64>,
     levels: VecDeque<(Clock, u32)>,
 }
 
@@ -131,6 +136,23 @@
         self.load.own_then = self.own_at(now.saturating_sub(report.age));
     }
 
+    /// Whether the report is below what this sender alone had there. A replica that reports too
+    /// little for long would be filled by each sender as if it were the only one.
+    pub(crate) fn implausible(&self) -> bool {
+        self.load.reported + PLAUSIBLE < self.load.own_then
+    }
+
+    /// What the report says of own work and of all work.
+    pub(crate) fn reported(&self) -> (u32, u32) {
+        (self.load.own_then, self.load.reported)
+    }
+
+    /// Sets what to take for the work of others, for each piece of own work, in place of the
+    /// report.
+    pub(crate) fn guess(&mut self, others: Option<f64>) {
+        self.load.guessed = others;
+    }
+
     pub(crate) fn sent(&mut self, now: Clock) {
         self.own += 1;
         self.trial = !self.proved;
@@ -212,8 +234,12 @@
     /// replaced by what this sender knows now. Else a burst goes to whichever replica last
     /// reported to be idle.
     pub(crate) fn load(&self) -> f64 {
+        let own = f64::from(self.own);
+        if let Some(others) = self.load.guessed {
+            return own * (1.0 + others);
+        }
         let others = self.load.reported.saturating_sub(self.load.own_then);
-        f64::from(others) + f64::from(self.own)
+        f64::from(others) + own
     }
 
     pub(crate) fn capacity(&self, settings: &Settings) -> f64 {
--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -29,7 +29,7 @@
 /// Time that a request is taken to need before any was served.
 const USUAL: Duration = Duration::from_secs(10);
 
-/// Weight of a new reading in the usual time.
+/// Weight of a new reading in the usual time, once there have been some.
 const FRESH: f64 = 0.05;
 
 /// What a replica serves, and where.
@@ -49,6 +49,8 @@
     pub(crate) members: Vec<usize>,
     /// Mean time of a served request.
     pub(crate) usual: Duration,
+    /// Served requests that went into it.
+    served: u32,
 }
 
 /// The replicas that work can go to.
@@ -96,6 +98,7 @@
         let group = self.groups.entry(place.clone()).or_insert_with(|| Group {
             members: Vec::new(),
             usual: USUAL,
+            served: 0,
         });
         group.members.push(number);
         self.index.insert(server.clone(), (number, place.clone()));
@@ -122,9 +125,31 @@
 
     /// Takes a replica's report. Reports of servers that are not known are ignored.
     pub fn learn(&mut self, now: Clock, server: &Server, report: &Report) {
-        if let Some((number, _)) = self.index.get(server) {
-            self.members[*number].learn(now, report);
+        let Some((number, place)) = self.index.get(server) else {
+            return;
+        };
+        self.members[*number].learn(now, report);
+        let mut guess = None;
+        if self.members[*number].implausible() {
+            guess = self.groups.get(place).map(|group| self.others_each(group));
+        }
+        self.members[*number].guess(guess);
+    }
+
+    /// Work of other senders for each piece of own work, over the replicas of a group whose
+    /// reports can be true.
+    fn others_each(&self, group: &Group) -> f64 {
+        let (mut own, mut all) = (0, 0);
+        for number in &group.members {
+            let member = &self.members[*number];
+            if member.implausible() {
+                continue;
+            }
+            let reported = member.reported();
+            own += reported.0;
+            all += reported.1;
         }
+        f64::from(all.saturating_sub(own)) / f64::from(own.max(1))
     }
 
     /// Takes another data centre's summary of a version.
@@ -197,9 +222,10 @@
         member.done(now, outcome, group.usual, &self.settings);
         match outcome {
             Outcome::Served { time } => {
-                let usual = group.usual.as_secs_f64() * (1.0 - FRESH);
-                let fresh = time.as_secs_f64() * FRESH;
-                group.usual = Duration::from_secs_f64(usual + fresh);
+                // The first ones count more, so that a wrong first guess is soon forgotten.
+                group.served = group.served.saturating_add(1);
+                let weight = FRESH.max(1.0 / f64::from(group.served.saturating_add(1)));
+                group.usual = group.usual.mul_f64(1.0 - weight) + time.mul_f64(weight);
             }
             Outcome::Failed => {
                 let others = others(&self.members, group, *number, now, &self.settings);
--- a/components/routing/tests/load.rs
+++ b/components/routing/tests/load.rs
@@ -83,6 +83,31 @@
     assert_matches!(bench.choose(None), Choice::Server(_));
 }
 
+// A replica's reports are stuck at no load. Each sender sees its own work there and nothing of the
+// others', so that all together bring it far beyond its capacity.
+#[test]
+fn reports_that_can_t_be_true_are_not_believed() {
+    let mut bench = Bench::new(10, Settings::default(), 1);
+    let mut counts = vec![0; 10];
+    for _ in 0..280 {
+        let server = bench.send(None);
+        let number: usize = server[1..].parse().expect("servers are numbered");
+        counts[number] += 1;
+        bench.pass(SECOND);
+        for (number, count) in counts.iter().enumerate() {
+            // Two other senders do as much as this one.
+            let running = if number == 0 { 0 } else { 3 * count };
+            let report = Report {
+                capacity: 100,
+                ..report(running)
+            };
+            bench.report(number, report);
+        }
+    }
+    // An even share is 28.
+    assert!(counts[0] <= 32, "{counts:?}");
+}
+
 #[test]
 fn work_of_other_senders_counts() {
     let mut bench = Bench::new(2, Settings::default(), 1);
