Begin with room: an entry that knows nothing yet refuses nobody for it

Cause: a gate began with room for 16 requests of 10 s each, and is only told of its replicas some 200 ms after the first one came. Change: 128 at the begin and 1 s a request until the first ends; both errors are set right by the first reports and ends. Conclusion: mended in the crate.

--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -5,9 +5,11 @@
 /// Settings of a gate. The defaults are those measured in `docs/design/admission.md`.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Concurrency before any report.
+    /// Concurrency before any report. Rather too high: an entry that has just begun gets a burst
+    /// before it hears of its replicas, and the first report sets it right.
     pub start: u32,
-    /// Time of a request before any was finished.
+    /// Time of a request before any was finished. Rather too short: then some wait for nothing, and
+    /// no longer than their patience; too long, and those are refused that could be served.
     pub usual: Duration,
     /// Share of capacity that is aimed at; the rest is for what other entries do meanwhile.
     pub aim: f64,
@@ -32,8 +34,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            start: 16,
-            usual: Duration::from_secs(10),
+            start: 128,
+            usual: Duration::from_secs(1),
             aim: 1.0,
             reserve: 0.1,
             first: Duration::from_millis(1900),
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -638,3 +638,24 @@
         assert_eq!(bench.gate.waiting(), 0, "seed {seed}");
     }
 }
+
+// An entry has just begun, and sixty callers come to it at once before any replica has reported
+// and any request has ended. Refused for what the entry doesn't know, they would be told to come
+// back to engines that are idle.
+#[test]
+fn burst_at_the_begin_is_served() {
+    let mut gate = Gate::new(Settings::default());
+    let mut rng = StdRng::seed_from_u64(1);
+    let team = "a".to_string();
+    for _ in 0..60 {
+        let arrival = Arrival {
+            team: &team,
+            limit: FREE,
+            cost: 1,
+            patience: SECOND,
+            resume: false,
+        };
+        let verdict = gate.arrive(SECOND, &arrival, &mut rng);
+        assert_eq!(verdict, Verdict::Admit);
+    }
+}
