--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,12 +11,15 @@
 
 use argh::FromArgs;
 
+mod admission;
 mod calls;
 mod idle;
 mod links;
 mod moves;
 mod process;
 mod resumes;
+mod routing;
+mod slopes;
 mod table;
 mod tokens;
 
@@ -30,11 +33,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Admission(admission::Args),
     Calls(calls::Args),
     Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
     Resumes(resumes::Args),
+    Routing(routing::Args),
+    Slopes(slopes::Args),
     Tokens(tokens::Args),
     Version(Version),
 }
@@ -47,6 +53,10 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Admission(args) => {
+            admission::print(&args);
+            Ok(())
+        }
         What::Calls(args) => {
             calls::print(&args);
             Ok(())
@@ -61,6 +71,11 @@
             resumes::print(&args);
             Ok(())
         }
+        What::Routing(args) => {
+            routing::print(&args);
+            Ok(())
+        }
+        What::Slopes(args) => slopes::print(&args),
         What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
