--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -130,11 +130,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct Times {
-    /// Time between heartbeats on a link.
+    /// Time between heartbeats on a link; it is lost after three of them.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
-    pub heartbeat: Duration,
-    /// A link on which nothing came for this time is given up.
+    pub rest: Duration,
+    /// Time limit of a greeting, of a health check, and of connecting to the backend server.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub silence: Duration,
@@ -167,7 +167,7 @@
 impl Default for Times {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(500),
+            rest: Duration::from_secs(2),
             silence: Duration::from_millis(1500),
             grace: Duration::from_secs(30),
             load: Duration::from_millis(500),
