--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -166,6 +166,7 @@
         heartbeat,
         records: Records::new(platform.clone()),
         outage: Outage::default(),
+        suspects: Arc::default(),
         platform,
         fleet: Fleet::default(),
         hosts: Hosts::default(),
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -142,6 +142,8 @@
         peer.work(),
         pace,
     ));
+    let (told, others) = (state.clone(), frames.clone());
+    tokio::spawn(async move { told.suspects.tell(others).await });
     let joined = Joined {
         link: link.clone(),
         hello,
@@ -150,7 +152,7 @@
     peer.link.send_replace(Some(joined));
     let reason = tokio::select! {
         reason = link.closed() => reason,
-        reason = read(peer, stream.receiver) => reason,
+        reason = read(state, peer, stream.receiver) => reason,
         () = hush(peer, &link, times.silence) => "silent while there is work on it".into(),
         () = stop.cancelled() => "not needed any more".into(),
     };
@@ -187,7 +189,7 @@
 }
 
 /// Reads a link's first stream, and says why that ended.
-async fn read(peer: &Peer, mut receiver: Receiver) -> String {
+async fn read(state: &State, peer: &Peer, mut receiver: Receiver) -> String {
     loop {
         match receiver.receive().await {
             Ok(Some(Frame::Heartbeat(heartbeat))) => {
@@ -197,6 +199,7 @@
                 }
                 *last = heartbeat;
             }
+            Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
             Ok(Some(_)) => {}
             Ok(None) => return "ended by the peer".into(),
             Err(error) => return error.to_string(),
