--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -104,7 +104,7 @@
         .await?;
         tokio::spawn(hosts::follow(state.clone()));
         tokio::spawn(links::accept(state.clone()));
-        tokio::spawn(documents::follow(state.clone()));
+        tokio::spawn(documents::driver::follow(state.clone()));
         tokio::spawn(announce(state.clone(), ready));
         events::emit!(
             process::STARTED,
@@ -180,13 +180,26 @@
     })
 }
 
-/// Becomes ready with the first document; stops being ready when the entry leaves, so that the
-/// balancer sends nothing more.
+/// Is ready with a document while it can be no older than what this host served by before; stops
+/// being ready when the entry leaves, so that the balancer sends nothing more.
 async fn announce(state: Arc<State>, ready: watch::Sender<Readiness>) {
     let mut revisions = state.documents.revisions();
-    if revisions.wait_for(|revision| *revision > 0).await.is_ok() {
-        events::emit!(process::READY, "host={}", state.settings.name);
-        ready.send_replace(Readiness::Ready);
+    let mut readiness = state.documents.readiness();
+    loop {
+        let serves = *readiness.borrow_and_update() && *revisions.borrow_and_update() > 0;
+        let was = matches!(*ready.borrow(), Readiness::Ready);
+        if serves && !was {
+            events::emit!(process::READY, "host={}", state.settings.name);
+        }
+        ready.send_replace(match serves {
+            true => Readiness::Ready,
+            false => Readiness::Waiting("no document that is known to be the newest".into()),
+        });
+        tokio::select! {
+            () = state.leaving.cancelled() => break,
+            changed = revisions.changed() => if changed.is_err() { break },
+            changed = readiness.changed() => if changed.is_err() { break },
+        }
     }
     state.leaving.cancelled().await;
     ready.send_replace(Readiness::Waiting("shutting down".into()));
--- a/components/entry/src/documents.rs
+++ b/components/entry/src/documents.rs
@@ -1,42 +1,70 @@
-//! The document in force in this entry.
+//! The document in force in this entry, and its spread.
 
 use std::{
-    sync::Arc,
-    time::Duration, //
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
 };
 
 use arc_swap::ArcSwapOption;
 use environment::Document;
 use events::documents;
-use names::Revision;
-use tokio::{
-    sync::watch,
-    time::sleep, //
+use names::{
+    Host,
+    Revision, //
+};
+use spread::{
+    Edition,
+    Event,
+    message::Account, //
+};
+use tokio::sync::{
+    mpsc,
+    watch, //
 };
 
-use crate::state::State;
+pub(crate) mod driver;
+pub(crate) mod edit;
 
-/// Pause after a failed reading of the store.
-const PAUSE: Duration = Duration::from_millis(500);
+/// Events that wait for the board; beyond it messages are dropped, since heartbeats repair that.
+const WAITING: usize = 4096;
 
-/// The document in force, if any.
+/// The document in force, if any, and the way to the board that decides on it.
 pub(crate) struct Documents {
     held: ArcSwapOption<Held>,
     revision: watch::Sender<Revision>,
+    ready: watch::Sender<bool>,
+    events: mpsc::Sender<Event>,
+    /// Taken by the driver.
+    waiting: Mutex<Option<mpsc::Receiver<Event>>>,
+    surveys: Mutex<HashMap<u64, mpsc::UnboundedSender<Account>>>,
+    survey: AtomicU64,
 }
 
 /// A document with its revision.
 pub(crate) struct Held {
     pub(crate) revision: Revision,
-    pub(crate) text: String,
+    pub(crate) digest: u64,
     pub(crate) document: Document,
 }
 
 impl Default for Documents {
     fn default() -> Self {
+        let (events, waiting) = mpsc::channel(WAITING);
         Self {
             held: ArcSwapOption::empty(),
             revision: watch::Sender::new(0),
+            ready: watch::Sender::new(false),
+            events,
+            waiting: Mutex::new(Some(waiting)),
+            surveys: Mutex::default(),
+            survey: AtomicU64::new(0),
         }
     }
 }
@@ -47,26 +75,80 @@
 }
 
 impl Documents {
-    /// The document in force.
+    /// The document to serve by; none while this entry may have missed a newer one.
     pub(crate) fn current(&self) -> Option<Arc<Held>> {
+        match *self.ready.borrow() {
+            true => self.held(),
+            false => None,
+        }
+    }
+
+    /// The document in force, whether it may be served by or not.
+    pub(crate) fn held(&self) -> Option<Arc<Held>> {
         self.held.load_full()
     }
 
+    /// Changes of whether this entry may serve.
+    pub(crate) fn readiness(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
     /// Changes of the revision in force.
     pub(crate) fn revisions(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
     }
 
-    /// Takes a document unless it is older than the one in force.
-    fn take(&self, revision: Revision, text: String) {
-        if *self.revision.borrow() >= revision {
-            return;
+    /// Gives an event to the board.
+    pub(crate) fn event(&self, event: Event) {
+        // A full queue drops it: documents and facts are sent again where digests differ.
+        let _ = self.events.try_send(event);
+    }
+
+    /// A process said something about documents.
+    pub(crate) fn message(&self, from: &Host, bytes: &[u8]) {
+        match postcard::from_bytes(bytes) {
+            Ok(message) => self.event(Event::Message {
+                from: from.clone(),
+                message,
+            }),
+            Err(error) => {
+                events::emit!(documents::MESSAGE, "host={from} reason=\"{error}\"");
+            }
+        }
+    }
+
+    /// Asks all data centres what is in force there; answers come as long as the number is kept.
+    pub(crate) fn survey(&self) -> (u64, mpsc::UnboundedReceiver<Account>) {
+        let number = self.survey.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut surveys = self.surveys.lock().expect("no panic while held");
+        surveys.insert(number, sender);
+        drop(surveys);
+        self.event(Event::Survey { survey: number });
+        (number, receiver)
+    }
+
+    /// Ends a survey.
+    pub(crate) fn surveyed(&self, number: u64) {
+        let mut surveys = self.surveys.lock().expect("no panic while held");
+        surveys.remove(&number);
+    }
+
+    fn account(&self, number: u64, account: Account) {
+        let surveys = self.surveys.lock().expect("no panic while held");
+        if let Some(survey) = surveys.get(&number) {
+            let _ = survey.send(account);
         }
-        match environment::parse(&text) {
+    }
+
+    /// Takes a document that came into force.
+    fn take(&self, edition: &Edition) {
+        let revision = edition.revision;
+        match environment::parse(&edition.text) {
             Ok(document) => {
                 self.held.store(Some(Arc::new(Held {
                     revision,
-                    text,
+                    digest: edition.digest,
                     document,
                 })));
                 events::emit!(documents::IN_FORCE, "revision={revision}");
@@ -81,59 +163,3 @@
         }
     }
 }
-
-/// Reads the document and watches it for changes.
-pub(crate) async fn follow(state: Arc<State>) {
-    let key = key(&state.settings.environment);
-    let mut after = None;
-    let mut out = false;
-    loop {
-        let step = tokio::select! {
-            () = state.ended.cancelled() => return,
-            step = read(&state, &key, after) => step,
-        };
-        match step {
-            Ok(revision) => {
-                after = Some(revision);
-                out = false;
-            }
-            Err(error) => {
-                if !out {
-                    events::emit!(documents::STORE_OUT, "reason=\"{error}\"");
-                }
-                out = true;
-                after = None;
-                sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn read(
-    state: &State,
-    key: &str,
-    after: Option<Revision>,
-) -> Result<Revision, platform::Error> {
-    let Some(after) = after else {
-        let listing = state.platform.list(key).await?;
-        for entry in listing.entries {
-            if entry.key == key {
-                state.documents.take(entry.revision, entry.value);
-            }
-        }
-        return Ok(listing.revision);
-    };
-    let change = state
-        .platform
-        .watch(key, after, state.settings.times.watch)
-        .await?;
-    for event in change.events {
-        if event.key != key {
-            continue;
-        }
-        if let Some(value) = event.value {
-            state.documents.take(event.revision, value);
-        }
-    }
-    Ok(change.revision)
-}
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -55,7 +55,6 @@
     pub(crate) link: Link,
     pub(crate) hello: Hello,
     /// Frames for the link's first stream.
-    #[expect(dead_code, reason = "The spread of documents goes through it.")]
     pub(crate) frames: mpsc::Sender<Frame>,
 }
 
--- a/components/entry/src/hosts.rs
+++ b/components/entry/src/hosts.rs
@@ -30,6 +30,10 @@
     self,
     Candidate, //
 };
+use spread::membership::{
+    self,
+    Listing, //
+};
 use tokio::time::{
     Instant,
     MissedTickBehavior,
@@ -83,6 +87,7 @@
         match state.platform.hosts().await {
             Ok(hosts) => {
                 out = false;
+                state.documents.event(spread::Event::List(listings(&hosts)));
                 state.hosts.learn(&state, hosts);
             }
             Err(error) => {
@@ -109,7 +114,30 @@
     joined.clone()
 }
 
+/// The list as the spread of documents takes it.
+fn listings(hosts: &[platform::hosts::Host]) -> Vec<Listing> {
+    let listing = |host: &platform::hosts::Host| Listing {
+        host: host.name.clone(),
+        data_centre: host.data_centre.clone(),
+        role: match host.role {
+            Role::Entry => membership::Role::Entry,
+            Role::Sidecar => membership::Role::Sidecar,
+        },
+        leaving: host.state == HostState::Leaving,
+    };
+    hosts.iter().map(listing).collect()
+}
+
 impl Hosts {
+    /// Number of data centres that have an entry, the own one included.
+    pub(crate) fn data_centres(&self, own: &str) -> usize {
+        let known = self.known.lock().expect("no panic while held");
+        let entries = known.values().filter(|host| host.role == Role::Entry);
+        let mut names: HashSet<_> = entries.map(|host| host.data_centre.as_str()).collect();
+        names.insert(own);
+        names.len()
+    }
+
     /// Takes a reading of the list.
     fn learn(&self, state: &State, hosts: Vec<platform::hosts::Host>) {
         let mut known = self.known.lock().expect("no panic while held");
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -200,6 +200,7 @@
                 *last = heartbeat;
             }
             Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
+            Ok(Some(Frame::Spread(bytes))) => state.documents.message(&peer.host, &bytes),
             Ok(Some(_)) => {}
             Ok(None) => return "ended by the peer".into(),
             Err(error) => return error.to_string(),
--- a/components/entry/src/problem.rs
+++ b/components/entry/src/problem.rs
@@ -40,6 +40,8 @@
     NotFound,
     /// The same key came with another request.
     KeyReused,
+    /// Somebody else came first.
+    Conflict,
     /// The system is full, or the team is over its limit.
     Busy,
     /// Nothing can serve it now.
@@ -117,6 +119,7 @@
             Code::Invalid => StatusCode::BAD_REQUEST,
             Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Code::NotFound => StatusCode::NOT_FOUND,
+            Code::Conflict => StatusCode::CONFLICT,
             Code::KeyReused | Code::Refused => StatusCode::UNPROCESSABLE_ENTITY,
             Code::Busy => StatusCode::TOO_MANY_REQUESTS,
             Code::Unavailable | Code::Interrupted => StatusCode::SERVICE_UNAVAILABLE,
--- a/components/environment/src/lib.rs
+++ b/components/environment/src/lib.rs
@@ -27,5 +27,6 @@
     Error,
     MAX_BYTES,
     parse,
-    read, //
+    read,
+    rename, //
 };
--- a/components/environment/src/parse.rs
+++ b/components/environment/src/parse.rs
@@ -65,6 +65,25 @@
     Err(problems)
 }
 
+/// Gives a document's text another environment; everything else stays as it is, comments too.
+pub fn rename(text: &str, environment: &str) -> Option<String> {
+    let document = parse(text).ok()?;
+    let line = Path::root().field("environment").line(text)?;
+    let mut lines: Vec<_> = text.lines().map(str::to_string).collect();
+    let line = lines.get_mut(line - 1)?;
+    let (name, value) = line.split_once(':')?;
+    let value = value.replacen(&document.environment, environment, 1);
+    *line = format!("{name}:{value}");
+    let mut renamed = lines.join("\n");
+    renamed.push('\n');
+    // A text in which the name stands elsewhere on the line is refused rather than spoilt.
+    let wanted = Document {
+        environment: environment.into(),
+        ..document
+    };
+    (parse(&renamed).ok()? == wanted).then_some(renamed)
+}
+
 /// What the library expects, and how a person would put it.
 const EXPECTED: [(&str, &str); 6] = [
     (
--- a/components/environment/tests/document.rs
+++ b/components/environment/tests/document.rs
@@ -8,7 +8,8 @@
     difference,
     digest,
     parse,
-    read, //
+    read,
+    rename, //
 };
 use rstest::rstest;
 
@@ -178,3 +179,13 @@
     assert_eq!(document.limit("statements").weight, 4);
     assert_eq!(document.limit("nobody").in_flight, 20);
 }
+
+// A trial is promoted: its text goes on under the name of production. A name that stands in the
+// text elsewhere must stay as it is, and so must the comments.
+#[test]
+fn a_text_is_renamed_for_another_environment() {
+    let text = "# About e.\nenvironment: 'e' # Here e.\nservices: []\nroutes: []\n";
+    let wanted = "# About e.\nenvironment: 'production' # Here e.\nservices: []\nroutes: []\n";
+    assert_eq!(rename(text, "production").as_deref(), Some(wanted));
+    assert_eq!(rename("not a document", "production"), None);
+}
--- a/components/events/src/documents.rs
+++ b/components/events/src/documents.rs
@@ -7,4 +7,9 @@
     STORE_OUT = 501, Warn, "Store can't be read";
     /// The store holds a document that this version can't read; the last one stays in force.
     UNREADABLE = 502, Error, "Stored document can't be read";
+    /// This process stood still and may have missed a document; it takes no requests until it
+    /// knows.
+    PAUSED = 503, Warn, "Process stood still";
+    /// Another process sent what this version can't read.
+    MESSAGE = 504, Warn, "Message on documents can't be read";
 }
