--- a/src/cli.rs
+++ b/src/cli.rs
@@ -84,8 +84,12 @@
     Check(EnvCheck),
     /// Put a document in force.
     Put(EnvPut),
+    /// Promote a trial.
+    Promote(EnvPromote),
     /// Show what is in force.
     Status(EnvStatus),
+    /// Show the edits of a document.
+    History(EnvHistory),
 }
 
 /// Check a document without putting it; works offline.
@@ -95,9 +99,13 @@
     /// the document, YAML
     #[argh(positional)]
     pub document: PathBuf,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
 }
 
-/// Put a document in force.
+/// Put a document in force, unless somebody else has edited it meanwhile. What changes is shown
+/// first.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "put")]
 pub struct EnvPut {
@@ -107,15 +115,78 @@
     /// operators' address of any entry, such as http://127.0.0.1:7101
     #[argh(option)]
     pub entry: String,
+    /// who makes the edit, for the history; the name of the login if not given
+    #[argh(option)]
+    pub operator: Option<String>,
+    /// id of the edit, to repeat one whose outcome is unknown
+    #[argh(option)]
+    pub edit: Option<String>,
+    /// revision that the document was made from, if that isn't the one in force now
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// show what changes, and put nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+}
+
+/// Put a trial's document in force elsewhere, exactly as it was tried.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "promote")]
+pub struct EnvPromote {
+    /// environment of the trial
+    #[argh(option)]
+    pub from: String,
+    /// environment that gets the document
+    #[argh(option)]
+    pub to: String,
+    /// revision of the trial that was tried, if that isn't the newest
+    #[argh(option)]
+    pub revision: Option<u64>,
+    /// operators' address of any entry, such as http://127.0.0.1:7101
+    #[argh(option)]
+    pub entry: String,
+    /// who makes the edit, for the history; the name of the login if not given
+    #[argh(option)]
+    pub operator: Option<String>,
+    /// id of the edit, to repeat one whose outcome is unknown
+    #[argh(option)]
+    pub edit: Option<String>,
+    /// show what changes, and promote nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
 }
 
-/// Show which document is in force at entries.
+/// Show which document is in force where.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 pub struct EnvStatus {
-    /// operators' address of an entry; may be given more than once
+    /// operators' address of an entry; may be given more than once, to see each alone
     #[argh(option)]
     pub entry: Vec<String>,
+    /// environment; that of the first entry if not given
+    #[argh(option)]
+    pub environment: Option<String>,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+}
+
+/// Show who edited a document, newest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct EnvHistory {
+    /// the environment
+    #[argh(positional)]
+    pub environment: String,
+    /// operators' address of any entry, such as http://127.0.0.1:7101
+    #[argh(option)]
+    pub entry: String,
     /// text or json
     #[argh(option, default = "Format::Text")]
     pub format: Format,
