--- a/components/spread/src/reach.rs
+++ b/components/spread/src/reach.rs
@@ -146,6 +146,9 @@
             self.grown.extend(keys);
             self.informed = readers.clone();
         }
+        if self.grown.is_empty() {
+            return;
+        }
         let neighbours = self.neighbours();
         let far = self.all_readers(now);
         let mut facts: BTreeMap<Host, Vec<_>> = BTreeMap::new();
--- a/src/cmd/env/screen.rs
+++ b/src/cmd/env/screen.rs
@@ -28,7 +28,7 @@
         println!("{environment}: nothing changes");
         return;
     }
-    println!("{environment}: {} changes", changes.len());
+    println!("{environment}: changes: {}", changes.len());
     lines(changes);
 }
 
@@ -60,7 +60,7 @@
             "{:16} {:16} {:>8}  {:16}  {}",
             word(one.get("host")),
             word(one.get("environment")),
-            one["revision"],
+            one["revision"].to_string(),
             word(one.get("digest")),
             if one["ready"] == true { "yes" } else { "no" }
         );
@@ -139,7 +139,7 @@
         "{at} {:16} {:16} {:>8}  {trial}",
         word(record.get("operator")),
         word(record.get("id")),
-        record["replaced"]
+        record["replaced"].to_string()
     )
 }
 
