--- a/components/trial/tests/documents.rs
+++ b/components/trial/tests/documents.rs
@@ -214,6 +214,31 @@
     assert_eq!(kept["edit"]["id"], "e1");
 }
 
+// Several operators press the button at the same moment, at different entries. All but one must be
+// told that they came too late; otherwise somebody's edit is gone without a word.
+#[tokio::test]
+async fn of_many_edits_at_once_one_is_accepted() {
+    let (trial, base) = system(1, 2).await;
+    let edits = (0..16).map(|number| {
+        let query = format!("base={base}&edit=e{number}&operator=o{number}");
+        let address = format!(
+            "{}/environments/production?{query}",
+            trial.operators(number % 2)
+        );
+        let request = trial.client.put(address).body(document("production", 10));
+        tokio::spawn(async move { read(request.send().await).await.0 })
+    });
+    let edits: Vec<_> = edits.collect();
+    let mut accepted = 0;
+    for edit in edits {
+        match edit.await.expect("an edit ends") {
+            StatusCode::OK => accepted += 1,
+            status => assert_eq!(status, StatusCode::CONFLICT),
+        }
+    }
+    assert_eq!(accepted, 1);
+}
+
 // The store is out. The operator must get a clear no, soon, with nothing half done; entries go on.
 #[tokio::test]
 async fn a_put_in_an_outage_is_a_clear_no() {
