--- a/components/entry/src/documents.rs
+++ b/components/entry/src/documents.rs
@@ -10,6 +10,7 @@
             Ordering, //
         }, //
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -22,11 +23,15 @@
 use spread::{
     Edition,
     Event,
+    board::PAUSED,
     message::Account, //
 };
-use tokio::sync::{
-    mpsc,
-    watch, //
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::Instant, //
 };
 
 pub(crate) mod driver;
@@ -40,6 +45,9 @@
     held: ArcSwapOption<Held>,
     revision: watch::Sender<Revision>,
     ready: watch::Sender<bool>,
+    origin: Instant,
+    /// Milliseconds from the origin to the board's last tick.
+    ticked: AtomicU64,
     events: mpsc::Sender<Event>,
     /// Taken by the driver.
     waiting: Mutex<Option<mpsc::Receiver<Event>>>,
@@ -61,6 +69,8 @@
             held: ArcSwapOption::empty(),
             revision: watch::Sender::new(0),
             ready: watch::Sender::new(false),
+            origin: Instant::now(),
+            ticked: AtomicU64::new(0),
             events,
             waiting: Mutex::new(Some(waiting)),
             surveys: Mutex::default(),
@@ -77,12 +87,27 @@
 impl Documents {
     /// The document to serve by; none while this entry may have missed a newer one.
     pub(crate) fn current(&self) -> Option<Arc<Held>> {
-        match *self.ready.borrow() {
+        match self.serves() {
             true => self.held(),
             false => None,
         }
     }
 
+    /// Tells whether this entry may serve by what it holds.
+    ///
+    /// When a process that stood still goes on, requests that came meanwhile may be looked at
+    /// before the board is: so the board's last tick must not lie far back either.
+    pub(crate) fn serves(&self) -> bool {
+        let ticked = Duration::from_millis(self.ticked.load(Ordering::Acquire));
+        *self.ready.borrow() && self.origin.elapsed().saturating_sub(ticked) < PAUSED
+    }
+
+    /// The board has seen that time passed, and its actions were done.
+    fn tick(&self) {
+        let now = self.origin.elapsed().as_millis() as u64;
+        self.ticked.store(now, Ordering::Release);
+    }
+
     /// The document in force, whether it may be served by or not.
     pub(crate) fn held(&self) -> Option<Arc<Held>> {
         self.held.load_full()
--- a/components/entry/src/documents/driver.rs
+++ b/components/entry/src/documents/driver.rs
@@ -115,6 +115,8 @@
         for action in self.board.handle(event, self.state.now()) {
             self.act(action);
         }
+        // Every event makes the board look at the time, as a tick does.
+        self.state.documents.tick();
     }
 
     /// Says in the log when the store stops answering.
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -345,7 +345,7 @@
             environment: &self.state.settings.environment,
             revision,
             digest,
-            ready: *self.state.documents.readiness().borrow(),
+            ready: self.state.documents.serves(),
             servers: self.state.fleet.servers(),
         }));
     }
