--- a/components/measure/src/spread.rs
+++ b/components/measure/src/spread.rs
@@ -4,7 +4,10 @@
 //! that knows of no other: it holds a waiting watch of its own, with the same pauses and the same
 //! limit on silence. A third row sends documents whole where the spread sends the change alone.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use argh::FromArgs;
 use mesh::{
@@ -75,6 +78,8 @@
     rest: u64,
     /// Store calls a second at rest, of all hosts.
     calls: f64,
+    /// Processor time at rest of one host, as a share of a core, what joins the boards included.
+    load: f64,
 }
 
 /// Prints the tables.
@@ -104,6 +109,7 @@
         "mean",
         "B/s at rest, most",
         "store calls/s, all",
+        "% of a core at rest",
     ];
     table::print(&heading, &rows);
 }
@@ -123,7 +129,7 @@
         all.sort_unstable();
         all[all.len() / 2]
     };
-    let calls = samples.iter().map(|s| s.calls).sum::<f64>() / samples.len() as f64;
+    let mean = |of: fn(&Sample) -> f64| samples.iter().map(of).sum::<f64>() / samples.len() as f64;
     vec![
         format!("{} in {data_centres}", data_centres * each),
         format!("{way:?}").to_lowercase(),
@@ -134,7 +140,8 @@
         format!("{:.1}", median(|s| s.most) as f64 / 1024.0),
         format!("{:.1}", median(|s| s.mean) as f64 / 1024.0),
         median(|s| s.rest).to_string(),
-        format!("{calls:.2}"),
+        format!("{:.2}", mean(|s| s.calls)),
+        format!("{:.3}", mean(|s| s.load) * 100.0),
     ]
 }
 
@@ -169,7 +176,10 @@
     // The phase of the watches must not be that of the start.
     mesh.run(10 * SECOND + SECOND.mul_f64(seed as f64 * 0.37 % 6.0));
     mesh.reset();
+    let rested = Instant::now();
     mesh.run(Duration::from_secs(REST));
+    let hosts = (data_centres * each) as f64;
+    let load = rested.elapsed().as_secs_f64() / REST as f64 / hosts;
     let counts: Vec<_> = mesh.nodes.values().map(|node| node.count).collect();
     let rest = counts
         .iter()
@@ -198,6 +208,7 @@
         mean: bytes.iter().sum::<u64>() / bytes.len() as u64,
         rest,
         calls,
+        load,
     }
 }
 
--- a/src/cmd/env.rs
+++ b/src/cmd/env.rs
@@ -44,8 +44,13 @@
 fn check(args: &EnvCheck) -> Result<(), Failure> {
     let read = load(&args.document);
     if args.format == Format::Json {
-        let problem = read.as_ref().err().map(ToString::to_string);
-        println!("{}", json!({"accepted": read.is_ok(), "problems": problem}));
+        let problems = read.as_ref().err().map(ToString::to_string);
+        let problems = problems.unwrap_or_default();
+        let problems: Vec<_> = problems.lines().collect();
+        println!(
+            "{}",
+            json!({"accepted": read.is_ok(), "problems": problems})
+        );
         return read.map(|_| ());
     }
     let (text, document) = read?;
