--- a/components/entry/src/documents.rs
+++ b/components/entry/src/documents.rs
@@ -23,11 +23,14 @@
 use spread::{
     Edition,
     Event,
+    Fact,
+    Key,
     board::PAUSED,
     message::Account, //
 };
 use tokio::{
     sync::{
+        broadcast,
         mpsc,
         watch, //
     },
@@ -51,6 +54,10 @@
     events: mpsc::Sender<Event>,
     /// Taken by the driver.
     waiting: Mutex<Option<mpsc::Receiver<Event>>>,
+    /// Facts that came from other processes.
+    known: broadcast::Sender<(Key, Fact)>,
+    /// This entry watches the store, and sums up its data centre's evidence.
+    reads: watch::Sender<bool>,
     surveys: Mutex<HashMap<u64, mpsc::UnboundedSender<Account>>>,
     survey: AtomicU64,
 }
@@ -73,6 +80,8 @@
             ticked: AtomicU64::new(0),
             events,
             waiting: Mutex::new(Some(waiting)),
+            known: broadcast::Sender::new(WAITING),
+            reads: watch::Sender::new(false),
             surveys: Mutex::default(),
             survey: AtomicU64::new(0),
         }
@@ -129,6 +138,25 @@
         let _ = self.events.try_send(event);
     }
 
+    /// Spreads a fact that this entry found out.
+    #[expect(dead_code, reason = "Moves go through it.")]
+    pub(crate) fn learn(&self, key: Key, fact: Fact) {
+        self.event(Event::Learn { key, fact });
+    }
+
+    /// Facts that other processes found out, from now on. Whoever lags by [`WAITING`] of
+    /// them misses some.
+    #[expect(dead_code, reason = "Moves go through it.")]
+    pub(crate) fn known(&self) -> broadcast::Receiver<(Key, Fact)> {
+        self.known.subscribe()
+    }
+
+    /// Changes of whether this entry is a reader of its data centre, and sums up its evidence.
+    #[expect(dead_code, reason = "Moves go through it.")]
+    pub(crate) fn reads(&self) -> watch::Receiver<bool> {
+        self.reads.subscribe()
+    }
+
     /// A process said something about documents.
     pub(crate) fn message(&self, from: &Host, bytes: &[u8]) {
         match postcard::from_bytes(bytes) {
--- a/components/entry/src/documents/driver.rs
+++ b/components/entry/src/documents/driver.rs
@@ -112,9 +112,15 @@
 impl Driver {
     fn handle(&mut self, event: Event) {
         self.note(&event);
+        let ticks = matches!(event, Event::Tick { .. });
         for action in self.board.handle(event, self.state.now()) {
             self.act(action);
         }
+        if ticks {
+            let reads = self.board.reads(self.state.now());
+            let changed = |last: &mut bool| std::mem::replace(last, reads) != reads;
+            self.state.documents.reads.send_if_modified(changed);
+        }
         // Every event makes the board look at the time, as a tick does.
         self.state.documents.tick();
     }
@@ -169,7 +175,12 @@
                 events::emit!(documents::PAUSED, "host={}", self.state.settings.name);
                 self.state.documents.ready.send_replace(false);
             }
-            Action::Known { .. } => {}
+            Action::Known { key } => {
+                if let Some(fact) = self.board.facts().get(&key) {
+                    // Nobody listens while no move is under way.
+                    let _ = self.state.documents.known.send((key, fact.clone()));
+                }
+            }
             Action::Account { survey, account } => {
                 self.state.documents.account(survey, account);
             }
--- a/components/spread/src/fact.rs
+++ b/components/spread/src/fact.rs
@@ -41,7 +41,8 @@
     Veto(Environment, Move),
     /// A request brings servers down; the fingerprint is of its content and team.
     Poison(u64),
-    /// Counts and histograms of a move; the text names what was counted.
+    /// Counts and histograms of a move; the text names what was counted. A process that starts
+    /// anew counts from 0 and would be the lighter, so its incarnation belongs into the text.
     Evidence(Source, String),
 }
 
