--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -17,9 +17,11 @@
 mod links;
 mod moves;
 mod process;
+mod range;
 mod resumes;
 mod routing;
 mod slopes;
+mod spread;
 mod table;
 mod tokens;
 
@@ -41,6 +43,7 @@
     Resumes(resumes::Args),
     Routing(routing::Args),
     Slopes(slopes::Args),
+    Spread(spread::Args),
     Tokens(tokens::Args),
     Version(Version),
 }
@@ -76,6 +79,10 @@
             Ok(())
         }
         What::Slopes(args) => slopes::print(&args),
+        What::Spread(args) => {
+            spread::print(&args);
+            Ok(())
+        }
         What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
--- a/components/measure/src/routing.rs
+++ b/components/measure/src/routing.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 
 use crate::{
-    spread::Spread,
+    range::Spread,
     table, //
 };
 
--- a/components/trial/tests/relay/mod.rs
+++ b/components/trial/tests/relay/mod.rs
@@ -1,7 +1,10 @@
 //! A relay for UDP that can stop passing anything on, as a middlebox that forgot a connection.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        hash_map::Entry, //
+    },
     net::SocketAddr,
     sync::{
         Arc,
@@ -47,11 +50,11 @@
         if cut.load(Ordering::SeqCst) {
             continue;
         }
-        if !peers.contains_key(&from) {
+        if let Entry::Vacant(vacant) = peers.entry(from) {
             let own = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
             own.connect(to).await.unwrap();
             tokio::spawn(back(socket.clone(), own.clone(), from, cut.clone()));
-            peers.insert(from, own);
+            vacant.insert(own);
         }
         let _ = peers[&from].send(&buffer[..length]).await;
     }
