Search moves whole over the production movers

Too strong at first: a veto that died with its only knower can't hold; the invariant now covers vetoes that another entry knows. Ruled out: a search from the move's very begin with two losses: not ended after 300 s. Change: two entries from halfway through the ramp, any interleaving of runs, bursts of failures, facts, lost calls and answers, one restart; four broken twins, caught, with their traces.

--- a/components/models/src/lib.rs
+++ b/components/models/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod answer;
 pub mod contract;
+pub mod moves;
 pub mod orders;
 pub mod search;
