--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -142,19 +142,26 @@
         peer.work(),
         pace,
     ));
+    let (told, others) = (state.clone(), frames.clone());
+    tokio::spawn(async move { told.suspects.tell(others).await });
     let joined = Joined {
         link: link.clone(),
         hello,
         frames,
     };
+    state.pool.up(&joined.hello);
+    let backend = joined.hello.backend.clone();
     peer.link.send_replace(Some(joined));
     let reason = tokio::select! {
         reason = link.closed() => reason,
-        reason = read(peer, stream.receiver) => reason,
+        reason = read(state, peer, stream.receiver) => reason,
         () = hush(peer, &link, times.silence) => "silent while there is work on it".into(),
         () = stop.cancelled() => "not needed any more".into(),
     };
     link.close();
+    if let Some(backend) = backend {
+        state.pool.lost(&backend.server);
+    }
     events::emit!(links::LOST, "host={} reason=\"{reason}\"", peer.host);
 }
 
@@ -187,16 +194,16 @@
 }
 
 /// Reads a link's first stream, and says why that ended.
-async fn read(peer: &Peer, mut receiver: Receiver) -> String {
+async fn read(state: &State, peer: &Peer, mut receiver: Receiver) -> String {
     loop {
         match receiver.receive().await {
             Ok(Some(Frame::Heartbeat(heartbeat))) => {
-                let mut last = peer.heartbeat.lock().expect("no panic while held");
-                if heartbeat.leaving && !last.leaving {
+                if peer.hear(heartbeat) {
                     events::emit!(links::LEAVING, "host={}", peer.host);
                 }
-                *last = heartbeat;
+                state.tell_pool(peer);
             }
+            Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
             Ok(Some(_)) => {}
             Ok(None) => return "ended by the peer".into(),
             Err(error) => return error.to_string(),
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,6 +11,8 @@
 
 use argh::FromArgs;
 
+mod calls;
+mod idle;
 mod links;
 mod moves;
 mod process;
@@ -27,6 +29,8 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Calls(calls::Args),
+    Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
     Tokens(tokens::Args),
@@ -41,6 +45,11 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Calls(args) => {
+            calls::print(&args);
+            Ok(())
+        }
+        What::Idle(args) => live(idle::run(args)),
         What::Links(args) => live(links::run(args)),
         What::Moves(args) => {
             moves::print(&args);
