Let the entry's picks follow the moves

Change: the entry keeps a mover a move, picks each request's version by it, witnesses first token, time between tokens and end, keeps the record in the store, and shows moves at GET /reports/moves; events MH0600 to MH0604. Facts aren't spread between entries yet: each judges by its own requests, and reads the record every ten seconds.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -32,6 +32,7 @@
     document::Release, //
 };
 use events::answers;
+use moves::step::Ending;
 use names::{
     Epoch,
     Index,
@@ -59,6 +60,10 @@
         Attempt, //
     },
     gates::Pass,
+    moves::{
+        Picked,
+        Witness, //
+    },
     pool::Wish,
     state::State,
 };
@@ -76,6 +81,8 @@
     pub(crate) team: Team,
     pub(crate) target: Target,
     pub(crate) release: Release,
+    /// The move that picked the version, if any.
+    pub(crate) picked: Option<Picked>,
     pub(crate) continues: bool,
     pub(crate) model: String,
     pub(crate) prompt: String,
@@ -131,6 +138,7 @@
     begun: Instant,
     /// When the last tokens came, and from which epoch.
     last: Option<(Instant, Epoch)>,
+    witness: Witness,
 }
 
 async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
@@ -145,6 +153,7 @@
         events,
         begun: Instant::now(),
         last: None,
+        witness: Witness::new(ask.picked.clone()),
         ask,
         pass,
     };
@@ -200,6 +209,15 @@
                 Event::Tokens { epoch, .. } => Some(*epoch),
                 _ => None,
             };
+            if let Event::End {
+                epoch,
+                finish: Finish::Broken(why),
+                ..
+            } = &event
+                && let Some(attempt) = self.attempts.get(epoch)
+            {
+                self.witness.broken(&self.state, &attempt.server, *why);
+            }
             let before = self.resume.next();
             let mut actions = Vec::new();
             let now = self.state.now();
@@ -244,6 +262,8 @@
             }
             Action::Finish(finish) => {
                 let usage = self.usage();
+                let count = self.kept.len();
+                self.witness.ended(&self.state, Ending::Whole, count);
                 pieces.push(Piece::Finish(finish, usage));
             }
             Action::Interrupt {
@@ -256,6 +276,11 @@
                     self.ask.request,
                     self.kept.len()
                 );
+                let ending = match reason {
+                    Interruption::TooManyEpochs | Interruption::Deadline => Ending::Failed,
+                    _ => Ending::Excused,
+                };
+                self.witness.ended(&self.state, ending, self.kept.len());
                 pieces.push(Piece::Interrupt(reason, retry_after));
             }
         }
@@ -396,6 +421,8 @@
             }
         }
         self.last = Some((now, epoch));
+        let count = self.kept.len() + fresh as usize;
+        self.witness.tokens(&self.state, self.begun, count);
     }
 
     fn usage(&self) -> Usage {
--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -102,7 +102,7 @@
         };
         let team = team(req);
         let held = super::router::document(state)?;
-        let target = held
+        let mut target = held
             .document
             .route(req.uri().path(), &team, &body.model, |name| {
                 header(req, name)
@@ -132,6 +132,12 @@
             None => None,
         };
         let request = name(&team, key.as_deref(), &bytes);
+        let mut release = release.clone();
+        let servers = state.fleet.servers();
+        let document = &held.document;
+        let picked = state
+            .movers
+            .pick(document, &request, &servers, &mut target, &mut release);
         let ask = Ask {
             seed: body.seed.unwrap_or_else(|| xxh3_64(request.as_bytes())),
             resumable: key.is_some(),
@@ -140,7 +146,8 @@
             team,
             continues: provision.contract.continues,
             model: provision.model.clone(),
-            release: release.clone(),
+            release,
+            picked,
             target,
             max_tokens: body.max_tokens.unwrap_or(state.settings.limits.tokens),
             temperature: body.temperature,
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -50,7 +50,12 @@
         self,
         Hosts, //
     },
-    links, operators,
+    links,
+    moves::{
+        self,
+        Movers, //
+    },
+    operators,
     pool::Pool,
     state::{
         Pools,
@@ -111,6 +116,7 @@
         tokio::spawn(gates::follow(state.clone()));
         tokio::spawn(links::accept(state.clone()));
         tokio::spawn(documents::follow(state.clone()));
+        tokio::spawn(moves::follow(state.clone()));
         tokio::spawn(announce(state.clone(), ready));
         events::emit!(
             process::STARTED,
@@ -180,6 +186,7 @@
         pool: Pool::new(&settings.data_centre, origin),
         gates: Gates::new(origin),
         documents: Documents::default(),
+        movers: Movers::default(),
         gaps: Pools::default(),
         requests: Requests::default(),
         origin,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod gates;
 mod hosts;
 mod links;
+mod moves;
 mod operators;
 mod pool;
 pub mod problem;
--- /dev/null
+++ b/components/entry/src/moves.rs
@@ -0,0 +1,470 @@
+//! Moves at this entry: the movers, their clock, and the store's records.
+//!
+//! Facts aren't spread between entries yet: each entry judges by its own requests, and learns how a
+//! move ended from the store's record, which it reads every ten seconds. An entry that finds a
+//! version bad writes the record at once.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use answer::finish::Breakage;
+use environment::{
+    Document, Target,
+    document::{
+        Plan,
+        Release, //
+    },
+};
+use events::moves as logged;
+use moves::{
+    Mover, Side,
+    evidence::{
+        Cause,
+        Death,
+        Source, //
+    },
+    mover::Owner,
+    outcome::{
+        Outcome,
+        Record,
+        key, //
+    },
+    step::{
+        Action,
+        Answer,
+        Ending,
+        Event,
+        Notice,
+        Pick, //
+    },
+};
+use names::{
+    Move,
+    Revision,
+    Route,
+    Server,
+    Version, //
+};
+use platform::store::{
+    Expect,
+    Write, //
+};
+use serde::Serialize;
+use tokio::time::{
+    Instant,
+    MissedTickBehavior,
+    interval, //
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::state::State;
+
+/// Time between two ticks of the movers.
+const PACE: Duration = Duration::from_secs(1);
+
+/// Time within which broken generations of one server are taken for one death.
+///
+/// A death breaks all that ran on the server. Counted one by one, a single death would look like
+/// many.
+const ONE_DEATH: Duration = Duration::from_secs(10);
+
+/// Tokens after which the mean time between them is told.
+const TOKENS: usize = 50;
+
+/// The movers of the moves that the document holds, and of those that have yet to end.
+#[derive(Default)]
+pub(crate) struct Movers(Mutex<BTreeMap<Move, Mover>>);
+
+/// A version that a move picked for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Picked {
+    name: Move,
+    pick: Pick,
+}
+
+/// One move as operators see it.
+#[derive(Serialize)]
+pub(crate) struct Progress {
+    name: Move,
+    from: String,
+    to: String,
+    /// The new version's share in thousandths.
+    permille: u32,
+    #[serde(with = "humantime_serde")]
+    by: SystemTime,
+    /// How strongly the evidence speaks against the new version, as an e-value.
+    against: f64,
+    outcome: Option<Outcome>,
+}
+
+impl Movers {
+    /// Picks the version for a request, if a move says so, and points the target and the release
+    /// at it.
+    pub(crate) fn pick(
+        &self,
+        document: &Document,
+        request: &str,
+        servers: &[Server],
+        target: &mut Target,
+        release: &mut Release,
+    ) -> Option<Picked> {
+        let plan = document.moves.iter().find(|plan| moves(plan, target))?;
+        let movers = self.0.lock().expect("no panic while held");
+        let mover = movers.get(&plan.name)?;
+        // The move's name goes in, or the same requests would go first in every move.
+        let seed = xxh3_64_with_seed(plan.name.as_bytes(), 0);
+        let hash = xxh3_64_with_seed(request.as_bytes(), seed);
+        let pick = mover.pick(&target.route, hash, SystemTime::now());
+        let version = match pick.side {
+            Side::Old => &plan.from,
+            Side::New => &plan.to,
+        };
+        let provision = document.service(&target.service)?;
+        let wanted = provision.versions.iter().find(|r| r.name == *version)?;
+        *release = wanted.clone();
+        target.version = version.clone();
+        if pick.side == Side::New
+            && let Some(most) = mover.concentration()
+        {
+            let mut ready = running(servers, wanted);
+            ready.truncate(most as usize);
+            if !ready.is_empty() {
+                release.servers = ready;
+            }
+        }
+        let name = plan.name.clone();
+        Some(Picked { name, pick })
+    }
+
+    /// Every move, for a report.
+    pub(crate) fn progress(&self) -> Vec<Progress> {
+        let movers = self.0.lock().expect("no panic while held");
+        let progress = movers.iter().map(|(name, mover)| Progress {
+            name: name.clone(),
+            from: mover.plan().from.clone(),
+            to: mover.plan().to.clone(),
+            permille: mover.level().permille(),
+            by: mover.plan().by,
+            against: mover.verdict().against,
+            outcome: mover.outcome().cloned(),
+        });
+        progress.collect()
+    }
+}
+
+/// Tells whether a plan moves the requests of a route.
+fn moves(plan: &Plan, target: &Target) -> bool {
+    let version = plan.from == target.version || plan.to == target.version;
+    let route = plan.routes.is_empty() || plan.routes.contains(&target.route);
+    plan.service == target.service && version && route
+}
+
+/// The servers of a release that can take work, in a fixed order.
+fn running(servers: &[Server], release: &Release) -> Vec<Server> {
+    let running = servers.iter().filter(|server| release.runs_on(server));
+    running.cloned().collect()
+}
+
+/// What one request shows of its version.
+pub(crate) struct Witness {
+    picked: Option<Picked>,
+    first: Option<Instant>,
+    told: bool,
+}
+
+impl Witness {
+    pub(crate) fn new(picked: Option<Picked>) -> Self {
+        Self {
+            picked,
+            first: None,
+            told: false,
+        }
+    }
+
+    /// Tokens came; `count` is their number so far.
+    pub(crate) fn tokens(&mut self, state: &Arc<State>, begun: Instant, count: usize) {
+        let Some(picked) = &self.picked else {
+            return;
+        };
+        let now = Instant::now();
+        let Some(first) = self.first else {
+            self.first = Some(now);
+            let pick = picked.pick.clone();
+            let time = now - begun;
+            on(state, &picked.name, Event::First { pick, time });
+            return;
+        };
+        if !self.told && count >= TOKENS {
+            self.told = true;
+            between(state, picked, now - first, count);
+        }
+    }
+
+    /// A generation of the request broke at its server.
+    pub(crate) fn broken(&mut self, state: &Arc<State>, server: &Server, why: Breakage) {
+        let Some(picked) = &self.picked else {
+            return;
+        };
+        match why {
+            Breakage::EngineStalled | Breakage::Repeat | Breakage::Hole => {
+                self.ended(state, Ending::Failed, 0);
+            }
+            Breakage::EngineDied => {
+                let wall = SystemTime::now();
+                let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+                let death = Death {
+                    server: server.clone(),
+                    incarnation: since.as_secs() / ONE_DEATH.as_secs(),
+                    side: picked.pick.side,
+                    slot: picked.pick.slot,
+                    level: picked.pick.level,
+                    cause: Cause::Unexplained,
+                };
+                on(state, &picked.name, Event::Died(death));
+            }
+            Breakage::LogFull | Breakage::Cancelled => {}
+        }
+    }
+
+    /// The request ended, or its generation broke by the version's fault. Later ends of the same
+    /// request say nothing more.
+    pub(crate) fn ended(&mut self, state: &Arc<State>, ending: Ending, count: usize) {
+        let Some(picked) = self.picked.take() else {
+            return;
+        };
+        if let Some(first) = self.first
+            && !self.told
+            && count > 1
+        {
+            between(state, &picked, first.elapsed(), count);
+        }
+        let pick = picked.pick;
+        on(state, &picked.name, Event::Finished { pick, ending });
+    }
+}
+
+fn between(state: &Arc<State>, picked: &Picked, time: Duration, count: usize) {
+    let gaps = u32::try_from(count - 1).unwrap_or(u32::MAX);
+    let event = Event::Between {
+        pick: picked.pick.clone(),
+        time: time / gaps.max(1),
+    };
+    on(state, &picked.name, event);
+}
+
+/// Lets the movers' time pass and follows the document, until the entry ends.
+pub(crate) async fn follow(state: Arc<State>) {
+    let mut ticks = interval(PACE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut seen = 0;
+    loop {
+        tokio::select! {
+            () = state.ended.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let Some(held) = state.documents.current() else {
+            continue;
+        };
+        if held.revision != seen {
+            seen = held.revision;
+            take(&state, &held.document);
+        }
+        ready(&state, &held.document);
+        let names = names(&state);
+        for name in names {
+            on(&state, &name, Event::Tick);
+        }
+    }
+}
+
+fn names(state: &State) -> Vec<Move> {
+    let movers = state.movers.0.lock().expect("no panic while held");
+    movers.keys().cloned().collect()
+}
+
+/// Starts movers of new moves, and tells the others what became of theirs.
+fn take(state: &Arc<State>, document: &Document) {
+    for plan in &document.moves {
+        let routes = routes(document, plan);
+        if names(state).contains(&plan.name) {
+            let plan = plan.clone();
+            on(state, &plan.name.clone(), Event::Planned { plan, routes });
+            continue;
+        }
+        let owner = Owner {
+            source: Source::Entry {
+                host: state.settings.name.clone(),
+                incarnation: state.hello.incarnation,
+            },
+            home: state.settings.data_centre.clone(),
+        };
+        let wall = SystemTime::now();
+        let (mover, actions) = Mover::new(owner, plan.clone(), routes, state.now(), wall);
+        let mut movers = state.movers.0.lock().expect("no panic while held");
+        movers.insert(plan.name.clone(), mover);
+        drop(movers);
+        for action in actions {
+            act(state, &plan.name, action);
+        }
+    }
+    for name in names(state) {
+        if document.moves.iter().any(|plan| plan.name == name) {
+            continue;
+        }
+        if let Some(side) = dropped(state, document, &name) {
+            on(state, &name, Event::Dropped(side));
+        }
+    }
+}
+
+fn routes(document: &Document, plan: &Plan) -> Vec<Route> {
+    let moved = |name: &Route| plan.routes.is_empty() || plan.routes.contains(name);
+    let rules = document.routes.iter();
+    let of_service = rules.filter(|rule| rule.service == plan.service);
+    let names = of_service.map(|rule| rule.name.clone());
+    names.filter(|name| moved(name)).collect()
+}
+
+/// The version that the routes name now that the document no longer holds a move. Forgets the
+/// mover once its outcome is known.
+fn dropped(state: &State, document: &Document, name: &Move) -> Option<Side> {
+    let mut movers = state.movers.0.lock().expect("no panic while held");
+    let mover = movers.get(name)?;
+    if mover.outcome().is_some() {
+        movers.remove(name);
+        return None;
+    }
+    let plan = mover.plan();
+    let mut rules = document.routes.iter();
+    let rule = rules.find(|rule| rule.service == plan.service && rule.version == plan.to);
+    Some(rule.map_or(Side::Old, |_| Side::New))
+}
+
+/// Tells each mover how many replicas of its versions can take work.
+fn ready(state: &Arc<State>, document: &Document) {
+    let servers = state.fleet.servers();
+    for plan in &document.moves {
+        let Some(provision) = document.service(&plan.service) else {
+            continue;
+        };
+        let count = |version: &Version| {
+            let release = provision.versions.iter().find(|r| r.name == *version);
+            release.map_or(0, |release| running(&servers, release).len() as u32)
+        };
+        let event = Event::Ready {
+            old: count(&plan.from),
+            new: count(&plan.to),
+        };
+        on(state, &plan.name, event);
+    }
+}
+
+/// Hands an event to a mover and carries out what it asks for.
+fn on(state: &Arc<State>, name: &Move, event: Event) {
+    let actions = {
+        let mut movers = state.movers.0.lock().expect("no panic while held");
+        let Some(mover) = movers.get_mut(name) else {
+            return;
+        };
+        mover.on(event, state.now(), SystemTime::now())
+    };
+    for action in actions {
+        act(state, name, action);
+    }
+}
+
+fn act(state: &Arc<State>, name: &Move, action: Action) {
+    match action {
+        Action::Read => {
+            tokio::spawn(read(state.clone(), name.clone()));
+        }
+        Action::Write { record, expect } => {
+            tokio::spawn(write(state.clone(), name.clone(), record, expect));
+        }
+        Action::Notice(notice) => log(name, &notice),
+        // The pick reads share and concentration from the mover; the old version's servers stay
+        // in the document.
+        Action::Share(_) | Action::Concentrate(_) | Action::Warm(_) | Action::Publish(_) => {}
+    }
+}
+
+async fn read(state: Arc<State>, name: Move) {
+    let key = key(&state.settings.environment, &name);
+    let answer = match state.platform.get(&key).await {
+        Ok(entry) => standing(entry),
+        Err(_) => Answer::Failed,
+    };
+    // Without facts from peers the record is all there is to hear.
+    on(&state, &name, Event::Stored(answer));
+    on(&state, &name, Event::Synced);
+}
+
+async fn write(state: Arc<State>, name: Move, record: Box<Record>, expect: Revision) {
+    let key = key(&state.settings.environment, &name);
+    let value = serde_json::to_string(&record).expect("a record has a JSON form");
+    let expect = match expect {
+        0 => Expect::Absent,
+        revision => Expect::Revision(revision),
+    };
+    let answer = match state.platform.put(&key, &value, expect, None).await {
+        Ok(Write::Done { revision }) => Answer::Standing {
+            revision,
+            record: Some(record),
+        },
+        Ok(Write::Conflict { entry }) => standing(entry),
+        Err(_) => Answer::Failed,
+    };
+    on(&state, &name, Event::Stored(answer));
+}
+
+fn standing(entry: Option<platform::store::Entry>) -> Answer {
+    let Some(entry) = entry else {
+        return Answer::Standing {
+            revision: 0,
+            record: None,
+        };
+    };
+    match serde_json::from_str(&entry.value) {
+        Ok(record) => Answer::Standing {
+            revision: entry.revision,
+            record: Some(record),
+        },
+        Err(_) => Answer::Failed,
+    }
+}
+
+fn log(name: &Move, notice: &Notice) {
+    match notice {
+        Notice::Tripped(veto) => {
+            let finding = &veto.finding;
+            events::emit!(
+                logged::TRIPPED,
+                "move={name} metric={:?} route={:?} new={}/{} old={}/{}",
+                finding.metric,
+                finding.route,
+                finding.new,
+                finding.of_new,
+                finding.old,
+                finding.of_old
+            );
+        }
+        Notice::Late => events::emit!(logged::LATE, "move={name}"),
+        Notice::Reported(outcome) => {
+            events::emit!(logged::REPORTED, "move={name} end={:?}", outcome.end);
+        }
+        Notice::Learned(outcome) => {
+            events::emit!(logged::LEARNED, "move={name} end={:?}", outcome.end);
+        }
+        Notice::Overruled(_) => events::emit!(logged::OVERRULED, "move={name}"),
+    }
+}
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -36,6 +36,9 @@
         .push(Router::with_path(path).put(Put {
             state: state.clone(),
         }))
+        .push(Router::with_path("reports/moves").get(Moves {
+            state: state.clone(),
+        }))
         .push(Router::with_path("status").get(Status {
             state: state.clone(),
         }))
@@ -85,6 +88,17 @@
     }
 }
 
+struct Moves {
+    state: Arc<State>,
+}
+
+#[handler]
+impl Moves {
+    async fn handle(&self, res: &mut Response) {
+        res.render(Json(self.state.movers.progress()));
+    }
+}
+
 struct Status {
     state: Arc<State>,
 }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -44,6 +44,7 @@
     },
     gates::Gates,
     hosts::Hosts,
+    moves::Movers,
     pool::Pool, //
 };
 
@@ -65,6 +66,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) gates: Arc<Gates>,
     pub(crate) documents: Documents,
+    pub(crate) movers: Movers,
     pub(crate) gaps: Pools,
     pub(crate) requests: Requests,
     /// Origin of the clock readings that decision code gets.
