Test moves over a whole system; count refusals that are the version's fault

Cause: the entry's wiring had no test; a version whose engines answer errors is refused by its sidecars, which the answer's end alone doesn't show. Change: a refusal for a server that is down, lacks its version or can't continue counts as a failure; trial tests with an entry, four engines and sidecars: a token left out, errors, a good version.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -218,6 +218,12 @@
             {
                 self.witness.broken(&self.state, &attempt.server, *why);
             }
+            if let Event::Refused { epoch, .. } = &event
+                && let Some(attempt) = self.attempts.get(epoch)
+                && let Some(why) = *attempt.refused.lock().expect("no panic while held")
+            {
+                self.witness.refused(&self.state, why);
+            }
             let before = self.resume.next();
             let mut actions = Vec::new();
             let now = self.state.now();
@@ -330,6 +336,7 @@
             sent: replica.sent,
             cancel: CancellationToken::new(),
             usage: Mutex::default(),
+            refused: Mutex::default(),
         });
         let start = self.frame(&attempt);
         self.attempts.insert(epoch, attempt.clone());
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -24,6 +24,7 @@
     Frame, Stream,
     frame::{
         Attach,
+        Reason,
         Start,
         Usage, //
     },
@@ -49,6 +50,8 @@
     pub(crate) cancel: CancellationToken,
     /// What the epoch cost, once it has ended.
     pub(crate) usage: Mutex<Usage>,
+    /// Why the sidecar refused the epoch, if it did.
+    pub(crate) refused: Mutex<Option<Reason>>,
     /// Counts the work at the replica while the epoch is wanted.
     pub(crate) sent: Sent,
 }
@@ -149,6 +152,7 @@
         Frame::Missing => Some(Event::AttachMissed { epoch }),
         Frame::Refused(refused) => {
             let retry_after = refused.retry_after;
+            *attempt.refused.lock().expect("no panic while held") = Some(refused.reason);
             attempt.sent.ended(Outcome::Refused { retry_after });
             Some(Event::Refused { epoch, retry_after })
         }
--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -65,6 +65,7 @@
     MissedTickBehavior,
     interval, //
 };
+use wire::frame::Reason;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::state::State;
@@ -236,6 +237,21 @@
         }
     }
 
+    /// A sidecar refused the request.
+    pub(crate) fn refused(&mut self, state: &Arc<State>, why: Reason) {
+        // A server that answers errors, lacks its version or can't do what the old one can is the
+        // version's fault; a full or leaving one isn't.
+        let faults = [
+            Reason::Down,
+            Reason::Version,
+            Reason::Invalid,
+            Reason::Continuation,
+        ];
+        if faults.contains(&why) {
+            self.ended(state, Ending::Failed, 0);
+        }
+    }
+
     /// The request ended, or its generation broke by the version's fault. Later ends of the same
     /// request say nothing more.
     pub(crate) fn ended(&mut self, state: &Arc<State>, ending: Ending, count: usize) {
--- /dev/null
+++ b/components/trial/tests/moves.rs
@@ -0,0 +1,158 @@
+//! Moves between versions over a whole system: entry, sidecars, stand-ins.
+
+mod support;
+
+use std::time::Duration;
+
+use fakes::engine::{
+    Fault,
+    Settings, //
+};
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+use trial::Trial;
+
+/// Longest wait for a move to end.
+const LIMIT: Duration = Duration::from_secs(120);
+
+/// Requests that callers have in progress at once.
+const CALLERS: u64 = 8;
+
+/// A move that began a while ago and must be over soon, so that the test needn't wait for its
+/// ramp. It has no watch time.
+fn document() -> String {
+    let now = std::time::SystemTime::now();
+    let start = now - Duration::from_secs(40);
+    let by = now + Duration::from_secs(30);
+    format!(
+        "\
+environment: production
+services:
+  - name: draft
+    kind: engine
+    model: m
+    versions:
+      - {{name: v1, servers: ['old-*']}}
+      - {{name: v2, servers: ['new-*']}}
+routes:
+  - {{name: letters, match: {{path: /v1/}}, service: draft, version: v1}}
+moves:
+  - {{name: up, service: draft, from: v1, to: v2, start: {}, by: {}, watch: 1s}}
+",
+        humantime::format_rfc3339_seconds(start),
+        humantime::format_rfc3339_seconds(by)
+    )
+}
+
+async fn system() -> Trial {
+    let mut trial = Trial::start().await.expect("a platform");
+    for (name, version) in [
+        ("old-0", "v1"),
+        ("old-1", "v1"),
+        ("new-0", "v2"),
+        ("new-1", "v2"),
+    ] {
+        let settings = Settings {
+            between: Duration::from_millis(1),
+            first: Duration::from_millis(2),
+            version: version.into(),
+            ..Settings::default()
+        };
+        trial
+            .engine(name, "dc1", settings)
+            .await
+            .expect("an engine");
+    }
+    trial.entry("entry-0", "dc1").await.expect("an entry");
+    let revision = trial.put(0, "production", &document()).await.expect("put");
+    trial.ready(revision).await.expect("ready");
+    trial
+}
+
+async fn ask(trial: &Trial, number: u64) {
+    let body = json!({
+        "model": "m", "prompt": format!("letter {number}"), "max_tokens": 4, "seed": number,
+    });
+    let address = format!("{}/v1/completions", trial.callers(0));
+    let answer = trial.client.post(address).json(&body).send().await;
+    let _ = answer.expect("an answer").bytes().await;
+}
+
+async fn progress(trial: &Trial) -> Value {
+    let address = format!("{}/reports/moves", trial.operators(0));
+    let answer = trial.client.get(address).send().await.expect("a report");
+    let moves: Value = answer.json().await.expect("JSON");
+    moves[0].clone()
+}
+
+/// Runs of engines of the new version.
+fn runs(trial: &Trial) -> usize {
+    trial.engines[2..]
+        .iter()
+        .map(|engine| engine.runs().len())
+        .sum()
+}
+
+/// Sends requests until the move has ended; gives the move as operators see it.
+async fn ended(trial: &Trial) -> Value {
+    let limit = Instant::now() + LIMIT;
+    let mut number = 0;
+    while Instant::now() < limit {
+        for _ in 0..5 {
+            let requests = (0..CALLERS).map(|caller| ask(trial, number + caller));
+            futures_util::future::join_all(requests).await;
+            number += CALLERS;
+        }
+        let seen = progress(trial).await;
+        if !seen["outcome"].is_null() {
+            return seen;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the move has not ended: {}", progress(trial).await);
+}
+
+/// The engines of a new version leave out a token, or answer nothing but errors. Callers get
+/// broken answers until the traffic goes back, which needs nobody's hand.
+#[rstest]
+#[case::a_token_left_out(Fault { skip_at: Some(1), ..Fault::default() })]
+#[case::errors(Fault { fail_share: Some(1.0), ..Fault::default() })]
+#[tokio::test]
+async fn a_bad_version_is_taken_back(#[case] fault: Fault) {
+    let trial = system().await;
+    for engine in &trial.engines[2..] {
+        engine.fault(fault.clone());
+    }
+    let seen = ended(&trial).await;
+    assert_eq!(seen["outcome"]["end"], "reverted", "{seen}");
+    assert_eq!(seen["permille"], 0);
+    let before = runs(&trial);
+    for number in 0..50 {
+        ask(&trial, 1_000_000 + number).await;
+    }
+    assert_eq!(
+        runs(&trial),
+        before,
+        "no request reaches a version taken back"
+    );
+}
+
+#[tokio::test]
+async fn a_good_version_has_all_traffic_in_the_end() {
+    let trial = system().await;
+    let seen = ended(&trial).await;
+    assert_eq!(seen["outcome"]["end"], "done", "{seen}");
+    assert_eq!(seen["permille"], 1000);
+    let before = runs(&trial);
+    for number in 0..50 {
+        ask(&trial, 1_000_000 + number).await;
+    }
+    assert_eq!(runs(&trial), before + 50);
+}
