Report service-level burn and moves

Change: the crate report (ring of buckets, burn over 5 m/1 h, 30 m/6 h, 6 h/3 d, text, JSON, page of HTML); GET /reports/burn and /reports/moves at the operators' address, ?format=text or html; alert rules.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -59,6 +59,7 @@
         self,
         Attempt, //
     },
+    burn::Meter,
     gates::Pass,
     moves::{
         Picked,
@@ -139,6 +140,7 @@
     /// When the last tokens came, and from which epoch.
     last: Option<(Instant, Epoch)>,
     witness: Witness,
+    meter: Meter,
 }
 
 async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
@@ -154,6 +156,7 @@
         begun: Instant::now(),
         last: None,
         witness: Witness::new(ask.picked.clone()),
+        meter: Meter::default(),
         ask,
         pass,
     };
@@ -270,6 +273,7 @@
                 let usage = self.usage();
                 let count = self.kept.len();
                 self.witness.ended(&self.state, Ending::Whole, count);
+                self.meter.ended(&self.state, &self.ask, true, count);
                 pieces.push(Piece::Finish(finish, usage));
             }
             Action::Interrupt {
@@ -286,7 +290,9 @@
                     Interruption::TooManyEpochs | Interruption::Deadline => Ending::Failed,
                     _ => Ending::Excused,
                 };
-                self.witness.ended(&self.state, ending, self.kept.len());
+                let count = self.kept.len();
+                self.witness.ended(&self.state, ending, count);
+                self.meter.ended(&self.state, &self.ask, false, count);
                 pieces.push(Piece::Interrupt(reason, retry_after));
             }
         }
@@ -429,6 +435,7 @@
         }
         self.last = Some((now, epoch));
         let count = self.kept.len() + fresh as usize;
+        self.meter.tokens(self.begun);
         self.witness.tokens(&self.state, self.begun, count);
     }
 
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -35,6 +35,7 @@
 };
 
 use crate::{
+    burn::Book,
     callers,
     calls::Outage,
     documents::{
@@ -187,6 +188,7 @@
         gates: Gates::new(origin),
         documents: Documents::default(),
         movers: Movers::default(),
+        book: Book::default(),
         gaps: Pools::default(),
         requests: Requests::default(),
         origin,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempt;
+mod burn;
 pub mod callers;
 mod calls;
 mod daemon;
--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -31,11 +31,11 @@
     evidence::{
         Cause,
         Death,
-        Source, //
+        Source,
+        Tally, //
     },
     mover::Owner,
     outcome::{
-        Outcome,
         Record,
         key, //
     },
@@ -59,7 +59,11 @@
     Expect,
     Write, //
 };
-use serde::Serialize;
+use report::moves::{
+    Count,
+    Evidence,
+    Progress, //
+};
 use tokio::time::{
     Instant,
     MissedTickBehavior,
@@ -93,21 +97,6 @@
     pick: Pick,
 }
 
-/// One move as operators see it.
-#[derive(Serialize)]
-pub(crate) struct Progress {
-    name: Move,
-    from: String,
-    to: String,
-    /// The new version's share in thousandths.
-    permille: u32,
-    #[serde(with = "humantime_serde")]
-    by: SystemTime,
-    /// How strongly the evidence speaks against the new version, as an e-value.
-    against: f64,
-    outcome: Option<Outcome>,
-}
-
 impl Movers {
     /// Picks the version for a request, if a move says so, and points the target and the release
     /// at it.
@@ -150,17 +139,48 @@
     /// Every move, for a report.
     pub(crate) fn progress(&self) -> Vec<Progress> {
         let movers = self.0.lock().expect("no panic while held");
-        let progress = movers.iter().map(|(name, mover)| Progress {
-            name: name.clone(),
-            from: mover.plan().from.clone(),
-            to: mover.plan().to.clone(),
-            permille: mover.level().permille(),
-            by: mover.plan().by,
-            against: mover.verdict().against,
-            outcome: mover.outcome().cloned(),
-        });
-        progress.collect()
+        movers.values().map(progress).collect()
+    }
+}
+
+/// One move as operators see it.
+fn progress(mover: &Mover) -> Progress {
+    let plan = mover.plan();
+    let mut routes = BTreeMap::<&Route, (Count, Count)>::new();
+    for (key, pair) in mover.total() {
+        let (old, new) = routes.entry(&key.route).or_default();
+        add(old, &pair.old);
+        add(new, &pair.new);
     }
+    let (state, reason) = match mover.outcome() {
+        Some(outcome) => (format!("{:?}", outcome.end), outcome.reason.to_string()),
+        None => ("running".into(), String::new()),
+    };
+    Progress {
+        name: plan.name.clone(),
+        from: plan.from.clone(),
+        to: plan.to.clone(),
+        permille: mover.level().permille(),
+        by: plan.by,
+        against: mover.verdict().against,
+        state: state.to_lowercase(),
+        reason,
+        routes: routes
+            .into_iter()
+            .map(|(route, (old, new))| Evidence {
+                route: route.clone(),
+                old,
+                new,
+            })
+            .collect(),
+    }
+}
+
+fn add(count: &mut Count, tally: &Tally) {
+    count.requests += tally.requests;
+    count.failed += tally.distinct_failures();
+    count.slow_first += tally.slow_first;
+    count.slow_between += tally.slow_between;
 }
 
 /// Tells whether a plan moves the requests of a route.
@@ -294,6 +314,7 @@
         if held.revision != seen {
             seen = held.revision;
             take(&state, &held.document);
+            state.book.set_levels(&held.document);
         }
         ready(&state, &held.document);
         let names = names(&state);
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -6,12 +6,16 @@
     Expect,
     Write, //
 };
+use report::{
+    page,
+    text, //
+};
 use salvo::{
-    Request,
-    Response,
-    Router,
-    handler,
-    writing::Json, //
+    Request, Response, Router, handler,
+    writing::{
+        Json,
+        Text, //
+    },
 };
 use serde::Serialize;
 use serde_json::json;
@@ -36,6 +40,9 @@
         .push(Router::with_path(path).put(Put {
             state: state.clone(),
         }))
+        .push(Router::with_path("reports/burn").get(Burn {
+            state: state.clone(),
+        }))
         .push(Router::with_path("reports/moves").get(Moves {
             state: state.clone(),
         }))
@@ -88,14 +95,34 @@
     }
 }
 
+struct Burn {
+    state: Arc<State>,
+}
+
+#[handler]
+impl Burn {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let burn = self.state.book.report(self.state.now());
+        match req.query::<String>("format").as_deref() {
+            Some("html") => res.render(Text::Html(page::burn(&burn))),
+            Some("text") => res.render(Text::Plain(text::burn(&burn))),
+            _ => res.render(Json(burn)),
+        }
+    }
+}
+
 struct Moves {
     state: Arc<State>,
 }
 
 #[handler]
 impl Moves {
-    async fn handle(&self, res: &mut Response) {
-        res.render(Json(self.state.movers.progress()));
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let moves = self.state.movers.progress();
+        match req.query::<String>("format").as_deref() {
+            Some("text") => res.render(Text::Plain(report::moves::text(&moves))),
+            _ => res.render(Json(moves)),
+        }
     }
 }
 
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -36,6 +36,7 @@
 };
 
 use crate::{
+    burn::Book,
     calls::Outage,
     documents::Documents,
     fleet::{
@@ -67,6 +68,8 @@
     pub(crate) gates: Arc<Gates>,
     pub(crate) documents: Documents,
     pub(crate) movers: Movers,
+    /// Counters of service-level burn.
+    pub(crate) book: Book,
     pub(crate) gaps: Pools,
     pub(crate) requests: Requests,
     /// Origin of the clock readings that decision code gets.
--- a/components/moves/src/outcome.rs
+++ b/components/moves/src/outcome.rs
@@ -1,6 +1,9 @@
 //! Vetoes, outcomes and the record that is kept of a move.
 
-use std::time::SystemTime;
+use std::{
+    fmt,
+    time::SystemTime, //
+};
 
 use names::{
     Environment,
@@ -14,7 +17,10 @@
 
 use crate::{
     evidence::Source,
-    judge::Finding,
+    judge::{
+        Finding,
+        Metric, //
+    },
     share::Side, //
 };
 
@@ -100,6 +106,37 @@
     }
 }
 
+impl fmt::Display for Reason {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Watched => out.write_str("it had all traffic for the whole watch time"),
+            Self::Vetoed(veto) => veto.finding.fmt(out),
+            Self::Dropped => out.write_str("the document no longer holds it"),
+            Self::Replaced => out.write_str("the document uses its name for other versions"),
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let what = match self.metric {
+            Metric::Failed => "requests failed",
+            Metric::SlowFirst => "first tokens were late",
+            Metric::SlowBetween => "tokens came slowly",
+            Metric::Died => "backend servers died",
+        };
+        match &self.route {
+            Some(route) => write!(out, "{what} on route {route}")?,
+            None => write!(out, "{what}")?,
+        }
+        let (new, of_new, old, of_old) = (self.new, self.of_new, self.old, self.of_old);
+        write!(
+            out,
+            ": {new} of {of_new}; with the old version {old} of {of_old}"
+        )
+    }
+}
+
 /// Key of a move's record in the platform's store.
 pub fn key(environment: &Environment, name: &Move) -> String {
     format!("moves/{environment}/{name}")
--- /dev/null
+++ b/components/report/src/text.rs
@@ -0,0 +1,59 @@
+//! Reports as text for one screen.
+
+use std::fmt::Write;
+
+use crate::burn::{
+    Burn,
+    Row,
+    Subject, //
+};
+
+/// Most rows of a screen.
+const LINES: usize = 30;
+
+/// The burn as text, worst first.
+pub fn burn(burn: &Burn) -> String {
+    let mut text = format!(
+        "{:<14} {:<24} {:>9} {:>7} {:>8}  {}\n",
+        "SERVICE", "OF", "REQUESTS", "MISSED", "BUDGET", "BURN fast, slow, long (! alerts)"
+    );
+    for row in burn.rows.iter().take(LINES) {
+        line(&mut text, row);
+    }
+    let more = burn.rows.len().saturating_sub(LINES);
+    if more > 0 {
+        let _ = writeln!(text, "and {more} more rows; --format json has them all");
+    }
+    text
+}
+
+fn line(text: &mut String, row: &Row) {
+    let rates: Vec<_> = row
+        .rates
+        .iter()
+        .map(|rate| {
+            let mark = if rate.alert { "!" } else { "" };
+            format!("{:.1}/{:.1}{mark}", rate.short, rate.long)
+        })
+        .collect();
+    let _ = writeln!(
+        text,
+        "{:<14} {:<24} {:>9} {:>7} {:>7.0}%  {}",
+        row.service,
+        name(&row.subject),
+        row.requests,
+        row.missed,
+        100.0 * row.left,
+        rates.join("  ")
+    );
+}
+
+/// A subject's name as people read it.
+pub fn name(subject: &Subject) -> String {
+    match subject {
+        Subject::Service => "all".into(),
+        Subject::Route(name) => format!("route {name}"),
+        Subject::Version(name) => format!("version {name}"),
+        Subject::Team(name) => format!("team {name}"),
+    }
+}
--- /dev/null
+++ b/components/report/tests/burn.rs
@@ -0,0 +1,132 @@
+//! Service-level burn from counted requests.
+
+use std::time::Duration;
+
+use names::Clock;
+use report::{
+    Ledger,
+    burn::{
+        Level,
+        OTHERS,
+        ROWS,
+        Request,
+        Subject, //
+    },
+    page,
+    text, //
+};
+use rstest::rstest;
+
+const LEVEL: Level = Level {
+    first: Duration::from_millis(1900),
+    between: Some(Duration::from_millis(54)),
+    objective: 0.95,
+};
+
+fn ledger() -> Ledger {
+    let mut ledger = Ledger::default();
+    ledger.set_levels([("drafting".to_string(), LEVEL)].into());
+    ledger
+}
+
+fn count(ledger: &mut Ledger, team: &str, version: &str, first: u64, now: Clock) {
+    let request = Request {
+        service: &"drafting".into(),
+        route: &"letters".into(),
+        team: &team.into(),
+        version: &version.into(),
+        first: Some(Duration::from_millis(first)),
+        between: Some(Duration::from_millis(40)),
+        whole: true,
+    };
+    ledger.count(&request, now);
+}
+
+#[rstest]
+#[case::met(Some(1900), Some(54), true, false)]
+#[case::late(Some(1901), Some(54), true, true)]
+#[case::slow(Some(1000), Some(55), true, true)]
+#[case::cut(Some(1000), Some(40), false, true)]
+#[case::nothing_came(None, None, false, true)]
+#[case::one_token(Some(1000), None, true, false)]
+fn a_request_misses_its_level(
+    #[case] first: Option<u64>,
+    #[case] between: Option<u64>,
+    #[case] whole: bool,
+    #[case] missed: bool,
+) {
+    let request = Request {
+        service: &"drafting".into(),
+        route: &"letters".into(),
+        team: &"a".into(),
+        version: &"1".into(),
+        first: first.map(Duration::from_millis),
+        between: between.map(Duration::from_millis),
+        whole,
+    };
+    assert_eq!(LEVEL.missed(&request), missed);
+}
+
+/// A version goes bad for half an hour: every request of one team is late. Operators must see at
+/// once which version and team it is.
+#[test]
+fn the_worst_rows_come_first() {
+    let mut ledger = ledger();
+    for second in 0..7200 {
+        let now = Duration::from_secs(second);
+        count(&mut ledger, "small", "1", 900, now);
+        let first = if second > 5400 { 5000 } else { 900 };
+        count(&mut ledger, "<large>", "2", first, now);
+    }
+    let burn = ledger.report(Duration::from_secs(7200));
+    insta::assert_snapshot!("text", text::burn(&burn));
+    insta::assert_snapshot!("page", page::burn(&burn));
+    insta::assert_json_snapshot!("json", burn.rows[0]);
+    assert!(!page::burn(&burn).contains("<large>"));
+}
+
+/// The trouble is over. The alert must end within the short window, or people stop to heed it.
+#[test]
+fn an_alert_ends_soon_after_the_trouble() {
+    let mut ledger = ledger();
+    let mut alerts = Vec::new();
+    for second in 0..4200 {
+        let first = if second < 3600 { 5000 } else { 900 };
+        let now = Duration::from_secs(second);
+        count(&mut ledger, "a", "1", first, now);
+        alerts.push(ledger.report(now).rows[0].rates[0].alert);
+    }
+    assert!(!alerts[5] && alerts[3599] && !alerts[4199]);
+}
+
+/// Callers make up team names. The memory of the report must not grow with them.
+#[test]
+fn memory_is_bounded() {
+    let mut ledger = ledger();
+    for number in 0..2 * ROWS {
+        count(
+            &mut ledger,
+            &format!("team-{number}"),
+            "1",
+            900,
+            Duration::ZERO,
+        );
+    }
+    assert!(ledger.rows() <= ROWS + 1);
+    let burn = ledger.report(Duration::ZERO);
+    let others = burn
+        .rows
+        .iter()
+        .find(|row| row.subject == Subject::Team(OTHERS.into()));
+    assert!(others.is_some_and(|row| row.requests > 0));
+}
+
+/// Nothing comes for days, then one request: old counts must be gone.
+#[test]
+fn old_counts_go() {
+    let mut ledger = ledger();
+    count(&mut ledger, "a", "1", 5000, Duration::ZERO);
+    let later = Duration::from_secs(30 * 24 * 3600);
+    count(&mut ledger, "a", "1", 900, later);
+    assert!(ledger.report(later).rows.iter().all(|row| row.missed == 0));
+}
