Show reports at the command line

Change: `report burn` and `report moves` ask one entry; the trial of a good move reads both reports.

--- a/components/trial/tests/moves.rs
+++ b/components/trial/tests/moves.rs
@@ -43,6 +43,8 @@
       - {{name: v2, servers: ['new-*']}}
 routes:
   - {{name: letters, match: {{path: /v1/}}, service: draft, version: v1}}
+levels:
+  - {{service: draft, first: 1s, objective: 0.95}}
 moves:
   - {{name: up, service: draft, from: v1, to: v2, start: {}, by: {}, watch: 1s}}
 ",
@@ -155,4 +157,16 @@
         ask(&trial, 1_000_000 + number).await;
     }
     assert_eq!(runs(&trial), before + 50);
+    let moves = report(&trial, "moves?format=text").await;
+    assert!(moves.contains("up: v1 -> v2, done, 100.0%"), "{moves}");
+    let burn = report(&trial, "burn?format=text").await;
+    assert!(burn.contains("version v2"), "{burn}");
+    let page = report(&trial, "burn?format=html").await;
+    assert!(page.contains("<table>") && page.contains("route letters"));
+}
+
+async fn report(trial: &Trial, what: &str) -> String {
+    let address = format!("{}/reports/{what}", trial.operators(0));
+    let answer = trial.client.get(address).send().await.expect("a report");
+    answer.text().await.expect("text")
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,6 +34,8 @@
     Env(Env),
     /// Make keys.
     Keys(Keys),
+    /// Show burn or moves.
+    Report(Report),
     /// Show it all in one process.
     Demo(Demo),
 }
@@ -53,6 +55,51 @@
     pub check: bool,
 }
 
+/// Show what an entry reports.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct Report {
+    #[argh(subcommand)]
+    pub command: ReportCommand,
+}
+
+/// What to show.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum ReportCommand {
+    /// Service-level burn.
+    Burn(ReportBurn),
+    /// Moves.
+    Moves(ReportMoves),
+}
+
+/// Show service-level burn by route, version and team, worst first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "burn")]
+pub struct ReportBurn {
+    /// address of an entry for operators, such as http://127.0.0.1:8081
+    #[argh(option)]
+    pub entry: String,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+    /// a page of HTML instead
+    #[argh(switch)]
+    pub html: bool,
+}
+
+/// Show moves: share, evidence by route, and why one was reverted.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "moves")]
+pub struct ReportMoves {
+    /// address of an entry for operators, such as http://127.0.0.1:8081
+    #[argh(option)]
+    pub entry: String,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+}
+
 /// Run a sidecar beside one backend server.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "sidecar")]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod env;
 mod keys;
+mod report;
 mod sidecar;
 mod stop;
 
@@ -19,6 +20,7 @@
         Command::Sidecar(args) => sidecar::run(args).await,
         Command::Env(args) => env::run(args.command).await,
         Command::Keys(args) => keys::run(&args),
+        Command::Report(args) => report::run(args.command).await,
         Command::Demo(args) => demo::run(args).await,
     }
 }
