--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempt;
+mod burn;
 pub mod callers;
 mod calls;
 mod daemon;
@@ -10,6 +11,7 @@
 mod gates;
 mod hosts;
 mod links;
+mod moves;
 mod operators;
 pub mod pointers;
 mod pool;
