--- a/components/trial/tests/relay/mod.rs
+++ b/components/trial/tests/relay/mod.rs
@@ -47,13 +47,17 @@
         if cut.load(Ordering::SeqCst) {
             continue;
         }
-        if !peers.contains_key(&from) {
-            let own = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
-            own.connect(to).await.unwrap();
-            tokio::spawn(back(socket.clone(), own.clone(), from, cut.clone()));
-            peers.insert(from, own);
-        }
-        let _ = peers[&from].send(&buffer[..length]).await;
+        let own = match peers.get(&from) {
+            Some(own) => own.clone(),
+            None => {
+                let own = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+                own.connect(to).await.unwrap();
+                tokio::spawn(back(socket.clone(), own.clone(), from, cut.clone()));
+                peers.insert(from, own.clone());
+                own
+            }
+        };
+        let _ = own.send(&buffer[..length]).await;
     }
 }
 
