--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -76,7 +76,7 @@
     }
 }
 
-async fn dial(
+pub(crate) async fn dial(
     state: &State,
     host: &str,
     address: SocketAddr,
@@ -204,6 +204,7 @@
                 state.tell_pool(peer);
             }
             Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
+            Ok(Some(Frame::Spread(bytes))) => state.documents.message(&peer.host, &bytes),
             Ok(Some(_)) => {}
             Ok(None) => return "ended by the peer".into(),
             Err(error) => return error.to_string(),
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,11 +11,17 @@
 
 use argh::FromArgs;
 
+mod admission;
 mod calls;
 mod idle;
 mod links;
 mod moves;
 mod process;
+mod range;
+mod resumes;
+mod routing;
+mod slopes;
+mod spread;
 mod table;
 mod tokens;
 
@@ -29,10 +35,15 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Admission(admission::Args),
     Calls(calls::Args),
     Idle(idle::Args),
     Links(links::Args),
     Moves(moves::Args),
+    Resumes(resumes::Args),
+    Routing(routing::Args),
+    Slopes(slopes::Args),
+    Spread(spread::Args),
     Tokens(tokens::Args),
     Version(Version),
 }
@@ -45,6 +56,10 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Admission(args) => {
+            admission::print(&args);
+            Ok(())
+        }
         What::Calls(args) => {
             calls::print(&args);
             Ok(())
@@ -55,6 +70,19 @@
             moves::print(&args);
             Ok(())
         }
+        What::Resumes(args) => {
+            resumes::print(&args);
+            Ok(())
+        }
+        What::Routing(args) => {
+            routing::print(&args);
+            Ok(())
+        }
+        What::Slopes(args) => slopes::print(&args),
+        What::Spread(args) => {
+            spread::print(&args);
+            Ok(())
+        }
         What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
--- a/components/models/src/lib.rs
+++ b/components/models/src/lib.rs
@@ -6,5 +6,7 @@
 
 pub mod answer;
 pub mod contract;
+pub mod edits;
 pub mod orders;
 pub mod search;
+pub mod spread;
--- a/components/trial/tests/relay/mod.rs
+++ b/components/trial/tests/relay/mod.rs
@@ -1,7 +1,10 @@
 //! A relay for UDP that can stop passing anything on, as a middlebox that forgot a connection.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        hash_map::Entry, //
+    },
     net::SocketAddr,
     sync::{
         Arc,
@@ -47,17 +50,13 @@
         if cut.load(Ordering::SeqCst) {
             continue;
         }
-        let own = match peers.get(&from) {
-            Some(own) => own.clone(),
-            None => {
-                let own = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
-                own.connect(to).await.unwrap();
-                tokio::spawn(back(socket.clone(), own.clone(), from, cut.clone()));
-                peers.insert(from, own.clone());
-                own
-            }
-        };
-        let _ = own.send(&buffer[..length]).await;
+        if let Entry::Vacant(vacant) = peers.entry(from) {
+            let own = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+            own.connect(to).await.unwrap();
+            tokio::spawn(back(socket.clone(), own.clone(), from, cut.clone()));
+            vacant.insert(own);
+        }
+        let _ = peers[&from].send(&buffer[..length]).await;
     }
 }
 
