--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -81,7 +81,8 @@
     host: &str,
     address: SocketAddr,
 ) -> Result<(Link, Stream, Hello), Error> {
-    let link = state.node.dial(address, host).await?;
+    // From a socket of its own: a new link must pass where the last one went silent.
+    let link = state.node.dial_apart(address, host).await?;
     let silence = state.settings.times.silence;
     let (stream, hello) = greeting::dialled(&link, &state.hello, silence).await?;
     Ok((link, stream, hello))
--- a/components/trial/src/trial.rs
+++ b/components/trial/src/trial.rs
@@ -93,6 +93,38 @@
         self.sidecar(settings).await
     }
 
+    /// Starts an engine of service `draft` with sidecar settings changed by `change`.
+    pub async fn engine_with(
+        &mut self,
+        engine: engine::Settings,
+        change: impl FnOnce(&mut settings::Sidecar),
+    ) -> Result<(), Error> {
+        let engine = Engine::start(engine).await?;
+        let name = format!("draft-{}", self.sidecars.len());
+        let mut settings = sidecar_settings(&name, "dc1", self.platform.address());
+        settings.server.address = format!("http://{}", engine.address());
+        change(&mut settings);
+        self.engines.push(engine);
+        self.sidecar(settings).await
+    }
+
+    /// Address of a sidecar's links.
+    pub fn links(&self, sidecar: usize) -> SocketAddr {
+        let daemon = self.sidecars[sidecar].daemon.as_ref();
+        daemon.map_or_else(any, |daemon| daemon.links)
+    }
+
+    /// Lists a sidecar under another address, of something that stands before it.
+    pub fn move_to(&mut self, sidecar: usize, address: SocketAddr) {
+        let links = self.links(sidecar);
+        for host in &mut self.hosts {
+            if host.address == links {
+                host.address = address;
+            }
+        }
+        self.platform.set_hosts(self.hosts.clone());
+    }
+
     /// Starts a plain service, replica of `service`, and the sidecar beside it.
     pub async fn service(
         &mut self,
--- a/components/trial/tests/support/mod.rs
+++ b/components/trial/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod letter;
+pub mod relay;
+
 use std::time::Duration;
 
 use fakes::engine::{
@@ -28,6 +31,42 @@
   - {name: payouts, match: {path: /svc/ledger}, service: ledger, version: v1}
 ";
 
+/// Tokens of a letter.
+pub const LENGTH: u64 = 40;
+
+/// A seed whose letter has [`LENGTH`] tokens, and its text.
+pub fn whole_letter(from: u64) -> (u64, Vec<String>) {
+    let mut seeds = from..;
+    let seed = seeds.find(|seed| engine::length("p", *seed, LENGTH) == LENGTH);
+    let seed = seed.expect("most letters are whole");
+    (seed, known("p", seed, LENGTH))
+}
+
+/// A system of entries and engines that take 10 ms a token, ready.
+pub async fn desk(entries: usize, engines: usize, document: &str) -> Trial {
+    let mut trial = Trial::start().await.expect("a platform");
+    for number in 0..engines {
+        let settings = Settings {
+            between: Duration::from_millis(10),
+            first: Duration::from_millis(10),
+            ..Settings::default()
+        };
+        let name = format!("draft-{number}");
+        let data_centre = format!("dc{}", number % 3 + 1);
+        let engine = trial.engine(&name, &data_centre, settings);
+        engine.await.expect("an engine");
+    }
+    for number in 0..entries {
+        let name = format!("entry-{number}");
+        trial.entry(&name, "dc1").await.expect("an entry");
+    }
+    if entries > 0 {
+        let revision = trial.put(0, "production", document).await.expect("put");
+        trial.ready(revision).await.expect("ready");
+    }
+    trial
+}
+
 /// A system of one entry and some engines, ready.
 pub async fn system(engines: usize) -> Trial {
     let mut trial = Trial::start().await.expect("a platform");
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -1,7 +1,11 @@
 //! Links between our processes: QUIC connections whose two ends are known by certificate.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        Ipv4Addr,
+        Ipv6Addr,
+        SocketAddr, //
+    },
     sync::Arc,
     time::Duration, //
 };
@@ -36,6 +40,7 @@
 #[derive(Clone)]
 pub struct Node {
     endpoint: Endpoint,
+    client: ClientConfig,
 }
 
 /// A connection to another of our processes.
@@ -58,8 +63,8 @@
         client.transport_config(transport);
         let mut endpoint =
             Endpoint::server(server, address).map_err(|source| Error::Bind { address, source })?;
-        endpoint.set_default_client_config(client);
-        Ok(Self { endpoint })
+        endpoint.set_default_client_config(client.clone());
+        Ok(Self { endpoint, client })
     }
 
     /// The address that the socket got.
@@ -77,6 +82,27 @@
         Ok(Link { connection })
     }
 
+    /// Dials a host from a socket of its own.
+    ///
+    /// Something between the two ends can lose track of a pair of addresses: then every link on it
+    /// is silent for good, a new one from the same socket too, and only another port passes.
+    pub async fn dial_apart(&self, address: SocketAddr, host: &str) -> Result<Link, Error> {
+        let any = match address {
+            SocketAddr::V4(_) => SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            SocketAddr::V6(_) => SocketAddr::from((Ipv6Addr::UNSPECIFIED, 0)),
+        };
+        // The endpoint lives as long as its one connection.
+        let endpoint = Endpoint::client(any).map_err(|source| Error::Bind {
+            address: any,
+            source,
+        })?;
+        let connecting = endpoint
+            .connect_with(self.client.clone(), address, host)
+            .map_err(|error| Error::Lost(error.to_string()))?;
+        let connection = connecting.await.map_err(sort)?;
+        Ok(Link { connection })
+    }
+
     /// Waits for somebody to dial; none once the node is closed.
     pub async fn accept(&self) -> Option<Knock> {
         self.endpoint.accept().await.map(Knock)
