--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -41,6 +41,7 @@
     Server,
     Team, //
 };
+use routing::Prefix;
 use tokio::{
     sync::mpsc,
     time::{
@@ -60,7 +61,9 @@
         self,
         Attempt, //
     },
+    gates::Pass,
     pointers,
+    pool::Wish,
     state::State,
 };
 
@@ -76,9 +79,6 @@
 /// Wait for the pointer of a request whose caller came back.
 const FIND_AGAIN: Duration = Duration::from_millis(500);
 
-/// Time to come back when no replica of a version is to be had.
-const NO_REPLICA: Duration = Duration::from_secs(1);
-
 /// A request for an answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
@@ -89,6 +89,8 @@
     pub(crate) continues: bool,
     pub(crate) model: String,
     pub(crate) prompt: String,
+    /// Hash of the prompt's first bytes, as engines name what they have cached.
+    pub(crate) prefix: Prefix,
     pub(crate) max_tokens: u64,
     pub(crate) seed: u64,
     pub(crate) temperature: u32,
@@ -121,15 +123,16 @@
 }
 
 /// Answers a request; the pieces come through the channel.
-pub(crate) fn answer(state: Arc<State>, ask: Ask) -> mpsc::Receiver<Piece> {
+pub(crate) fn answer(state: Arc<State>, ask: Ask, pass: Arc<Pass>) -> mpsc::Receiver<Piece> {
     let (pieces, receiver) = mpsc::channel(AHEAD);
-    tokio::spawn(drive(state, ask, pieces));
+    tokio::spawn(drive(state, ask, pass, pieces));
     receiver
 }
 
 struct Driver {
     state: Arc<State>,
     ask: Ask,
+    pass: Arc<Pass>,
     resume: Resume,
     attempts: HashMap<Epoch, Arc<Attempt>>,
     /// Every token of the answer so far, with the mark after it.
@@ -142,7 +145,7 @@
     last: Option<(Instant, Epoch)>,
 }
 
-async fn drive(state: Arc<State>, ask: Ask, pieces: mpsc::Sender<Piece>) {
+async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
     let (events, mut incoming) = mpsc::channel(WAITING);
     let now = state.now();
     let settings = settings(&state, &ask, now);
@@ -156,6 +159,7 @@
         pointed: None,
         last: None,
         ask,
+        pass,
     };
     let first = driver.first().await;
     let mut given = driver.handle(first);
@@ -222,7 +226,7 @@
             epoch: found.epoch,
             nonce: found.nonce,
             server: found.server.clone(),
-            _sent: peer.send(),
+            sent: self.state.pool.send(&found.server, None, peer.counter()),
             peer,
             cancel: CancellationToken::new(),
             turn: AtomicU32::new(0),
@@ -336,6 +340,30 @@
     }
 
     fn start(&mut self, epoch: Epoch, avoid: &[Server], cause: Cause) -> Option<Event> {
+        let fingerprint = self.ask.fingerprint();
+        if let Verdict::Refused { left } = self.state.suspects.verdict(fingerprint) {
+            return Some(Event::NoPlace {
+                epoch,
+                retry_after: left,
+            });
+        }
+        match cause {
+            Cause::First => {}
+            Cause::Loss => self.state.gates.resume(),
+            Cause::Suspicion if self.state.gates.retry() => {}
+            Cause::Suspicion => return Some(Event::Denied { epoch }),
+        }
+        let wish = Wish {
+            service: &self.ask.target.service,
+            release: &self.ask.release,
+            prefix: Some(self.ask.prefix),
+            avoid,
+            resume: cause != Cause::First,
+        };
+        let replica = match self.state.replica(&wish) {
+            Ok(replica) => replica,
+            Err(retry_after) => return Some(Event::NoPlace { epoch, retry_after }),
+        };
         if cause != Cause::First {
             events::emit!(
                 answers::RESUMED,
@@ -345,27 +373,13 @@
             );
             metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
         }
-        let fingerprint = self.ask.fingerprint();
-        if let Verdict::Refused { left } = self.state.suspects.verdict(fingerprint) {
-            return Some(Event::NoPlace {
-                epoch,
-                retry_after: left,
-            });
-        }
-        let service = &self.ask.target.service;
-        let chosen = self.state.fleet.choose(service, &self.ask.release, avoid);
-        let Some((peer, joined, server)) = chosen else {
-            return Some(Event::NoPlace {
-                epoch,
-                retry_after: NO_REPLICA,
-            });
-        };
+        let joined = replica.joined;
         let attempt = Arc::new(Attempt {
             epoch,
             nonce: rand::random(),
-            server,
-            _sent: peer.send(),
-            peer,
+            server: replica.server,
+            peer: replica.peer,
+            sent: replica.sent,
             cancel: CancellationToken::new(),
             turn: AtomicU32::new(0),
             usage: Mutex::default(),
@@ -433,6 +447,8 @@
         if fresh == 0 {
             return;
         }
+        self.pass.first();
+        self.pass.used(fresh);
         let target = &self.ask.target;
         let now = Instant::now();
         match self.last {
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -11,7 +11,11 @@
     time::Duration,
 };
 
-use answer::resume::Event;
+use answer::{
+    Breakage,
+    Finish,
+    resume::Event, //
+};
 use names::{
     Epoch,
     Index,
@@ -19,6 +23,7 @@
     Request,
     Server, //
 };
+use routing::Outcome;
 use tokio::{
     sync::mpsc,
     time::timeout, //
@@ -36,13 +41,13 @@
 use crate::{
     fleet::{
         Joined,
-        Peer,
-        Sent, //
+        Peer, //
     },
     hosts::{
         dial,
         reach, //
     },
+    pool::Sent,
     state::State,
 };
 
@@ -61,8 +66,8 @@
     pub(crate) turn: AtomicU32,
     /// What the epoch cost, once it has ended.
     pub(crate) usage: Mutex<Usage>,
-    /// Counts the work at the peer while the epoch is wanted.
-    pub(crate) _sent: Sent,
+    /// Counts the work at the replica while the epoch is wanted.
+    pub(crate) sent: Sent,
 }
 
 /// Where the events of an epoch go.
@@ -198,16 +203,26 @@
         Frame::Started if attached => Some(Event::Attached { epoch }),
         Frame::Started => None,
         Frame::Missing => Some(Event::AttachMissed { epoch }),
-        Frame::Refused(refused) => Some(Event::Refused {
-            epoch,
-            retry_after: refused.retry_after,
-        }),
-        Frame::Tokens(tokens) => Some(Event::Tokens {
-            epoch,
-            index: tokens.index,
-            tokens: tokens.tokens,
-        }),
+        Frame::Refused(refused) => {
+            let retry_after = refused.retry_after;
+            attempt.sent.ended(Outcome::Refused { retry_after });
+            Some(Event::Refused { epoch, retry_after })
+        }
+        Frame::Tokens(tokens) => {
+            attempt.sent.answered();
+            Some(Event::Tokens {
+                epoch,
+                index: tokens.index,
+                tokens: tokens.tokens,
+            })
+        }
         Frame::End(end) => {
+            match end.finish {
+                Finish::Stop | Finish::Length => attempt.sent.served(),
+                // That an entry cancelled it says nothing about the replica.
+                Finish::Broken(Breakage::Cancelled | Breakage::LogFull) => {}
+                Finish::Broken(_) => attempt.sent.ended(Outcome::Failed),
+            }
             *attempt.usage.lock().expect("no panic while held") = end.usage;
             Some(Event::End {
                 epoch,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,11 +7,13 @@
 mod daemon;
 mod documents;
 mod fleet;
+mod gates;
 mod hosts;
 mod links;
 mod operators;
-pub mod pointers;
-mod problem;
+mod pointers;
+mod pool;
+pub mod problem;
 mod state;
 
 pub use self::daemon::Entry;
--- a/components/sidecar/src/generation.rs
+++ b/components/sidecar/src/generation.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Whether it was ended before its text was.
+    pub fn is_cancelled(&self) -> bool {
+        self.cancel.is_cancelled()
+    }
+
     /// The lowest index that some stream still waits for; none when nobody listens.
     fn lowest_sent(&self) -> Option<Index> {
         let sent = self.sent.lock().expect("no panic while held");
