Go to another data centre before an avoided server

Cause: the next epoch of an answer went back to the engine that had fallen silent, when its data centre had no other replica, though the other data centre had.

--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -169,6 +169,8 @@
         inner.sum_up(now, wish, &self.data_centre);
         let mut avoid = wish.avoid.to_vec();
         let mut data_centre = self.data_centre.clone();
+        let mut asked = vec![data_centre.clone()];
+        let mut avoided = None;
         let mut wait = Duration::ZERO;
         for _ in 0..TRIES {
             let ask = Ask {
@@ -181,17 +183,34 @@
             };
             let Inner { pool, rng, .. } = &mut *inner;
             match pool.choose(now, &ask, rng) {
+                // A data centre gives an avoided server when it has no other. The next epoch of an
+                // answer that went back to the engine that fell silent would wait there as well,
+                // while another data centre has replicas.
+                Choice::Server(server) if wish.avoid.contains(&server) => {
+                    avoided.get_or_insert(server);
+                    let Some(other) = inner.other(wish, &asked) else {
+                        break;
+                    };
+                    data_centre = other.clone();
+                    asked.push(other);
+                }
                 Choice::Server(server) if wish.release.runs_on(&server) => return Ok(server),
                 Choice::Server(server) if avoid.contains(&server) => break,
                 // It says that it runs the version, but the document doesn't name it.
                 Choice::Server(server) => avoid.push(server),
-                Choice::Elsewhere(other) => data_centre = other,
+                Choice::Elsewhere(other) => {
+                    asked.push(other.clone());
+                    data_centre = other;
+                }
                 Choice::None { retry_after } => {
                     wait = retry_after;
                     break;
                 }
             }
         }
+        if let Some(server) = avoided {
+            return Ok(server);
+        }
         Err(wait.max(COME_BACK))
     }
 
@@ -217,6 +236,17 @@
 }
 
 impl Inner {
+    /// A data centre with replicas that has not been asked.
+    fn other(&self, wish: &Wish<'_>, asked: &[DataCentre]) -> Option<DataCentre> {
+        let mut places = self.places.iter();
+        let place = places.find(|place| {
+            place.service == *wish.service
+                && place.version == wish.release.name
+                && !asked.contains(&place.data_centre)
+        });
+        place.map(|place| place.data_centre.clone())
+    }
+
     /// Sums up the replicas of other data centres, of those that there is a link to.
     fn sum_up(&mut self, now: Clock, wish: &Wish<'_>, own: &DataCentre) {
         for place in &self.places {
