--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -379,15 +379,6 @@
     }
 
     fn start(&mut self, epoch: Epoch, avoid: &[Server], cause: Cause) -> Option<Event> {
-        if cause != Cause::First {
-            events::emit!(
-                answers::RESUMED,
-                "request={} epoch={epoch} cause={cause:?} tokens={}",
-                self.ask.request,
-                self.kept.len()
-            );
-            metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
-        }
         let fingerprint = self.ask.fingerprint();
         if let Verdict::Refused { left } = self.state.suspects.verdict(fingerprint) {
             return Some(Event::NoPlace {
@@ -412,6 +403,15 @@
             Ok(replica) => replica,
             Err(retry_after) => return Some(Event::NoPlace { epoch, retry_after }),
         };
+        if cause != Cause::First {
+            events::emit!(
+                answers::RESUMED,
+                "request={} epoch={epoch} cause={cause:?} tokens={}",
+                self.ask.request,
+                self.kept.len()
+            );
+            metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
+        }
         let joined = replica.joined;
         let attempt = Arc::new(Attempt {
             epoch,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,7 +13,8 @@
 mod links;
 mod moves;
 mod operators;
-pub mod pointers;
+
+mod pointers;
 mod pool;
 pub mod problem;
 mod state;
