--- a/components/admission/src/request.rs
+++ b/components/admission/src/request.rs
@@ -28,9 +28,9 @@
 /// What becomes of an arrival.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// It goes on; [`Gate::finish`] must follow.
+    /// It goes on; [`crate::Gate::finish`] must follow.
     Admit,
-    /// It waits until [`Gate::tick`] releases the ticket, or [`Gate::cancel`] is called.
+    /// It waits until [`crate::Gate::tick`] releases the ticket, or [`crate::Gate::cancel`] is called.
     Queue(Ticket),
     /// It is refused, and was not run.
     Refuse {
@@ -57,7 +57,7 @@
 /// What becomes of a request that waited.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Released {
-    /// It goes on; [`Gate::finish`] must follow.
+    /// It goes on; [`crate::Gate::finish`] must follow.
     Admit(Ticket),
     /// It is refused, and was not run.
     Refuse {
