Let readers' watches get out of step

Cause: measured, a fleet whose watches all went silent was as late as a single watch (median 4.8 s, 99th 7.9 s at every size), since all readers had begun at the same moment and waited as long.

Change: each wait is drawn between 3 and 6 s; a call is silent 2 s after its wait. The baseline in measure knows of no other entry at all now, which is also much quicker to run than data centres of one.

--- a/components/entry/src/documents/driver.rs
+++ b/components/entry/src/documents/driver.rs
@@ -26,8 +26,7 @@
     Edition,
     Event,
     Message,
-    Place,
-    watch::WAIT, //
+    Place, //
 };
 use tokio::{
     task::AbortHandle,
@@ -150,8 +149,8 @@
                 let task = tokio::spawn(read(self.state.clone(), call));
                 self.calls.insert(call, task.abort_handle());
             }
-            Action::Watch { call, after } => {
-                let task = tokio::spawn(watch(self.state.clone(), call, after));
+            Action::Watch { call, after, wait } => {
+                let task = tokio::spawn(watch(self.state.clone(), call, after, wait));
                 self.calls.insert(call, task.abort_handle());
             }
             Action::StopWatch { call } => {
@@ -232,9 +231,9 @@
     answer(&state, event).await;
 }
 
-async fn watch(state: Arc<State>, call: u64, after: Revision) {
+async fn watch(state: Arc<State>, call: u64, after: Revision, wait: Duration) {
     let key = key(&state.settings.environment);
-    let wait = state.settings.times.watch.min(WAIT);
+    let wait = state.settings.times.watch.min(wait);
     let event = match state.platform.watch(&key, after, wait).await {
         Ok(change) => {
             let entries = change.events.into_iter().filter_map(|event| {
--- a/components/measure/src/spread.rs
+++ b/components/measure/src/spread.rs
@@ -153,22 +153,14 @@
     trouble: Trouble,
     seed: u64,
 ) -> Sample {
-    // An entry that watches alone is one that finds no other in its data centre.
-    let (data_centres, each) = match way {
-        Way::Watch => (data_centres * each, 1),
-        Way::Spread | Way::Whole => (data_centres, each),
-    };
     let mut mesh = Mesh::new(
         data_centres,
         each,
         seed,
         if way == Way::Whole { whole } else { weigh },
     );
-    if way == Way::Watch {
-        mesh.cut = (0..data_centres)
-            .map(|number| format!("dc{number}"))
-            .collect();
-    }
+    // An entry that watches alone is one that knows of no other.
+    mesh.alone = way == Way::Watch;
     let text = text(args.size);
     mesh.write(1, &text);
     mesh.start_all();
--- a/components/spread/src/board.rs
+++ b/components/spread/src/board.rs
@@ -10,7 +10,7 @@
 //!
 //! - *The store is out.* Documents stay as they are; the readers keep trying with growing, scattered
 //!   pauses. Facts travel all the same, for none of them needs the store.
-//! - *A watch is silent for good.* It is given up after [`crate::watch::SILENT`] and begun anew; the
+//! - *A watch is silent for good.* It is given up after a time and begun anew ([`crate::watch`]); the
 //!   other readers' watches are out of step with it, so most often one of them is earlier.
 //! - *A reader dies or can't reach the store.* It is suspect after [`crate::membership::SUSPECT`],
 //!   or says in its heartbeats that the store fails, and the next in rendezvous order watches too.
@@ -174,12 +174,14 @@
         /// Number of the call.
         call: u64,
     },
-    /// Wait in the store for changes, for [`crate::watch::WAIT`] at most.
+    /// Wait in the store for changes.
     Watch {
         /// Number of the call.
         call: u64,
         /// Revision after which changes are wanted.
         after: Revision,
+        /// How long to wait.
+        wait: Duration,
     },
     /// Give a call up, with its connection.
     StopWatch {
@@ -494,7 +496,7 @@
     fn from(call: Call) -> Self {
         match call {
             Call::Read { call } => Action::Read { call },
-            Call::Watch { call, after } => Action::Watch { call, after },
+            Call::Watch { call, after, wait } => Action::Watch { call, after, wait },
             Call::Stop { call } => Action::StopWatch { call },
         }
     }
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -2,9 +2,10 @@
 //!
 //! What can go wrong: the store is out, slow, or has forgotten the revision asked for; or a waiting
 //! watch never answers, because something between the two ends lost track of the connection, while
-//! new connections work. The watch asks the store to answer after [`WAIT`] in any case; one that is
-//! silent for longer is given up and a new one begun, so that a change is late by [`SILENT`] at
-//! most. Failures are retried with growing pauses, scattered so that the readers of a fleet don't
+//! new connections work. The watch asks the store to answer after [`WAIT`] at most in any case; one
+//! that is silent for [`GRACE`] longer is given up and a new one begun, so that a change is late by
+//! the sum of both at most. The wait differs from call to call, so that the readers of a fleet get
+//! out of step: then the first of them hears of the change long before the last. Failures are retried with growing pauses, scattered so that the readers of a fleet don't
 //! come back all at once.
 
 use std::time::Duration;
@@ -18,11 +19,11 @@
     RngExt, //
 };
 
-/// How long the store is asked to let a watch wait.
+/// Longest time that the store is asked to let a watch wait; the shortest is half of it.
 pub const WAIT: Duration = Duration::from_secs(6);
 
-/// How long after its begin a watch counts as silent.
-pub const SILENT: Duration = Duration::from_secs(8);
+/// How much longer than it was asked to a call may take before it counts as silent.
+pub const GRACE: Duration = Duration::from_secs(2);
 
 /// Shortest pause after a failure; it doubles with each.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -44,6 +45,8 @@
         call: u64,
         /// Revision after which changes are wanted.
         after: Revision,
+        /// How long to wait.
+        wait: Duration,
     },
     /// Give up a call, and close its connection rather than use it again.
     Stop {
@@ -56,8 +59,8 @@
 enum State {
     /// Nothing is wanted.
     Idle,
-    /// A call waits for its answer since a time.
-    Waiting { call: u64, since: Clock },
+    /// A call waits for its answer, which must come before a time.
+    Waiting { call: u64, until: Clock },
     /// The next call begins at a time.
     Paused { until: Clock },
 }
@@ -154,8 +157,8 @@
     /// Time passed; tells also whether a call was given up as silent.
     pub fn tick(&mut self, now: Clock, rng: &mut impl Rng) -> Vec<Call> {
         let mut calls = Vec::new();
-        if let State::Waiting { call, since } = self.state
-            && now.saturating_sub(since) >= SILENT
+        if let State::Waiting { call, until } = self.state
+            && until <= now
         {
             calls.push(Call::Stop { call });
             // The next one begins at once: new connections work when an old one went silent.
@@ -170,7 +173,7 @@
         if let State::Paused { until } = self.state
             && until <= now
         {
-            calls.push(self.begin(now));
+            calls.push(self.begin(now, rng));
         }
         calls
     }
@@ -191,12 +194,17 @@
         };
     }
 
-    fn begin(&mut self, now: Clock) -> Call {
+    fn begin(&mut self, now: Clock, rng: &mut impl Rng) -> Call {
         self.calls += 1;
         let call = self.calls;
-        self.state = State::Waiting { call, since: now };
+        let wait = match self.after {
+            Some(_) => WAIT.mul_f64(rng.random_range(0.5..1.0)),
+            None => Duration::ZERO,
+        };
+        let until = now + wait + GRACE;
+        self.state = State::Waiting { call, until };
         match self.after {
-            Some(after) => Call::Watch { call, after },
+            Some(after) => Call::Watch { call, after, wait },
             None => Call::Read { call },
         }
     }
--- a/components/spread/tests/common/mesh.rs
+++ b/components/spread/tests/common/mesh.rs
@@ -31,8 +31,7 @@
     membership::{
         Listing,
         Role, //
-    },
-    watch::WAIT, //
+    }, //
 };
 
 /// Pace of ticks.
@@ -125,6 +124,8 @@
     pub storeless: BTreeSet<String>,
     /// Pairs of hosts (from, to) between which messages are lost.
     pub deaf: BTreeSet<(Host, Host)>,
+    /// The platform's list is empty from the start: nobody knows of anybody.
+    pub alone: bool,
     /// Size of a message in bytes.
     weigh: fn(&Message) -> usize,
     due: BTreeMap<(Clock, u64), Due>,
@@ -150,6 +151,7 @@
             cut: BTreeSet::new(),
             storeless: BTreeSet::new(),
             deaf: BTreeSet::new(),
+            alone: false,
             weigh,
             due: BTreeMap::new(),
             order: 0,
@@ -195,6 +197,9 @@
 
     /// The platform's list, with all hosts.
     pub fn list(&self) -> Vec<Listing> {
+        if self.alone {
+            return Vec::new();
+        }
         let listing = |(host, node): (&Host, &Node)| Listing {
             host: host.clone(),
             data_centre: node.data_centre.clone(),
@@ -371,7 +376,7 @@
         match action {
             Action::Send { to, message } => self.send(host, to, message),
             Action::Read { call } => self.call(host, call, None),
-            Action::Watch { call, after } => self.call(host, call, Some(after)),
+            Action::Watch { call, after, wait } => self.call(host, call, Some((after, wait))),
             Action::StopWatch { call } => {
                 let other = |w: &(Host, u64, Revision, Clock)| w.0 != host || w.1 != call;
                 self.store.waiting.retain(other);
@@ -421,7 +426,7 @@
         self.schedule(self.now + NEAR, Due::Event(host.into(), event));
     }
 
-    fn call(&mut self, host: &str, call: u64, after: Option<Revision>) {
+    fn call(&mut self, host: &str, call: u64, watch: Option<(Revision, Duration)>) {
         let node = self.node(host);
         node.count.calls += 1;
         let data_centre = node.data_centre.clone();
@@ -433,9 +438,9 @@
             return self.reply(host, Event::Failed { call });
         }
         let newest = self.store.document.as_ref().map_or(0, |d| d.revision);
-        match after {
-            Some(after) if after >= newest => {
-                let until = self.now + WAIT;
+        match watch {
+            Some((after, wait)) if after >= newest => {
+                let until = self.now + wait;
                 self.store.waiting.push((host.into(), call, after, until));
             }
             Some(_) => self.answer_watch(host, call),
--- a/components/spread/tests/parts.rs
+++ b/components/spread/tests/parts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use rand::{
     SeedableRng,
     rngs::StdRng, //
@@ -30,7 +31,8 @@
     slot::Step,
     watch::{
         Call,
-        SILENT,
+        GRACE,
+        WAIT,
         Watch, //
     }, //
 };
@@ -144,6 +146,14 @@
     assert!(!facts.join(&Key::Poison(1), &poison, 10 * SECOND));
 }
 
+/// The wait of a call for changes.
+fn wait(calls: &[Call]) -> Duration {
+    match calls {
+        [.., Call::Watch { wait, .. }] => *wait,
+        _ => panic!("{calls:?} wait for nothing"),
+    }
+}
+
 // Something between reader and store lost track of the connection: the watch never answers, while
 // new ones work. A change would never be noticed by this reader.
 #[test]
@@ -151,24 +161,42 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut watch = Watch::new(Duration::ZERO);
     watch.want(true, Duration::ZERO);
-    assert_eq!(
-        watch.tick(Duration::ZERO, &mut rng),
-        [Call::Read { call: 1 }]
-    );
+    let calls = watch.tick(Duration::ZERO, &mut rng);
+    assert_eq!(calls, [Call::Read { call: 1 }]);
     assert!(watch.answered(1, 5, SECOND));
-    assert_eq!(
-        watch.tick(SECOND, &mut rng),
-        [Call::Watch { call: 2, after: 5 }]
+    let calls = watch.tick(SECOND, &mut rng);
+    let first = wait(&calls);
+    assert!(first <= WAIT);
+    assert_matches!(
+        calls[..],
+        [Call::Watch {
+            call: 2,
+            after: 5,
+            ..
+        }]
+    );
+    let silent = SECOND + first + GRACE;
+    assert_eq!(watch.tick(silent - SECOND / 1000, &mut rng), []);
+    let calls = watch.tick(silent, &mut rng);
+    assert_matches!(
+        calls[..],
+        [
+            Call::Stop { call: 2 },
+            Call::Watch {
+                call: 3,
+                after: 5,
+                ..
+            }
+        ]
     );
-    assert_eq!(watch.tick(SILENT, &mut rng), []);
-    let calls = watch.tick(SECOND + SILENT, &mut rng);
-    assert_eq!(
-        calls,
-        [Call::Stop { call: 2 }, Call::Watch { call: 3, after: 5 }]
+    assert_ne!(
+        wait(&calls),
+        first,
+        "readers that began together get out of step"
     );
     // The old one answers after all: that changes nothing.
-    assert!(!watch.answered(2, 9, SECOND + SILENT));
-    assert!(watch.answered(3, 6, SECOND + SILENT));
+    assert!(!watch.answered(2, 9, silent));
+    assert!(watch.answered(3, 6, silent));
 }
 
 #[test]
