--- a/components/answer/src/resume/message.rs
+++ b/components/answer/src/resume/message.rs
@@ -38,6 +38,10 @@
     pub deadline: Clock,
     /// Epochs that one answer may start, without those of wrong suspicions.
     pub most_epochs: u32,
+    /// Replicas that may refuse in a row before the answer is given up or pauses.
+    pub most_refusals: u32,
+    /// Longest time that an answer which has run goes on asking replicas that refuse.
+    pub hold: Duration,
     /// Times that a link is dialled anew without a token in between, until its epoch counts as lost.
     pub most_attaches: u32,
     /// Pause before the second dial in a row; it doubles with each further one.
@@ -52,9 +56,11 @@
             resumable: true,
             suspicion: threshold::Settings::default(),
             pool: threshold::Gaps::default(),
-            first: Duration::from_secs(4),
+            first: Duration::from_millis(2500),
             deadline: Clock::from_secs(3600),
             most_epochs: 8,
+            most_refusals: 4,
+            hold: Duration::from_secs(20),
             most_attaches: 4,
             dial_pause: Duration::from_millis(100),
         }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod hosts;
 mod links;
 mod operators;
+pub mod pointers;
 mod pool;
 pub mod problem;
 mod state;
--- a/components/models/src/answer.rs
+++ b/components/models/src/answer.rs
@@ -278,6 +278,8 @@
             first: Duration::ZERO,
             dial_pause: Duration::ZERO,
             most_epochs: self.epochs,
+            // Time stands still here, so an answer that is refused ends at once instead of pausing.
+            hold: Duration::ZERO,
             most_attaches: 1,
             ..Settings::default()
         };
