--- a/components/spread/src/exchange.rs
+++ b/components/spread/src/exchange.rs
@@ -12,11 +12,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    board::{
-        Action,
-        Board, //
-    },
+    board::Board,
     delta::Delta,
+    event::Action,
     fact::{
         Class,
         Fact,
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 pub mod delta;
 pub mod edit;
+pub mod event;
 mod exchange;
 pub mod fact;
 pub mod gate;
@@ -15,13 +16,13 @@
 pub mod slot;
 pub mod watch;
 
-pub use board::{
+pub use board::Board;
+pub use edit::Edit;
+pub use event::{
     Action,
-    Board,
     Event,
     Place, //
 };
-pub use edit::Edit;
 pub use fact::{
     Fact,
     Facts,
--- a/components/spread/src/reach.rs
+++ b/components/spread/src/reach.rs
@@ -17,10 +17,10 @@
 
 use crate::{
     board::{
-        Action,
         Board,
         READERS, //
     },
+    event::Action,
     exchange::send,
     fact::{
         Key,
