--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -34,6 +34,7 @@
     document::Release, //
 };
 use events::answers;
+use moves::step::Ending;
 use names::{
     Epoch,
     Index,
@@ -61,7 +62,12 @@
         self,
         Attempt, //
     },
+    burn::Meter,
     gates::Pass,
+    moves::{
+        Picked,
+        Witness, //
+    },
     pointers,
     pool::Wish,
     state::State,
@@ -86,6 +92,8 @@
     pub(crate) team: Team,
     pub(crate) target: Target,
     pub(crate) release: Release,
+    /// The move that picked the version, if any.
+    pub(crate) picked: Option<Picked>,
     pub(crate) continues: bool,
     pub(crate) model: String,
     pub(crate) prompt: String,
@@ -143,6 +151,8 @@
     pointed: Option<Epoch>,
     /// When the last tokens came, and from which epoch.
     last: Option<(Instant, Epoch)>,
+    witness: Witness,
+    meter: Meter,
 }
 
 async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
@@ -158,6 +168,8 @@
         begun: Instant::now(),
         pointed: None,
         last: None,
+        witness: Witness::new(ask.picked.clone()),
+        meter: Meter::default(),
         ask,
         pass,
     };
@@ -232,6 +244,7 @@
             cancel: CancellationToken::new(),
             turn: AtomicU32::new(0),
             usage: Mutex::default(),
+            refused: Mutex::default(),
         };
         self.attempts.insert(found.epoch, Arc::new(attempt));
         Event::Found {
@@ -270,6 +283,21 @@
                 Event::Tokens { epoch, .. } => Some(*epoch),
                 _ => None,
             };
+            if let Event::End {
+                epoch,
+                finish: Finish::Broken(why),
+                ..
+            } = &event
+                && let Some(attempt) = self.attempts.get(epoch)
+            {
+                self.witness.broken(&self.state, &attempt.server, *why);
+            }
+            if let Event::Refused { epoch, .. } = &event
+                && let Some(attempt) = self.attempts.get(epoch)
+                && let Some(why) = *attempt.refused.lock().expect("no panic while held")
+            {
+                self.witness.refused(&self.state, why);
+            }
             let before = self.resume.next();
             let mut actions = Vec::new();
             let now = self.state.now();
@@ -322,6 +350,9 @@
             }
             Action::Finish(finish) => {
                 let usage = self.usage();
+                let count = self.kept.len();
+                self.witness.ended(&self.state, Ending::Whole, count);
+                self.meter.ended(&self.state, &self.ask, true, count);
                 pieces.push(Piece::Finish(finish, usage));
             }
             Action::Interrupt {
@@ -334,6 +365,13 @@
                     self.ask.request,
                     self.kept.len()
                 );
+                let ending = match reason {
+                    Interruption::TooManyEpochs | Interruption::Deadline => Ending::Failed,
+                    _ => Ending::Excused,
+                };
+                let count = self.kept.len();
+                self.witness.ended(&self.state, ending, count);
+                self.meter.ended(&self.state, &self.ask, false, count);
                 pieces.push(Piece::Interrupt(reason, retry_after));
             }
         }
@@ -341,15 +379,6 @@
     }
 
     fn start(&mut self, epoch: Epoch, avoid: &[Server], cause: Cause) -> Option<Event> {
-        if cause != Cause::First {
-            events::emit!(
-                answers::RESUMED,
-                "request={} epoch={epoch} cause={cause:?} tokens={}",
-                self.ask.request,
-                self.kept.len()
-            );
-            metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
-        }
         let fingerprint = self.ask.fingerprint();
         if let Verdict::Refused { left } = self.state.suspects.verdict(fingerprint) {
             return Some(Event::NoPlace {
@@ -374,6 +403,15 @@
             Ok(replica) => replica,
             Err(retry_after) => return Some(Event::NoPlace { epoch, retry_after }),
         };
+        if cause != Cause::First {
+            events::emit!(
+                answers::RESUMED,
+                "request={} epoch={epoch} cause={cause:?} tokens={}",
+                self.ask.request,
+                self.kept.len()
+            );
+            metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
+        }
         let joined = replica.joined;
         let attempt = Arc::new(Attempt {
             epoch,
@@ -384,6 +422,7 @@
             cancel: CancellationToken::new(),
             turn: AtomicU32::new(0),
             usage: Mutex::default(),
+            refused: Mutex::default(),
         });
         let start = self.frame(&attempt);
         self.attempts.insert(epoch, attempt.clone());
@@ -478,6 +517,9 @@
             }
         }
         self.last = Some((now, epoch));
+        let count = self.kept.len() + fresh as usize;
+        self.meter.tokens(self.begun);
+        self.witness.tokens(&self.state, self.begun, count);
     }
 
     fn usage(&self) -> Usage {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempt;
+mod burn;
 pub mod callers;
 mod calls;
 mod daemon;
@@ -10,8 +11,10 @@
 mod gates;
 mod hosts;
 mod links;
+mod moves;
 mod operators;
-pub mod pointers;
+
+mod pointers;
 mod pool;
 pub mod problem;
 mod state;
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -10,12 +10,16 @@
 };
 
 use names::Revision;
+use report::{
+    page,
+    text, //
+};
 use salvo::{
-    Request,
-    Response,
-    Router,
-    handler,
-    writing::Json, //
+    Request, Response, Router, handler,
+    writing::{
+        Json,
+        Text, //
+    },
 };
 use serde::Serialize;
 use serde_json::json;
@@ -60,6 +64,8 @@
         .push(Router::with_path("status").get(Survey { state: with() }));
     Router::new()
         .push(environment)
+        .push(Router::with_path("reports/burn").get(Burn { state: with() }))
+        .push(Router::with_path("reports/moves").get(Moves { state: with() }))
         .push(Router::with_path("status").get(Status { state: with() }))
 }
 
@@ -318,6 +324,37 @@
     }
 }
 
+struct Burn {
+    state: Arc<State>,
+}
+
+#[handler]
+impl Burn {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let burn = self.state.book.report(self.state.now());
+        match req.query::<String>("format").as_deref() {
+            Some("html") => res.render(Text::Html(page::burn(&burn))),
+            Some("text") => res.render(Text::Plain(text::burn(&burn))),
+            _ => res.render(Json(burn)),
+        }
+    }
+}
+
+struct Moves {
+    state: Arc<State>,
+}
+
+#[handler]
+impl Moves {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let moves = self.state.movers.progress();
+        match req.query::<String>("format").as_deref() {
+            Some("text") => res.render(Text::Plain(report::moves::text(&moves))),
+            _ => res.render(Json(moves)),
+        }
+    }
+}
+
 struct Status {
     state: Arc<State>,
 }
