--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,6 +13,8 @@
 mod links;
 mod moves;
 mod operators;
+
+mod pointers;
 mod pool;
 pub mod problem;
 mod state;
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -76,12 +76,13 @@
     }
 }
 
-async fn dial(
+pub(crate) async fn dial(
     state: &State,
     host: &str,
     address: SocketAddr,
 ) -> Result<(Link, Stream, Hello), Error> {
-    let link = state.node.dial(address, host).await?;
+    // From a socket of its own: a new link must pass where the last one went silent.
+    let link = state.node.dial_apart(address, host).await?;
     let silence = state.settings.times.silence;
     let (stream, hello) = greeting::dialled(&link, &state.hello, silence).await?;
     Ok((link, stream, hello))
@@ -204,6 +205,7 @@
                 state.tell_pool(peer);
             }
             Ok(Some(Frame::Suspects(facts))) => state.suspects.merge(&facts),
+            Ok(Some(Frame::Spread(bytes))) => state.documents.message(&peer.host, &bytes),
             Ok(Some(_)) => {}
             Ok(None) => return "ended by the peer".into(),
             Err(error) => return error.to_string(),
