--- a/components/moves/src/mover.rs
+++ b/components/moves/src/mover.rs
@@ -296,6 +296,13 @@
                 if source == self.owner.source {
                     return;
                 }
+                // A request that failed at another entry isn't counted again when its caller sends
+                // it to this one.
+                for pair in cells.values() {
+                    for tally in [&pair.old, &pair.new] {
+                        tally.failures.hashes().for_each(|hash| self.remember(hash));
+                    }
+                }
                 self.evidence.merge_cells(&source, &cells);
                 for key in cells.keys() {
                     let sum = self.evidence.total_of(&self.owner.home, key);
--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -41,7 +41,7 @@
 const ENOUGH_TIMES: u64 = 12;
 
 /// Failing requests that are remembered, so that a retry isn't counted again.
-const REMEMBERED: usize = 256;
+const REMEMBERED: usize = 4096;
 
 impl Mover {
     pub(super) fn first(
@@ -88,12 +88,10 @@
     fn failed(&mut self, pick: &Pick, wall: SystemTime, out: &mut Vec<Action>) {
         // The pick's hash is small for the new version; the other half is as good for both.
         let hash = (pick.hash & u64::from(u32::MAX)) as u32;
-        if !self.failing.insert(hash) {
+        if self.failing.contains(&hash) {
             return;
         }
-        if self.failing.len() > REMEMBERED {
-            self.failing.pop_first();
-        }
+        self.remember(hash);
         self.count(pick, |tally| {
             tally.requests += 1;
             tally.failed += 1;
@@ -104,6 +102,14 @@
         }
     }
 
+    /// Remembers a failing request. The smallest hashes stay, as in the sketches of the cells.
+    pub(super) fn remember(&mut self, hash: u32) {
+        self.failing.insert(hash);
+        if self.failing.len() > REMEMBERED {
+            self.failing.pop_last();
+        }
+    }
+
     pub(super) fn between(
         &mut self,
         pick: &Pick,
--- a/components/moves/src/sketch.rs
+++ b/components/moves/src/sketch.rs
@@ -33,6 +33,11 @@
         self.0.contains(&hash)
     }
 
+    /// The hashes that are kept.
+    pub fn hashes(&self) -> impl Iterator<Item = u32> {
+        self.0.iter().copied()
+    }
+
     /// Takes in another set.
     pub fn merge(&mut self, other: &Self) {
         for hash in &other.0 {
--- a/components/moves/tests/mover.rs
+++ b/components/moves/tests/mover.rs
@@ -145,7 +145,12 @@
         bench.request(entry, &pick, Fate::Failed);
         bench.run(10, 10, fine);
     }
-    assert!(bench.movers.iter().all(|mover| mover.veto().is_none()));
+    for mover in &bench.movers {
+        assert!(mover.veto().is_none());
+        let cells = mover.total().values();
+        let counted: u32 = cells.map(|pair| pair.new.distinct_failures()).sum();
+        assert_eq!(counted, 1);
+    }
 }
 
 /// Servers of the new version die. Where a lost host, an overload or a poisonous request explains
