Take no part of a place for a whole one; measure several entries

With one entry the share is a whole number, so nothing showed. Ruled out: aiming below capacity (it would hide the rounding and waste places). Change: a request goes on only if it fits whole; continuations keep at least one place above the limit, which small limits would have lost by this. measure admission has two cases with four entries, which hear of each other a second late. Conclusion: limits hold over several entries.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -122,8 +122,7 @@
         if !self.teams[team].take(now) {
             return self.refuse(now, team, Reason::Rate, rng);
         }
-        let free = f64::from(self.running) < self.pace.limit();
-        if free && self.waiting.is_empty() {
+        if self.below(self.pace.limit()) && self.waiting.is_empty() {
             let member = &self.teams[team];
             let start = self.order.start(member.level, member.paid);
             self.admit(team, start, arrival.cost);
@@ -165,7 +164,7 @@
         self.pace.tick(now, &self.settings);
         self.expire(now, &mut released, rng);
         // Their bound is above the limit of new work: while one of them waits, nothing else goes on.
-        while f64::from(self.running) < self.bound_of_resumes() {
+        while self.below(self.bound_of_resumes()) {
             let Some(ticket) = self.resumes.pop_front() else {
                 break;
             };
@@ -174,7 +173,7 @@
                 released.push(Released::Admit(ticket));
             }
         }
-        while f64::from(self.running) < self.pace.limit() {
+        while self.below(self.pace.limit()) {
             let teams = &self.teams;
             let next = self.order.next(|team| teams[team].weight());
             let Some((start, team)) = next else {
@@ -197,8 +196,15 @@
         self.deadlines.first().map(|(at, _)| *at)
     }
 
+    /// Whether one more fits. A part of a place is none: rounded up at each of many entries, the
+    /// parts add up to more than there is.
+    fn below(&self, limit: f64) -> bool {
+        f64::from(self.running) + 1.0 <= limit
+    }
+
     fn bound_of_resumes(&self) -> f64 {
-        self.pace.limit() * (1.0 + self.settings.reserve)
+        let limit = self.pace.limit();
+        limit + (limit * self.settings.reserve).max(1.0)
     }
 
     /// Continuations go before all new work, and no team's limits hold them up: the answer that
@@ -210,7 +216,7 @@
         arrival: &Arrival,
         rng: &mut impl Rng,
     ) -> Verdict {
-        if self.resumes.is_empty() && f64::from(self.running) < self.bound_of_resumes() {
+        if self.resumes.is_empty() && self.below(self.bound_of_resumes()) {
             self.admit_resume(team, arrival.cost);
             return Verdict::Admit;
         }
--- a/components/admission/src/settings.rs
+++ b/components/admission/src/settings.rs
@@ -13,7 +13,7 @@
     pub usual: Duration,
     /// Share of capacity that is aimed at; the rest is for what other entries do meanwhile.
     pub aim: f64,
-    /// Concurrency above the limit that is kept for continuing answers, as a share.
+    /// Concurrency above the limit that is kept for continuing answers, as a share; at least one.
     pub reserve: f64,
     /// First-token time above which a request counts as late.
     pub first: Duration,
--- a/components/admission/tests/gate.rs
+++ b/components/admission/tests/gate.rs
@@ -306,7 +306,7 @@
         ..FREE
     };
     bench.arrive("high", high, false);
-    // Two and a tenth: a third may run.
+    // One place above the limit is kept for continuations.
     assert_eq!(bench.arrive("a", one, true), Verdict::Admit);
     let Verdict::Queue(ticket) = bench.arrive("a", one, true) else {
         panic!("it waits for a place");
@@ -562,6 +562,22 @@
     assert_eq!(bench.gate.limit(), limit);
 }
 
+// Four entries share ten places. Each rounds its two and a half up, and the engines are always
+// over capacity by two, so that no answer is in time.
+#[test]
+fn parts_of_places_are_no_places() {
+    let mut running = 0;
+    for _ in 0..4 {
+        let mut bench = Bench::new(1);
+        bench.report(10, 0, 4);
+        for _ in 0..5 {
+            bench.new_work("a");
+        }
+        running += bench.running.len();
+    }
+    assert_eq!(running, 8);
+}
+
 /// Finishes requests over some seconds, each with that first-token time.
 fn serve(bench: &mut Bench, seconds: u32, first: Duration) {
     for _ in 0..seconds {
--- a/components/measure/src/admission/policy.rs
+++ b/components/measure/src/admission/policy.rs
@@ -61,7 +61,7 @@
 
 impl Door {
     pub fn new(policy: Policy) -> Self {
-        let mut door = Self {
+        Self {
             policy,
             gate: Gate::new(Settings {
                 start: CAPACITY,
@@ -69,17 +69,16 @@
             }),
             running: 0,
             capacity: CAPACITY,
-        };
-        door.report(CAPACITY);
-        door
+        }
     }
 
-    pub fn report(&mut self, capacity: u32) {
-        self.capacity = capacity;
+    /// Takes the whole capacity, and the runs of the other entries as they were a while ago.
+    pub fn report(&mut self, capacity: u32, others: u32, entries: u32) {
+        self.capacity = capacity / entries;
         self.gate.report(Report {
             capacity,
-            load: self.running,
-            entries: 1,
+            load: self.running + others,
+            entries,
         });
     }
 
--- a/components/measure/src/admission/stream.rs
+++ b/components/measure/src/admission/stream.rs
@@ -49,17 +49,37 @@
     Below,
     OneTeam,
     All,
+    FourEntries,
+    OneBusyEntry,
     Outage,
 }
 
 impl Case {
-    pub const ALL: [Self; 4] = [Self::Below, Self::OneTeam, Self::All, Self::Outage];
+    pub const ALL: [Self; 6] = [
+        Self::Below,
+        Self::OneTeam,
+        Self::All,
+        Self::FourEntries,
+        Self::OneBusyEntry,
+        Self::Outage,
+    ];
+
+    /// Share of the requests that comes to each entry.
+    fn entries(self) -> &'static [f64] {
+        match self {
+            Self::FourEntries => &[0.25; 4],
+            Self::OneBusyEntry => &[0.55, 0.15, 0.15, 0.15],
+            Self::Below | Self::OneTeam | Self::All | Self::Outage => &[1.0],
+        }
+    }
 
     pub fn name(self) -> &'static str {
         match self {
             Self::Below => "90% of capacity",
             Self::OneTeam => "3 times capacity, by one team",
             Self::All => "3 times capacity, by all",
+            Self::FourEntries => "the same, over 4 entries",
+            Self::OneBusyEntry => "the same, 55% at one of 4",
             Self::Outage => "90%, and 60 s without engines",
         }
     }
@@ -70,7 +90,7 @@
             Self::Below | Self::Outage => 0.9,
             Self::OneTeam if team == 0 => return 2.2,
             Self::OneTeam => 0.8,
-            Self::All => 3.0,
+            Self::All | Self::FourEntries | Self::OneBusyEntry => 3.0,
         };
         if team < LARGE {
             whole * 0.5 / LARGE as f64
@@ -104,11 +124,12 @@
     Fresh,
     Try(Request),
     End {
+        entry: usize,
         team: usize,
         time: Duration,
     },
     Report,
-    Wake,
+    Wake(usize),
 }
 
 struct Run {
@@ -116,10 +137,12 @@
     rng: StdRng,
     steps: BinaryHeap<Reverse<(Clock, u64, Step)>>,
     number: u64,
-    door: Door,
+    doors: Vec<Door>,
+    /// Runs of each entry when the last reports were made: the others hear of them late.
+    before: Vec<u32>,
     names: Vec<Team>,
     demands: Vec<f64>,
-    waiting: BTreeMap<Ticket, (Request, Clock)>,
+    waiting: BTreeMap<(usize, Ticket), (Request, Clock)>,
     asked: Vec<u32>,
     served: Vec<u32>,
     requests: u32,
@@ -153,7 +176,8 @@
             rng: StdRng::seed_from_u64(seed),
             steps: BinaryHeap::new(),
             number: 0,
-            door: Door::new(policy),
+            doors: case.entries().iter().map(|_| Door::new(policy)).collect(),
+            before: vec![0; case.entries().len()],
             names: (0..TEAMS).map(|team| format!("team-{team}")).collect(),
             demands,
             waiting: BTreeMap::new(),
@@ -181,18 +205,26 @@
         match step {
             Step::Fresh => self.fresh(now),
             Step::Try(request) => self.attempt(now, request),
-            Step::End { team, time } => {
-                self.door.finish(&self.names[team], time);
-                self.tick(now);
-            }
-            Step::Report => {
-                let capacity = if self.out(now) { 0 } else { CAPACITY };
-                self.door.report(capacity);
-                self.tick(now);
-                self.at(now + REPORTS, Step::Report);
+            Step::End { entry, team, time } => {
+                self.doors[entry].finish(&self.names[team], time);
+                self.tick(now, entry);
             }
-            Step::Wake => self.tick(now),
+            Step::Report => self.report(now),
+            Step::Wake(entry) => self.tick(now, entry),
+        }
+    }
+
+    fn report(&mut self, now: Clock) {
+        let capacity = if self.out(now) { 0 } else { CAPACITY };
+        let all: u32 = self.before.iter().sum();
+        let entries = self.doors.len();
+        for entry in 0..entries {
+            let others = all - self.before[entry];
+            self.doors[entry].report(capacity, others, entries as u32);
+            self.tick(now, entry);
         }
+        self.before = self.doors.iter().map(Door::running).collect();
+        self.at(now + REPORTS, Step::Report);
     }
 
     fn fresh(&mut self, now: Clock) {
@@ -222,21 +254,34 @@
         if request.came >= BEGIN {
             self.tries += 1;
         }
+        let entry = self.entry();
         let team = &self.names[request.team];
-        let answer = self.door.arrive(now, team, &mut self.rng);
-        self.answer(now, now, request, answer);
-        if let Some(deadline) = self.door.deadline() {
-            self.at(deadline, Step::Wake);
+        let answer = self.doors[entry].arrive(now, team, &mut self.rng);
+        self.answer(now, entry, now, request, answer);
+        if let Some(deadline) = self.doors[entry].deadline() {
+            self.at(deadline, Step::Wake(entry));
+        }
+    }
+
+    /// The entry that a try comes to.
+    fn entry(&mut self) -> usize {
+        let mut draw = self.rng.random_range(0.0..1.0);
+        for (entry, share) in self.case.entries().iter().enumerate() {
+            if draw < *share {
+                return entry;
+            }
+            draw -= share;
         }
+        0
     }
 
     /// Takes an answer to a try that was made at `tried`.
-    fn answer(&mut self, now: Clock, tried: Clock, request: Request, answer: Answer) {
+    fn answer(&mut self, now: Clock, entry: usize, tried: Clock, request: Request, answer: Answer) {
         match answer {
-            Answer::Begin => self.begin(now, tried, request),
+            Answer::Begin => self.begin(now, entry, tried, request),
             Answer::Wait(ticket) => {
-                self.waiting.insert(ticket, (request, now));
-                self.tick(now);
+                self.waiting.insert((entry, ticket), (request, now));
+                self.tick(now, entry);
             }
             Answer::Refuse(time) => self.again(now + time, request),
         }
@@ -248,15 +293,16 @@
         }
     }
 
-    fn begin(&mut self, now: Clock, tried: Clock, request: Request) {
+    fn begin(&mut self, now: Clock, entry: usize, tried: Clock, request: Request) {
         if self.out(now) {
             // There is no engine: it fails at once, and its caller tries again.
-            self.door
-                .finish(&self.names[request.team], Duration::from_millis(10));
+            let team = &self.names[request.team];
+            self.doors[entry].finish(team, Duration::from_millis(10));
             self.again(now + Duration::from_secs(1), request);
             return;
         }
-        let good = self.door.running() <= CAPACITY && now - tried <= PATIENCE;
+        let running: u32 = self.doors.iter().map(Door::running).sum();
+        let good = running <= CAPACITY && now - tried <= PATIENCE;
         if good {
             self.good[now.as_secs() as usize] += 1;
             if request.came >= BEGIN {
@@ -264,16 +310,17 @@
             }
         }
         let end = Step::End {
+            entry,
             team: request.team,
             time: request.length,
         };
         self.at(now + request.length, end);
     }
 
-    fn tick(&mut self, now: Clock) {
-        for (ticket, answer) in self.door.tick(now, &mut self.rng) {
-            if let Some((request, tried)) = self.waiting.remove(&ticket) {
-                self.answer(now, tried, request, answer);
+    fn tick(&mut self, now: Clock, entry: usize) {
+        for (ticket, answer) in self.doors[entry].tick(now, &mut self.rng) {
+            if let Some((request, tried)) = self.waiting.remove(&(entry, ticket)) {
+                self.answer(now, entry, tried, request, answer);
             }
         }
     }
