Start a suspect at one engine only

Ruled out: shorter waits (the probation is 2 s). Change: no epoch out of suspicion for a request that is itself suspected.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -403,12 +403,19 @@
     }
 
     fn start(&mut self, epoch: Epoch, avoid: &[Server], cause: Cause) -> Option<Event> {
-        let fingerprint = self.ask.fingerprint();
-        if let Verdict::Refused { left } = self.state.suspects.verdict(fingerprint) {
-            return Some(Event::NoPlace {
-                epoch,
-                retry_after: left,
-            });
+        match self.state.suspects.verdict(self.ask.fingerprint()) {
+            Verdict::Refused { left } => {
+                return Some(Event::NoPlace {
+                    epoch,
+                    retry_after: left,
+                });
+            }
+            // A suspect that waits for its place would be started at a second one as well, and
+            // bring both engines down at once.
+            Verdict::Suspect | Verdict::Solitary if cause == Cause::Suspicion => {
+                return Some(Event::Denied { epoch });
+            }
+            Verdict::Clear | Verdict::Suspect | Verdict::Solitary => {}
         }
         match cause {
             Cause::First => {}
