--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -16,6 +16,7 @@
     Finish,
     resume::Event, //
 };
+use daemon::suspects::Suspects;
 use names::{
     Epoch,
     Index,
@@ -61,6 +62,8 @@
     pub(crate) nonce: Nonce,
     pub(crate) server: Server,
     pub(crate) peer: Arc<Peer>,
+    /// Takes what the sidecar knows of a death, ahead of the end.
+    pub(crate) suspects: Arc<Suspects>,
     /// Cancelled when the answer goes on without this epoch.
     pub(crate) cancel: CancellationToken,
     /// Number of the link that is listened to; what an earlier one says about itself is outdated.
@@ -205,6 +208,10 @@
     match frame {
         Frame::Started if attached => Some(Event::Attached { epoch }),
         Frame::Started => None,
+        Frame::Suspects(facts) => {
+            attempt.suspects.merge(&facts);
+            None
+        }
         Frame::Missing => Some(Event::AttachMissed { epoch }),
         Frame::Refused(refused) => {
             let retry_after = refused.retry_after;
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -173,7 +173,9 @@
         let handed = self.request(call).await;
         match handed {
             Handed::Answered { .. } => flying.ended(),
-            Handed::Lost => flying.broke().await,
+            Handed::Lost => {
+                flying.broke().await;
+            }
             Handed::NotSent => {}
         }
         handed
--- a/components/sidecar/src/flights.rs
+++ b/components/sidecar/src/flights.rs
@@ -10,6 +10,7 @@
 };
 
 use contract::poison::{
+    Facts,
     Fingerprint,
     Flight,
     Place,
@@ -161,15 +162,17 @@
     }
 
     /// The request's run broke. If the server is dead, all that was in flight is to blame, and the
-    /// entries are told before this returns.
-    pub(crate) async fn broke(&self) {
+    /// entries are told before this returns. Gives the facts, to be sent ahead of the run's end: on
+    /// a slow link the entry would otherwise start a suspect elsewhere before it knows of it.
+    pub(crate) async fn broke(&self) -> Option<Facts> {
         if !self.flights.dead().await {
-            return;
+            return None;
         }
         if let Some(flights) = self.flights.take(self.number) {
             self.flights.suspects.died(&self.flights.server, flights);
         }
         sleep(AHEAD).await;
+        Some(self.flights.suspects.facts())
     }
 }
 
--- a/components/sidecar/src/generation.rs
+++ b/components/sidecar/src/generation.rs
@@ -14,6 +14,7 @@
         Log, //
     },
 };
+use contract::poison::Facts;
 use names::{
     Epoch,
     Index,
@@ -55,6 +56,8 @@
 pub struct Generation {
     log: watch::Sender<Log>,
     usage: Mutex<Usage>,
+    /// Facts about the death that ended the generation.
+    suspects: Mutex<Option<Facts>>,
     cancel: CancellationToken,
     /// How far each stream that listens has been sent.
     sent: Mutex<HashMap<u64, Index>>,
@@ -69,6 +72,7 @@
         Ok(Self {
             log: watch::Sender::new(Log::with_prefix(delivered, bound)?),
             usage: Mutex::new(Usage::default()),
+            suspects: Mutex::default(),
             cancel: CancellationToken::new(),
             sent: Mutex::default(),
         })
@@ -84,6 +88,11 @@
         *self.usage.lock().expect("no panic while held")
     }
 
+    /// Facts to be told ahead of the end.
+    pub fn suspects(&self) -> Option<Facts> {
+        self.suspects.lock().expect("no panic while held").clone()
+    }
+
     /// Bytes of the log.
     pub fn bytes(&self) -> usize {
         self.log.borrow().bytes()
@@ -142,7 +151,8 @@
                     })
                 }
                 Next::Broken => {
-                    flying.broke().await;
+                    let facts = flying.broke().await;
+                    *self.suspects.lock().expect("no panic while held") = facts;
                     Some(Finish::Broken(Breakage::EngineDied))
                 }
                 Next::Stalled => Some(Finish::Broken(Breakage::EngineStalled)),
--- a/components/sidecar/src/generations.rs
+++ b/components/sidecar/src/generations.rs
@@ -223,6 +223,14 @@
             generation.note_sent(number, next);
         }
         if let Some((total, finish)) = end {
+            if let Some(facts) = generation.suspects()
+                && sender
+                    .send(&Frame::Suspects(Box::new(facts)))
+                    .await
+                    .is_err()
+            {
+                return;
+            }
             let usage = generation.usage();
             let frame = Frame::End(End {
                 total,
