Send the load with heartbeats while there is work; measure goodput

Cause: sidecars sent their load every 2 s only, so gates counted work that had ended long ago; and a replica whose link had just closed ended the choice. Change: a sidecar beats every second while it works; the entry counts others' load apart from its own; the choice goes on past a closed link; gates wait for the first report.

--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -6,6 +6,7 @@
         Arc, Mutex,
         atomic::{
             AtomicBool,
+            AtomicU32,
             Ordering, //
         },
     },
@@ -45,6 +46,8 @@
     listed_leaving: AtomicBool,
     /// Pieces of work of this entry at the peer.
     work: Arc<watch::Sender<u32>>,
+    /// Their number when the last heartbeat came.
+    then: AtomicU32,
 }
 
 /// A link that is up.
@@ -64,6 +67,7 @@
             heartbeat: Mutex::default(),
             listed_leaving: AtomicBool::new(false),
             work: Arc::new(watch::Sender::new(0)),
+            then: AtomicU32::new(0),
         }
     }
 
@@ -97,6 +101,7 @@
     pub(crate) fn hear(&self, heartbeat: Heartbeat) -> bool {
         let mut last = self.heartbeat.lock().expect("no panic while held");
         let begins = heartbeat.leaving && !last.leaving;
+        self.then.store(self.in_flight(), Ordering::Release);
         *last = heartbeat;
         begins
     }
@@ -126,9 +131,10 @@
         }
         let heartbeat = self.heartbeat.lock().expect("no panic while held");
         let load = heartbeat.load.unwrap_or_default();
-        // The report lags; what we have sent ourselves is known at once.
-        let running = (load.running + load.queued).max(self.in_flight());
-        Some((load.capacity, running))
+        // The report lags, but what this entry has sent and ended since is known at once.
+        let then = self.then.load(Ordering::Acquire);
+        let others = (load.running + load.queued).saturating_sub(then);
+        Some((load.capacity, others + self.in_flight()))
     }
 }
 
--- a/components/entry/src/gates.rs
+++ b/components/entry/src/gates.rs
@@ -264,6 +264,11 @@
         let mut held = self.held.lock().expect("no panic while held");
         for (service, line) in &mut held.gates {
             let (capacity, load) = state.fleet.load(service);
+            // No replica has reported yet: nothing is known, and what has to be refused will be
+            // for want of a replica.
+            if capacity == 0 {
+                continue;
+            }
             line.gate.report(Report {
                 capacity,
                 load,
--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -93,15 +93,26 @@
 impl State {
     /// Chooses a replica whose link is up, or says when to come back.
     pub(crate) fn replica(&self, wish: &Wish<'_>) -> Result<Replica, Duration> {
-        let server = self.pool.choose(wish)?;
-        let (peer, joined) = self.fleet.beside(&server).ok_or(COME_BACK)?;
-        let sent = self.pool.send(&server, wish.prefix, peer.counter());
-        Ok(Replica {
-            peer,
-            joined,
-            server,
-            sent,
-        })
+        let mut avoid = wish.avoid.to_vec();
+        for _ in 0..TRIES {
+            let server = self.pool.choose(&Wish {
+                avoid: &avoid,
+                ..*wish
+            })?;
+            let Some((peer, joined)) = self.fleet.beside(&server) else {
+                // Its link closed a moment ago, and the pool has not been told yet.
+                avoid.push(server);
+                continue;
+            };
+            let sent = self.pool.send(&server, wish.prefix, peer.counter());
+            return Ok(Replica {
+                peer,
+                joined,
+                server,
+                sent,
+            });
+        }
+        Err(COME_BACK)
     }
 }
 
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -15,6 +15,7 @@
 mod calls;
 mod idle;
 mod links;
+mod load;
 mod moves;
 mod process;
 mod range;
@@ -39,6 +40,7 @@
     Calls(calls::Args),
     Idle(idle::Args),
     Links(links::Args),
+    Load(load::Args),
     Moves(moves::Args),
     Resumes(resumes::Args),
     Routing(routing::Args),
@@ -66,6 +68,7 @@
         }
         What::Idle(args) => live(idle::run(args)),
         What::Links(args) => live(links::run(args)),
+        What::Load(args) => live(load::run(args)),
         What::Moves(args) => {
             moves::print(&args);
             Ok(())
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -130,7 +130,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct Times {
-    /// Time between heartbeats on a link; it is lost after three of them.
+    /// Time between heartbeats on a link while there is work here: they carry the load.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(bounded))]
+    pub heartbeat: Duration,
+    /// Time between heartbeats on a link at rest; it is lost after three of them.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub rest: Duration,
@@ -172,6 +176,7 @@
 impl Default for Times {
     fn default() -> Self {
         Self {
+            heartbeat: Duration::from_secs(1),
             rest: Duration::from_secs(2),
             silence: Duration::from_millis(1500),
             grace: Duration::from_secs(30),
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -10,10 +10,7 @@
     Pace, //
 };
 use events::links;
-use tokio::sync::{
-    mpsc,
-    watch, //
-};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wire::{
     Error,
@@ -53,13 +50,14 @@
     events::emit!(links::UP, "host={} address={address}", hello.host);
     let beats = state.heartbeat.subscribe();
     let (others, waiting) = mpsc::channel(1);
-    // Watching for silence is left to the entries.
-    let (_work, rest) = watch::channel(0);
+    // Watching for silence is left to the entries; but they admit and route by the load that the
+    // heartbeats carry, so it must not be old while there is some.
     let pace = Pace {
-        busy: state.settings.times.rest,
+        busy: state.settings.times.heartbeat,
         rest: state.settings.times.rest,
     };
-    tokio::spawn(greeting::beat(first.sender, beats, waiting, rest, pace));
+    let work = state.work.changes();
+    tokio::spawn(greeting::beat(first.sender, beats, waiting, work, pace));
     tokio::spawn(listen(state.clone(), first.receiver));
     let told = state.clone();
     tokio::spawn(async move { told.suspects.tell(others).await });
