--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -190,6 +190,7 @@
         movers: Movers::default(),
         book: Book::default(),
         gaps: Pools::default(),
+        silent: Default::default(),
         requests: Requests::default(),
         origin,
         leaving,
