Spread vetoes between entries at once

Cause: an entry learned of another's veto from the store only, up to ten seconds later, and not while the store was out. Change: a veto goes through the spread of facts; an entry takes part in moves once it has run for five seconds, by when it has heard its peers' vetoes; a move whose traffic is back and whose record isn't written yet is shown as reverting. With the telling left out, a_veto_reaches_the_other_entry_without_the_store failed: the second entry hears nothing.

--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -1,8 +1,8 @@
 //! Moves at this entry: the movers, their clock, and the store's records.
 //!
-//! Facts aren't spread between entries yet: each entry judges by its own requests, and learns how a
-//! move ended from the store's record, which it reads every ten seconds. An entry that finds a
-//! version bad writes the record at once.
+//! Vetoes go to every entry at once. Evidence isn't spread between entries yet: each judges by its
+//! own requests. How a move ended it learns from the store's record, which it reads every ten
+//! seconds.
 
 use std::{
     collections::BTreeMap,
@@ -37,6 +37,7 @@
     mover::Owner,
     outcome::{
         Record,
+        Veto,
         key, //
     },
     step::{
@@ -44,6 +45,7 @@
         Answer,
         Ending,
         Event,
+        Fact,
         Notice,
         Pick, //
     },
@@ -64,6 +66,7 @@
     Evidence,
     Progress, //
 };
+use spread::Key;
 use tokio::time::{
     Instant,
     MissedTickBehavior,
@@ -83,6 +86,13 @@
 /// many.
 const ONE_DEATH: Duration = Duration::from_secs(10);
 
+/// Time after the process's start by which it has heard the vetoes that its peers know: their
+/// digests come with each heartbeat.
+const SYNC: Duration = Duration::from_secs(5);
+
+/// Time for which a veto is spread. By then the store's record has long told the same.
+const KEPT: Duration = Duration::from_secs(30 * 24 * 3600);
+
 /// Tokens after which the mean time between them is told.
 const TOKENS: usize = 50;
 
@@ -152,9 +162,10 @@
         add(old, &pair.old);
         add(new, &pair.new);
     }
-    let (state, reason) = match mover.outcome() {
-        Some(outcome) => (format!("{:?}", outcome.end), outcome.reason.to_string()),
-        None => ("running".into(), String::new()),
+    let (state, reason) = match (mover.outcome(), mover.veto()) {
+        (Some(outcome), _) => (format!("{:?}", outcome.end), outcome.reason.to_string()),
+        (None, Some(veto)) => ("reverting".into(), veto.finding.to_string()),
+        (None, None) => ("running".into(), String::new()),
     };
     Progress {
         name: plan.name.clone(),
@@ -302,10 +313,16 @@
 pub(crate) async fn follow(state: Arc<State>) {
     let mut ticks = interval(PACE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut known = state.documents.known();
+    let mut vetoes = BTreeMap::new();
     let mut seen = 0;
     loop {
         tokio::select! {
             () = state.ended.cancelled() => return,
+            Ok((key, fact)) = known.recv() => {
+                hear(&state, &key, &fact, &mut vetoes);
+                continue;
+            }
             _ = ticks.tick() => {}
         }
         let Some(held) = state.documents.current() else {
@@ -314,16 +331,50 @@
         if held.revision != seen {
             seen = held.revision;
             take(&state, &held.document);
+            // A veto may come before the document that holds its move.
+            for (name, veto) in &vetoes {
+                on(&state, name, Event::Heard(Fact::Veto(Veto::clone(veto))));
+            }
             state.book.set_levels(&held.document);
         }
         ready(&state, &held.document);
         let names = names(&state);
         for name in names {
+            if state.now() >= SYNC {
+                on(&state, &name, Event::Synced);
+            }
             on(&state, &name, Event::Tick);
         }
     }
 }
 
+/// Takes in a veto that another entry told.
+fn hear(state: &Arc<State>, key: &Key, fact: &spread::Fact, vetoes: &mut BTreeMap<Move, Veto>) {
+    let Key::Veto(environment, name) = key else {
+        return;
+    };
+    if *environment != state.settings.environment {
+        return;
+    }
+    let Ok(veto) = postcard::from_bytes::<Veto>(&fact.body) else {
+        return;
+    };
+    vetoes.insert(name.clone(), veto.clone());
+    on(state, name, Event::Heard(Fact::Veto(veto)));
+}
+
+/// Tells every entry that a move's new version is bad.
+fn tell(state: &State, name: &Move, veto: &Veto) {
+    let key = Key::Veto(state.settings.environment.clone(), name.clone());
+    let since = veto.at.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let fact = spread::Fact {
+        weight: 1,
+        until: Some(since + KEPT),
+        body: postcard::to_stdvec(veto).expect("a veto can be encoded"),
+    };
+    state.documents.learn(key, fact);
+}
+
 fn names(state: &State) -> Vec<Move> {
     let movers = state.movers.0.lock().expect("no panic while held");
     movers.keys().cloned().collect()
@@ -429,6 +480,7 @@
             tokio::spawn(write(state.clone(), name.clone(), record, expect));
         }
         Action::Notice(notice) => log(name, &notice),
+        Action::Publish(Fact::Veto(veto)) => tell(state, name, &veto),
         // The pick reads share and concentration from the mover; the old version's servers stay
         // in the document.
         Action::Share(_) | Action::Concentrate(_) | Action::Warm(_) | Action::Publish(_) => {}
@@ -441,9 +493,7 @@
         Ok(entry) => standing(entry),
         Err(_) => Answer::Failed,
     };
-    // Without facts from peers the record is all there is to hear.
     on(&state, &name, Event::Stored(answer));
-    on(&state, &name, Event::Synced);
 }
 
 async fn write(state: Arc<State>, name: Move, record: Box<Record>, expect: Revision) {
--- a/components/report/src/moves.rs
+++ b/components/report/src/moves.rs
@@ -55,7 +55,8 @@
     pub by: SystemTime,
     /// How strongly the evidence speaks against the new version, as an e-value: 500 takes it back.
     pub against: f64,
-    /// `running`, `done` or `reverted`.
+    /// `running`, `done`, `reverted`; `reverting` when the traffic is back and the store doesn't
+    /// know yet.
     pub state: String,
     /// Why it ended; empty while it runs.
     pub reason: String,
