--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -47,6 +47,7 @@
     hosts::Hosts,
     moves::Movers,
     pool::Pool, //
+    silent::Silent,
 };
 
 /// Shared by the tasks of one entry.
@@ -71,6 +72,7 @@
     /// Counters of service-level burn.
     pub(crate) book: Book,
     pub(crate) gaps: Pools,
+    pub(crate) silent: Silent,
     pub(crate) requests: Requests,
     /// Origin of the clock readings that decision code gets.
     pub(crate) origin: Instant,
--- a/components/spread/src/board.rs
+++ b/components/spread/src/board.rs
@@ -10,7 +10,7 @@
 //!
 //! - *The store is out.* Documents stay as they are; the readers keep trying with growing, scattered
 //!   pauses. Facts travel all the same, for none of them needs the store.
-//! - *A watch is silent for good.* It is given up after [`crate::watch::SILENT`] and begun anew; the
+//! - *A watch is silent for good.* It is given up after a time and begun anew ([`crate::watch`]); the
 //!   other readers' watches are out of step with it, so most often one of them is earlier.
 //! - *A reader dies or can't reach the store.* It is suspect after [`crate::membership::SUSPECT`],
 //!   or says in its heartbeats that the store fails, and the next in rendezvous order watches too.
@@ -33,7 +33,6 @@
 
 use names::{
     Clock,
-    DataCentre,
     Environment,
     Host,
     Nonce,
@@ -45,20 +44,17 @@
 };
 
 use crate::{
+    event::{
+        Action,
+        Event,
+        Place, //
+    },
     fact::{
-        Fact,
         Facts,
         Key, //
     },
     gate::Gate,
-    membership::{
-        Listing,
-        Membership, //
-    },
-    message::{
-        Account,
-        Message, //
-    },
+    membership::Membership,
     slot::{
         Edition,
         Slot,
@@ -91,137 +87,6 @@
 /// How long a document from the store waits for another process to hold it.
 pub const SHARE: Duration = Duration::from_secs(2);
 
-/// What happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time passed; due about every 100 ms.
-    Tick {
-        /// Wall-clock time since 1970.
-        wall: Duration,
-    },
-    /// The platform's host list came.
-    List(Vec<Listing>),
-    /// Another process said something.
-    Message {
-        /// Its host.
-        from: Host,
-        /// What it said.
-        message: Message,
-    },
-    /// The store answered [`Action::Read`]: all documents.
-    Read {
-        /// Number of the call.
-        call: u64,
-        /// The documents.
-        documents: Vec<(Environment, Edition)>,
-        /// The store's revision.
-        revision: Revision,
-    },
-    /// The store answered [`Action::Watch`]: the documents that changed, or none.
-    Changed {
-        /// Number of the call.
-        call: u64,
-        /// The documents.
-        documents: Vec<(Environment, Edition)>,
-        /// The store's revision.
-        revision: Revision,
-    },
-    /// The store has forgotten the revision that a watch went on from.
-    Forgotten {
-        /// Number of the call.
-        call: u64,
-    },
-    /// The store didn't answer a call as it should.
-    Failed {
-        /// Number of the call.
-        call: u64,
-    },
-    /// This process wrote a document, or saw it in the store by other means.
-    Seen {
-        /// Its environment.
-        environment: Environment,
-        /// The document.
-        edition: Edition,
-    },
-    /// This process found a fact out.
-    Learn {
-        /// What it is about.
-        key: Key,
-        /// What is known.
-        fact: Fact,
-    },
-    /// This process is leaving.
-    Leave,
-    /// An operator asks what is in force where.
-    Survey {
-        /// Number of the survey, for its answers.
-        survey: u64,
-    },
-}
-
-/// What the driver is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send a message.
-    Send {
-        /// To this host.
-        to: Host,
-        /// The message.
-        message: Message,
-    },
-    /// Read all documents from the store.
-    Read {
-        /// Number of the call.
-        call: u64,
-    },
-    /// Wait in the store for changes, for [`crate::watch::WAIT`] at most.
-    Watch {
-        /// Number of the call.
-        call: u64,
-        /// Revision after which changes are wanted.
-        after: Revision,
-    },
-    /// Give a call up, with its connection.
-    StopWatch {
-        /// Number of the call.
-        call: u64,
-    },
-    /// A document came into force; [`Board::document`] has it.
-    InForce {
-        /// Its environment.
-        environment: Environment,
-        /// Its revision.
-        revision: Revision,
-    },
-    /// A fact came from another process; [`Board::facts`] has it.
-    Known {
-        /// What it is about.
-        key: Key,
-    },
-    /// The process may serve from now on.
-    Ready,
-    /// The process may have missed something and must not serve until [`Action::Ready`].
-    Unready,
-    /// What the hosts of a data centre hold.
-    Account {
-        /// Number of the survey.
-        survey: u64,
-        /// What they hold.
-        account: Account,
-    },
-}
-
-/// Who this process is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Place {
-    /// Its host.
-    pub host: Host,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// Random number of this process, not 0.
-    pub incarnation: Nonce,
-}
-
 /// What another entry of the data centre said last.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
@@ -489,13 +354,3 @@
         }
     }
 }
-
-impl From<Call> for Action {
-    fn from(call: Call) -> Self {
-        match call {
-            Call::Read { call } => Action::Read { call },
-            Call::Watch { call, after } => Action::Watch { call, after },
-            Call::Stop { call } => Action::StopWatch { call },
-        }
-    }
-}
