--- a/components/answer/src/resume/suspicion.rs
+++ b/components/answer/src/resume/suspicion.rs
@@ -33,6 +33,9 @@
             return None;
         }
         let mut wake = self.settings.deadline;
+        if let Some(due) = self.refusals.again {
+            wake = wake.min(due);
+        }
         for attempt in &self.attempts {
             if let State::Waiting(due) = attempt.state {
                 wake = wake.min(due);
@@ -52,6 +55,7 @@
             self.interrupt(Interruption::Deadline, Duration::ZERO, actions);
             return;
         }
+        self.ask_again(now, actions);
         self.dial(now, actions);
         self.probe(now, actions);
         if self.suspicion_due().is_some_and(|due| due <= now) {
--- a/components/answer/tests/resume.rs
+++ b/components/answer/tests/resume.rs
@@ -217,6 +217,17 @@
     (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")),
     (60, Event::HostGone { server: "s1".into() }), (61, placed(2)), (90, tokens(1, 1, "b")),
 ])]
+#[case::refused_everywhere_after_a_death("refused_after_death", vec![
+    (0, begin()), (1, placed(1)), (20, broken(1, 0, Breakage::EngineDied)),
+    (21, placed(2)), (22, refused(2)), (23, placed(3)), (24, refused(3)), (25, placed(4)),
+    (26, refused(4)), (27, placed(5)), (28, refused(5)),
+    (400, Event::Tick), (528, Event::Tick), (529, placed(6)), (600, tokens(6, 0, "a")), (601, end(6, 1)),
+])]
+#[case::refused_for_too_long_after_a_death("refused_for_long", vec![
+    (0, begin()), (1, placed(1)), (20, broken(1, 0, Breakage::EngineDied)),
+    (21, placed(2)), (22, refused(2)), (20_023, placed(3)), (20_024, refused(3)), (20_025, placed(4)),
+    (20_026, refused(4)), (20_027, placed(5)), (20_028, refused(5)),
+])]
 #[case::the_deadline_passes("deadline", vec![
     (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60_000, Event::Tick),
 ])]
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -33,6 +33,7 @@
     Frame, Link, Stream,
     frame::{
         Attach,
+        Reason,
         Start,
         Usage, //
     },
@@ -66,6 +67,8 @@
     pub(crate) turn: AtomicU32,
     /// What the epoch cost, once it has ended.
     pub(crate) usage: Mutex<Usage>,
+    /// Why the sidecar refused the epoch, if it did.
+    pub(crate) refused: Mutex<Option<Reason>>,
     /// Counts the work at the replica while the epoch is wanted.
     pub(crate) sent: Sent,
 }
@@ -205,6 +208,7 @@
         Frame::Missing => Some(Event::AttachMissed { epoch }),
         Frame::Refused(refused) => {
             let retry_after = refused.retry_after;
+            *attempt.refused.lock().expect("no panic while held") = Some(refused.reason);
             attempt.sent.ended(Outcome::Refused { retry_after });
             Some(Event::Refused { epoch, retry_after })
         }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempt;
+mod burn;
 pub mod callers;
 mod calls;
 mod daemon;
@@ -10,7 +11,9 @@
 mod gates;
 mod hosts;
 mod links;
+mod moves;
 mod operators;
+
 mod pointers;
 mod pool;
 pub mod problem;
--- a/components/measure/src/main.rs
+++ b/components/measure/src/main.rs
@@ -11,12 +11,18 @@
 
 use argh::FromArgs;
 
+mod admission;
 mod calls;
 mod idle;
 mod links;
+mod load;
 mod moves;
 mod process;
+mod range;
 mod resumes;
+mod routing;
+mod slopes;
+mod spread;
 mod table;
 mod tokens;
 
@@ -30,11 +36,16 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Admission(admission::Args),
     Calls(calls::Args),
     Idle(idle::Args),
     Links(links::Args),
+    Load(load::Args),
     Moves(moves::Args),
     Resumes(resumes::Args),
+    Routing(routing::Args),
+    Slopes(slopes::Args),
+    Spread(spread::Args),
     Tokens(tokens::Args),
     Version(Version),
 }
@@ -47,12 +58,17 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let measured = match args.what {
+        What::Admission(args) => {
+            admission::print(&args);
+            Ok(())
+        }
         What::Calls(args) => {
             calls::print(&args);
             Ok(())
         }
         What::Idle(args) => live(idle::run(args)),
         What::Links(args) => live(links::run(args)),
+        What::Load(args) => live(load::run(args)),
         What::Moves(args) => {
             moves::print(&args);
             Ok(())
@@ -61,6 +77,15 @@
             resumes::print(&args);
             Ok(())
         }
+        What::Routing(args) => {
+            routing::print(&args);
+            Ok(())
+        }
+        What::Slopes(args) => slopes::print(&args),
+        What::Spread(args) => {
+            spread::print(&args);
+            Ok(())
+        }
         What::Tokens(args) => live(tokens::run(args)),
         What::Version(_) => {
             let rows = vec![vec![env!("CARGO_PKG_VERSION").to_string()]];
--- a/components/moves/src/mover.rs
+++ b/components/moves/src/mover.rs
@@ -110,6 +110,7 @@
     revision: Option<Revision>,
     due: Option<Clock>,
     asked: Option<Clock>,
+    read: Clock,
     told: Clock,
     told_times: Clock,
 }
@@ -152,6 +153,7 @@
             revision: None,
             due: None,
             asked: Some(now),
+            read: now,
             told: now,
             told_times: now,
         };
@@ -219,6 +221,11 @@
         self.concentrated
     }
 
+    /// Whether this entry knows what its peers know, so that a peer may rely on its facts.
+    pub fn is_synced(&self) -> bool {
+        self.synced
+    }
+
     /// The move as the document has it.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -289,6 +296,13 @@
                 if source == self.owner.source {
                     return;
                 }
+                // A request that failed at another entry isn't counted again when its caller sends
+                // it to this one.
+                for pair in cells.values() {
+                    for tally in [&pair.old, &pair.new] {
+                        tally.failures.hashes().for_each(|hash| self.remember(hash));
+                    }
+                }
                 self.evidence.merge_cells(&source, &cells);
                 for key in cells.keys() {
                     let sum = self.evidence.total_of(&self.owner.home, key);
@@ -350,8 +364,9 @@
         let Answer::Standing { revision, record } = answer else {
             return;
         };
+        // A record without an outcome says nothing of a veto that only the entries know yet, so
+        // an entry that was restarted still has to hear a peer before it sends any traffic.
         self.revision = Some(revision);
-        self.synced = true;
         self.asked = None;
         let Some(record) = record else {
             return;
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -130,7 +130,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct Times {
-    /// Time between heartbeats on a link; it is lost after three of them.
+    /// Time between heartbeats on a link while there is work here: they carry the load.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(bounded))]
+    pub heartbeat: Duration,
+    /// Time between heartbeats on a link at rest; it is lost after three of them.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub rest: Duration,
@@ -154,6 +158,11 @@
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub stall: Duration,
+    /// Longest time for which an engine that doesn't check fencing numbers may still carry out an
+    /// order after its connection was closed.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(bounded))]
+    pub settle: Duration,
     /// Longest time that a call to a plain service may take.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
@@ -167,12 +176,14 @@
 impl Default for Times {
     fn default() -> Self {
         Self {
+            heartbeat: Duration::from_secs(1),
             rest: Duration::from_secs(2),
             silence: Duration::from_millis(1500),
             grace: Duration::from_secs(30),
             load: Duration::from_millis(500),
             platform: Duration::from_secs(2),
             stall: Duration::from_secs(30),
+            settle: Duration::from_secs(30),
             call: Duration::from_secs(60),
             drain: Duration::from_secs(600),
         }
