Wait a second for a turn, not the whole time to the first token

Cause: a request that waited 1.9 s for its turn got its first token after 1.9 s: late (105 of 341 served at 3 times capacity). Ruled out: fewer places (the engines were free for what was admitted). Change: times.queue, one second.

--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -164,7 +164,7 @@
             team: &ask.team,
             limit: limit(state, &held.document.limit(&ask.team)),
             cost: ask.max_tokens,
-            patience: state.settings.times.first,
+            patience: state.settings.times.queue,
             resume: ask.mark.is_some(),
         };
         let pass = Arc::new(state.gates.admit(knock).await?);
--- a/components/entry/src/callers/service.rs
+++ b/components/entry/src/callers/service.rs
@@ -92,7 +92,7 @@
             team: &team,
             limit: limit(state, &held.document.limit(&team)),
             cost: 1,
-            patience: state.settings.times.first,
+            patience: state.settings.times.queue,
             resume: false,
         };
         let pass = state.gates.admit(knock).await?;
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -153,6 +153,11 @@
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub first: Duration,
+    /// Longest time that a request waits for its turn; what is left until the service level's first
+    /// token has to suffice for the engine.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(bounded))]
+    pub queue: Duration,
     /// Time that a shutdown waits for requests in progress.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
@@ -173,6 +178,7 @@
             answer: Duration::from_secs(3600),
             call: Duration::from_secs(60),
             first: Duration::from_millis(2500),
+            queue: Duration::from_secs(1),
             drain: Duration::from_secs(600),
         }
     }
