Avoid a server that was overtaken

Ruled out: refusals and the retry budget (neither shows in the log). Change: an epoch that is overtaken puts its server on the answer's list of servers to avoid. Seen failing first: two_faults_in_one_answer_are_mended with a bound of 3 s from the death to the next token, 17.9 s.

--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -266,10 +266,14 @@
     /// Makes an epoch the owner and fences all others.
     fn own(&mut self, now: Clock, epoch: Epoch, actions: &mut Vec<Action>) {
         let mut wrong = false;
+        let mut overtaken = Vec::new();
         for attempt in &self.attempts {
             if attempt.epoch == epoch {
                 continue;
             }
+            if attempt.epoch < epoch {
+                overtaken.extend(attempt.server.clone());
+            }
             // A wrong suspicion costs no epoch. Else a long answer of a slow engine would use all
             // of them up, and the first real loss would interrupt it.
             if attempt.epoch > epoch {
@@ -280,6 +284,11 @@
                 epoch: attempt.epoch,
             });
         }
+        // A server that was silent until another one overtook it would hold the answer up again, and
+        // looks idle to whoever chooses next.
+        for server in overtaken {
+            self.avoid(Some(server));
+        }
         self.attempts.retain(|attempt| attempt.epoch == epoch);
         self.owner = Some(epoch);
         self.refusals = Refusals::default();
--- a/components/answer/tests/resume.rs
+++ b/components/answer/tests/resume.rs
@@ -228,6 +228,10 @@
     (21, placed(2)), (22, refused(2)), (20_023, placed(3)), (20_024, refused(3)), (20_025, placed(4)),
     (20_026, refused(4)), (20_027, placed(5)), (20_028, refused(5)),
 ])]
+#[case::a_stopped_engine_then_a_death("stopped_then_dead", vec![
+    (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (1050, Event::Tick), (1051, placed(2)),
+    (1100, tokens(2, 1, "b")), (1110, broken(2, 2, Breakage::EngineDied)),
+])]
 #[case::the_deadline_passes("deadline", vec![
     (0, begin()), (1, placed(1)), (50, tokens(1, 0, "a")), (60_000, Event::Tick),
 ])]
--- a/components/trial/tests/answers.rs
+++ b/components/trial/tests/answers.rs
@@ -162,6 +162,9 @@
             });
         }
     }
+    let died = Instant::now();
+    letter.read(17).await;
+    assert!(died.elapsed() < SOON, "{:?}", died.elapsed());
     letter.rest().await;
     assert_eq!(letter.tokens, text);
     assert_eq!(letter.error, None);
