Rank the entries that write a move's record, and spread it

Cause: each entry had rank 0, so each wrote a move's begin and end to the store; one won by compare-and-swap.

Ruled out: ranks alone. Only the first two ranks read the record of a running move, and the entry didn't spread the outcome, so the others would write in their turn all the same, or never learn the end. The mover itself needed no change.

The record goes to every entry as a fact (spread::Key::Record, weight: its revision) once written or read.

Left open: the platform's list doesn't say which environment an entry serves.

--- a/components/entry/src/hosts.rs
+++ b/components/entry/src/hosts.rs
@@ -213,6 +213,13 @@
         u32::try_from(others + 1).unwrap_or(u32::MAX)
     }
 
+    /// Names of the other entries that are known.
+    pub(crate) fn other_entries(&self) -> Vec<Host> {
+        let known = self.known.lock().expect("no panic while held");
+        let entries = known.iter().filter(|(_, host)| host.role == Role::Entry);
+        entries.map(|(name, _)| name.clone()).collect()
+    }
+
     /// About how many entries have links to the same sidecars, this one included.
     pub(crate) fn sharing(&self, state: &State) -> u32 {
         let known = self.known.lock().expect("no panic while held");
--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -1,8 +1,8 @@
 //! Moves at this entry: the movers, their clock, and the store's records.
 //!
-//! Vetoes go to every entry at once. Evidence isn't spread between entries yet: each judges by its
-//! own requests. How a move ended it learns from the store's record, which it reads every ten
-//! seconds.
+//! Vetoes go to every entry at once, and so does the store's record when an entry has written or
+//! read it. The entries take turns to write it, so that usually one does. Evidence isn't spread
+//! between entries yet: each judges by its own requests.
 
 use std::{
     collections::BTreeMap,
@@ -40,6 +40,7 @@
         Veto,
         key, //
     },
+    rank::rank,
     step::{
         Action,
         Answer,
@@ -90,7 +91,7 @@
 /// digests come with each heartbeat.
 const SYNC: Duration = Duration::from_secs(5);
 
-/// Time for which a veto is spread. By then the store's record has long told the same.
+/// Time for which a veto or a record is spread. By then the store's record has long told the same.
 const KEPT: Duration = Duration::from_secs(30 * 24 * 3600);
 
 /// Tokens after which the mean time between them is told.
@@ -339,7 +340,10 @@
         }
         ready(&state, &held.document);
         let names = names(&state);
+        let others = state.hosts.other_entries();
         for name in names {
+            let rank = rank(&state.settings.name, &others, &name);
+            on(&state, &name, Event::Rank(rank));
             if state.now() >= SYNC {
                 on(&state, &name, Event::Synced);
             }
@@ -348,14 +352,24 @@
     }
 }
 
-/// Takes in a veto that another entry told.
+/// Takes in a veto or a record that another entry told.
 fn hear(state: &Arc<State>, key: &Key, fact: &spread::Fact, vetoes: &mut BTreeMap<Move, Veto>) {
-    let Key::Veto(environment, name) = key else {
+    let (Key::Veto(environment, name) | Key::Record(environment, name)) = key else {
         return;
     };
     if *environment != state.settings.environment {
         return;
     }
+    if matches!(key, Key::Record(..)) {
+        if let Ok(record) = serde_json::from_slice(&fact.body) {
+            let answer = Answer::Standing {
+                revision: fact.weight,
+                record: Some(record),
+            };
+            on(state, name, Event::Stored(answer));
+        }
+        return;
+    }
     let Ok(veto) = postcard::from_bytes::<Veto>(&fact.body) else {
         return;
     };
@@ -375,6 +389,28 @@
     state.documents.learn(key, fact);
 }
 
+/// Tells every entry what the store keeps of a move.
+///
+/// Only the entry that wrote the record, and those that read it, know that it stands. The others
+/// would each write it again when their turn comes.
+fn tell_record(state: &State, name: &Move, answer: &Answer) {
+    let Answer::Standing {
+        revision,
+        record: Some(record),
+    } = answer
+    else {
+        return;
+    };
+    let key = Key::Record(state.settings.environment.clone(), name.clone());
+    let since = record.by.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let fact = spread::Fact {
+        weight: *revision,
+        until: Some(since + KEPT),
+        body: serde_json::to_vec(record).expect("a record has a JSON form"),
+    };
+    state.documents.learn(key, fact);
+}
+
 fn names(state: &State) -> Vec<Move> {
     let movers = state.movers.0.lock().expect("no panic while held");
     movers.keys().cloned().collect()
@@ -493,6 +529,7 @@
         Ok(entry) => standing(entry),
         Err(_) => Answer::Failed,
     };
+    tell_record(&state, &name, &answer);
     on(&state, &name, Event::Stored(answer));
 }
 
@@ -511,6 +548,7 @@
         Ok(Write::Conflict { entry }) => standing(entry),
         Err(_) => Answer::Failed,
     };
+    tell_record(&state, &name, &answer);
     on(&state, &name, Event::Stored(answer));
 }
 
--- a/components/moves/src/lib.rs
+++ b/components/moves/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod mover;
 pub mod outcome;
 pub mod plan;
+pub mod rank;
 pub mod share;
 pub mod sketch;
 pub mod step;
--- a/components/spread/src/fact.rs
+++ b/components/spread/src/fact.rs
@@ -44,6 +44,8 @@
     /// Counts and histograms of a move; the text names what was counted. A process that starts
     /// anew counts from 0 and would be the lighter, so its incarnation belongs into the text.
     Evidence(Source, String),
+    /// What the store keeps of a move. The weight is its revision there.
+    Record(Environment, Move),
 }
 
 /// How a fact travels.
@@ -61,7 +63,7 @@
     /// How facts with this key travel.
     pub fn class(&self) -> Class {
         match self {
-            Key::Veto(..) | Key::Poison(_) => Class::Urgent,
+            Key::Veto(..) | Key::Poison(_) | Key::Record(..) => Class::Urgent,
             Key::Evidence(Source::DataCentre(_), _) => Class::Summary,
             Key::Evidence(Source::Host(_), _) => Class::Detail,
         }
@@ -77,6 +79,7 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Key::Veto(environment, name) => write!(out, "veto/{environment}/{name}"),
+            Key::Record(environment, name) => write!(out, "record/{environment}/{name}"),
             Key::Poison(fingerprint) => write!(out, "poison/{fingerprint:016x}"),
             Key::Evidence(Source::DataCentre(name), of) => {
                 write!(out, "evidence/data-centre/{name}/{of}")
--- a/components/spread/src/reach.rs
+++ b/components/spread/src/reach.rs
@@ -161,7 +161,9 @@
                 Key::Evidence(Source::DataCentre(name), _) if *name == self.place.data_centre => {
                     [neighbours.as_slice(), &far].concat()
                 }
-                Key::Evidence(..) | Key::Veto(..) | Key::Poison(_) => neighbours.clone(),
+                Key::Evidence(..) | Key::Veto(..) | Key::Poison(_) | Key::Record(..) => {
+                    neighbours.clone()
+                }
             };
             for host in to {
                 let facts = facts.entry(host).or_default();
--- a/components/trial/tests/moves.rs
+++ b/components/trial/tests/moves.rs
@@ -56,7 +56,7 @@
     )
 }
 
-async fn system() -> Trial {
+async fn engines() -> Trial {
     let mut trial = Trial::start().await.expect("a platform");
     for (name, version) in [
         ("old-0", "v1"),
@@ -75,6 +75,11 @@
             .await
             .expect("an engine");
     }
+    trial
+}
+
+async fn system() -> Trial {
+    let mut trial = engines().await;
     trial.entry("entry-0", "dc1").await.expect("an entry");
     let revision = trial.put(0, "production", &document()).await.expect("put");
     trial.ready(revision).await.expect("ready");
@@ -217,6 +222,28 @@
     assert!(page.contains("<table>") && page.contains("route letters"));
 }
 
+/// Every entry sees that a move has begun and that it has ended. If each wrote that to the store, a
+/// fleet of hundreds would take all its writes at once, and edits of documents would wait.
+#[tokio::test]
+async fn three_entries_write_a_move_twice() {
+    let mut trial = engines().await;
+    for entry in ["entry-0", "entry-1", "entry-2"] {
+        trial.entry(entry, "dc1").await.expect("an entry");
+    }
+    let before = trial.platform.counts().writes;
+    let revision = trial.put(0, "production", &document()).await.expect("put");
+    trial.ready(revision).await.expect("ready");
+    let limit = Instant::now() + LIMIT;
+    for entry in 0..3 {
+        while progress(&trial, entry).await["state"] != "done" {
+            assert!(Instant::now() < limit, "the move doesn't end at {entry}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let writes = trial.platform.counts().writes - before;
+    assert_eq!(writes, 3, "the document, the begin and the end");
+}
+
 async fn report(trial: &Trial, what: &str) -> String {
     let address = format!("{}/reports/{what}", trial.operators(0));
     let answer = trial.client.get(address).send().await.expect("a report");
