Report resumed answers by service and version

Ruled out: one histogram per team or route: nobody asked for it, and it grows with them. Counting every repeated token as dropped: a log read twice gives tokens that were decoded once.

Not known and not counted: what a lost run decoded and never sent, and the prompt's own prefill.

The command itself was not run against a running entry.

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -42,6 +42,7 @@
     Server,
     Team, //
 };
+use report::resumes;
 use routing::Prefix;
 use tokio::{
     sync::mpsc,
@@ -153,6 +154,8 @@
     last: Option<(Instant, Epoch)>,
     witness: Witness,
     meter: Meter,
+    /// The answer went on with another epoch at least once.
+    resumed: bool,
 }
 
 async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
@@ -170,6 +173,7 @@
         last: None,
         witness: Witness::new(ask.picked.clone()),
         meter: Meter::default(),
+        resumed: false,
         ask,
         pass,
     };
@@ -280,8 +284,8 @@
         let mut pieces = Vec::new();
         let mut waiting = vec![event];
         while let Some(event) = waiting.pop() {
-            let epoch = match &event {
-                Event::Tokens { epoch, .. } => Some(*epoch),
+            let came = match &event {
+                Event::Tokens { epoch, tokens, .. } => Some((*epoch, tokens.len() as Index)),
                 _ => None,
             };
             if let Event::End {
@@ -303,8 +307,9 @@
             let mut actions = Vec::new();
             let now = self.state.now();
             self.resume.handle(now, event, &mut actions);
-            if let Some(epoch) = epoch {
+            if let Some((epoch, count)) = came {
                 let fresh = self.resume.next() - before.min(self.resume.next());
+                self.drop_tokens(epoch, count.saturating_sub(fresh));
                 self.time(epoch, fresh);
                 self.weigh(epoch, fresh);
             }
@@ -325,6 +330,16 @@
         pieces
     }
 
+    /// Counts tokens that the answer has already from another epoch: both decoded them. Tokens that
+    /// one epoch's log gives twice were decoded once.
+    fn drop_tokens(&self, epoch: Epoch, stale: Index) {
+        if self.last.is_some_and(|(_, of)| of != epoch) {
+            let now = self.state.now();
+            let target = &self.ask.target;
+            self.state.resumes.dropped(target, stale, now);
+        }
+    }
+
     /// Fresh tokens of an epoch speak for its server, and against those that it overtook.
     fn weigh(&self, epoch: Epoch, fresh: Index) {
         if fresh == 0 {
@@ -444,6 +459,7 @@
                 self.kept.len()
             );
             metrics::counter!("medlarhatch_resumes_total", "cause" => name(cause)).increment(1);
+            self.count(cause);
         }
         let joined = replica.joined;
         let attempt = Arc::new(Attempt {
@@ -467,6 +483,22 @@
         None
     }
 
+    /// Counts a resume for the report.
+    fn count(&mut self, cause: Cause) {
+        let cause = match cause {
+            Cause::First => return,
+            Cause::Loss => resumes::Cause::Loss,
+            Cause::Suspicion => resumes::Cause::Suspicion,
+        };
+        let first = !std::mem::replace(&mut self.resumed, true);
+        let now = self.state.now();
+        let tokens = self.kept.len();
+        let target = &self.ask.target;
+        self.state
+            .resumes
+            .resumed(target, cause, first, tokens, now);
+    }
+
     fn frame(&self, attempt: &Attempt) -> Start {
         Start {
             request: self.ask.request.clone(),
@@ -539,6 +571,8 @@
                 let gap = now - last;
                 if of != epoch {
                     metrics::histogram!("medlarhatch_resume_seconds").record(gap);
+                    let at = self.state.now();
+                    self.state.resumes.continued(target, gap, at);
                 } else if fresh == 1 {
                     self.state.gaps.learn(&target.service, &target.version, gap);
                 }
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -58,6 +58,7 @@
     },
     operators,
     pool::Pool,
+    resumes::Resumes,
     state::{
         Pools,
         Requests,
@@ -189,6 +190,7 @@
         documents: Documents::default(),
         movers: Movers::default(),
         book: Book::default(),
+        resumes: Resumes::default(),
         gaps: Pools::default(),
         silent: Default::default(),
         requests: Requests::default(),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod pointers;
 mod pool;
 pub mod problem;
+mod resumes;
 mod silent;
 mod state;
 
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -66,6 +66,7 @@
         .push(environment)
         .push(Router::with_path("reports/burn").get(Burn { state: with() }))
         .push(Router::with_path("reports/moves").get(Moves { state: with() }))
+        .push(Router::with_path("reports/resumes").get(Resumes { state: with() }))
         .push(Router::with_path("status").get(Status { state: with() }))
 }
 
@@ -355,6 +356,21 @@
     }
 }
 
+struct Resumes {
+    state: Arc<State>,
+}
+
+#[handler]
+impl Resumes {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let rows = self.state.resumes.rows();
+        match req.query::<String>("format").as_deref() {
+            Some("text") => res.render(Text::Plain(report::resumes::text(&rows))),
+            _ => res.render(Json(rows)),
+        }
+    }
+}
+
 struct Status {
     state: Arc<State>,
 }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -46,7 +46,8 @@
     gates::Gates,
     hosts::Hosts,
     moves::Movers,
-    pool::Pool, //
+    pool::Pool,
+    resumes::Resumes, //
     silent::Silent,
 };
 
@@ -71,6 +72,8 @@
     pub(crate) movers: Movers,
     /// Counters of service-level burn.
     pub(crate) book: Book,
+    /// Counters of resumed answers.
+    pub(crate) resumes: Resumes,
     pub(crate) gaps: Pools,
     pub(crate) silent: Silent,
     pub(crate) requests: Requests,
--- a/components/report/src/lib.rs
+++ b/components/report/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod burn;
 pub mod moves;
 pub mod page;
+pub mod resumes;
 pub mod ring;
 pub mod text;
 
--- a/components/trial/tests/answers.rs
+++ b/components/trial/tests/answers.rs
@@ -165,6 +165,14 @@
     letter.rest().await;
     assert_eq!(letter.tokens, text);
     assert_eq!(letter.error, None);
+    // Operators see it as one answer, whose tokens another engine had to read in once more.
+    let address = format!("{}/reports/resumes?format=json", trial.operators(0));
+    let report = trial.client.get(address).send().await.expect("a report");
+    let rows: serde_json::Value = report.json().await.expect("JSON");
+    assert_eq!(rows[0]["answers"], 1, "{rows}");
+    assert!(rows[0]["suspicion"].as_u64() >= Some(1), "{rows}");
+    assert!(rows[0]["recomputed"].as_u64() >= Some(8), "{rows}");
+    assert!(rows[0]["median_ms"].as_u64() >= Some(1), "{rows}");
 }
 
 /// All replicas are gone. A caller that is held to its deadline waits for nothing; it must be told
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,7 +34,7 @@
     Env(Env),
     /// Make keys.
     Keys(Keys),
-    /// Show burn or moves.
+    /// Show burn, moves or resumes.
     Report(Report),
     /// Show it all in one process.
     Demo(Demo),
@@ -71,6 +71,8 @@
     Burn(ReportBurn),
     /// Moves.
     Moves(ReportMoves),
+    /// Resumed answers.
+    Resumes(ReportResumes),
 }
 
 /// Show service-level burn by route, version and team, worst first.
@@ -100,6 +102,18 @@
     pub format: Format,
 }
 
+/// Show resumed answers by service and version: cause, latency, tokens computed again.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "resumes")]
+pub struct ReportResumes {
+    /// address of an entry for operators, such as http://127.0.0.1:8081
+    #[argh(option)]
+    pub entry: String,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+}
+
 /// Run a sidecar beside one backend server.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "sidecar")]
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -13,6 +13,7 @@
     let (entry, what, format) = match &command {
         ReportCommand::Burn(args) if args.html => (&args.entry, "burn", "html"),
         ReportCommand::Burn(args) => (&args.entry, "burn", name(&args.format)),
+        ReportCommand::Resumes(args) => (&args.entry, "resumes", name(&args.format)),
         ReportCommand::Moves(args) => (&args.entry, "moves", name(&args.format)),
     };
     let unreachable = |error| Failure::Unreachable(format!("{entry} can't be reached: {error}"));
