--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -17,7 +17,6 @@
     },
 };
 
-use answer::finish::Breakage;
 use environment::{
     Document, Target,
     document::{
@@ -25,43 +24,29 @@
         Release, //
     },
 };
-use events::moves as logged;
 use moves::{
     Mover, Side,
     evidence::{
-        Cause,
-        Death,
         Source,
         Tally, //
     },
     mover::Owner,
-    outcome::{
-        Record,
-        Veto,
-        key, //
-    },
+    outcome::Veto,
     rank::rank,
     step::{
         Action,
         Answer,
-        Ending,
         Event,
         Fact,
-        Notice,
         Pick, //
     },
 };
 use names::{
     Move,
-    Revision,
     Route,
     Server,
     Version, //
 };
-use platform::store::{
-    Expect,
-    Write, //
-};
 use report::moves::{
     Count,
     Evidence,
@@ -69,24 +54,22 @@
 };
 use spread::Key;
 use tokio::time::{
-    Instant,
     MissedTickBehavior,
     interval, //
 };
-use wire::frame::Reason;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::state::State;
 
+mod log;
+mod store;
+mod witness;
+
+pub(crate) use witness::Witness;
+
 /// Time between two ticks of the movers.
 const PACE: Duration = Duration::from_secs(1);
 
-/// Time within which broken generations of one server are taken for one death.
-///
-/// A death breaks all that ran on the server. Counted one by one, a single death would look like
-/// many.
-const ONE_DEATH: Duration = Duration::from_secs(10);
-
 /// Time after the process's start by which it has heard the vetoes that its peers know: their
 /// digests come with each heartbeat.
 const SYNC: Duration = Duration::from_secs(5);
@@ -94,9 +77,6 @@
 /// Time for which a veto or a record is spread. By then the store's record has long told the same.
 const KEPT: Duration = Duration::from_secs(30 * 24 * 3600);
 
-/// Tokens after which the mean time between them is told.
-const TOKENS: usize = 50;
-
 /// The movers of the moves that the document holds, and of those that have yet to end.
 #[derive(Default)]
 pub(crate) struct Movers(Mutex<BTreeMap<Move, Mover>>);
@@ -208,108 +188,6 @@
     running.cloned().collect()
 }
 
-/// What one request shows of its version.
-pub(crate) struct Witness {
-    picked: Option<Picked>,
-    first: Option<Instant>,
-    told: bool,
-}
-
-impl Witness {
-    pub(crate) fn new(picked: Option<Picked>) -> Self {
-        Self {
-            picked,
-            first: None,
-            told: false,
-        }
-    }
-
-    /// Tokens came; `count` is their number so far.
-    pub(crate) fn tokens(&mut self, state: &Arc<State>, begun: Instant, count: usize) {
-        let Some(picked) = &self.picked else {
-            return;
-        };
-        let now = Instant::now();
-        let Some(first) = self.first else {
-            self.first = Some(now);
-            let pick = picked.pick.clone();
-            let time = now - begun;
-            on(state, &picked.name, Event::First { pick, time });
-            return;
-        };
-        if !self.told && count >= TOKENS {
-            self.told = true;
-            between(state, picked, now - first, count);
-        }
-    }
-
-    /// A generation of the request broke at its server.
-    pub(crate) fn broken(&mut self, state: &Arc<State>, server: &Server, why: Breakage) {
-        let Some(picked) = &self.picked else {
-            return;
-        };
-        match why {
-            Breakage::EngineStalled | Breakage::Repeat | Breakage::Hole => {
-                self.ended(state, Ending::Failed, 0);
-            }
-            Breakage::EngineDied => {
-                let wall = SystemTime::now();
-                let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
-                let death = Death {
-                    server: server.clone(),
-                    incarnation: since.as_secs() / ONE_DEATH.as_secs(),
-                    side: picked.pick.side,
-                    slot: picked.pick.slot,
-                    level: picked.pick.level,
-                    cause: Cause::Unexplained,
-                };
-                on(state, &picked.name, Event::Died(death));
-            }
-            Breakage::LogFull | Breakage::Cancelled => {}
-        }
-    }
-
-    /// A sidecar refused the request.
-    pub(crate) fn refused(&mut self, state: &Arc<State>, why: Reason) {
-        // A server that answers errors, lacks its version or can't do what the old one can is the
-        // version's fault; a full or leaving one isn't.
-        let faults = [
-            Reason::Down,
-            Reason::Version,
-            Reason::Invalid,
-            Reason::Continuation,
-        ];
-        if faults.contains(&why) {
-            self.ended(state, Ending::Failed, 0);
-        }
-    }
-
-    /// The request ended, or its generation broke by the version's fault. Later ends of the same
-    /// request say nothing more.
-    pub(crate) fn ended(&mut self, state: &Arc<State>, ending: Ending, count: usize) {
-        let Some(picked) = self.picked.take() else {
-            return;
-        };
-        if let Some(first) = self.first
-            && !self.told
-            && count > 1
-        {
-            between(state, &picked, first.elapsed(), count);
-        }
-        let pick = picked.pick;
-        on(state, &picked.name, Event::Finished { pick, ending });
-    }
-}
-
-fn between(state: &Arc<State>, picked: &Picked, time: Duration, count: usize) {
-    let gaps = u32::try_from(count - 1).unwrap_or(u32::MAX);
-    let event = Event::Between {
-        pick: picked.pick.clone(),
-        time: time / gaps.max(1),
-    };
-    on(state, &picked.name, event);
-}
-
 /// Lets the movers' time pass and follows the document, until the entry ends.
 pub(crate) async fn follow(state: Arc<State>) {
     let mut ticks = interval(PACE);
@@ -389,28 +267,6 @@
     state.documents.learn(key, fact);
 }
 
-/// Tells every entry what the store keeps of a move.
-///
-/// Only the entry that wrote the record, and those that read it, know that it stands. The others
-/// would each write it again when their turn comes.
-fn tell_record(state: &State, name: &Move, answer: &Answer) {
-    let Answer::Standing {
-        revision,
-        record: Some(record),
-    } = answer
-    else {
-        return;
-    };
-    let key = Key::Record(state.settings.environment.clone(), name.clone());
-    let since = record.by.duration_since(UNIX_EPOCH).unwrap_or_default();
-    let fact = spread::Fact {
-        weight: *revision,
-        until: Some(since + KEPT),
-        body: serde_json::to_vec(record).expect("a record has a JSON form"),
-    };
-    state.documents.learn(key, fact);
-}
-
 fn names(state: &State) -> Vec<Move> {
     let movers = state.movers.0.lock().expect("no panic while held");
     movers.keys().cloned().collect()
@@ -510,86 +366,15 @@
 fn act(state: &Arc<State>, name: &Move, action: Action) {
     match action {
         Action::Read => {
-            tokio::spawn(read(state.clone(), name.clone()));
+            tokio::spawn(store::read(state.clone(), name.clone()));
         }
         Action::Write { record, expect } => {
-            tokio::spawn(write(state.clone(), name.clone(), record, expect));
+            tokio::spawn(store::write(state.clone(), name.clone(), record, expect));
         }
-        Action::Notice(notice) => log(name, &notice),
+        Action::Notice(notice) => log::log(name, &notice),
         Action::Publish(Fact::Veto(veto)) => tell(state, name, &veto),
         // The pick reads share and concentration from the mover; the old version's servers stay
         // in the document.
         Action::Share(_) | Action::Concentrate(_) | Action::Warm(_) | Action::Publish(_) => {}
     }
 }
-
-async fn read(state: Arc<State>, name: Move) {
-    let key = key(&state.settings.environment, &name);
-    let answer = match state.platform.get(&key).await {
-        Ok(entry) => standing(entry),
-        Err(_) => Answer::Failed,
-    };
-    tell_record(&state, &name, &answer);
-    on(&state, &name, Event::Stored(answer));
-}
-
-async fn write(state: Arc<State>, name: Move, record: Box<Record>, expect: Revision) {
-    let key = key(&state.settings.environment, &name);
-    let value = serde_json::to_string(&record).expect("a record has a JSON form");
-    let expect = match expect {
-        0 => Expect::Absent,
-        revision => Expect::Revision(revision),
-    };
-    let answer = match state.platform.put(&key, &value, expect, None).await {
-        Ok(Write::Done { revision }) => Answer::Standing {
-            revision,
-            record: Some(record),
-        },
-        Ok(Write::Conflict { entry }) => standing(entry),
-        Err(_) => Answer::Failed,
-    };
-    tell_record(&state, &name, &answer);
-    on(&state, &name, Event::Stored(answer));
-}
-
-fn standing(entry: Option<platform::store::Entry>) -> Answer {
-    let Some(entry) = entry else {
-        return Answer::Standing {
-            revision: 0,
-            record: None,
-        };
-    };
-    match serde_json::from_str(&entry.value) {
-        Ok(record) => Answer::Standing {
-            revision: entry.revision,
-            record: Some(record),
-        },
-        Err(_) => Answer::Failed,
-    }
-}
-
-fn log(name: &Move, notice: &Notice) {
-    match notice {
-        Notice::Tripped(veto) => {
-            let finding = &veto.finding;
-            events::emit!(
-                logged::TRIPPED,
-                "move={name} metric={:?} route={:?} new={}/{} old={}/{}",
-                finding.metric,
-                finding.route,
-                finding.new,
-                finding.of_new,
-                finding.old,
-                finding.of_old
-            );
-        }
-        Notice::Late => events::emit!(logged::LATE, "move={name}"),
-        Notice::Reported(outcome) => {
-            events::emit!(logged::REPORTED, "move={name} end={:?}", outcome.end);
-        }
-        Notice::Learned(outcome) => {
-            events::emit!(logged::LEARNED, "move={name} end={:?}", outcome.end);
-        }
-        Notice::Overruled(_) => events::emit!(logged::OVERRULED, "move={name}"),
-    }
-}
