Let the host list and heartbeats cost less in a large fleet

Ruled out: a longer pause for every fleet (a fleet of 30 hosts would learn of new ones late for nothing). Change: the pause between readings grows with the list; an entry's heartbeat on a busy link is left out when something came since the last one.

--- a/components/daemon/src/greeting.rs
+++ b/components/daemon/src/greeting.rs
@@ -59,30 +59,40 @@
 
 /// Sends heartbeats, and at once when what they say changes or work begins; between them the
 /// frames of `others`. Ends with the link. `work` is the number of pieces of work on the link.
+///
+/// `heard` tells whether anything came on the link since it was asked last: then a link with work on
+/// it needs no heartbeat to show that it lives, but for one at the pace of rest.
 pub async fn beat(
     mut sender: Sender,
     mut state: watch::Receiver<Heartbeat>,
     mut others: mpsc::Receiver<Frame>,
     mut work: watch::Receiver<u32>,
     pace: Pace,
+    mut heard: impl FnMut() -> bool,
 ) {
     let mut due = Instant::now();
+    let mut last = due;
     loop {
+        let mut changed = false;
         let frame = tokio::select! {
             () = sleep_until(due) => None,
-            Ok(()) = state.changed() => None,
+            Ok(()) = state.changed() => {
+                changed = true;
+                None
+            }
             Ok(_) = work.wait_for(|work| *work > 0), if due - Instant::now() > pace.busy => None,
             Some(frame) = others.recv() => Some(frame),
         };
         let frame = match frame {
             Some(frame) => frame,
             None => {
-                let next = if *work.borrow() > 0 {
-                    pace.busy
-                } else {
-                    pace.rest
-                };
-                due = Instant::now() + next;
+                let busy = *work.borrow() > 0;
+                let now = Instant::now();
+                due = now + if busy { pace.busy } else { pace.rest };
+                if heard() && !changed && now < last + pace.rest {
+                    continue;
+                }
+                last = now;
                 Frame::Heartbeat(state.borrow_and_update().clone())
             }
         };
--- a/components/entry/src/hosts.rs
+++ b/components/entry/src/hosts.rs
@@ -56,6 +56,10 @@
     state::State, //
 };
 
+/// Bytes of a host's line in the list, about, and bytes a second that its reading may cost.
+const LINE: f64 = 150.0;
+const READING: f64 = 2048.0;
+
 /// Time after which a host that isn't listed any more and can't be reached is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
 
@@ -87,14 +91,20 @@
     let mut ticks = interval(state.settings.times.hosts);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut out = false;
+    let mut due = Instant::now();
     loop {
         tokio::select! {
             () = state.ended.cancelled() => return,
             _ = ticks.tick() => {}
         }
+        state.hosts.arrange(&state);
+        if Instant::now() < due {
+            continue;
+        }
         match state.platform.hosts().await {
             Ok(hosts) => {
                 out = false;
+                due = Instant::now() + pause(hosts.len());
                 state.documents.event(spread::Event::List(listings(&hosts)));
                 state.hosts.learn(&state, hosts);
             }
@@ -109,6 +119,13 @@
     }
 }
 
+/// Pause after a reading of so many hosts. The list of a large fleet is hundreds of kilobytes; read
+/// every second by every entry it would cost many times what a node may spend on control. It may
+/// be old: a host that leaves says so itself, and one that fails is noticed on its link.
+fn pause(hosts: usize) -> Duration {
+    Duration::from_secs_f64(hosts as f64 * LINE / READING)
+}
+
 /// A link to a host, dialled now if there is none.
 pub(crate) async fn reach(state: &Arc<State>, host: &str) -> Option<Joined> {
     let peer = state.fleet.peer(host);
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -136,12 +136,23 @@
         busy: times.heartbeat,
         rest: times.rest,
     };
+    let heard = {
+        let link = link.clone();
+        let mut before = 0;
+        move || {
+            let now = link.bytes().1;
+            let heard = now != before;
+            before = now;
+            heard
+        }
+    };
     tokio::spawn(greeting::beat(
         stream.sender,
         beats,
         waiting,
         peer.work(),
         pace,
+        heard,
     ));
     let (told, others) = (state.clone(), frames.clone());
     tokio::spawn(async move { told.suspects.tell(others).await });
--- a/components/measure/src/links.rs
+++ b/components/measure/src/links.rs
@@ -158,6 +158,7 @@
             nothing,
             rest,
             pace,
+            || false,
         ));
         let mut receiver = stream.receiver;
         tokio::spawn(async move { while let Ok(Some(_)) = receiver.receive().await {} });
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -57,7 +57,14 @@
         rest: state.settings.times.rest,
     };
     let work = state.work.changes();
-    tokio::spawn(greeting::beat(first.sender, beats, waiting, work, pace));
+    tokio::spawn(greeting::beat(
+        first.sender,
+        beats,
+        waiting,
+        work,
+        pace,
+        || false,
+    ));
     tokio::spawn(listen(state.clone(), first.receiver));
     let told = state.clone();
     tokio::spawn(async move { told.suspects.tell(others).await });
