Set imports one a line where the formatter had folded them

Cause: a group that ends in a nested group needs the trailing comment behind that one. Ruled out: the formatter's own option, which its stable release lacks. Change: mechanical. Conclusion: four groups are still folded.

--- a/components/answer/src/resume/suspicion.rs
+++ b/components/answer/src/resume/suspicion.rs
@@ -13,11 +13,14 @@
 };
 
 use super::{
-    Action, Cause, Interruption, Resume,
+    Action,
+    Cause,
+    Interruption,
+    Resume,
     attempt::{
         Attempt,
         State, //
-    },
+    }, //
 };
 
 /// Epochs that are listened to at one time.
--- a/components/answer/tests/log.rs
+++ b/components/answer/tests/log.rs
@@ -1,7 +1,8 @@
 //! The token log, the cursor and the mark.
 
 use answer::{
-    Breakage, Finish,
+    Breakage,
+    Finish,
     cursor::{
         Cursor,
         Verdict, //
@@ -14,7 +15,7 @@
     mark::{
         Malformed,
         Mark, //
-    },
+    }, //
 };
 use names::Index;
 use rstest::rstest;
--- a/components/daemon/src/records.rs
+++ b/components/daemon/src/records.rs
@@ -8,17 +8,18 @@
         Read,
         Standing,
         Write, //
-    },
+    }, //
 };
 use names::Revision;
 use platform::{
-    Client, Error,
+    Client,
+    Error,
     store::{
         Entry,
         Expect,
         Lease,
         Write as Put, //
-    },
+    }, //
 };
 use tokio::{
     sync::Mutex,
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -31,13 +31,15 @@
 };
 use tokio_util::sync::CancellationToken;
 use wire::{
-    Frame, Link, Stream,
+    Frame,
+    Link,
+    Stream,
     frame::{
         Attach,
         Reason,
         Start,
         Usage, //
-    },
+    }, //
 };
 
 use crate::{
--- a/components/entry/src/burn.rs
+++ b/components/entry/src/burn.rs
@@ -11,11 +11,12 @@
 use environment::Document;
 use names::Clock;
 use report::{
-    Burn, Ledger,
+    Burn,
+    Ledger,
     burn::{
         Level,
         Request, //
-    },
+    }, //
 };
 use tokio::time::Instant;
 
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -22,7 +22,7 @@
     time::{
         Instant,
         sleep, //
-    },
+    }, //
 };
 use tokio_util::sync::CancellationToken;
 use wire::{
@@ -31,7 +31,7 @@
         Heartbeat,
         Hello,
         PROTOCOL, //
-    },
+    }, //
 };
 
 use crate::{
@@ -63,7 +63,7 @@
         Pools,
         Requests,
         State, //
-    },
+    }, //
 };
 
 /// Pace at which a shutdown looks whether requests are still in progress.
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -9,7 +9,7 @@
             AtomicU32,
             Ordering, //
         },
-    },
+    }, //
 };
 
 use names::{
@@ -21,11 +21,12 @@
     watch, //
 };
 use wire::{
-    Frame, Link,
+    Frame,
+    Link,
     frame::{
         Heartbeat,
         Hello, //
-    },
+    }, //
 };
 
 /// The processes that this entry has a link to, or had one.
--- a/components/entry/src/gates.rs
+++ b/components/entry/src/gates.rs
@@ -39,7 +39,7 @@
         Instant,
         MissedTickBehavior,
         interval, //
-    },
+    }, //
 };
 
 use crate::{
--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -14,18 +14,20 @@
         Duration,
         SystemTime,
         UNIX_EPOCH, //
-    },
+    }, //
 };
 
 use environment::{
-    Document, Target,
+    Document,
+    Target,
     document::{
         Plan,
         Release, //
-    },
+    }, //
 };
 use moves::{
-    Mover, Side,
+    Mover,
+    Side,
     evidence::{
         Source,
         Tally, //
@@ -39,7 +41,7 @@
         Event,
         Fact,
         Pick, //
-    },
+    }, //
 };
 use names::{
     Move,
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -6,7 +6,7 @@
     time::{
         Duration,
         SystemTime, //
-    },
+    }, //
 };
 
 use names::Revision;
@@ -15,11 +15,14 @@
     text, //
 };
 use salvo::{
-    Request, Response, Router, handler,
+    Request,
+    Response,
+    Router,
+    handler,
     writing::{
         Json,
         Text, //
-    },
+    }, //
 };
 use serde::Serialize;
 use serde_json::json;
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -32,7 +32,7 @@
     frame::{
         Heartbeat,
         Hello, //
-    },
+    }, //
 };
 
 use crate::{
--- a/components/measure/src/links.rs
+++ b/components/measure/src/links.rs
@@ -23,14 +23,15 @@
     time::sleep, //
 };
 use wire::{
-    Link, Node,
+    Link,
+    Node,
     frame::{
         Backend,
         Heartbeat,
         Hello,
         Load,
         PROTOCOL, //
-    },
+    }, //
 };
 
 use crate::{
--- a/components/measure/src/moves/fleet.rs
+++ b/components/measure/src/moves/fleet.rs
@@ -7,7 +7,8 @@
 
 use environment::document::Plan;
 use moves::{
-    Level, Mover,
+    Level,
+    Mover,
     evidence::{
         Cause,
         Death,
@@ -25,7 +26,7 @@
         Event,
         Fact,
         Pick, //
-    },
+    }, //
 };
 use rand::{
     RngExt,
--- a/components/models/src/contract/actors.rs
+++ b/components/models/src/contract/actors.rs
@@ -1,7 +1,8 @@
 //! The requests at their entries and the hand-overs at their sidecars.
 
 use contract::{
-    Outcome, Record,
+    Outcome,
+    Record,
     attempt::{
         self,
         Attempt,
@@ -10,7 +11,7 @@
     handover::{
         Handover,
         Reply, //
-    },
+    }, //
 };
 use names::{
     Nonce,
--- a/components/models/src/contract/store.rs
+++ b/components/models/src/contract/store.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use contract::{
-    attempt, handover,
+    attempt,
+    handover,
     store::{
         Read,
         Standing,
         Write, //
-    },
+    }, //
 };
 use names::Clock;
 
--- a/components/models/src/moves.rs
+++ b/components/models/src/moves.rs
@@ -12,7 +12,9 @@
 
 use environment::document::Plan;
 use moves::{
-    Level, Mover, Side,
+    Level,
+    Mover,
+    Side,
     evidence::Source,
     mover::Owner,
     outcome::{
@@ -27,7 +29,7 @@
         Event,
         Fact,
         Notice, //
-    },
+    }, //
 };
 
 use crate::search;
--- a/components/models/tests/answer.rs
+++ b/components/models/tests/answer.rs
@@ -15,7 +15,7 @@
     search::{
         Outcome,
         search, //
-    },
+    }, //
 };
 use rstest::rstest;
 
--- a/components/moves/tests/bench/mod.rs
+++ b/components/moves/tests/bench/mod.rs
@@ -9,7 +9,9 @@
 
 use environment::document::Plan;
 use moves::{
-    Level, Mover, Side,
+    Level,
+    Mover,
+    Side,
     evidence::{
         Cause,
         Death,
@@ -28,7 +30,7 @@
         Fact,
         Notice,
         Pick, //
-    },
+    }, //
 };
 
 /// What the store does with calls.
--- a/components/moves/tests/evidence.rs
+++ b/components/moves/tests/evidence.rs
@@ -1,7 +1,8 @@
 //! Evidence merges in any order and any number of times, and never counts more than happened.
 
 use moves::{
-    Level, Side,
+    Level,
+    Side,
     evidence::{
         Cause,
         Cells,
@@ -14,7 +15,7 @@
     sketch::{
         KEPT,
         Sketch, //
-    },
+    }, //
 };
 
 fn entry(number: u64) -> Source {
--- a/components/moves/tests/mover.rs
+++ b/components/moves/tests/mover.rs
@@ -14,7 +14,8 @@
     wall, //
 };
 use moves::{
-    Level, Side,
+    Level,
+    Side,
     evidence::Cause,
     judge::Metric,
     outcome::{
@@ -25,7 +26,7 @@
         Event,
         Notice,
         Pick, //
-    },
+    }, //
 };
 use rstest::rstest;
 
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -15,11 +15,12 @@
 };
 
 use reqwest::{
-    Client, Method,
+    Client,
+    Method,
     header::{
         ACCEPT,
         CONTENT_TYPE, //
-    },
+    }, //
 };
 use settings::{
     Sidecar,
@@ -27,14 +28,15 @@
 };
 use tokio::time::timeout;
 use wire::{
-    Frame, Stream,
+    Frame,
+    Stream,
     frame::{
         Call,
         Kept,
         Reason,
         Refused,
         Reply, //
-    },
+    }, //
 };
 
 use crate::{
@@ -123,7 +125,7 @@
                     return;
                 }
                 (Ok(flying), None) => self.pass(state, &call, &flying).await,
-            },
+            }, //
         };
         if stream.send(&Frame::Reply(reply)).await.is_ok() {
             stream.sender.finish();
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -27,7 +27,7 @@
     time::{
         Instant,
         sleep, //
-    },
+    }, //
 };
 use tokio_util::sync::CancellationToken;
 use wire::{
@@ -37,7 +37,7 @@
         Heartbeat,
         Hello,
         PROTOCOL, //
-    },
+    }, //
 };
 
 use crate::{
@@ -45,11 +45,12 @@
     calls::Calls,
     flights::Flights,
     generations::Generations,
-    links, orders,
+    links,
+    orders,
     state::{
         State,
         Work, //
-    },
+    }, //
 };
 
 /// Pace at which a shutdown looks whether work is still in progress.
--- a/components/sidecar/src/generations.rs
+++ b/components/sidecar/src/generations.rs
@@ -22,7 +22,9 @@
 };
 use tokio::sync::watch;
 use wire::{
-    Frame, Stream, Tokens,
+    Frame,
+    Stream,
+    Tokens,
     frame::{
         Attach,
         End,
@@ -33,7 +35,7 @@
     stream::{
         Receiver,
         Sender, //
-    },
+    }, //
 };
 
 use crate::{
@@ -46,7 +48,7 @@
     state::{
         State,
         Work, //
-    },
+    }, //
 };
 
 /// Tokens that one frame carries at most.
--- a/components/sidecar/src/kept.rs
+++ b/components/sidecar/src/kept.rs
@@ -22,12 +22,13 @@
 use events::calls;
 use tokio::time::sleep;
 use wire::{
-    Frame, Stream,
+    Frame,
+    Stream,
     frame::{
         self,
         Kept,
         Reply, //
-    },
+    }, //
 };
 
 use crate::{
--- a/components/sidecar/src/line.rs
+++ b/components/sidecar/src/line.rs
@@ -4,13 +4,14 @@
 
 use names::Index;
 use serde::{
-    Deserialize, Deserializer,
+    Deserialize,
+    Deserializer,
     de::{
         Error,
         IgnoredAny,
         MapAccess,
         Visitor, //
-    },
+    }, //
 };
 use wire::frame::Usage;
 
