Drain both daemons by one piece of code; judge times in one place

Cause: read over once more, the whole change had the wait of a shutdown, its pace and the number of missed heartbeats twice (entry, sidecar), and the rule on when a time counts twice in the movers. Ruled out: merging the daemons' start, which differs in what is started. Change: daemon::drain, greeting::RESTS, Mover::exceeds; behaviour as before.

--- a/components/daemon/src/greeting.rs
+++ b/components/daemon/src/greeting.rs
@@ -48,6 +48,9 @@
     timeout(limit, greet).await.unwrap_or_else(|_| Err(late()))
 }
 
+/// Heartbeats of a link at rest that may be missed before it is lost.
+pub const RESTS: u32 = 3;
+
 /// Paces of heartbeats on one link.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! What both daemons share: HTTP listeners, metrics, and a link's greeting and heartbeats.
 
+pub mod drain;
 pub mod greeting;
 pub mod http;
 pub mod metrics;
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -2,27 +2,27 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use daemon::{
-    Error, http, metrics,
+    Error,
+    drain,
+    greeting::RESTS,
+    http,
+    metrics,
     probe::{
         self,
         Readiness, //
     },
-    records::Records,
+    records::Records, //
 };
 use events::process;
 use settings::Keys;
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{
-        Instant,
-        sleep, //
-    }, //
+    time::Instant, //
 };
 use tokio_util::sync::CancellationToken;
 use wire::{
@@ -66,12 +66,6 @@
     }, //
 };
 
-/// Pace at which a shutdown looks whether requests are still in progress.
-const DRAIN_PACE: Duration = Duration::from_millis(20);
-
-/// Heartbeats of a link at rest that may be missed.
-const RESTS: u32 = 3;
-
 /// An entry that runs.
 pub struct Entry {
     /// Address for callers.
@@ -234,12 +228,5 @@
     state
         .heartbeat
         .send_modify(|heartbeat| heartbeat.leaving = true);
-    let limit = Instant::now() + state.settings.times.drain;
-    while state.requests.count() > 0 {
-        if Instant::now() >= limit {
-            events::emit!(process::CUT, "in_progress={}", state.requests.count());
-            return;
-        }
-        sleep(DRAIN_PACE).await;
-    }
+    drain::drain(|| state.requests.count(), state.settings.times.drain).await;
 }
--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -55,13 +55,10 @@
             .evidence
             .times(&self.owner.source, &pick.route, pick.side);
         times.first.record(time);
-        let Some(limit) = self.limits.get(&pick.route).and_then(|limit| limit.first) else {
+        let limit = self.limits.get(&pick.route).and_then(|limit| limit.first);
+        let Some(slow) = self.exceeds(pick, time, limit) else {
             return;
         };
-        if self.overload && pick.level == Level::FULL {
-            return;
-        }
-        let slow = time > limit;
         self.count(pick, |tally| {
             tally.firsts += 1;
             tally.slow_first += u32::from(slow);
@@ -121,13 +118,10 @@
             .evidence
             .times(&self.owner.source, &pick.route, pick.side);
         times.between.record(time);
-        let Some(limit) = self.limits.get(&pick.route).and_then(|limit| limit.between) else {
+        let limit = self.limits.get(&pick.route).and_then(|limit| limit.between);
+        let Some(slow) = self.exceeds(pick, time, limit) else {
             return;
         };
-        if self.overload && pick.level == Level::FULL {
-            return;
-        }
-        let slow = time > limit;
         self.count(pick, |tally| {
             tally.betweens += 1;
             tally.slow_between += u32::from(slow);
@@ -137,6 +131,14 @@
         }
     }
 
+    /// Whether a time is over its limit; none when there is no limit, or the time doesn't count.
+    fn exceeds(&self, pick: &Pick, time: Duration, limit: Option<Duration>) -> Option<bool> {
+        if self.overload && pick.level == Level::FULL {
+            return None;
+        }
+        limit.map(|limit| time > limit)
+    }
+
     fn count(&mut self, pick: &Pick, change: impl Fn(&mut Tally)) {
         let key = Key {
             slot: pick.slot,
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -11,13 +11,17 @@
 
 use answer::pointer;
 use daemon::{
-    Error, http, metrics,
+    Error,
+    drain,
+    greeting::RESTS,
+    http,
+    metrics,
     probe::{
         self,
         Readiness, //
     },
     records::Records,
-    suspects::Suspects,
+    suspects::Suspects, //
 };
 use events::process;
 use settings::Keys;
@@ -53,12 +57,6 @@
     }, //
 };
 
-/// Pace at which a shutdown looks whether work is still in progress.
-const DRAIN_PACE: Duration = Duration::from_millis(20);
-
-/// Heartbeats of a link at rest that may be missed.
-const RESTS: u32 = 3;
-
 /// Time for which a sidecar that leaves still refuses work that was on its way.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -177,12 +175,5 @@
         .send_modify(|heartbeat| heartbeat.leaving = true);
     // A call that was sent before its entry saw the sign must be refused, not cut with the links.
     sleep(LINGER).await;
-    let limit = Instant::now() + state.settings.times.drain;
-    while state.work.count() > 0 {
-        if Instant::now() >= limit {
-            events::emit!(process::CUT, "in_progress={}", state.work.count());
-            return;
-        }
-        sleep(DRAIN_PACE).await;
-    }
+    drain::drain(|| state.work.count() as usize, state.settings.times.drain).await;
 }
