Let requests before the first document wait for the first call to the store

Lines of one process: listening, nothing for 200 ms, then 14 rejections within 15 ms, then the document. Ruled out: a slow start of ours. Change: gateway::opening. A request waits for the end of the first call to the store, an eighth of its caller's time and a second at most; when that call fails it is rejected at once. With the wait taken out a_request_before_the_first_document_waits_for_it gets 503.

--- a/components/events/src/direct.rs
+++ b/components/events/src/direct.rs
@@ -26,6 +26,8 @@
     SURVEYED = 1011, Info, "Engines told what their caches hold";
     /// A request waited until an engine had room.
     ADMITTED = 1012, Debug, "Request waited for an engine with room";
+    /// A request waited for the first call to the store of a process that had just started.
+    OPENED = 1013, Info, "Request waited for the first document";
     /// A retry would exceed the bound over all processes.
     SPENT = 1009, Info, "No retry is left for the service";
 
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -52,6 +52,7 @@
     handle::Desk,
     meter::Level,
     moving::Report,
+    opening::Opening,
     peers::{
         Exchange,
         Peers,
@@ -107,6 +108,7 @@
             survey: Survey::default(),
             queue: Rc::new(Queue::default()),
             moving: Rc::default(),
+            opening: Opening::default(),
             outlook: RefCell::default(),
             departure: Departure::default(),
             started: Instant::now(),
@@ -128,6 +130,11 @@
         &self.desk.fresh
     }
 
+    /// Notes that the first call to the store has ended, with an answer or without.
+    pub fn opened(&self) {
+        self.desk.opening.end();
+    }
+
     /// The states of moves that should stand in the store and don't.
     pub fn due(&self) -> Vec<Report> {
         self.desk.moving.due()
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -25,6 +25,10 @@
         Pass, //
     },
 };
+use events::{
+    direct,
+    note, //
+};
 use http::{
     Request,
     Response,
@@ -62,6 +66,7 @@
     },
     fleet::Fleet,
     moving::Moving,
+    opening::Opening,
     plain,
     queue::Queue,
     quotas::Quotas,
@@ -102,6 +107,8 @@
     pub queue: Rc<Queue>,
     /// Moves between versions.
     pub moving: Rc<Moving>,
+    /// The first call to the store.
+    pub opening: Opening,
     /// How long answers take.
     pub outlook: RefCell<Outlook>,
     /// The process's way out.
@@ -203,6 +210,21 @@
         provision.direct.as_ref()?.engine.as_ref()
     }
 
+    /// Lets a request that comes before the first document wait for the first call to the store.
+    async fn open(&self, ask: &Ask) {
+        if self.book.borrow().edition().is_some() || self.opening.over() {
+            return;
+        }
+        let came = Instant::now();
+        self.opening.wait(ask.deadline).await;
+        note!(
+            direct::OPENED,
+            id = ask.id.as_str(),
+            document = self.basis().document,
+            waited_ms = came.elapsed().as_millis() as u64
+        );
+    }
+
     async fn admit(&self, request: Request<Incoming>) -> Result<Call, Response<Body>> {
         let arrived = Instant::now();
         let (parts, body) = request.into_parts();
@@ -211,11 +233,11 @@
             .edge()
             .ask(&parts)
             .map_err(|flaw| refuse("", arrived, &Basis::default(), &Refusal::Flawed(flaw)))?;
+        self.open(&ask).await;
         let basis = self.basis();
         let refuse = |refusal: Refusal| refuse(&ask.id, arrived, &basis, &refusal);
         let settings = self.settings.borrow().clone();
-        let state = self.state(&settings);
-        let edition = match state {
+        let edition = match self.state(&settings) {
             State::Current(edition) => edition,
             State::Unknown | State::Stale(_) => {
                 return Err(refuse(Refusal::Unsure));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod meter;
 pub mod moving;
+mod opening;
 mod peers;
 mod plain;
 mod queue;
--- /dev/null
+++ b/components/gateway/src/opening.rs
@@ -0,0 +1,42 @@
+//! Requests that come before the first document.
+//!
+//! A process that starts again has its old connections and its place behind the balancer at once,
+//! but knows no document for the time of its first call to the store, mostly some 20 ms. After all
+//! processes ended together, every caller whose answer broke off comes back in that time, and most
+//! come back only once: a rejection then loses the request. So it waits for that call to end.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+/// Part of the caller's time that a request may wait; seven eighths are left for its answer.
+const PART: u32 = 8;
+
+/// Longest wait. A first call to the store that takes longer is given up, and the store is out.
+const LONGEST: Duration = Duration::from_secs(1);
+
+/// Whether the first call to the store is still under way.
+#[derive(Debug, Default)]
+pub struct Opening {
+    over: CancellationToken,
+}
+
+impl Opening {
+    /// Notes that the store has answered, or failed to.
+    pub fn end(&self) {
+        self.over.cancel();
+    }
+
+    /// Whether the first call has ended.
+    pub fn over(&self) -> bool {
+        self.over.is_cancelled()
+    }
+
+    /// Waits for the end of the first call, within the time that a request can spare.
+    pub async fn wait(&self, deadline: Option<Duration>) {
+        let spare = deadline.map_or(LONGEST, |deadline| LONGEST.min(deadline / PART));
+        // Whether a document is known then is seen from the document.
+        let _ = timeout(spare, self.over.cancelled()).await;
+    }
+}
--- a/components/gateway/tests/callers.rs
+++ b/components/gateway/tests/callers.rs
@@ -258,6 +258,59 @@
     });
 }
 
+/// All processes ended at the same moment and start again. Callers whose answers broke off come back
+/// while the first call to the store is under way, and come back only once: a rejection then loses
+/// their requests for good.
+#[test]
+fn a_request_before_the_first_document_waits_for_it() {
+    common::run(async {
+        let server = fine().await;
+        let desk = Desk::start(common::settings());
+        let mut early = desk.connect("r0", "/safe/x", "deadline: 4000\r\n").await;
+        sleep(Duration::from_millis(50)).await;
+        desk.register("s1", "ledger", "a", server.address);
+        desk.put(1, document());
+        desk.gateway.opened();
+        let told = common::read(&mut early).await.expect("an answer");
+        assert_eq!((told.status(), server.count()), (200, 1));
+    });
+}
+
+/// The store is out while a process starts. Nothing can be served before it is back, so that what
+/// came is rejected as soon as the first call has failed, and what comes later without a wait.
+#[test]
+fn nothing_waits_for_a_document_that_can_not_be_read() {
+    common::run(async {
+        let desk = Desk::start(common::settings());
+        let began = Instant::now();
+        let mut early = desk.connect("r0", "/safe/x", "deadline: 25000\r\n").await;
+        sleep(Duration::from_millis(50)).await;
+        desk.gateway.opened();
+        let told = common::read(&mut early).await.expect("an answer");
+        let (_, late) = desk.ask("r1", "/safe/x", "deadline: 25000\r\n").await;
+        for told in [told, late.expect("an answer")] {
+            assert_eq!(told.status(), 503);
+            assert!(told.header("retry-after").is_some());
+        }
+        // The longest wait is a second.
+        assert!(began.elapsed() < Duration::from_millis(900));
+    });
+}
+
+/// The store accepts the first call and stays silent. A caller gets its rejection while most of its
+/// time is left for another process.
+#[test]
+fn the_wait_for_the_first_document_leaves_most_of_the_time() {
+    common::run(async {
+        let desk = Desk::start(common::settings());
+        let began = Instant::now();
+        let (_, told) = desk.ask("r0", "/safe/x", "deadline: 800\r\n").await;
+        assert_eq!(told.expect("an answer").status(), 503);
+        let waited = began.elapsed();
+        assert!(waited >= Duration::from_millis(100) && waited < Duration::from_millis(400));
+    });
+}
+
 /// A process is told to stop while the balancer still sends it connections. Each request that is
 /// short enough is answered, with the word that the connection closes, and none is lost.
 #[test]
