Let copies of runs' memory yield only where memory is scarce

A wait of any length kept copies away for 5 s, also one for a turn among the entries while two thirds of the memory were free. Ruled out: holders lost and not replaced; choose_backup finding none (its limit is 0.75 of a holder's memory). Change: only waits of 100 ms and more count, and only while more than half of the engines' memory is taken. The test's first case fails on the rule before, its second without the rule.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -193,6 +193,11 @@
         self.placement.room(now, service, versions, work, within)
     }
 
+    /// Part of the memory of a service's servers that is taken.
+    pub fn fill(&self, service: &Service) -> f64 {
+        self.placement.fill(clock::now(), service)
+    }
+
     /// Chooses a server for work.
     pub fn choose(&mut self, wish: &Wish<'_>) -> Option<Chosen> {
         let now = clock::now();
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -49,7 +49,8 @@
     task::spawn_local,
     time::{
         Instant,
-        interval, //
+        interval,
+        interval_at, //
     }, //
 };
 
@@ -66,7 +67,8 @@
 /// milliseconds, so that this much more isn't noticed.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Pace at which a request that waits looks whether the process is stopping.
+/// Pace at which a request that waits looks whether the process is stopping. A shorter wait is one
+/// for its turn among the entries and doesn't count as pressure.
 const STOPPING: Duration = Duration::from_millis(100);
 
 /// Time after a wait for which a service counts as pressed: as long as runs take, whose memory
@@ -183,7 +185,7 @@
         let _hurried = turn.in_time.then(|| Hurried::new(desk, &call.service));
         pin!(admitted);
         follow(desk);
-        let mut pace = interval(STOPPING);
+        let mut pace = interval_at(Instant::now() + STOPPING, STOPPING);
         let ended = loop {
             select! {
                 biased;
--- a/components/gateway/src/stream/place.rs
+++ b/components/gateway/src/stream/place.rs
@@ -28,6 +28,10 @@
 /// Part of the usual time to read a prompt that it takes at the least.
 const READING: f64 = 0.75;
 
+/// Part of the engines' memory from which on it is scarce while streams wait. In a rush of several
+/// times the capacity the places beyond it are all taken by callers.
+const SCARCE: f64 = 0.5;
+
 impl<E: Edge + 'static> Story<E> {
     pub(super) fn parts(&self) -> &[(u64, u32)] {
         self.call.prompt().map_or(&[], |prompt| &prompt.parts)
@@ -106,8 +110,12 @@
         if self.call.pass.repeats != Repeats::Resumes || !self.call.backups {
             return None;
         }
-        // A copy saves a prompt if its run is lost; a place serves a caller who waits for sure.
-        if self.desk.queue.pressed(&self.call.service) {
+        // A copy saves a prompt if its run is lost; a place serves a caller who waits for sure. Where
+        // there is memory for both, a copy takes nobody's place: what callers wait for is then a slot,
+        // or an engine that has prompts to read.
+        let service = &self.call.service;
+        let scarce = || self.desk.fleet.borrow().fill(service) > SCARCE;
+        if self.desk.queue.pressed(service) && scarce() {
             return None;
         }
         let home = self.desk.settings.borrow().data_centre.clone();
--- a/components/gateway/tests/queue.rs
+++ b/components/gateway/tests/queue.rs
@@ -11,11 +11,14 @@
 use common::{
     Backend,
     Desk,
+    Line,
+    Message,
     document,
     events,
     stream_head, //
 };
 use futures_util::future::join_all;
+use rstest::rstest;
 use tokio::time::{
     Instant,
     sleep, //
@@ -144,3 +147,53 @@
         assert_eq!(ran, ["r1", "r3"]);
     });
 }
+
+/// Streams wait for a moment, as engines read prompts or all slots are taken. If that alone kept
+/// copies away, the next loss of a data centre would find most streams without one, and their callers
+/// would wait for seconds while prompts are read anew. Copies yield only where memory is scarce too.
+#[rstest]
+#[case::free(100, true)]
+#[case::scarce(3500, false)]
+fn copies_yield_to_those_who_wait_where_memory_is_scarce(
+    #[case] tokens: u32,
+    #[case] copied: bool,
+) {
+    common::run(async move {
+        let work = move |message: Message, line: Line| async move {
+            let id = message.header("id").unwrap_or_default();
+            let short = ["r0", "r1", "r2"].contains(&id);
+            let count = if short { 30 } else { 300 };
+            line.write(&stream_head(id)).await;
+            events(&line, 1, count, PACE).await;
+            true
+        };
+        let servers = [Backend::start(work).await, Backend::start(work).await];
+        let desk = Desk::with(document());
+        desk.register_slots("s1", "draft", "a", servers[0].address, 5);
+        desk.register_slots("s2", "draft", "b", servers[1].address, 5);
+        let prompt = format!("tokens: {tokens}\r\n");
+        let mut callers = Vec::new();
+        for number in 0..11 {
+            let id = format!("r{number}");
+            callers.push(desk.connect(&id, "/stream/x", &prompt).await);
+            sleep(PACE).await;
+        }
+        // The short ones end, so that the one that waited runs, and each server has a free slot.
+        for caller in &mut callers[..3] {
+            common::read(caller).await.expect("a whole answer");
+        }
+        sleep(PACE * 5).await;
+        callers.push(desk.connect("r11", "/stream/x", &prompt).await);
+        let last = loop {
+            sleep(PACE).await;
+            let all = servers
+                .iter()
+                .flat_map(|server| server.seen.borrow().clone());
+            let mut last = all.filter(|message| message.header("id") == Some("r11"));
+            if let Some(last) = last.next() {
+                break last;
+            }
+        };
+        assert_eq!(last.header("backup").is_some(), copied);
+    });
+}
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -148,6 +148,19 @@
         room
     }
 
+    /// Part of the memory of a service's servers that is taken, among those that can be reached.
+    pub fn fill(&self, now: Clock, service: &Service) -> f64 {
+        let (mut taken, mut memory) = (0, 0);
+        for seat in self.seats.values() {
+            if seat.leaving || seat.facts.service != *service || seat.is_unreachable(now) {
+                continue;
+            }
+            taken += seat.all().tokens;
+            memory += seat.facts.memory;
+        }
+        taken as f64 / memory.max(1) as f64
+    }
+
     /// Whether a server is known, takes work and can be reached as far as is known.
     pub fn usable(&self, now: Clock, server: &Server) -> bool {
         let Some(seat) = self.seats.get(server) else {
