Look into runs without an event as soon as others find their server dark

Before its first event a run is looked into after a quarter of its objective at the earliest. Ruled out: slow looks (a look takes 100 ms); news that don't come (peers tell losses, and most entries had a stream of their own there). Change: Placement::doubted, Silence::doubt; a run that wasn't heard since is checked by a new connection at once. A stream of the test goes on after 0.5 s, after 5.0 s without the change.

--- a/components/answer/src/silence.rs
+++ b/components/answer/src/silence.rs
@@ -95,6 +95,8 @@
     begun: bool,
     /// Silence at which the next look is due, after one that found the server alive.
     checked: Duration,
+    /// Somebody else found the server or its data centre dark since the last sign of life.
+    doubted: bool,
 }
 
 impl Silence {
@@ -127,9 +129,17 @@
             objective,
             begun: false,
             checked: Duration::ZERO,
+            doubted: false,
         }
     }
 
+    /// Notes that somebody else found the server or its data centre dark. Before its first event a
+    /// run gives no rhythm to go by, so that it would be looked into seconds later than the others
+    /// there, and its prompt be read elsewhere too late.
+    pub fn doubt(&mut self) {
+        self.doubted = true;
+    }
+
     /// Notes an event, `gap` after the one before it or after the run's start.
     pub fn heard(&mut self, gap: Duration) {
         if self.begun {
@@ -137,10 +147,12 @@
         }
         self.begun = true;
         self.checked = Duration::ZERO;
+        self.doubted = false;
     }
 
     /// Notes that the server was alive at a silence.
     pub fn alive(&mut self, silence: Duration) {
+        self.doubted = false;
         let soon = self.begun || silence < REPORTED;
         self.checked = silence + if soon { PACE } else { PACE_FIRST };
     }
@@ -163,6 +175,9 @@
         if leave.is_some_and(|leave| silence >= leave) {
             return Advice::Leave;
         }
+        if self.doubted {
+            return Advice::Check;
+        }
         let lost = leave.map_or(lost, |leave| leave.min(lost));
         let look = match self.begun {
             true => self.threshold.limit(),
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -291,6 +291,13 @@
         self.changed = true;
     }
 
+    /// Time since a server, or its data centre, was last found dark.
+    pub fn doubted(&self, server: &Server) -> Option<Duration> {
+        let now = clock::now();
+        let at = self.placement.doubted(now, server)?;
+        Some(now.saturating_sub(at))
+    }
+
     /// Notes that a server answered.
     pub fn alive(&mut self, server: &Server) {
         self.placement.alive(clock::now(), server);
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -84,6 +84,8 @@
     silence: Silence,
     pub(super) began: Instant,
     heard: Instant,
+    /// When its server last gave a sign of life.
+    sound: Instant,
     /// When it was last seen to that there is a copy.
     looked: Instant,
     events: u64,
@@ -193,6 +195,7 @@
             if self.desk.fleet.borrow().is_over(&run.chosen.server) {
                 return Heard::Lost(Loss::Dark);
             }
+            self.doubt(run);
             let silence = run.heard.elapsed();
             match run.silence.advise(silence) {
                 Advice::Lost => return Heard::Lost(Loss::Silent),
@@ -218,6 +221,7 @@
                             if !alive {
                                 return Heard::Lost(Loss::Dark);
                             }
+                            run.sound = Instant::now();
                             run.silence.alive(run.heard.elapsed());
                         }
                     }
@@ -244,6 +248,16 @@
         }
     }
 
+    /// Takes note when others find the run's server dark after its last sign of life.
+    fn doubt(&self, run: &mut Run) {
+        let Some(age) = self.desk.fleet.borrow().doubted(&run.chosen.server) else {
+            return;
+        };
+        if age < run.sound.elapsed() {
+            run.silence.doubt();
+        }
+    }
+
     /// The next whole events of a run.
     pub(super) async fn step(&mut self, run: &mut Run) -> Step {
         loop {
@@ -291,6 +305,7 @@
             let now = Instant::now();
             run.silence.heard(now - run.heard);
             run.heard = now;
+            run.sound = now;
             if run.events == 0 {
                 run.charge.read(run.began.elapsed());
                 let mut fleet = self.desk.fleet.borrow_mut();
@@ -418,6 +433,7 @@
             silence: Silence::new(pass.objective, pass.gap, Gaps::default(), expected),
             began,
             heard: began,
+            sound: began,
             looked: began,
             events: 0,
             complete: false,
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -297,6 +297,7 @@
     /// What it was sent.
     pub seen: Rc<RefCell<Vec<Message>>>,
     stop: CancellationToken,
+    deaf: CancellationToken,
 }
 
 impl Backend {
@@ -309,12 +310,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         let seen: Rc<RefCell<Vec<Message>>> = Rc::default();
-        let stop = CancellationToken::new();
+        let (stop, deaf) = (CancellationToken::new(), CancellationToken::new());
+        let closed = deaf.clone();
         let (work, log, ended) = (Rc::new(work), seen.clone(), stop.clone());
         spawn_local(async move {
             loop {
                 let accepted = tokio::select! {
                     () = ended.cancelled() => return,
+                    () = closed.cancelled() => return,
                     accepted = listener.accept() => accepted,
                 };
                 let Ok((mut stream, _)) = accepted else {
@@ -346,9 +349,15 @@
             address,
             seen,
             stop,
+            deaf,
         }
     }
 
+    /// Takes no new connection any more; those that are open stay so.
+    pub fn deafen(&self) {
+        self.deaf.cancel();
+    }
+
     /// Stops the server: its connections break and its port is closed.
     pub fn kill(&self) {
         self.stop.cancel();
--- a/components/gateway/tests/queue.rs
+++ b/components/gateway/tests/queue.rs
@@ -3,7 +3,11 @@
 mod common;
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::VecDeque,
     rc::Rc,
     time::Duration, //
 };
@@ -148,6 +152,25 @@
     });
 }
 
+/// An engine whose first answers have these numbers of events and all others many; tells how many of
+/// the first ones have ended.
+async fn long_engine(first: &[u64], ended: &Rc<Cell<u32>>) -> Backend {
+    let first = Rc::new(RefCell::new(VecDeque::from(first.to_vec())));
+    let ended = ended.clone();
+    Backend::start(move |message: Message, line: Line| {
+        let count = first.borrow_mut().pop_front();
+        let ended = ended.clone();
+        async move {
+            line.write(&stream_head(message.header("id").unwrap_or_default()))
+                .await;
+            events(&line, 1, count.unwrap_or(300), PACE).await;
+            ended.set(ended.get() + u32::from(count.is_some()));
+            true
+        }
+    })
+    .await
+}
+
 /// Streams wait for a moment, as engines read prompts or all slots are taken. If that alone kept
 /// copies away, the next loss of a data centre would find most streams without one, and their callers
 /// would wait for seconds while prompts are read anew. Copies yield only where memory is scarce too.
@@ -159,15 +182,13 @@
     #[case] copied: bool,
 ) {
     common::run(async move {
-        let work = move |message: Message, line: Line| async move {
-            let id = message.header("id").unwrap_or_default();
-            let short = ["r0", "r1", "r2"].contains(&id);
-            let count = if short { 30 } else { 300 };
-            line.write(&stream_head(id)).await;
-            events(&line, 1, count, PACE).await;
-            true
-        };
-        let servers = [Backend::start(work).await, Backend::start(work).await];
+        // The first answer of the first server is the shortest, then come its second and the first of
+        // the other; all else lasts.
+        let ended = Rc::new(Cell::new(0));
+        let servers = [
+            long_engine(&[30, 60], &ended).await,
+            long_engine(&[60], &ended).await,
+        ];
         let desk = Desk::with(document());
         desk.register_slots("s1", "draft", "a", servers[0].address, 5);
         desk.register_slots("s2", "draft", "b", servers[1].address, 5);
@@ -178,9 +199,10 @@
             callers.push(desk.connect(&id, "/stream/x", &prompt).await);
             sleep(PACE).await;
         }
-        // The short ones end, so that the one that waited runs, and each server has a free slot.
-        for caller in &mut callers[..3] {
-            common::read(caller).await.expect("a whole answer");
+        // One ends, and the one that waited takes its place, as there is no other. Then one more ends at
+        // each server.
+        while ended.get() < 3 {
+            sleep(PACE).await;
         }
         sleep(PACE * 5).await;
         callers.push(desk.connect("r11", "/stream/x", &prompt).await);
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -597,3 +597,48 @@
         assert_eq!((near.count(), far.count()), (1, 2));
     });
 }
+
+/// An engine goes dark with two streams. One has begun, and its silence is noticed within its rhythm;
+/// the other still waits for its prompt to be read, so that its own silence says nothing for seconds.
+/// Its caller waited that long for nothing, though the entry knew.
+#[test]
+fn a_stream_that_has_not_begun_leaves_a_server_that_another_found_dark() {
+    common::run(async {
+        let work = |message: Message, line: Line| async move {
+            let id = message.header("id").unwrap_or_default();
+            if message.header("server") == Some("s2") {
+                line.write(&stream_head(id)).await;
+                events(&line, after(&message) + 1, 3, PACE).await;
+                return true;
+            }
+            if id == "r1" {
+                line.write(&stream_head(id)).await;
+                line.write(&event(1)).await;
+            }
+            std::future::pending::<bool>().await
+        };
+        let (one, two) = (Backend::start(work).await, Backend::start(work).await);
+        let mut document = document();
+        // Left alone, the second stream would be looked into after a quarter of this.
+        document.routes[2].pass.as_mut().expect("passed").objective = Duration::from_secs(20);
+        let desk = Desk::with(document);
+        desk.register("s1", "draft", "a", one.address);
+        let mut begun = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let mut waiting = desk.connect("r2", "/stream/x", "tokens: 10\r\n").await;
+        while one.count() < 2 {
+            tokio::time::sleep(PACE).await;
+        }
+        desk.register("s2", "draft", "b", two.address);
+        one.deafen();
+        let dark = Instant::now();
+        for caller in [&mut begun, &mut waiting] {
+            let answer = common::read(caller).await.expect("a whole answer");
+            assert_eq!(answer.text(), pieces(1, 3));
+        }
+        assert!(
+            dark.elapsed() < Duration::from_millis(2500),
+            "{:?}",
+            dark.elapsed()
+        );
+    });
+}
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -253,6 +253,13 @@
         self.losses.note(now, seat.domain(), server, sign);
     }
 
+    /// When this entry or a peer last found a server dark, or enough of its data centre that it is
+    /// probably dark too.
+    pub fn doubted(&self, now: Clock, server: &Server) -> Option<Clock> {
+        let seat = self.seats.get(server)?;
+        self.losses.doubted(now, &seat.domain(), server, seat.heard)
+    }
+
     /// Notes that a server answered.
     pub fn alive(&mut self, now: Clock, server: &Server) {
         if let Some(seat) = self.seats.get_mut(server) {
--- a/components/routing/src/placement/sign.rs
+++ b/components/routing/src/placement/sign.rs
@@ -84,6 +84,28 @@
         weight >= MANY
     }
 
+    /// When a server was last found dark, or the last of so many of its domain that it is probably
+    /// dark too; it was last heard at `heard`. A process that is gone breaks its connections itself.
+    pub(super) fn doubted(
+        &self,
+        now: Clock,
+        domain: &Domain,
+        server: &Server,
+        heard: Clock,
+    ) -> Option<Clock> {
+        let lost = self.domains.get(domain)?;
+        let dark = |(at, sign): &(Clock, Sign)| *sign == Sign::Dark && *at >= heard;
+        let own = lost.get(server).copied().filter(dark);
+        if let Some((at, _)) = own {
+            return Some(at);
+        }
+        if !self.shaken(now, domain, heard) {
+            return None;
+        }
+        let all = lost.values().copied().filter(dark);
+        all.map(|(at, _)| at).max()
+    }
+
     /// Losses that peers are told of, with their age.
     pub(super) fn told(&self, now: Clock) -> Vec<(&Server, Duration, Sign)> {
         let mut told = Vec::new();
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -14,6 +14,7 @@
     Placement,
     placement::{
         Facts,
+        Sign,
         Versions,
         Wish,
         Work, //
@@ -143,3 +144,29 @@
     assert_eq!(room(Versions::Only(&new)), 8);
     assert_eq!(room(Versions::Not(&new)), 4);
 }
+
+/// What others saw of a server, or of its data centre, is news for a stream there: servers that went
+/// dark with it, but not those that broke a connection or answered since.
+#[rstest]
+#[case::itself(&[("s0", Sign::Dark)], None, true)]
+#[case::one_beside_it(&[("s3", Sign::Dark)], None, true)]
+#[case::another_data_centre(&[("s1", Sign::Dark)], None, false)]
+#[case::processes_that_are_gone(&[("s0", Sign::Refused), ("s3", Sign::Refused)], None, false)]
+#[case::heard_since(&[("s3", Sign::Dark)], Some(2), false)]
+fn a_server_is_doubted(
+    #[case] lost: &[(&str, Sign)],
+    #[case] heard: Option<u64>,
+    #[case] doubted: bool,
+) {
+    let mut placement = entries(1, 6, |_| 0).remove(0);
+    let second = Duration::from_secs(1);
+    for (server, sign) in lost {
+        placement.lost(second, &server.to_string(), *sign);
+    }
+    let server = "s0".to_string();
+    if let Some(heard) = heard {
+        placement.alive(second * heard as u32, &server);
+    }
+    let since = placement.doubted(second * 3, &server);
+    assert_eq!(since, doubted.then_some(second));
+}
