--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -72,7 +72,6 @@
     quotas::Quotas,
     refuse::{
         Basis,
-        COME_BACK,
         Refusal, //
     },
     sender::{
@@ -154,6 +153,11 @@
         Some(left.saturating_duration_since(Instant::now()))
     }
 
+    /// Logs a refusal, and gives its answer.
+    pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
+        refusal.tell(&self.packet.ask.id, self.arrived, &self.basis)
+    }
+
     /// The work of its prompt.
     pub fn prompt(&self) -> Option<&Prompt> {
         self.packet.ask.prompt.as_ref()
@@ -232,10 +236,10 @@
             .sender
             .edge()
             .ask(&parts)
-            .map_err(|flaw| refuse("", arrived, &Basis::default(), &Refusal::Flawed(flaw)))?;
+            .map_err(|flaw| Refusal::Flawed(flaw).tell("", arrived, &Basis::default()))?;
         self.open(&ask).await;
         let basis = self.basis();
-        let refuse = |refusal: Refusal| refuse(&ask.id, arrived, &basis, &refusal);
+        let refuse = |refusal: Refusal| refusal.tell(&ask.id, arrived, &basis);
         let settings = self.settings.borrow().clone();
         let edition = match self.state(&settings) {
             State::Current(edition) => edition,
@@ -270,11 +274,6 @@
     }
 }
 
-fn refuse(id: &str, arrived: Instant, basis: &Basis, refusal: &Refusal) -> Response<Body> {
-    refusal.note(id, arrived, basis);
-    refusal.answer(Some(COME_BACK))
-}
-
 struct Running<E: 'static>(Rc<Desk<E>>);
 
 impl<E> Drop for Running<E> {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -215,7 +215,7 @@
         let verdict = self.sends.ended(Ending::Lost);
         match (verdict, self.answer.take()) {
             (Verdict::Answer, Some(answer)) => answer,
-            _ => self.refuse(&Refusal::Late),
+            _ => self.call.refuse(&Refusal::Late),
         }
     }
 
@@ -228,19 +228,10 @@
                 meter::outcome("answered", time);
                 answer
             }
-            (Verdict::NotRun, _) => self.refuse(&Refusal::NoServer),
-            _ => self.refuse(&Refusal::Lost),
+            (Verdict::NotRun, _) => self.call.refuse(&Refusal::NoServer),
+            _ => self.call.refuse(&Refusal::Lost),
         }
     }
-
-    fn refuse(&self, refusal: &Refusal) -> Response<Body> {
-        refusal.note(
-            &self.call.packet.ask.id,
-            self.call.arrived,
-            &self.call.basis,
-        );
-        refusal.answer(Some(COME_BACK))
-    }
 }
 
 /// Sends the request to a server and reads its whole answer.
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -111,7 +111,7 @@
     }
 
     /// Logs the refusal of a request that arrived at a time, with what it was decided by.
-    pub fn note(&self, id: &str, arrived: Instant, basis: &Basis) {
+    fn note(&self, id: &str, arrived: Instant, basis: &Basis) {
         meter::refused(self.reason());
         meter::outcome("refused", arrived.elapsed());
         note!(
@@ -125,8 +125,14 @@
         );
     }
 
+    /// Logs the refusal, and gives its answer.
+    pub fn tell(&self, id: &str, arrived: Instant, basis: &Basis) -> Response<Body> {
+        self.note(id, arrived, basis);
+        self.answer()
+    }
+
     /// The answer, with the time after which to come back where the request hasn't run.
-    pub fn answer(&self, retry_after: Option<Duration>) -> Response<Body> {
+    fn answer(&self) -> Response<Body> {
         let outcome = match self {
             Refusal::Lost | Refusal::Late => "unknown",
             _ => "not_run",
@@ -149,11 +155,11 @@
                 | Refusal::Busy(_)
                 | Refusal::Spent
         );
-        let told = match self {
-            Refusal::Busy(refused) => Some(refused.retry_after),
-            _ => retry_after,
+        let time = match self {
+            Refusal::Busy(refused) => refused.retry_after,
+            _ => COME_BACK,
         };
-        if let Some(time) = told.filter(|_| again) {
+        if again {
             let seconds = format!("{:.2}", time.as_secs_f64());
             if let Ok(value) = HeaderValue::try_from(seconds) {
                 headers.insert(RETRY_AFTER, value);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -43,10 +43,7 @@
         self,
         Place, //
     },
-    refuse::{
-        COME_BACK,
-        Refusal, //
-    },
+    refuse::Refusal,
     stream::{
         onward::{
             Next,
@@ -136,7 +133,7 @@
         let work = self.work();
         match queue::enter(&self.desk, &self.call, work).await {
             Ok(place) => self.place = Some(place),
-            Err(refusal) => return Err(self.refuse(&refusal)),
+            Err(refusal) => return Err(self.call.refuse(&refusal)),
         }
         let (service, route) = (&self.call.service, &self.call.route);
         self.pick = self.desk.moving.pick(service, route);
@@ -147,7 +144,7 @@
         let mut spent = false;
         while let Some((chosen, copy)) = self.choose(&mut next) {
             if self.ran.is_empty() && !self.worth_trying(&chosen) {
-                return Err(self.refuse(&Refusal::Hopeless));
+                return Err(self.call.refuse(&Refusal::Hopeless));
             }
             if !self
                 .desk
@@ -170,7 +167,7 @@
                     });
                 }
                 Start::Late => {
-                    return Err(failure.unwrap_or_else(|| self.refuse(&Refusal::Late)));
+                    return Err(failure.unwrap_or_else(|| self.call.refuse(&Refusal::Late)));
                 }
                 Start::Unreachable => {}
                 Start::Declined => {
@@ -192,22 +189,13 @@
         }
         Err(match failure {
             Some(response) => response,
-            None if self.ran.is_empty() && spent => self.refuse(&Refusal::Spent),
-            None if self.ran.is_empty() && self.over() => self.refuse(&Refusal::Expired),
-            None if self.ran.is_empty() => self.refuse(&Refusal::NoServer),
-            None => self.refuse(&Refusal::Lost),
+            None if self.ran.is_empty() && spent => self.call.refuse(&Refusal::Spent),
+            None if self.ran.is_empty() && self.over() => self.call.refuse(&Refusal::Expired),
+            None if self.ran.is_empty() => self.call.refuse(&Refusal::NoServer),
+            None => self.call.refuse(&Refusal::Lost),
         })
     }
 
-    fn refuse(&self, refusal: &Refusal) -> Response<Body> {
-        refusal.note(
-            &self.call.packet.ask.id,
-            self.call.arrived,
-            &self.call.basis,
-        );
-        refusal.answer(Some(COME_BACK))
-    }
-
     fn over(&self) -> bool {
         Instant::now() >= self.call.until
     }
