--- a/components/gateway/src/opening.rs
+++ b/components/gateway/src/opening.rs
@@ -1,9 +1,9 @@
 //! Requests that come before the first document.
 //!
-//! A process that starts again has its old connections and its place behind the balancer at once,
-//! but knows no document for the time of its first call to the store, mostly some 20 ms. After all
-//! processes ended together, every caller whose answer broke off comes back in that time, and most
-//! come back only once: a rejection then loses the request. So it waits for that call to end.
+//! A process that starts again has its place behind the balancer at once, but knows no document for
+//! the time of its first call to the store, mostly some 20 ms. After all processes ended together,
+//! many callers whose answers broke off come back in that time, and most come back only once: a
+//! rejection then loses the request. So it waits for that call to end.
 
 use std::time::Duration;
 
