Don't take a host that runs late for a slow new version

Once the new version has all the traffic its times are compared with the old version's past. When the processor is taken away from the entry at just that time, every answer is slow, one after the other, and the test reads them as independent signs against the version. Callers see a good version taken back. Change: an entry watches how late its own timer comes; a time during which it ran late by more than 1% isn't counted at the full share, as with an overload. While both versions have traffic all counts as before. Conclusion: lateness of the servers' own hosts still counts against the version, as it should.

--- /dev/null
+++ b/components/daemon/src/lateness.rs
@@ -0,0 +1,88 @@
+//! How late this process runs.
+//!
+//! A process whose processor is taken away by its neighbours sees every answer come slowly. It can
+//! tell: a timer of its own comes late as well.
+
+use std::{
+    collections::VecDeque,
+    sync::Mutex,
+    time::Duration, //
+};
+
+use names::Clock;
+use tokio::time::{
+    MissedTickBehavior,
+    interval, //
+};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two ticks of the timer. Stalls that fall between two ticks stay unseen, and each
+/// tick wakes the process up.
+const PACE: Duration = Duration::from_millis(5);
+
+/// Part of a tick's lateness that is usual: the runtime's timers count in whole milliseconds.
+const USUAL: Duration = Duration::from_millis(2);
+
+/// Shortest time over which lateness is told. A shorter one has too few ticks.
+const SHORTEST: Duration = Duration::from_millis(250);
+
+/// Late ticks that are remembered: those of ten seconds in which every tick is late.
+const REMEMBERED: usize = 2_000;
+
+/// Ticks that came late.
+#[derive(Debug, Default)]
+pub struct Lateness(Mutex<Ticks>);
+
+#[derive(Debug, Default)]
+struct Ticks {
+    /// When the next one is due; none before the first.
+    due: Option<Clock>,
+    /// When a late one came, and by how much it was late.
+    late: VecDeque<(Clock, Duration)>,
+}
+
+impl Lateness {
+    /// Notes that the timer ticked at `now`.
+    pub fn tick(&self, now: Clock) {
+        let mut ticks = self.0.lock().expect("no panic while held");
+        let late = ticks.behind(now);
+        if !late.is_zero() {
+            ticks.late.push_back((now, late));
+        }
+        if ticks.late.len() > REMEMBERED {
+            ticks.late.pop_front();
+        }
+        ticks.due = Some(now + PACE);
+    }
+
+    /// Part of the time from `begun` to `now` by which the process ran late, from 0 to 1. Of a
+    /// short time it is taken over the last 250 ms.
+    pub fn part(&self, begun: Clock, now: Clock) -> f64 {
+        let ticks = self.0.lock().expect("no panic while held");
+        let begun = begun.min(now.saturating_sub(SHORTEST));
+        let recent = ticks.late.iter().rev().take_while(|(at, _)| *at >= begun);
+        // After a stall the timer and those who ask wake up together, in any order.
+        let late = recent.map(|(_, late)| *late).sum::<Duration>() + ticks.behind(now);
+        let time = now.saturating_sub(begun).as_secs_f64();
+        (late.as_secs_f64() / time.max(f64::MIN_POSITIVE)).min(1.0)
+    }
+
+    /// Lets the timer tick until the process ends. `clock` is the process's steady clock.
+    pub async fn follow(&self, clock: impl Fn() -> Clock, ended: &CancellationToken) {
+        let mut ticks = interval(PACE);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = ended.cancelled() => return,
+                _ = ticks.tick() => self.tick(clock()),
+            }
+        }
+    }
+}
+
+impl Ticks {
+    fn behind(&self, now: Clock) -> Duration {
+        let due = self.due.unwrap_or(now);
+        now.saturating_sub(due).saturating_sub(USUAL)
+    }
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod drain;
 pub mod greeting;
 pub mod http;
+pub mod lateness;
 pub mod probe;
 pub mod records;
 pub mod suspects;
--- /dev/null
+++ b/components/daemon/tests/lateness.rs
@@ -0,0 +1,54 @@
+//! What a process knows of its own stalls.
+
+use std::time::Duration;
+
+use daemon::lateness::Lateness;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Ticks on time until a time, in milliseconds; gives the time of the last one.
+fn even(lateness: &Lateness, from: u64, until: u64) -> u64 {
+    let times = (from..=until).step_by(5);
+    times.clone().for_each(|at| lateness.tick(ms(at)));
+    times.last().expect("a tick")
+}
+
+#[test]
+fn ticks_on_time_are_not_late() {
+    let lateness = Lateness::default();
+    let last = even(&lateness, 0, 1_000);
+    assert_eq!(lateness.part(ms(100), ms(last)), 0.0);
+    assert_eq!(lateness.part(ms(last), ms(last + 6)), 0.0);
+}
+
+/// The process stands still for 102 ms of a second; a tick may be 2 ms late.
+#[test]
+fn a_stall_counts_by_its_part_of_the_time() {
+    let lateness = Lateness::default();
+    even(&lateness, 0, 500);
+    even(&lateness, 607, 1_000);
+    let part = lateness.part(ms(0), ms(1_000));
+    assert!((part - 0.1).abs() < 0.001, "{part}");
+    let part = lateness.part(ms(990), ms(1_000));
+    assert_eq!(
+        part, 0.0,
+        "the stall is over for longer than the time told of"
+    );
+}
+
+/// Who asks just after a stall may wake up before the timer does.
+#[test]
+fn a_stall_is_known_before_the_timer_ticks() {
+    let lateness = Lateness::default();
+    let last = even(&lateness, 0, 500);
+    let part = lateness.part(ms(last), ms(last + 57));
+    assert!((part - 0.2).abs() < 0.001, "{part}");
+}
+
+#[test]
+fn before_the_first_tick_nothing_is_late() {
+    let lateness = Lateness::default();
+    assert_eq!(lateness.part(ms(0), ms(10_000)), 0.0);
+}
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -112,6 +112,7 @@
         tokio::spawn(links::accept(state.clone()));
         tokio::spawn(documents::driver::follow(state.clone()));
         tokio::spawn(moves::follow(state.clone()));
+        tokio::spawn(lateness(state.clone()));
         tokio::spawn(announce(state.clone(), ready));
         events::emit!(
             process::STARTED,
@@ -186,6 +187,7 @@
         resumes: Resumes::default(),
         gaps: Pools::default(),
         silent: Default::default(),
+        lateness: Default::default(),
         requests: Requests::default(),
         origin,
         leaving,
@@ -194,6 +196,12 @@
     })
 }
 
+/// Watches how late this process runs, until it ends.
+async fn lateness(state: Arc<State>) {
+    let clock = || state.now();
+    state.lateness.follow(clock, &state.ended).await;
+}
+
 /// Is ready with a document while it can be no older than what this host served by before; stops
 /// being ready when the entry leaves, so that the balancer sends nothing more.
 async fn announce(state: Arc<State>, ready: watch::Sender<Readiness>) {
--- a/components/entry/src/moves/witness.rs
+++ b/components/entry/src/moves/witness.rs
@@ -66,13 +66,17 @@
         let Some(first) = self.first else {
             self.first = Some(now);
             let pick = picked.pick.clone();
-            let time = now - begun;
-            on(state, &picked.name, Event::First { pick, time });
+            let event = Event::First {
+                pick,
+                time: now - begun,
+                late: late(state, begun),
+            };
+            on(state, &picked.name, event);
             return;
         };
         if !self.told && count >= TOKENS {
             self.told = true;
-            between(state, picked, now - first, count);
+            between(state, picked, first, count);
         }
     }
 
@@ -127,18 +131,27 @@
             && !self.told
             && count > 1
         {
-            between(state, &picked, first.elapsed(), count);
+            between(state, &picked, first, count);
         }
         let pick = picked.pick;
         on(state, &picked.name, Event::Finished { pick, ending });
     }
 }
 
-fn between(state: &Arc<State>, picked: &Picked, time: Duration, count: usize) {
+fn between(state: &Arc<State>, picked: &Picked, first: Instant, count: usize) {
     let gaps = u32::try_from(count - 1).unwrap_or(u32::MAX);
     let event = Event::Between {
         pick: picked.pick.clone(),
-        time: time / gaps.max(1),
+        time: first.elapsed() / gaps.max(1),
+        late: late(state, first),
     };
     on(state, &picked.name, event);
 }
+
+/// Part of the time since `begun` by which this entry itself ran late.
+fn late(state: &State, begun: Instant) -> f64 {
+    let now = state.now();
+    state
+        .lateness
+        .part(now.saturating_sub(begun.elapsed()), now)
+}
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -15,6 +15,7 @@
 
 use answer::threshold::Gaps;
 use daemon::{
+    lateness::Lateness,
     records::Records,
     suspects::Suspects, //
 };
@@ -77,6 +78,8 @@
     pub(crate) resumes: Resumes,
     pub(crate) gaps: Pools,
     pub(crate) silent: Silent,
+    /// How late this process runs.
+    pub(crate) lateness: Lateness,
     pub(crate) requests: Requests,
     /// Origin of the clock readings that decision code gets.
     pub(crate) origin: Instant,
--- a/components/measure/src/moves/fleet.rs
+++ b/components/measure/src/moves/fleet.rs
@@ -147,6 +147,7 @@
         let event = Event::First {
             pick: pick.clone(),
             time: fate.first,
+            late: 0.0,
         };
         self.on(entry, event, now, rng);
     }
@@ -156,6 +157,7 @@
         let event = Event::Between {
             pick: pick.clone(),
             time: fate.between,
+            late: 0.0,
         };
         self.on(entry, event, now, rng);
     }
--- a/components/moves/src/mover.rs
+++ b/components/moves/src/mover.rs
@@ -175,8 +175,12 @@
             Event::Ready { old, new } => self.ready = Some((old, new)),
             Event::Rank(rank) => self.rank = rank,
             Event::Overload(overload) => self.overload = overload,
-            Event::First { pick, time } => self.first(&pick, time, wall, &mut actions),
-            Event::Between { pick, time } => self.between(&pick, time, wall, &mut actions),
+            Event::First { pick, time, late } => {
+                self.first(&pick, time, late, wall, &mut actions);
+            }
+            Event::Between { pick, time, late } => {
+                self.between(&pick, time, late, wall, &mut actions);
+            }
             Event::Finished { pick, ending } => self.finished(&pick, ending, wall, &mut actions),
             Event::Died(death) => {
                 if self.evidence.merge_death(&death) {
--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -37,6 +37,10 @@
 /// A time slower than this share of the old version's times is slow.
 const SLOW: f64 = 0.9;
 
+/// Part of a time by which an entry may run late itself. Lateness is seen by samples, so that little
+/// of it stands for more.
+const LATE: f64 = 0.01;
+
 /// Fewest times of the old version from which a limit is taken.
 const ENOUGH_TIMES: u64 = 12;
 
@@ -48,6 +52,7 @@
         &mut self,
         pick: &Pick,
         time: Duration,
+        late: f64,
         wall: SystemTime,
         out: &mut Vec<Action>,
     ) {
@@ -56,7 +61,7 @@
             .times(&self.owner.source, &pick.route, pick.side);
         times.first.record(time);
         let limit = self.limits.get(&pick.route).and_then(|limit| limit.first);
-        let Some(slow) = self.exceeds(pick, time, limit) else {
+        let Some(slow) = self.exceeds(pick, time, late, limit) else {
             return;
         };
         self.count(pick, |tally| {
@@ -111,6 +116,7 @@
         &mut self,
         pick: &Pick,
         time: Duration,
+        late: f64,
         wall: SystemTime,
         out: &mut Vec<Action>,
     ) {
@@ -119,7 +125,7 @@
             .times(&self.owner.source, &pick.route, pick.side);
         times.between.record(time);
         let limit = self.limits.get(&pick.route).and_then(|limit| limit.between);
-        let Some(slow) = self.exceeds(pick, time, limit) else {
+        let Some(slow) = self.exceeds(pick, time, late, limit) else {
             return;
         };
         self.count(pick, |tally| {
@@ -132,8 +138,17 @@
     }
 
     /// Whether a time is over its limit; none when there is no limit, or the time doesn't count.
-    fn exceeds(&self, pick: &Pick, time: Duration, limit: Option<Duration>) -> Option<bool> {
-        if self.overload && pick.level == Level::FULL {
+    ///
+    /// While both versions have traffic, what slows this entry down slows both. Afterwards it would
+    /// look like the new version's fault.
+    fn exceeds(
+        &self,
+        pick: &Pick,
+        time: Duration,
+        late: f64,
+        limit: Option<Duration>,
+    ) -> Option<bool> {
+        if pick.level == Level::FULL && (self.overload || late > LATE) {
             return None;
         }
         limit.map(|limit| time > limit)
--- a/components/moves/src/step.rs
+++ b/components/moves/src/step.rs
@@ -140,6 +140,8 @@
         pick: Pick,
         /// Time since the request's arrival.
         time: Duration,
+        /// Part of the time by which this entry itself ran late, from 0 to 1.
+        late: f64,
     },
     /// The mean time between the first tokens of an answer is known; once a request.
     ///
@@ -150,6 +152,8 @@
         pick: Pick,
         /// Mean time between tokens.
         time: Duration,
+        /// Part of the time by which this entry itself ran late, from 0 to 1.
+        late: f64,
     },
     /// A request ended.
     Finished {
--- a/components/moves/tests/bench/mod.rs
+++ b/components/moves/tests/bench/mod.rs
@@ -52,6 +52,8 @@
     /// Entries that hear nobody and are heard by nobody.
     pub cut_off: Vec<usize>,
     pub now: u64,
+    /// Part of the time by which the entries run late.
+    pub late: f64,
     facts: Vec<(usize, Fact)>,
     sent: u64,
 }
@@ -98,6 +100,7 @@
             store: Store::Up,
             cut_off: Vec::new(),
             now: 0,
+            late: 0.0,
             facts: Vec::new(),
             sent: 0,
         };
@@ -231,6 +234,7 @@
             Event::First {
                 pick: pick.clone(),
                 time,
+                late: self.late,
             },
         );
         let time = Duration::from_millis(between);
@@ -239,6 +243,7 @@
             Event::Between {
                 pick: pick.clone(),
                 time,
+                late: self.late,
             },
         );
         self.on(entry, Event::Finished { pick, ending });
--- a/components/moves/tests/mover.rs
+++ b/components/moves/tests/mover.rs
@@ -414,6 +414,28 @@
     assert_eq!(bench.end(), Some(End::Done));
 }
 
+/// After the end, the entries' own hosts run late for a while. There is no old version to compare
+/// with.
+#[test]
+fn entries_that_run_late_after_the_end_take_nothing_back() {
+    let mut bench = Bench::new(2);
+    bench.run(3700, 6, fine);
+    bench.late = 0.1;
+    bench.run(1000, 6, |_, number, _| every(number, 2, Fate::LateBetween));
+    assert_eq!(bench.end(), Some(End::Done));
+}
+
+/// While both versions have traffic, a late host slows both, and what slows only the new one counts.
+#[test]
+fn entries_that_run_late_see_a_slow_version() {
+    let mut bench = Bench::new(2);
+    bench.late = 0.5;
+    bench.run(4800, 6, |pick, number, _| {
+        new_only(pick, number, 2, Fate::LateBetween)
+    });
+    assert_eq!(bench.end(), Some(End::Reverted));
+}
+
 /// Entries repeat what they count every second. At the size to design for, the cells that change
 /// within a second must fit the bytes that an entry may spend.
 #[test]
--- a/components/trial/tests/moves.rs
+++ b/components/trial/tests/moves.rs
@@ -222,6 +222,33 @@
     assert!(page.contains("<table>") && page.contains("route letters"));
 }
 
+/// The processor that all of this runs on is taken away for most of the time as soon as the new
+/// version has all the traffic. Every answer is slow then, and there is no old version beside it to
+/// show that the version isn't the cause.
+#[tokio::test]
+async fn a_host_that_runs_late_takes_no_good_version_back() {
+    let trial = system().await;
+    let operators = trial.operators(0);
+    let client = trial.client.clone();
+    let stalls = tokio::spawn(async move {
+        loop {
+            let asked = client.get(format!("{operators}/reports/moves")).send();
+            let seen: Value = asked.await.expect("a report").json().await.expect("JSON");
+            if seen[0]["permille"] == 1000 {
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        loop {
+            std::thread::sleep(Duration::from_millis(15));
+            sleep(Duration::from_millis(2)).await;
+        }
+    });
+    let seen = ended(&trial).await;
+    stalls.abort();
+    assert_eq!(seen["state"], "done", "{seen}");
+}
+
 /// Every entry sees that a move has begun and that it has ended. If each wrote that to the store, a
 /// fleet of hundreds would take all its writes at once, and edits of documents would wait.
 #[tokio::test]
