Tell all faults of a settings file at once, each with its line

Cause: a settings file with three faults took three starts to mend; bounds had no line, and the platform's settings had a reader and an error type of their own beside components/settings. Ruled out: mending the text in place of the values (quotes and flow style); keeping one fault at a time for the processes.

--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -89,6 +89,24 @@
     pub epochs: u32,
 }
 
+impl Entry {
+    /// Settings of an entry of the walk in the README: any that are fine.
+    pub fn sample() -> Entry {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Entry {
+            name: "entry-a".into(),
+            data_centre: "dc1".into(),
+            environment: "production".into(),
+            callers: local(7101),
+            operators: local(7201),
+            links: local(7301),
+            platform: "http://127.0.0.1:7000".into(),
+            limits: Limits::default(),
+            times: Times::default(),
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -7,12 +7,16 @@
 pub mod entry;
 pub mod keys;
 mod load;
+pub mod shape;
 pub mod sidecar;
 pub mod size;
 
 pub use entry::Entry;
 pub use keys::Keys;
 pub use load::Error;
+pub use load::finish;
 pub use load::parse;
 pub use load::read;
+pub use load::text;
+pub use shape::Fault;
 pub use sidecar::Sidecar;
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -6,10 +6,16 @@
 };
 
 use garde::Validate;
-use serde::de::DeserializeOwned;
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
 
-/// How the library for durations says what it wanted.
-const DURATION: &str = "expected a duration";
+use crate::shape::{
+    self,
+    Fault,
+    Lines, //
+};
 
 /// Why settings were refused.
 #[derive(Debug, thiserror::Error)]
@@ -22,58 +28,92 @@
         /// What the system said.
         source: std::io::Error,
     },
-    /// The text isn't YAML of the expected shape; the message names line and field.
-    #[error("{path}: {message}")]
-    Shape {
-        /// The file.
-        path: String,
-        /// What the parser said.
-        message: String,
-    },
-    /// Values are out of bounds; each line names a field and what is accepted.
-    #[error("{path}: {message}")]
-    Bounds {
+    /// Fields are missing, unknown, of the wrong kind or out of bounds.
+    #[error("{}", lines(path, faults))]
+    Faulty {
         /// The file.
         path: String,
-        /// One line for each field.
-        message: String,
+        /// All that is wrong with it, by line.
+        faults: Vec<Fault>,
     },
 }
 
-/// Reads settings from a file and checks them.
-pub fn read<T>(path: &Path) -> Result<T, Error>
+/// A line for each fault: file, line, field, and what is accepted.
+fn lines(path: &str, faults: &[Fault]) -> String {
+    let lines: Vec<_> = faults
+        .iter()
+        .map(|fault| format!("{path}:{fault}"))
+        .collect();
+    lines.join("\n")
+}
+
+/// Reads the text of a file; gives its name too, as it stands in messages.
+///
+/// # Errors
+///
+/// [`Error::Unreadable`].
+pub fn text(path: &Path) -> Result<(String, String), Error> {
+    let name = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => Ok((name, text)),
+        Err(source) => Err(Error::Unreadable { path: name, source }),
+    }
+}
+
+/// Reads settings from a file and checks them. `sample` is any settings that are fine.
+///
+/// # Errors
+///
+/// [`Error`], with everything that is wrong.
+pub fn read<T>(path: &Path, sample: &T) -> Result<T, Error>
 where
-    T: DeserializeOwned + Validate<Context = ()>,
+    T: DeserializeOwned + Serialize + Validate<Context = ()>,
 {
-    let name = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|source| Error::Unreadable {
-        path: name.clone(),
-        source,
-    })?;
-    parse(&name, &text)
+    let (name, text) = text(path)?;
+    parse(&name, &text, sample)
 }
 
 /// Reads settings from a text; `name` stands for it in messages.
-pub fn parse<T>(name: &str, text: &str) -> Result<T, Error>
+///
+/// # Errors
+///
+/// As [`read`].
+pub fn parse<T>(name: &str, text: &str, sample: &T) -> Result<T, Error>
 where
-    T: DeserializeOwned + Validate<Context = ()>,
+    T: DeserializeOwned + Serialize + Validate<Context = ()>,
 {
-    let settings: T = serde_norway::from_str(text).map_err(|error| Error::Shape {
-        path: name.to_string(),
-        message: explain(&error.to_string()),
-    })?;
-    settings.validate().map_err(|report| Error::Bounds {
-        path: name.to_string(),
-        message: report.to_string().trim_end().to_string(),
-    })?;
-    Ok(settings)
+    let sample = serde_norway::to_value(sample).expect("settings can be written");
+    let (settings, mut faults) = shape::read::<T>(text, &sample);
+    if let Some(settings) = &settings
+        && let Err(report) = settings.validate()
+    {
+        let lines = Lines::new(text);
+        for (field, error) in report.iter() {
+            let field = field.to_string();
+            faults.push(Fault {
+                line: lines.of(&field),
+                field,
+                message: error.message().to_string(),
+            });
+        }
+    }
+    finish(name, settings, faults)
 }
 
-/// Adds what is accepted where the libraries' messages leave it out.
-fn explain(message: &str) -> String {
-    message.replacen(
-        DURATION,
-        "expected a duration with its unit, such as `500ms` or `3s`",
-        1,
-    )
+/// What was read, or everything that is wrong with it, by line.
+///
+/// # Errors
+///
+/// [`Error::Faulty`] when there is a fault.
+pub fn finish<T>(name: &str, read: Option<T>, mut faults: Vec<Fault>) -> Result<T, Error> {
+    match read {
+        Some(read) if faults.is_empty() => Ok(read),
+        _ => {
+            faults.sort_by_key(|fault| fault.line);
+            Err(Error::Faulty {
+                path: name.to_string(),
+                faults,
+            })
+        }
+    }
 }
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -115,6 +115,31 @@
     pub answer: u64,
 }
 
+impl Sidecar {
+    /// Settings of a sidecar of the walk in the README: any that are fine.
+    pub fn sample() -> Sidecar {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Sidecar {
+            name: "draft-a".into(),
+            data_centre: "dc1".into(),
+            links: local(7311),
+            operators: local(7211),
+            platform: "http://127.0.0.1:7000".into(),
+            server: Backend {
+                name: "draft-a-server".into(),
+                address: "http://127.0.0.1:7411".into(),
+                kind: Kind::Engine,
+                service: "draft".into(),
+                version: "v1".into(),
+                model: "m".into(),
+                checks_fence: false,
+            },
+            limits: Limits::default(),
+            times: Times::default(),
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -8,9 +8,12 @@
     },
 };
 
+use assert_matches::assert_matches;
 use rstest::rstest;
 use settings::{
     Entry,
+    Error,
+    Keys,
     Sidecar, //
 };
 
@@ -23,7 +26,7 @@
 #[case("entry-b")]
 fn the_entries_examples_are_fine(#[case] name: &str) {
     let path = examples().join(format!("{name}.yaml"));
-    let entry: Entry = settings::read(&path).expect("fine");
+    let entry: Entry = settings::read(&path, &Entry::sample()).expect("fine");
     assert_eq!(entry.name, name);
 }
 
@@ -33,7 +36,7 @@
 #[case("ledger-a")]
 fn the_sidecars_examples_are_fine(#[case] name: &str) {
     let path = examples().join(format!("{name}.yaml"));
-    let sidecar: Sidecar = settings::read(&path).expect("fine");
+    let sidecar: Sidecar = settings::read(&path, &Sidecar::sample()).expect("fine");
     assert_eq!(sidecar.name, name);
 }
 
@@ -42,7 +45,7 @@
     let text = fs::read_to_string(examples().join("entry-a.yaml")).expect("it is there");
     assert!(text.contains(from), "{from}");
     let spoiled = text.replace(from, to);
-    match settings::parse::<Entry>("entry.yaml", &spoiled) {
+    match settings::parse("entry.yaml", &spoiled, &Entry::sample()) {
         Ok(_) => "fine".to_string(),
         Err(error) => error.to_string(),
     }
@@ -65,6 +68,49 @@
     insta::assert_snapshot!(format!("mistake_{case}"), spoiled(from, to));
 }
 
+/// A file with many faults at once: each has its line, also one behind an unknown field or a missing
+/// one, and one that is out of bounds.
+#[test]
+fn all_mistakes_are_named_at_once() {
+    const TEXT: &str = "\
+nam: entry-a
+data_centre: dc1
+environment: ''
+callers: localhost
+links: [127.0.0.1]
+platform: 127.0.0.1:7000
+limits:
+  body: 1KB
+  epochs: 100
+  tokens: many
+times:
+  heartbeat: 500
+  silence: 100ms
+  hartbeat: 1s
+";
+    let read = settings::parse("entry.yaml", TEXT, &Entry::sample());
+    insta::assert_snapshot!(read.expect_err("faults"));
+}
+
+#[rstest]
+#[case::no_yaml("name: [a")]
+#[case::no_map("- a")]
+#[case::nothing("")]
+fn a_file_of_another_kind_is_refused(#[case] text: &str) {
+    let error = settings::parse("entry.yaml", text, &Entry::sample()).expect_err("a fault");
+    assert_matches!(error, Error::Faulty { faults, .. } => assert!(!faults.is_empty()));
+}
+
+/// What a keys file holds must not be shown, whatever is wrong with it.
+#[test]
+fn keys_are_not_shown() {
+    let text = "authority: secret-1\ncertificate: secret-2\nkey: [secret-3]\n";
+    let read = settings::parse("keys.yaml", text, &Keys::sample());
+    let told = read.map(drop).expect_err("faults").to_string();
+    assert!(!told.contains("secret"), "{told}");
+    assert_eq!(told.lines().count(), 3, "{told}");
+}
+
 #[rstest]
 #[case("65536", 65536)]
 #[case("64KiB", 64 << 10)]
@@ -73,6 +119,6 @@
 fn sizes_have_units(#[case] text: &str, #[case] bytes: u64) {
     let example = fs::read_to_string(examples().join("entry-a.yaml")).expect("it is there");
     let text = format!("{example}limits: {{body: {text}}}\n");
-    let entry: Entry = settings::parse("entry.yaml", &text).expect("fine");
+    let entry: Entry = settings::parse("entry.yaml", &text, &Entry::sample()).expect("fine");
     assert_eq!(entry.limits.body, bytes);
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -38,6 +38,8 @@
     Report(Report),
     /// Tell a request's story from log files.
     Explain(Explain),
+    /// Check settings files.
+    Settings(Settings),
     /// Show it all in one process.
     Demo(Demo),
 }
@@ -54,6 +56,33 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Work with settings files.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct Settings {
+    #[argh(subcommand)]
+    pub command: SettingsCommand,
+}
+
+/// What to do with settings files.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum SettingsCommand {
+    /// Check them.
+    Check(SettingsCheck),
+}
+
+/// Say everything that is wrong with settings files, a line each: file, line, field, what is
+/// accepted. A file with `server` is taken for a sidecar's, one with `authority` for keys, any
+/// other for an entry's.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct SettingsCheck {
+    /// settings files, YAML
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Run an entry: callers and operators in, links to sidecars out.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "entry")]
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -10,7 +10,7 @@
 
 /// Runs an entry until it is told to stop.
 pub async fn run(args: cli::Entry) -> Result<(), Failure> {
-    let settings: settings::Entry = settings::read(&args.settings)?;
+    let settings = settings::read(&args.settings, &settings::Entry::sample())?;
     let keys = super::keys::read(args.keys.as_deref(), args.check)?;
     let Some(keys) = keys else {
         println!("{}: fine", args.settings.display());
--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -44,7 +44,7 @@
             "--keys is missing: see `medlarhatch keys --help`".into(),
         ));
     };
-    let keys = settings::read(path)?;
+    let keys = settings::read(path, &Keys::sample())?;
     Ok((!check).then_some(keys))
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod keys;
 mod report;
+mod settings;
 mod sidecar;
 mod stop;
 
@@ -23,6 +24,7 @@
         Command::Keys(args) => keys::run(&args),
         Command::Report(args) => report::run(args.command).await,
         Command::Explain(args) => explain::run(&args),
+        Command::Settings(args) => settings::run(args.command),
         Command::Demo(args) => demo::run(args).await,
     }
 }
--- a/src/cmd/sidecar.rs
+++ b/src/cmd/sidecar.rs
@@ -10,7 +10,7 @@
 
 /// Runs a sidecar until it is told to stop.
 pub async fn run(args: cli::Sidecar) -> Result<(), Failure> {
-    let settings: settings::Sidecar = settings::read(&args.settings)?;
+    let settings = settings::read(&args.settings, &settings::Sidecar::sample())?;
     let keys = super::keys::read(args.keys.as_deref(), args.check)?;
     let Some(keys) = keys else {
         println!("{}: fine", args.settings.display());
