At the full share of a move, count one time in 100 ms, and see shorter stalls

The eight are one batch of callers: one moment slowed all of them, and was counted as eight signs. The stall was not seen as the entry's own: 10 ms that cover most of a tick leave 2 ms of lateness, 0.8% of the 250 ms over which it was told. Ruled out: the share before the full one (eight of eight at 750 of 1,000 weigh 10, and 500 take a version back). Change: with all the traffic on the new version one time until the first token and one between tokens are counted in each 100 ms, as answers that overlap are slowed by the same thing; lateness is told over the time itself, from 20 ms up. Before and after: one_slow_moment_takes_no_good_version_back fails with 0 ms in place of 100 and passes; slow_after_the_end still takes a slow version back.

--- a/components/daemon/src/lateness.rs
+++ b/components/daemon/src/lateness.rs
@@ -21,10 +21,10 @@
 const PACE: Duration = Duration::from_millis(5);
 
 /// Part of a tick's lateness that is usual: the runtime's timers count in whole milliseconds.
-const USUAL: Duration = Duration::from_millis(2);
+const USUAL: Duration = Duration::from_micros(1500);
 
-/// Shortest time over which lateness is told. A shorter one has too few ticks.
-const SHORTEST: Duration = Duration::from_millis(250);
+/// Shortest time over which lateness is told: a shorter one may have no tick.
+const SHORTEST: Duration = Duration::from_millis(20);
 
 /// Late ticks that are remembered: those of ten seconds in which every tick is late.
 const REMEMBERED: usize = 2_000;
@@ -56,7 +56,7 @@
     }
 
     /// Part of the time from `begun` to `now` by which the process ran late, from 0 to 1. Of a
-    /// short time it is taken over the last 250 ms.
+    /// short time it is taken over the last 20 ms.
     pub fn part(&self, begun: Clock, now: Clock) -> f64 {
         let ticks = self.0.lock().expect("no panic while held");
         let begun = begun.min(now.saturating_sub(SHORTEST));
--- a/components/moves/src/mover.rs
+++ b/components/moves/src/mover.rs
@@ -90,6 +90,9 @@
     limits: BTreeMap<Route, Limit>,
     failing: BTreeSet<u32>,
     changed: BTreeSet<Key>,
+    /// When a time until the first token, and one between tokens, was last counted at the full share.
+    first_at: Option<SystemTime>,
+    between_at: Option<SystemTime>,
     /// Something was heard that speaks against the new version and hasn't been judged.
     unjudged: bool,
 
@@ -137,6 +140,8 @@
             limits: BTreeMap::new(),
             failing: BTreeSet::new(),
             changed: BTreeSet::new(),
+            first_at: None,
+            between_at: None,
             unjudged: false,
             level: Level::ZERO,
             stepped: now,
--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -46,6 +46,10 @@
 /// little more carries most of them over it.
 const MUCH: f64 = 2.0;
 
+/// Time between two times that are counted when there is no old version to compare with. Answers
+/// that overlap are slowed by the same thing, and would count as many signs of it.
+const APART: Duration = Duration::from_millis(100);
+
 /// Fewest times of the old version from which a limit is taken.
 const ENOUGH_TIMES: u64 = 12;
 
@@ -69,6 +73,9 @@
         let Some(slow) = self.exceeds(pick, time, late, limit) else {
             return;
         };
+        if pick.level == Level::FULL && !apart(&mut self.first_at, wall) {
+            return;
+        }
         self.count(pick, |tally| {
             tally.firsts += 1;
             tally.slow_first += u32::from(slow);
@@ -133,6 +140,9 @@
         let Some(slow) = self.exceeds(pick, time, late, limit) else {
             return;
         };
+        if pick.level == Level::FULL && !apart(&mut self.between_at, wall) {
+            return;
+        }
         self.count(pick, |tally| {
             tally.betweens += 1;
             tally.slow_between += u32::from(slow);
@@ -229,6 +239,15 @@
     }
 }
 
+/// Whether a time is far enough from the one that was counted before; notes it if so.
+fn apart(before: &mut Option<SystemTime>, wall: SystemTime) -> bool {
+    let near = before.is_some_and(|at| wall.duration_since(at).is_ok_and(|since| since < APART));
+    if !near {
+        *before = Some(wall);
+    }
+    !near
+}
+
 /// The limit of slowness by a route's own times, or by all routes' while it has too few.
 fn quantile(route: &Histogram, all: &Histogram) -> Option<Duration> {
     for times in [route, all] {
--- a/components/moves/tests/mover.rs
+++ b/components/moves/tests/mover.rs
@@ -438,6 +438,16 @@
     assert_eq!(bench.end(), Some(End::Done));
 }
 
+/// After the end, one moment slows all the answers that are in progress then.
+#[test]
+fn one_slow_moment_takes_no_good_version_back() {
+    let mut bench = Bench::new(2);
+    bench.run(3700, 6, fine);
+    bench.run(1, 400, |_, _, _| Fate::LateBetween);
+    bench.run(1000, 6, fine);
+    assert_eq!(bench.end(), Some(End::Done));
+}
+
 /// The same slowness while both versions have traffic, of the new one only.
 #[test]
 fn a_version_that_is_slower_by_half_is_taken_back() {
