Let who finds changes of the store missing read them for all

A process asks the store by its turn and spreads how far the store is; those who listen rest 500 ms between two watches, all others wait 150 ms for them and then read. Change: who finds it out reads at once and tells; listeners wait 75 ms, others 150 ms; listeners of a large fleet pass on to their data centre what they hear, and take what they are told while they rest.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -19,7 +19,10 @@
 use http::StatusCode;
 use spread::{
     Fresh,
-    beacon::Changes, //
+    beacon::{
+        Changes,
+        Reach, //
+    },
 };
 use tokio::{
     net::{
@@ -91,7 +94,7 @@
 pub struct Gateway<E> {
     desk: Rc<Desk<E>>,
     exchange: Cell<Option<Exchange>>,
-    told: UnboundedSender<Changes>,
+    told: UnboundedSender<(Changes, Reach)>,
     heard: Cell<Option<UnboundedReceiver<Changes>>>,
 }
 
@@ -145,10 +148,10 @@
         self.desk.moving.place()
     }
 
-    /// Tells peers what was heard from the store.
-    pub fn tell(&self, changes: Changes) {
+    /// Tells peers what was heard from the store, or from another peer.
+    pub fn tell(&self, changes: Changes, reach: Reach) {
         // Nobody listens any more when the process ends.
-        let _ = self.told.send(changes);
+        let _ = self.told.send((changes, reach));
     }
 
     /// What peers heard from the store; to be taken once.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -20,6 +20,7 @@
         Changes,
         Message,
         News,
+        Reach,
         Table, //
     },
 };
@@ -90,7 +91,7 @@
 /// Changes of the store, from and to peers.
 pub struct Exchange {
     /// What this process heard from the store, for its peers.
-    pub out: UnboundedReceiver<Changes>,
+    pub out: UnboundedReceiver<(Changes, Reach)>,
     /// What peers heard from the store.
     pub inward: UnboundedSender<Changes>,
 }
@@ -131,8 +132,8 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
-                changes = self.changes.out.recv() => if let Some(changes) = changes {
-                    self.pass_on(changes);
+                changes = self.changes.out.recv() => if let Some((changes, reach)) = changes {
+                    self.pass_on(changes, reach);
                 },
                 received = self.socket.recv_from(&mut bytes) => self.take(received, &bytes),
             }
@@ -209,10 +210,9 @@
     }
 
     /// Passes changes on to the peers, in as many datagrams as it takes.
-    fn pass_on(&self, changes: Changes) {
-        let audience = self
-            .table
-            .audience(&self.shared.settings.borrow().data_centre);
+    fn pass_on(&self, changes: Changes, reach: Reach) {
+        let home = self.shared.settings.borrow().data_centre.clone();
+        let audience = self.table.audience(&home, reach);
         for part in parts(changes) {
             let message = Message::Changes(part);
             for target in &audience {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -218,6 +218,15 @@
     }
 }
 
+/// Whom changes of the store are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Everybody: they were heard from the store.
+    All,
+    /// The own data centre: they were heard from a peer of another one, who told the rest.
+    Near,
+}
+
 /// A peer as it is known.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -379,12 +388,13 @@
         self.peers.values().filter(near).filter(before).count()
     }
 
-    /// Who is told what this process heard from the store: all peers of a small fleet; otherwise those
-    /// of its data centre, and one of each other one, which passes it on when the store doesn't answer
-    /// there.
-    pub fn audience(&self, home: &str) -> Vec<SocketAddr> {
-        if self.peers.len() <= TOLD_ALL {
-            return self.peers.keys().copied().collect();
+    /// Who is told what this process heard: all peers of a small fleet, by who heard it from the
+    /// store; otherwise those of its data centre, and one of each other one, which passes it on.
+    pub fn audience(&self, home: &str, reach: Reach) -> Vec<SocketAddr> {
+        match (self.peers.len() <= TOLD_ALL, reach) {
+            (true, Reach::All) => return self.peers.keys().copied().collect(),
+            (true, Reach::Near) => return Vec::new(),
+            (false, Reach::All | Reach::Near) => {}
         }
         let mut audience = Vec::new();
         let mut firsts: HashMap<&str, (Incarnation, SocketAddr)> = HashMap::new();
@@ -393,7 +403,7 @@
                 audience.push(*address);
                 continue;
             }
-            if peer.silent || peer.leaving {
+            if peer.silent || peer.leaving || reach == Reach::Near {
                 continue;
             }
             let one = (peer.incarnation, *address);
--- a/components/spread/src/fresh.rs
+++ b/components/spread/src/fresh.rs
@@ -32,8 +32,9 @@
 /// sooner than this.
 const AGAIN_MOST: Duration = Duration::from_millis(1200);
 
-/// Time for which changes that are missing may still be on their way from a peer.
-const PATIENCE: Duration = Duration::from_millis(150);
+/// Time for which changes that are missing may still be on their way from a peer: from the one that
+/// found them out, at a process that listens to the store, and at one that listens to that.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(75), Duration::from_millis(150));
 
 /// Age of the newest claim at which a process that listens to others listens to the store itself.
 const ALONE: Duration = Duration::from_millis(2200);
@@ -58,6 +59,8 @@
     ahead: Option<Claim>,
     /// When it was found that changes are missing.
     behind: Option<Clock>,
+    /// It was this process that found it out.
+    found: bool,
     /// Newest claim of all, for turns.
     newest: Option<Clock>,
     /// When this process may ask again after it got no answer, and how often that was in a row.
@@ -104,6 +107,7 @@
         };
         self.ahead = None;
         self.behind = None;
+        self.found = false;
         self.confirmed = self.confirmed.max(Some(ahead.at));
     }
 
@@ -130,6 +134,12 @@
         }
     }
 
+    /// Takes the store's answer to this process's question.
+    pub fn asked(&mut self, now: Clock, claim: Claim) {
+        self.hear(now, claim);
+        self.found = self.behind.is_some();
+    }
+
     /// Notes that the store didn't answer this process's question.
     pub fn failed(&mut self, now: Clock) {
         let wait = (AGAIN * (1 << self.failures.min(5))).min(AGAIN_MOST);
@@ -154,9 +164,16 @@
         self.behind
     }
 
-    /// When this process reads missing changes itself, instead of waiting for a peer's message.
+    /// When this process reads missing changes itself, instead of waiting for a peer's message. The
+    /// one that found them out does so at once, and tells the others.
     pub fn fetch(&self) -> Option<Clock> {
-        Some(self.behind? + PATIENCE)
+        let (listening, other) = PATIENCE;
+        let patience = match (self.found, self.place_near) {
+            (true, _) => Duration::ZERO,
+            (false, 0) => listening,
+            (false, _) => other,
+        };
+        Some(self.behind? + patience)
     }
 
     /// Whether this process listens to the store for changes, or to its peers.
--- a/components/spread/tests/beacon.rs
+++ b/components/spread/tests/beacon.rs
@@ -10,6 +10,7 @@
 use spread::beacon::{
     Beacon,
     Incarnation,
+    Reach,
     Table, //
 };
 
@@ -83,7 +84,26 @@
         };
         table.hear(Clock::ZERO, address(number), &beacon);
     }
-    let mut audience = table.audience("dc0");
-    audience.sort_unstable();
-    assert_eq!(audience, [1, 3, 5, 6, 9].map(address));
+    let audience = |reach| {
+        let mut audience = table.audience("dc0", reach);
+        audience.sort_unstable();
+        audience
+    };
+    assert_eq!(audience(Reach::All), [1, 3, 5, 6, 9].map(address));
+    assert_eq!(audience(Reach::Near), [3, 6, 9].map(address));
+}
+
+/// In a small fleet who hears changes from the store tells everybody, and nobody passes them on.
+#[test]
+fn changes_go_to_all_of_a_small_fleet() {
+    let mut table = Table::new(0, Vec::new());
+    for number in 1..=4 {
+        let beacon = Beacon {
+            data_centre: format!("dc{}", number % 2),
+            ..beacon(number, 1, Duration::ZERO)
+        };
+        table.hear(Clock::ZERO, address(number), &beacon);
+    }
+    assert_eq!(table.audience("dc0", Reach::All).len(), 4);
+    assert!(table.audience("dc0", Reach::Near).is_empty());
 }
--- a/components/spread/tests/fresh.rs
+++ b/components/spread/tests/fresh.rs
@@ -55,3 +55,29 @@
     assert!(dues[0] < dues[1] && dues[1] < dues[2]);
     assert!(dues[299] < SECOND * 4, "one that hears nobody asks in time");
 }
+
+/// One of hundreds of processes finds that changes are missing everywhere. It reads them and tells the
+/// others; those who listen to the store come next, should that get lost, and only then all. If all
+/// read at once, the store's calls would grow with the fleet at each change.
+#[test]
+fn who_finds_changes_missing_reads_them_before_the_others() {
+    let process = |near: usize| {
+        let mut fresh = Fresh::default();
+        fresh.learned(7);
+        fresh.stand(near, near);
+        fresh
+    };
+    let (mut finder, mut listener, mut other) = (process(1), process(0), process(1));
+    finder.asked(SECOND, claim(8, SECOND));
+    listener.hear(SECOND, claim(8, SECOND));
+    other.hear(SECOND, claim(8, SECOND));
+    assert_eq!(finder.fetch(), Some(SECOND));
+    assert!(finder.fetch() < listener.fetch() && listener.fetch() < other.fetch());
+    for fresh in [&mut finder, &mut listener, &mut other] {
+        fresh.learned(8);
+        assert_eq!(fresh.fetch(), None);
+    }
+    // The next time another one finds it out.
+    finder.hear(SECOND * 2, claim(9, SECOND * 2));
+    assert!(finder.fetch() > Some(SECOND * 2));
+}
