Give each part of the entry and the sidecar what it needs: no import circle is left there

Change: types and drivers stand apart. entry: outage, replicas, gates/driver, hosts/keeper, moves/movers, callers/request; Book is given what it counts. sidecar: work, service (the hand-over), shared (what runs and calls need of the sidecar).

--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -38,6 +38,7 @@
     Request,
     Team, //
 };
+use report::burn;
 use routing::Prefix;
 use tokio::{
     sync::mpsc,
@@ -57,8 +58,8 @@
     burn::Meter,
     gates::Pass,
     moves::{
-        Picked,
         Witness, //
+        movers::Picked,
     },
     pointers,
     state::State,
@@ -384,7 +385,7 @@
                 let usage = self.usage();
                 let count = self.kept.len();
                 self.witness.ended(&self.state, Ending::Whole, count);
-                self.meter.ended(&self.state, &self.ask, true, count);
+                self.book(true, count);
                 pieces.push(Piece::Finish(finish, usage));
             }
             Action::Interrupt {
@@ -403,7 +404,7 @@
                 };
                 let count = self.kept.len();
                 self.witness.ended(&self.state, ending, count);
-                self.meter.ended(&self.state, &self.ask, false, count);
+                self.book(false, count);
                 pieces.push(Piece::Interrupt(reason, retry_after));
             }
         }
@@ -462,6 +463,22 @@
         self.witness.tokens(&self.state, self.begun, count);
     }
 
+    /// Counts the answer's end for the report on service-level burn.
+    fn book(&self, whole: bool, count: usize) {
+        let (first, between) = self.meter.times(count);
+        let target = &self.ask.target;
+        let request = burn::Request {
+            service: &target.service,
+            route: &target.route,
+            team: &self.ask.team,
+            version: &target.version,
+            first,
+            between,
+            whole,
+        };
+        self.state.book.count(&request, self.state.now());
+    }
+
     fn usage(&self) -> Usage {
         let owner = self
             .resume
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -48,7 +48,7 @@
         Joined,
         Peer, //
     },
-    hosts::{
+    hosts::keeper::{
         dial,
         reach, //
     },
--- a/components/entry/src/burn.rs
+++ b/components/entry/src/burn.rs
@@ -1,11 +1,8 @@
 //! Counting answers for the report on service-level burn.
 
 use std::{
-    sync::{
-        Arc,
-        Mutex, //
-    },
-    time::Duration,
+    sync::Mutex,
+    time::Duration, //
 };
 
 use environment::Document;
@@ -19,12 +16,6 @@
     }, //
 };
 use tokio::time::Instant;
-
-use crate::{
-    answers::Ask,
-    state::State, //
-};
-
 /// Counters of this entry.
 #[derive(Default)]
 pub(crate) struct Book(Mutex<Ledger>);
@@ -44,6 +35,14 @@
         ledger.set_levels(levels.collect());
     }
 
+    /// Counts a request.
+    pub(crate) fn count(&self, request: &Request<'_>, now: Clock) {
+        self.0
+            .lock()
+            .expect("no panic while held")
+            .count(request, now);
+    }
+
     /// The report as of now.
     pub(crate) fn report(&self, now: Clock) -> Burn {
         self.0.lock().expect("no panic while held").report(now)
@@ -64,22 +63,13 @@
         }
     }
 
-    /// The answer ended with `count` tokens.
-    pub(crate) fn ended(&self, state: &Arc<State>, ask: &Ask, whole: bool, count: usize) {
+    /// Time until the first token, and mean time between tokens, of an answer that ends now with
+    /// `count` tokens.
+    pub(crate) fn times(&self, count: usize) -> (Option<Duration>, Option<Duration>) {
         let between = self.first.filter(|_| count > 1).map(|(_, at)| {
             let gaps = u32::try_from(count - 1).unwrap_or(u32::MAX);
             at.elapsed() / gaps
         });
-        let request = Request {
-            service: &ask.target.service,
-            route: &ask.target.route,
-            team: &ask.team,
-            version: &ask.target.version,
-            first: self.first.map(|(first, _)| first),
-            between,
-            whole,
-        };
-        let mut ledger = state.book.0.lock().expect("no panic while held");
-        ledger.count(&request, state.now());
+        (self.first.map(|(first, _)| first), between)
     }
 }
--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -45,7 +45,7 @@
         Ask,
         Piece, //
     },
-    callers::router::{
+    callers::request::{
         header,
         limit,
         payload,
@@ -95,14 +95,14 @@
 impl Completions {
     async fn ask(&self, req: &mut Request) -> Result<(Ask, Leave), Problem> {
         let state = &self.state;
-        let ticket = super::router::admit(state)?;
+        let ticket = super::request::admit(state)?;
         let bytes = payload(req, state.settings.limits.body).await?;
         let body = match self.kind {
             Kind::Completion => body::completion(&bytes)?,
             Kind::Chat => body::chat(&bytes)?,
         };
         let team = team(req);
-        let held = super::router::document(state)?;
+        let held = super::request::document(state)?;
         let mut target = held
             .document
             .route(req.uri().path(), &team, &body.model, |name| {
--- a/components/entry/src/callers/mod.rs
+++ b/components/entry/src/callers/mod.rs
@@ -2,10 +2,11 @@
 
 mod body;
 mod completions;
+mod request;
 mod router;
 mod service;
 mod shape;
 mod status;
 
-pub(crate) use router::payload;
+pub(crate) use request::payload;
 pub(crate) use router::router;
--- a/components/entry/src/callers/service.rs
+++ b/components/entry/src/callers/service.rs
@@ -14,7 +14,7 @@
 };
 use wire::frame::Call;
 
-use super::router::{
+use super::request::{
     admit,
     document,
     header,
--- a/components/entry/src/callers/status.rs
+++ b/components/entry/src/callers/status.rs
@@ -9,7 +9,7 @@
     writing::Json, //
 };
 
-use super::router::{
+use super::request::{
     document,
     team, //
 };
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -2,11 +2,8 @@
 //! [`contract::attempt`].
 
 use std::{
-    sync::{
-        Arc,
-        Mutex, //
-    },
-    time::Duration,
+    sync::Arc,
+    time::Duration, //
 };
 
 use contract::{
@@ -39,10 +36,7 @@
     Revision,
     Server, //
 };
-use tokio::time::{
-    Instant,
-    timeout, //
-};
+use tokio::time::timeout;
 use wire::{
     Frame,
     frame::{
@@ -53,6 +47,7 @@
 };
 
 use crate::{
+    outage::OUTAGE,
     pool::{
         Replica,
         Wish, //
@@ -65,9 +60,6 @@
     state::State,
 };
 
-/// Time for which kept calls are refused at once after the store was found out.
-const OUTAGE: Duration = Duration::from_millis(500);
-
 /// A service's answer.
 pub(crate) struct Answer {
     pub(crate) status: u16,
@@ -76,24 +68,6 @@
     pub(crate) replayed: bool,
 }
 
-/// Whether the store was out a moment ago.
-///
-/// Without this, each kept call of a long outage would wait for a time-out of its own before it is
-/// refused.
-#[derive(Default)]
-pub(crate) struct Outage(Mutex<Option<Instant>>);
-
-impl Outage {
-    fn note(&self) {
-        *self.0.lock().expect("no panic while held") = Some(Instant::now());
-    }
-
-    fn over(&self) -> bool {
-        let noted = *self.0.lock().expect("no panic while held");
-        noted.is_none_or(|at| at.elapsed() >= OUTAGE)
-    }
-}
-
 /// Makes a call.
 pub(crate) async fn call(
     state: &Arc<State>,
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -36,7 +36,6 @@
 use crate::{
     burn::Book,
     callers,
-    calls::Outage,
     documents::{
         self,
         Documents, //
@@ -47,15 +46,16 @@
         Gates, //
     },
     hosts::{
-        self,
-        Hosts, //
+        Hosts,
+        keeper, //
     },
     links,
     moves::{
         self,
-        Movers, //
+        movers::Movers, //
     },
     operators,
+    outage::Outage,
     pool::Pool,
     resumes::Resumes,
     state::{
@@ -107,8 +107,8 @@
             state.ended.clone(),
         )
         .await?;
-        tokio::spawn(hosts::follow(state.clone()));
-        tokio::spawn(gates::follow(state.clone()));
+        tokio::spawn(keeper::follow(state.clone()));
+        tokio::spawn(gates::driver::follow(state.clone()));
         tokio::spawn(links::accept(state.clone()));
         tokio::spawn(documents::driver::follow(state.clone()));
         tokio::spawn(moves::follow(state.clone()));
--- a/components/entry/src/documents/driver.rs
+++ b/components/entry/src/documents/driver.rs
@@ -42,7 +42,7 @@
     key, //
 };
 use crate::{
-    hosts::reach,
+    hosts::keeper::reach,
     state::State, //
 };
 
--- a/components/entry/src/gates.rs
+++ b/components/entry/src/gates.rs
@@ -22,25 +22,14 @@
     Knock,
     Pass, //
 };
-use tokio::time::{
-    Instant,
-    MissedTickBehavior,
-    interval, //
-};
+use tokio::time::Instant;
 
-use crate::{
-    problem::{
-        Code,
-        Problem, //
-    },
-    state::State, //
+use crate::problem::{
+    Code,
+    Problem, //
 };
 
-/// Pace at which waiting requests are looked at.
-const TICK: Duration = Duration::from_millis(50);
-
-/// Ticks between two reports of the replicas' load to the gates.
-const REPORT: u32 = 4;
+pub(crate) mod driver;
 
 /// Gates by service, and the budget of retries.
 pub(crate) struct Gates {
@@ -84,35 +73,14 @@
         self.budget.lock().expect("no panic while held").resume();
     }
 
-    fn report(&self, state: &State) {
-        let entries = state.hosts.sharing(state);
-        self.lines.report(|service, _| {
-            let (capacity, load) = state.fleet.load(service);
-            // No replica has reported yet: nothing is known.
-            (capacity > 0).then_some(Report {
-                capacity,
-                load,
-                entries,
-            })
-        });
+    /// Gives the gates what is known of each service's replicas.
+    fn report(&self, of: impl Fn(&str) -> Option<Report>) {
+        self.lines.report(|service, _| of(service));
     }
-}
 
-/// Looks at the gates until the entry ends.
-pub(crate) async fn follow(state: Arc<State>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut count: u32 = 0;
-    loop {
-        tokio::select! {
-            () = state.ended.cancelled() => return,
-            _ = ticks.tick() => {}
-        }
-        if count.is_multiple_of(REPORT) {
-            state.gates.report(&state);
-        }
-        state.gates.lines.tick();
-        count = count.wrapping_add(1);
+    /// Looks at the requests that wait.
+    fn tick(&self) {
+        self.lines.tick();
     }
 }
 
--- a/components/entry/src/hosts.rs
+++ b/components/entry/src/hosts.rs
@@ -1,8 +1,7 @@
-//! The platform's host list, and which of its hosts this entry keeps a link to.
+//! The platform's host list.
 //!
 //! The list lags and can be wrong. A host that is missing from it keeps its link while the link is
-//! up; dialling ends only when a host has been missing for [`FORGET`] and can't be reached. So an
-//! empty list takes nothing away.
+//! up; [`keeper`] has which hosts those are.
 
 use std::{
     collections::{
@@ -10,61 +9,19 @@
         HashSet, //
     },
     net::SocketAddr,
-    sync::{
-        Arc,
-        Mutex, //
-    },
-    time::Duration,
+    sync::Mutex, //
 };
 
 use answer::pointer;
-use events::links as catalogue;
 use names::{
     DataCentre,
     Host, //
 };
-use routing::subset::{
-    self,
-    Candidate, //
-};
-use spread::membership::{
-    self,
-    Listing, //
-};
-use store::hosts::{
-    Role,
-    State as HostState, //
-};
-use tokio::time::{
-    Instant,
-    MissedTickBehavior,
-    interval,
-    timeout, //
-};
+use store::hosts::Role;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use wire::{
-    Link,
-    Stream, //
-};
-
-use crate::{
-    fleet::Joined,
-    links::{
-        self,
-        keep, //
-    },
-    state::State, //
-};
-
-/// Bytes of a host's line in the list, about, and bytes a second that its reading may cost.
-const LINE: f64 = 150.0;
-const READING: f64 = 2048.0;
 
-/// Time after which a host that isn't listed any more and can't be reached is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
-
-/// Time that a link which was dialled on demand is kept without work.
-const SPARE: Duration = Duration::from_secs(30);
+pub(crate) mod keeper;
 
 /// The hosts that the platform has listed.
 #[derive(Default)]
@@ -86,94 +43,6 @@
     asked: Option<Instant>,
 }
 
-/// Follows the list.
-pub(crate) async fn follow(state: Arc<State>) {
-    let mut ticks = interval(state.settings.times.hosts);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut out = false;
-    let mut due = Instant::now();
-    loop {
-        tokio::select! {
-            () = state.ended.cancelled() => return,
-            _ = ticks.tick() => {}
-        }
-        state.hosts.arrange(&state);
-        if Instant::now() < due {
-            continue;
-        }
-        match state.platform.hosts().await {
-            Ok(hosts) => {
-                out = false;
-                due = Instant::now() + pause(hosts.len());
-                state.documents.event(spread::Event::List(listings(&hosts)));
-                state.hosts.learn(&state, hosts);
-            }
-            Err(error) => {
-                if !out {
-                    events::emit!(catalogue::HOSTS, "reason=\"{error}\"");
-                }
-                out = true;
-            }
-        }
-        state.hosts.arrange(&state);
-    }
-}
-
-/// Pause after a reading of so many hosts. The list of a large fleet is hundreds of kilobytes; read
-/// every second by every entry it would cost many times what a node may spend on control. It may
-/// be old: a host that leaves says so itself, and one that fails is noticed on its link.
-fn pause(hosts: usize) -> Duration {
-    Duration::from_secs_f64(hosts as f64 * LINE / READING)
-}
-
-/// A link to a host, dialled now if there is none.
-pub(crate) async fn reach(state: &Arc<State>, host: &str) -> Option<Joined> {
-    let peer = state.fleet.peer(host);
-    if let Some(joined) = peer.joined() {
-        return Some(joined);
-    }
-    state.hosts.ask(state, host);
-    let mut links = peer.link.subscribe();
-    let up = links.wait_for(|link| link.as_ref().is_some_and(|one| !one.link.is_closed()));
-    let joined = timeout(state.settings.times.silence, up).await.ok()?.ok()?;
-    joined.clone()
-}
-
-/// A link of one's own to a host, beside the one that is kept. The stream must live as long.
-pub(crate) async fn dial(state: &State, host: &str) -> Option<(Link, Stream)> {
-    let address = state.hosts.address(host)?;
-    let (link, stream, _) = links::dial(state, host, address).await.ok()?;
-    Some((link, stream))
-}
-
-/// The hosts that hold a request's pointer.
-pub(crate) fn holders(state: &State, request: &str) -> Vec<Host> {
-    let known = state.hosts.known.lock().expect("no panic while held");
-    let sidecars = known.iter().filter(|(_, host)| host.role == Role::Sidecar);
-    let candidates: Vec<_> = sidecars
-        .map(|(name, host)| pointer::Candidate {
-            host: name.clone(),
-            data_centre: host.data_centre.clone(),
-        })
-        .collect();
-    let holders = pointer::holders(request, &candidates).into_iter();
-    holders.map(|holder| holder.host.clone()).collect()
-}
-
-/// The list as the spread of documents takes it.
-fn listings(hosts: &[store::hosts::Host]) -> Vec<Listing> {
-    let listing = |host: &store::hosts::Host| Listing {
-        host: host.name.clone(),
-        data_centre: host.data_centre.clone(),
-        role: match host.role {
-            Role::Entry => membership::Role::Entry,
-            Role::Sidecar => membership::Role::Sidecar,
-        },
-        leaving: host.state == HostState::Leaving,
-    };
-    hosts.iter().map(listing).collect()
-}
-
 impl Hosts {
     fn address(&self, host: &str) -> Option<SocketAddr> {
         let known = self.known.lock().expect("no panic while held");
@@ -189,37 +58,6 @@
         names.len()
     }
 
-    /// Takes a reading of the list.
-    fn learn(&self, state: &State, hosts: Vec<store::hosts::Host>) {
-        let mut known = self.known.lock().expect("no panic while held");
-        let now = Instant::now();
-        for host in hosts {
-            if host.name == state.settings.name {
-                continue;
-            }
-            let leaving = host.state == HostState::Leaving;
-            let peer = state.fleet.peer(&host.name);
-            if peer.listed(leaving) {
-                state.tell_pool(&peer);
-            }
-            let entry = known.entry(host.name).or_insert_with(|| Known {
-                address: host.address,
-                data_centre: host.data_centre.clone(),
-                role: host.role,
-                listed: now,
-                kept: None,
-                asked: None,
-            });
-            entry.listed = now;
-            entry.data_centre = host.data_centre;
-            // The host was replaced by another one of its name.
-            if entry.address != host.address {
-                entry.address = host.address;
-                stop(entry);
-            }
-        }
-    }
-
     /// Entries that are known, this one included.
     pub(crate) fn entries(&self) -> u32 {
         let known = self.known.lock().expect("no panic while held");
@@ -237,88 +75,31 @@
         entries.map(|(name, _)| name.clone()).collect()
     }
 
-    /// About how many entries have links to the same sidecars, this one included.
-    pub(crate) fn sharing(&self, state: &State) -> u32 {
+    /// About how many entries have links to the same sidecars, this one included, when each has at
+    /// most `links`.
+    pub(crate) fn sharing(&self, links: usize) -> u32 {
         let known = self.known.lock().expect("no panic while held");
         let sidecars = known
             .values()
             .filter(|host| host.role == Role::Sidecar)
             .count();
         let entries = known.len() - sidecars + 1;
-        let linked = sidecars.min(state.settings.limits.links);
+        let linked = sidecars.min(links);
         let sharing = (entries * linked).div_ceil(sidecars.max(1));
         u32::try_from(sharing.max(1)).unwrap_or(u32::MAX)
     }
 
-    /// Starts and ends the tasks that keep links.
-    fn arrange(&self, state: &Arc<State>) {
-        let mut known = self.known.lock().expect("no panic while held");
-        let now = Instant::now();
-        known.retain(|name, host| {
-            let up = state.fleet.peer(name).joined().is_some();
-            let stays = up || now.duration_since(host.listed) < FORGET;
-            if !stays {
-                stop(host);
-                state.fleet.forget(name);
-            }
-            stays
-        });
-        let wanted = wanted(state, &known);
-        for (name, host) in known.iter_mut() {
-            let asked = host.asked.is_some_and(|at| now.duration_since(at) < SPARE);
-            let busy = state.fleet.peer(name).in_flight() > 0;
-            if wanted.contains(name) || asked || busy {
-                start(state, name, host);
-            } else {
-                stop(host);
-            }
-        }
-    }
-
-    /// Asks for a link that the entry doesn't keep all the time.
-    fn ask(&self, state: &Arc<State>, name: &str) {
-        let mut known = self.known.lock().expect("no panic while held");
-        if let Some(host) = known.get_mut(name) {
-            host.asked = Some(Instant::now());
-            start(state, name, host);
-        }
-    }
-}
-
-/// The hosts that this entry keeps a link to all the time.
-fn wanted(state: &State, known: &HashMap<Host, Known>) -> HashSet<Host> {
-    let own = &state.settings.name;
-    let candidates = |role| {
-        known
-            .iter()
-            .filter(|(_, host)| host.role == role)
-            .map(|(name, host)| Candidate {
+    /// The hosts that hold a request's pointer.
+    pub(crate) fn holders(&self, request: &str) -> Vec<Host> {
+        let known = self.known.lock().expect("no panic while held");
+        let sidecars = known.iter().filter(|(_, host)| host.role == Role::Sidecar);
+        let candidates: Vec<_> = sidecars
+            .map(|(name, host)| pointer::Candidate {
                 host: name.clone(),
                 data_centre: host.data_centre.clone(),
             })
-            .collect::<Vec<_>>()
-    };
-    let limits = &state.settings.limits;
-    let data_centre = &state.settings.data_centre;
-    let sidecars = subset::choose(own, data_centre, &candidates(Role::Sidecar), limits.links);
-    let entries = subset::choose(own, data_centre, &candidates(Role::Entry), limits.peers);
-    // Of two entries the one with the lower name dials, so that they have one link.
-    let entries = entries.into_iter().filter(|name| name > own);
-    sidecars.into_iter().chain(entries).collect()
-}
-
-fn start(state: &Arc<State>, name: &str, host: &mut Known) {
-    if host.kept.is_some() {
-        return;
-    }
-    let token = state.ended.child_token();
-    host.kept = Some(token.clone());
-    let peer = state.fleet.peer(name);
-    tokio::spawn(keep(state.clone(), peer, host.address, token));
-}
-
-fn stop(host: &mut Known) {
-    if let Some(token) = host.kept.take() {
-        token.cancel();
+            .collect();
+        let holders = pointer::holders(request, &candidates).into_iter();
+        holders.map(|holder| holder.host.clone()).collect()
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,10 +13,11 @@
 mod links;
 mod moves;
 mod operators;
-
+mod outage;
 mod pointers;
 mod pool;
 pub mod problem;
+mod replicas;
 mod resumes;
 mod silent;
 mod state;
--- a/components/entry/src/moves.rs
+++ b/components/entry/src/moves.rs
@@ -6,10 +6,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc,
-        Mutex, //
-    },
+    sync::Arc,
     time::{
         Duration,
         SystemTime,
@@ -19,19 +16,12 @@
 
 use environment::{
     Document,
-    Target,
-    document::{
-        Plan,
-        Release, //
-    }, //
+    document::Plan, //
 };
 use moves::{
     Mover,
     Side,
-    evidence::{
-        Source,
-        Tally, //
-    },
+    evidence::Source,
     mover::Owner,
     outcome::Veto,
     rank::rank,
@@ -39,31 +29,27 @@
         Action,
         Answer,
         Event,
-        Fact,
-        Pick, //
+        Fact, //
     }, //
 };
 use names::{
     Move,
     Route,
-    Server,
     Version, //
 };
-use report::moves::{
-    Count,
-    Evidence,
-    Progress, //
-};
 use spread::Key;
 use tokio::time::{
     MissedTickBehavior,
     interval, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::state::State;
+use crate::{
+    moves::movers::running,
+    state::State, //
+};
 
 mod log;
+pub(crate) mod movers;
 mod store;
 mod witness;
 
@@ -79,117 +65,6 @@
 /// Time for which a veto or a record is spread. By then the store's record has long told the same.
 const KEPT: Duration = Duration::from_secs(30 * 24 * 3600);
 
-/// The movers of the moves that the document holds, and of those that have yet to end.
-#[derive(Default)]
-pub(crate) struct Movers(Mutex<BTreeMap<Move, Mover>>);
-
-/// A version that a move picked for a request.
-#[derive(Clone, Debug)]
-pub(crate) struct Picked {
-    name: Move,
-    pick: Pick,
-}
-
-impl Movers {
-    /// Picks the version for a request, if a move says so, and points the target and the release
-    /// at it.
-    pub(crate) fn pick(
-        &self,
-        document: &Document,
-        request: &str,
-        servers: &[Server],
-        target: &mut Target,
-        release: &mut Release,
-    ) -> Option<Picked> {
-        let plan = document.moves.iter().find(|plan| moves(plan, target))?;
-        let movers = self.0.lock().expect("no panic while held");
-        let mover = movers.get(&plan.name)?;
-        // The move's name goes in, or the same requests would go first in every move.
-        let seed = xxh3_64_with_seed(plan.name.as_bytes(), 0);
-        let hash = xxh3_64_with_seed(request.as_bytes(), seed);
-        let pick = mover.pick(&target.route, hash, SystemTime::now());
-        let version = match pick.side {
-            Side::Old => &plan.from,
-            Side::New => &plan.to,
-        };
-        let provision = document.service(&target.service)?;
-        let wanted = provision.versions.iter().find(|r| r.name == *version)?;
-        *release = wanted.clone();
-        target.version = version.clone();
-        if pick.side == Side::New
-            && let Some(most) = mover.concentration()
-        {
-            let mut ready = running(servers, wanted);
-            ready.truncate(most as usize);
-            if !ready.is_empty() {
-                release.servers = ready;
-            }
-        }
-        let name = plan.name.clone();
-        Some(Picked { name, pick })
-    }
-
-    /// Every move, for a report.
-    pub(crate) fn progress(&self) -> Vec<Progress> {
-        let movers = self.0.lock().expect("no panic while held");
-        movers.values().map(progress).collect()
-    }
-}
-
-/// One move as operators see it.
-fn progress(mover: &Mover) -> Progress {
-    let plan = mover.plan();
-    let mut routes = BTreeMap::<&Route, (Count, Count)>::new();
-    for (key, pair) in mover.total() {
-        let (old, new) = routes.entry(&key.route).or_default();
-        add(old, &pair.old);
-        add(new, &pair.new);
-    }
-    let (state, reason) = match (mover.outcome(), mover.veto()) {
-        (Some(outcome), _) => (format!("{:?}", outcome.end), outcome.reason.to_string()),
-        (None, Some(veto)) => ("reverting".into(), veto.finding.to_string()),
-        (None, None) => ("running".into(), String::new()),
-    };
-    Progress {
-        name: plan.name.clone(),
-        from: plan.from.clone(),
-        to: plan.to.clone(),
-        permille: mover.level().permille(),
-        by: plan.by,
-        against: mover.verdict().against,
-        state: state.to_lowercase(),
-        reason,
-        routes: routes
-            .into_iter()
-            .map(|(route, (old, new))| Evidence {
-                route: route.clone(),
-                old,
-                new,
-            })
-            .collect(),
-    }
-}
-
-fn add(count: &mut Count, tally: &Tally) {
-    count.requests += tally.requests;
-    count.failed += tally.distinct_failures();
-    count.slow_first += tally.slow_first;
-    count.slow_between += tally.slow_between;
-}
-
-/// Tells whether a plan moves the requests of a route.
-fn moves(plan: &Plan, target: &Target) -> bool {
-    let version = plan.from == target.version || plan.to == target.version;
-    let route = plan.routes.is_empty() || plan.routes.contains(&target.route);
-    plan.service == target.service && version && route
-}
-
-/// The servers of a release that can take work, in a fixed order.
-fn running(servers: &[Server], release: &Release) -> Vec<Server> {
-    let running = servers.iter().filter(|server| release.runs_on(server));
-    running.cloned().collect()
-}
-
 /// Lets the movers' time pass and follows the document, until the entry ends.
 pub(crate) async fn follow(state: Arc<State>) {
     let mut ticks = interval(PACE);
@@ -270,7 +145,7 @@
 }
 
 fn names(state: &State) -> Vec<Move> {
-    let movers = state.movers.0.lock().expect("no panic while held");
+    let movers = state.movers.lock();
     movers.keys().cloned().collect()
 }
 
@@ -292,7 +167,7 @@
         };
         let wall = SystemTime::now();
         let (mover, actions) = Mover::new(owner, plan.clone(), routes, state.now(), wall);
-        let mut movers = state.movers.0.lock().expect("no panic while held");
+        let mut movers = state.movers.lock();
         movers.insert(plan.name.clone(), mover);
         drop(movers);
         for action in actions {
@@ -320,7 +195,7 @@
 /// The version that the routes name now that the document no longer holds a move. Forgets the
 /// mover once its outcome is known.
 fn dropped(state: &State, document: &Document, name: &Move) -> Option<Side> {
-    let mut movers = state.movers.0.lock().expect("no panic while held");
+    let mut movers = state.movers.lock();
     let mover = movers.get(name)?;
     if mover.outcome().is_some() {
         movers.remove(name);
@@ -354,7 +229,7 @@
 /// Hands an event to a mover and carries out what it asks for.
 fn on(state: &Arc<State>, name: &Move, event: Event) {
     let actions = {
-        let mut movers = state.movers.0.lock().expect("no panic while held");
+        let mut movers = state.movers.lock();
         let Some(mover) = movers.get_mut(name) else {
             return;
         };
--- a/components/entry/src/moves/witness.rs
+++ b/components/entry/src/moves/witness.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     moves::{
-        Picked,
+        movers::Picked,
         on, //
     },
     state::State, //
--- a/components/entry/src/pointers.rs
+++ b/components/entry/src/pointers.rs
@@ -16,20 +16,14 @@
     frame::Point, //
 };
 
-use crate::{
-    hosts::{
-        holders,
-        reach, //
-    },
-    state::State,
-};
+use crate::{hosts::keeper::reach, state::State};
 
 /// Time limit of telling a holder.
 const TELL: Duration = Duration::from_secs(2);
 
 /// Tells the holders of a request where its generation runs.
 pub(crate) fn tell(state: &Arc<State>, point: Point) {
-    for host in holders(state, &point.request) {
+    for host in state.hosts.holders(&point.request) {
         let state = state.clone();
         let frame = Frame::Point(point.clone());
         tokio::spawn(async move {
@@ -49,18 +43,22 @@
 
 /// Asks the holders of a request; of two pointers the one of the later epoch counts.
 pub(crate) async fn find(state: &Arc<State>, request: &str, limit: Duration) -> Option<Pointer> {
-    let asked = holders(state, request).into_iter().map(|host| async move {
-        let ask = async {
-            let joined = reach(state, &host).await?;
-            let mut stream = joined.link.open().await.ok()?;
-            stream.send(&Frame::Find(request.to_string())).await.ok()?;
-            match stream.receive().await {
-                Ok(Some(Frame::Found(found))) => found,
-                _ => None,
-            }
-        };
-        timeout(limit, ask).await.ok().flatten()
-    });
+    let asked = state
+        .hosts
+        .holders(request)
+        .into_iter()
+        .map(|host| async move {
+            let ask = async {
+                let joined = reach(state, &host).await?;
+                let mut stream = joined.link.open().await.ok()?;
+                stream.send(&Frame::Find(request.to_string())).await.ok()?;
+                match stream.receive().await {
+                    Ok(Some(Frame::Found(found))) => found,
+                    _ => None,
+                }
+            };
+            timeout(limit, ask).await.ok().flatten()
+        });
     let found = join_all(asked).await.into_iter().flatten();
     found.max_by_key(|pointer| pointer.epoch)
 }
--- a/components/entry/src/pool.rs
+++ b/components/entry/src/pool.rs
@@ -36,19 +36,16 @@
     Hello, //
 };
 
-use crate::{
-    fleet::{
-        Joined,
-        Peer, //
-    },
-    state::State,
+use crate::fleet::{
+    Joined,
+    Peer, //
 };
 
 /// Choices that are tried until one runs on a server that the document names.
 const TRIES: usize = 8;
 
 /// Shortest time after which a caller that found no replica is asked to come back.
-const COME_BACK: Duration = Duration::from_millis(500);
+pub(crate) const COME_BACK: Duration = Duration::from_millis(500);
 
 /// What the replicas were last known to be, and the generator of the choices between them.
 pub(crate) struct Pool {
@@ -90,32 +87,6 @@
     pub(crate) sent: Sent,
 }
 
-impl State {
-    /// Chooses a replica whose link is up, or says when to come back.
-    pub(crate) fn replica(&self, wish: &Wish<'_>) -> Result<Replica, Duration> {
-        let mut avoid = wish.avoid.to_vec();
-        for _ in 0..TRIES {
-            let server = self.pool.choose(&Wish {
-                avoid: &avoid,
-                ..*wish
-            })?;
-            let Some((peer, joined)) = self.fleet.beside(&server) else {
-                // Its link closed a moment ago, and the pool has not been told yet.
-                avoid.push(server);
-                continue;
-            };
-            let sent = self.pool.send(&server, wish.prefix, peer.counter());
-            return Ok(Replica {
-                peer,
-                joined,
-                server,
-                sent,
-            });
-        }
-        Err(COME_BACK)
-    }
-}
-
 impl Pool {
     pub(crate) fn new(data_centre: &DataCentre, origin: Instant) -> Arc<Self> {
         Arc::new(Self {
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -39,7 +39,6 @@
 
 use crate::{
     burn::Book,
-    calls::Outage,
     documents::Documents,
     fleet::{
         Fleet,
@@ -47,7 +46,8 @@
     },
     gates::Gates,
     hosts::Hosts,
-    moves::Movers,
+    moves::movers::Movers,
+    outage::Outage,
     pool::Pool,
     resumes::Resumes,
     silent::Silent, //
--- a/components/sidecar/src/backend.rs
+++ b/components/sidecar/src/backend.rs
@@ -40,7 +40,7 @@
     ready: watch::Sender<Readiness>,
     ended: CancellationToken,
 ) {
-    let times = &state.settings.times;
+    let times = &state.shared.settings.times;
     let Ok(client) = reqwest::Client::builder().timeout(times.silence).build() else {
         return;
     };
@@ -51,7 +51,7 @@
             () = ended.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        let healthy = health(&client, &state.settings.server.address).await;
+        let healthy = health(&client, &state.shared.settings.server.address).await;
         let load = load(&client, &state).await;
         note(&state, &ready, healthy, load);
     }
@@ -68,10 +68,10 @@
         capacity: PLAIN_CAPACITY,
         ..Load::default()
     };
-    if state.settings.server.kind == Kind::Plain {
+    if state.shared.settings.server.kind == Kind::Plain {
         return own;
     }
-    let address = &state.settings.server.address;
+    let address = &state.shared.settings.server.address;
     let Ok(answer) = client.get(format!("{address}/load")).send().await else {
         return own;
     };
@@ -99,7 +99,7 @@
     if before == healthy {
         return;
     }
-    let server = &state.settings.server.name;
+    let server = &state.shared.settings.server.name;
     if healthy {
         events::emit!(answers::ENGINE_UP, "server={server}");
         ready.send_replace(Readiness::Ready);
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -50,10 +50,9 @@
     generations::Generations,
     links,
     orders,
-    state::{
-        State,
-        Work, //
-    }, //
+    shared::Shared,
+    state::State,
+    work::Work, //
 };
 
 /// Time for which a sidecar that leaves still refuses work that was on its way.
@@ -85,7 +84,7 @@
         let state = Arc::new(state(settings, stop.clone())?);
         let (ready, readiness) = watch::channel(Readiness::Waiting("backend server unseen".into()));
         let served = http::serve(
-            state.settings.operators,
+            state.shared.settings.operators,
             probe::router(metering::install(), readiness),
             http::Limits::default(),
             ended.clone(),
@@ -97,8 +96,8 @@
         events::emit!(
             process::STARTED,
             "role=sidecar host={} server={} links={links} operators={}",
-            state.settings.name,
-            state.settings.server.name,
+            state.shared.settings.name,
+            state.shared.settings.server.name,
             served.address
         );
         let operators = served.address;
@@ -108,7 +107,7 @@
             ended.cancel();
             node.close().await;
             let _ = served.task.await;
-            events::emit!(process::STOPPED, "host={}", state.settings.name);
+            events::emit!(process::STOPPED, "host={}", state.shared.settings.name);
         });
         Ok(Self {
             links,
@@ -146,18 +145,20 @@
     let (heartbeat, _) = watch::channel(Heartbeat::default());
     let suspects = Arc::new(Suspects::default());
     Ok(State {
-        flights: Flights::new(&settings, suspects.clone()),
-        suspects,
         hello,
         heartbeat,
         generations: Generations::new(&settings, work.clone()),
         calls: Calls::new(&settings, work.clone()),
         pointers: Mutex::new(pointer::Table::new(pointer::Settings::default())),
         work,
-        records: Records::new(platform),
-        origin: Instant::now(),
-        leaving,
-        settings,
+        shared: Shared {
+            flights: Flights::new(&settings, suspects.clone()),
+            suspects,
+            records: Records::new(platform),
+            origin: Instant::now(),
+            leaving,
+            settings,
+        },
     })
 }
 
@@ -166,7 +167,7 @@
     events::emit!(
         process::STOPPING,
         "host={} in_progress={}",
-        state.settings.name,
+        state.shared.settings.name,
         state.work.count()
     );
     state
@@ -174,5 +175,9 @@
         .send_modify(|heartbeat| heartbeat.leaving = true);
     // A call that was sent before its entry saw the sign must be refused, not cut with the links.
     sleep(LINGER).await;
-    drain::drain(|| state.work.count() as usize, state.settings.times.drain).await;
+    drain::drain(
+        || state.work.count() as usize,
+        state.shared.settings.times.drain,
+    )
+    .await;
 }
--- a/components/sidecar/src/generations.rs
+++ b/components/sidecar/src/generations.rs
@@ -45,10 +45,8 @@
         Generation,
         Key, //
     },
-    state::{
-        State,
-        Work, //
-    }, //
+    shared::Shared,
+    work::Work, //
 };
 
 /// Tokens that one frame carries at most.
@@ -77,8 +75,8 @@
     }
 
     /// Begins a generation and sends its tokens, or says why not.
-    pub(crate) async fn start(&self, state: &State, start: Start, mut stream: Stream) {
-        match self.begin(state, start).await {
+    pub(crate) async fn start(&self, shared: &Shared, start: Start, mut stream: Stream) {
+        match self.begin(shared, start).await {
             Ok(generation) => {
                 if stream.send(&Frame::Started).await.is_ok() {
                     let from = generation.listen().borrow().next();
@@ -118,12 +116,12 @@
         }
     }
 
-    async fn begin(&self, state: &State, start: Start) -> Result<Arc<Generation>, Refused> {
-        let limits = &state.settings.limits;
-        if state.leaving.is_cancelled() {
+    async fn begin(&self, shared: &Shared, start: Start) -> Result<Arc<Generation>, Refused> {
+        let limits = &shared.settings.limits;
+        if shared.leaving.is_cancelled() {
             return Err(refused(Reason::Leaving, LEAVING_RETRY));
         }
-        if state.settings.server.kind != Kind::Engine {
+        if shared.settings.server.kind != Kind::Engine {
             return Err(refused(Reason::Invalid, FULL_RETRY));
         }
         let Some(piece) = self.work.begin(limits.runs) else {
@@ -135,11 +133,11 @@
         let generation = Generation::new(&start.delivered, limits.log as usize)
             .map_err(|_| refused(Reason::Invalid, FULL_RETRY))?;
         if let Some(facts) = &start.suspects {
-            state.suspects.merge(facts);
+            shared.suspects.merge(facts);
         }
         let fingerprint =
             poison::of_generation(&start.team, &start.service, &start.model, &start.prompt);
-        let flying = state.flights.admit(fingerprint).await.map_err(apart)?;
+        let flying = shared.flights.admit(fingerprint).await.map_err(apart)?;
         let lines = self.engine.generate(&start).await?;
         let generation = Arc::new(generation);
         let key = Key {
@@ -149,7 +147,7 @@
         };
         self.hold(key.clone(), generation.clone());
         let held = self.held.clone();
-        let grace = state.settings.times.grace;
+        let grace = shared.settings.times.grace;
         let filled = generation.clone();
         tokio::spawn(async move {
             let finish = filled.fill(lines, grace, &flying).await;
--- a/components/sidecar/src/kept.rs
+++ b/components/sidecar/src/kept.rs
@@ -32,28 +32,28 @@
 };
 
 use crate::{
-    calls::{
-        Calls,
-        Handed, //
-    },
     flights::Flying,
-    state::State,
+    service::{
+        Handed,
+        Service, //
+    },
+    shared::Shared,
 };
 
 type Next<'a> = Pin<Box<dyn Future<Output = Event> + Send + 'a>>;
 
 /// Runs a kept call to its end: record, hand-over, outcome. It goes on when the entry is gone.
 pub(crate) async fn run(
-    state: &State,
-    calls: &Calls,
+    shared: &Shared,
+    service: &Service,
     call: &frame::Call,
     kept: &Kept,
     flying: &Flying,
     stream: Stream,
 ) {
     let mut driver = Driver {
-        state,
-        calls,
+        shared,
+        service,
         call,
         key: record::key(
             &call.service,
@@ -64,7 +64,7 @@
             Call {
                 base: kept.base,
                 digest: kept.digest.clone(),
-                server: state.settings.server.name.clone(),
+                server: shared.settings.server.name.clone(),
                 nonce: rand::random(),
                 ask: kept.ask.clone(),
             },
@@ -76,7 +76,7 @@
     };
     let mut next = driver.handle(Event::Asked).await;
     while let Some(mut event) = next.take() {
-        let silence = sleep(state.settings.times.call);
+        let silence = sleep(shared.settings.times.call);
         tokio::pin!(silence);
         let mut silent = false;
         let came = loop {
@@ -98,8 +98,8 @@
 }
 
 struct Driver<'a> {
-    state: &'a State,
-    calls: &'a Calls,
+    shared: &'a Shared,
+    service: &'a Service,
     call: &'a frame::Call,
     flying: &'a Flying,
     key: String,
@@ -112,9 +112,10 @@
     /// Lets the decisions take an event; gives what brings the next one.
     async fn handle(&mut self, event: Event) -> Option<Next<'a>> {
         let mut next = None;
-        let actions = self.machine.handle(event, self.state.now());
+        let actions = self.machine.handle(event, self.shared.now());
         for action in actions {
-            let (state, calls, call, flying) = (self.state, self.calls, self.call, self.flying);
+            let (shared, service, call, flying) =
+                (self.shared, self.service, self.call, self.flying);
             let key = self.key.clone();
             next = match action {
                 Action::Reply(reply) => {
@@ -122,18 +123,18 @@
                     continue;
                 }
                 Action::Create { expect, record } => future(async move {
-                    Event::Created(state.records.write(&key, expect, &record).await)
+                    Event::Created(shared.records.write(&key, expect, &record).await)
                 }),
                 Action::Write { expect, record } => future(async move {
-                    let write = state.records.write(&key, expect, &record).await;
+                    let write = shared.records.write(&key, expect, &record).await;
                     note(&key, &write);
                     Event::Written(write)
                 }),
                 Action::ReadBack => {
-                    future(async move { Event::Read(state.records.read(&key).await) })
+                    future(async move { Event::Read(shared.records.read(&key).await) })
                 }
                 Action::HandOver => {
-                    future(async move { service(calls.hand_over(call, flying).await) })
+                    future(async move { came(service.hand_over(call, flying).await) })
                 }
                 Action::Wait(time) => future(wait(time)),
             };
@@ -160,7 +161,7 @@
     Event::Waited
 }
 
-fn service(handed: Handed) -> Event {
+fn came(handed: Handed) -> Event {
     match handed {
         Handed::Answered {
             status,
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -14,6 +14,9 @@
 mod line;
 mod links;
 mod orders;
+mod service;
+mod shared;
 mod state;
+mod work;
 
 pub use self::daemon::Sidecar;
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -42,7 +42,7 @@
         Ok(link) => link,
         Err(error) => return refuse(address, &error),
     };
-    let silence = state.settings.times.silence;
+    let silence = state.shared.settings.times.silence;
     let (first, hello) = match greeting::answered(&link, &state.hello, silence).await {
         Ok(greeted) => greeted,
         Err(error) => return refuse(address, &error),
@@ -53,8 +53,8 @@
     // Watching for silence is left to the entries; but they admit and route by the load that the
     // heartbeats carry, so it must not be old while there is some.
     let pace = Pace {
-        busy: state.settings.times.heartbeat,
-        rest: state.settings.times.rest,
+        busy: state.shared.settings.times.heartbeat,
+        rest: state.shared.settings.times.rest,
     };
     let work = state.work.changes();
     tokio::spawn(greeting::beat(
@@ -67,7 +67,7 @@
     ));
     tokio::spawn(listen(state.clone(), first.receiver));
     let told = state.clone();
-    tokio::spawn(async move { told.suspects.tell(others).await });
+    tokio::spawn(async move { told.shared.suspects.tell(others).await });
     loop {
         let stream = tokio::select! {
             () = ended.cancelled() => return,
@@ -88,16 +88,18 @@
 async fn listen(state: Arc<State>, mut receiver: Receiver) {
     while let Ok(Some(frame)) = receiver.receive().await {
         if let Frame::Suspects(facts) = frame {
-            state.suspects.merge(&facts);
+            state.shared.suspects.merge(&facts);
         }
     }
 }
 
 async fn serve(state: Arc<State>, mut stream: Stream) {
     match stream.receive().await {
-        Ok(Some(Frame::Start(start))) => state.generations.start(&state, *start, stream).await,
+        Ok(Some(Frame::Start(start))) => {
+            state.generations.start(&state.shared, *start, stream).await
+        }
         Ok(Some(Frame::Attach(attach))) => state.generations.attach(attach, stream).await,
-        Ok(Some(Frame::Call(call))) => state.calls.call(&state, *call, stream).await,
+        Ok(Some(Frame::Call(call))) => state.calls.call(&state.shared, *call, stream).await,
         Ok(Some(Frame::Point(point))) => state.point(point),
         Ok(Some(Frame::Find(request))) => {
             let found = Frame::Found(state.find(&request));
--- a/components/sidecar/src/orders.rs
+++ b/components/sidecar/src/orders.rs
@@ -60,11 +60,11 @@
 
 /// Passes orders on until the sidecar ends.
 pub(crate) async fn follow(state: Arc<State>, ended: CancellationToken) {
-    if state.settings.server.kind != Kind::Engine {
+    if state.shared.settings.server.kind != Kind::Engine {
         return;
     }
-    let times = &state.settings.times;
-    let Ok(platform) = Platform::new(&state.settings.platform, times.platform) else {
+    let times = &state.shared.settings.times;
+    let Ok(platform) = Platform::new(&state.shared.settings.platform, times.platform) else {
         return;
     };
     let (events, mut incoming) = mpsc::channel(WAITING);
@@ -75,17 +75,21 @@
         events,
     };
     let settings = Settings {
-        checks: state.settings.server.checks_fence,
+        checks: state.shared.settings.server.checks_fence,
         settle: times.settle,
         ..Settings::default()
     };
     let mut keeper = Keeper::new(settings);
-    let watching = watch(platform, key(&state.settings.server.name), &driver.events);
+    let watching = watch(
+        platform,
+        key(&state.shared.settings.server.name),
+        &driver.events,
+    );
     tokio::pin!(watching);
     let mut event = Some(Event::Started);
     loop {
         if let Some(event) = event.take() {
-            for action in keeper.handle(event, state.now()) {
+            for action in keeper.handle(event, state.shared.now()) {
                 driver.act(action);
             }
         }
@@ -179,7 +183,7 @@
                 });
             }
             Action::Send(order) => {
-                let address = &self.state.settings.server.address;
+                let address = &self.state.shared.settings.server.address;
                 let request = self.client.post(format!("{address}/orders")).json(&order);
                 tokio::spawn(send(request, order.fence, self.slow, events));
             }
@@ -188,7 +192,7 @@
     }
 
     fn report(&self, fence: Revision, answer: Answer) {
-        let server = &self.state.settings.server.name;
+        let server = &self.state.shared.settings.server.name;
         let event = match answer {
             Answer::Applied => order_events::APPLIED,
             Answer::Unknown => order_events::UNKNOWN,
