Keep the name of a server's domain in its seat

Cause: the domain, two strings, was built for each server at each choice and for each event of a stream, to look up whether others of it were lost. Change: it is kept, and made anew when the server's registration changes. An inquiry that finds a run alive counts as a sign of life, like a check, so that a doubt ends with it.

--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -240,7 +240,10 @@
                             Some(said) if said.lost(&self.call.packet.ask.id) => {
                                 return Heard::Lost(Loss::Mute);
                             }
-                            Some(_) => run.silence.alive(run.heard.elapsed()),
+                            Some(_) => {
+                                run.sound = Instant::now();
+                                run.silence.alive(run.heard.elapsed());
+                            }
                         }
                     }
                 }
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -132,7 +132,7 @@
     /// Adds a server, or changes what is known of it.
     pub fn put(&mut self, now: Clock, server: &Server, facts: Facts, leaving: bool) {
         if let Some(seat) = self.seats.get_mut(server) {
-            seat.facts = facts;
+            seat.learn(facts);
             seat.leaving = leaving;
             return;
         }
@@ -256,14 +256,14 @@
             return;
         };
         seat.suspend(now, sign);
-        self.losses.note(now, seat.domain(), server, sign);
+        self.losses.note(now, seat.domain.clone(), server, sign);
     }
 
     /// When this entry or a peer last found a server dark, or enough of its data centre that it is
     /// probably dark too.
     pub fn doubted(&self, now: Clock, server: &Server) -> Option<Clock> {
         let seat = self.seats.get(server)?;
-        self.losses.doubted(now, &seat.domain(), server, seat.heard)
+        self.losses.doubted(now, &seat.domain, server, seat.heard)
     }
 
     /// Notes that a server answered.
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -132,7 +132,7 @@
             if !versions.allow(&seat.facts.version) {
                 continue;
             }
-            let doubted = self.losses.shaken(now, &seat.domain(), seat.heard);
+            let doubted = self.losses.shaken(now, &seat.domain, seat.heard);
             if doubted || seat.member.ejected(now) || seat.member.refusing(now) {
                 continue;
             }
@@ -227,7 +227,7 @@
         let full = seat.member.refusing(now) || !seat.fits(wish.work);
         let near = wish.avoid_data_centre == Some(&seat.facts.data_centre);
         let suspended = seat.is_suspended(now);
-        let shaken = self.losses.shaken(now, &seat.domain(), seat.heard);
+        let shaken = self.losses.shaken(now, &seat.domain, seat.heard);
         u8::from(suspended) * SUSPENDED
             + u8::from(avoided) * AVOIDED
             + u8::from(shaken) * SHAKEN
--- a/components/routing/src/placement/seat.rs
+++ b/components/routing/src/placement/seat.rs
@@ -47,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Seat {
     pub(super) facts: Facts,
+    /// Where it may be lost together with others; looked up for each server at each choice.
+    pub(super) domain: Domain,
     pub(super) leaving: bool,
     pub(super) member: Member,
     pub(super) own: Work,
@@ -68,6 +70,7 @@
 impl Seat {
     pub(super) fn new(now: Clock, server: &Server, facts: Facts, leaving: bool) -> Seat {
         Seat {
+            domain: domain(&facts),
             facts,
             leaving,
             member: Member::new(now, server.clone()),
@@ -84,8 +87,10 @@
         }
     }
 
-    pub(super) fn domain(&self) -> Domain {
-        (self.facts.data_centre.clone(), self.facts.service.clone())
+    /// Takes what is known of the server now.
+    pub(super) fn learn(&mut self, facts: Facts) {
+        self.domain = domain(&facts);
+        self.facts = facts;
     }
 
     pub(super) fn suspend(&mut self, now: Clock, sign: Sign) {
@@ -242,3 +247,7 @@
         1.0 + (self.slowness - 1.0) * left
     }
 }
+
+fn domain(facts: &Facts) -> Domain {
+    (facts.data_centre.clone(), facts.service.clone())
+}
