--- a/components/environment/src/document.rs
+++ b/components/environment/src/document.rs
@@ -143,7 +143,7 @@
     pub safe_methods: Vec<String>,
     /// Plain services: the service itself drops a second call with the same key.
     pub drops_repeats: bool,
-    /// The backend servers refuse an order that carries an old fencing number.
+    /// The backend servers refuse an order that carries an old fencing token.
     pub checks_fence: bool,
 }
 
--- a/components/fakes/src/engine/order.rs
+++ b/components/fakes/src/engine/order.rs
@@ -1,4 +1,4 @@
-//! Orders: load, unload, role; and the fencing number.
+//! Orders: load, unload, role; and the fencing token.
 
 use std::collections::BTreeMap;
 
--- a/components/names/src/lib.rs
+++ b/components/names/src/lib.rs
@@ -48,7 +48,7 @@
 /// Revision number of the platform's store: each write gets a higher one; 0 is "never written".
 pub type Revision = u64;
 
-/// Fencing number of an order: the store's revision at which the order was issued.
+/// Fencing token of an order: the store's revision at which the order was issued.
 pub type Fence = u64;
 
 /// A monotonic clock reading: time since an origin that the driver of the code chooses.
--- a/components/orders/src/keeper.rs
+++ b/components/orders/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The sidecar's keeper of orders: the only way to its backend server.
 //!
-//! A server that checks fencing numbers protects itself. For one that doesn't, the keeper lets one
+//! A server that checks fencing tokens protects itself. For one that doesn't, the keeper lets one
 //! order at a time through and holds the next one back until the last can't take effect any more.
 //! A keeper that has just started knows neither the newest number nor what its predecessor left
 //! with the server; it learns the first from the store and waits out the second. Until then it
--- a/components/orders/src/order.rs
+++ b/components/orders/src/order.rs
@@ -34,7 +34,7 @@
     },
 }
 
-/// An order with its fencing number.
+/// An order with its fencing token.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Numbered {
     /// The store's revision at which the order was written.
--- a/components/settings/src/sidecar.rs
+++ b/components/settings/src/sidecar.rs
@@ -78,7 +78,7 @@
     #[serde(default)]
     #[garde(skip)]
     pub model: String,
-    /// It refuses orders that carry an old fencing number.
+    /// It refuses orders that carry an old fencing token.
     #[serde(default)]
     #[garde(skip)]
     pub checks_fence: bool,
@@ -183,7 +183,7 @@
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
     pub stall: Duration,
-    /// Longest time for which an engine that doesn't check fencing numbers may still carry out an
+    /// Longest time for which an engine that doesn't check fencing tokens may still carry out an
     /// order after its connection was closed.
     #[serde(with = "humantime_serde")]
     #[garde(custom(bounded))]
--- a/components/sidecar/src/orders.rs
+++ b/components/sidecar/src/orders.rs
@@ -1,6 +1,6 @@
 //! Orders to the engine beside this sidecar: the driver of [`orders::keeper`].
 //!
-//! An order is a value of the platform's store; its revision is the fencing number. This sidecar
+//! An order is a value of the platform's store; its revision is the fencing token. This sidecar
 //! watches the key of its server and is the only one that passes orders on.
 
 use std::{
--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -311,7 +311,7 @@
 
     /// Waits until the peer closes an idle connection or sends bytes that nobody asked for.
     pub async fn disturbed(&self) {
-        // An error is a disturbance as well.
+        // An error is a disruption as well.
         let _ = self.stream.readable().await;
     }
 }
