Look at the other servers of a service only where that decides something

Cause: found in reading the change: the shares of failures of all other servers were summed, and since sorted, at the end of each request, also for engines whose requests end well; a service may have 2,000. Change: only for plain services and where a request failed; the better half is selected, not sorted. No decision changes: tests of routing pass as they are.

--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -229,7 +229,15 @@
 
     /// Notes that work ended; `work` is what is left of it.
     pub fn done(&mut self, now: Clock, server: &Server, work: Work, outcome: Outcome) {
-        let (others, better) = self.others(now, server);
+        // Thousands of engines are looked at only when one of them failed.
+        let plain = self
+            .seats
+            .get(server)
+            .is_some_and(|seat| seat.facts.memory == 0);
+        let (others, better) = match plain || outcome == Outcome::Failed {
+            true => self.others(now, server),
+            false => (0.0, 0.0),
+        };
         let Some(seat) = self.seats.get_mut(server) else {
             return;
         };
@@ -237,7 +245,7 @@
         let usual = Duration::from_secs(1);
         seat.member.done(now, outcome, usual, &self.settings);
         let answers = matches!(outcome, Outcome::Served { .. } | Outcome::Failed);
-        if seat.facts.memory == 0 && answers {
+        if plain && answers {
             let failed = outcome == Outcome::Failed;
             seat.member.weigh(now, failed, better, &self.settings);
         }
@@ -362,9 +370,13 @@
             }
             counts.push(seat.member.counts(now, &self.settings));
         }
-        counts.sort_unstable_by(|one, other| share(&[*one]).total_cmp(&share(&[*other])));
-        let better = &counts[..counts.len().div_ceil(2)];
-        (share(&counts), share(better))
+        let half = counts.len().div_ceil(2);
+        if half < counts.len() {
+            counts.select_nth_unstable_by(half, |one, other| {
+                share(&[*one]).total_cmp(&share(&[*other]))
+            });
+        }
+        (share(&counts), share(&counts[..half]))
     }
 }
 
