--- a/components/moves/src/mover/count.rs
+++ b/components/moves/src/mover/count.rs
@@ -44,7 +44,7 @@
 /// Multiple of the limit beyond which a time is slow when there is no old version to compare with. A
 /// day's load slows a service by some tens of percent; times gather below the limit, so that a
 /// little more carries most of them over it.
-const MUCH: f64 = 2.0;
+const MUCH: f64 = 1.3;
 
 /// Time between two times that are counted when there is no old version to compare with. Answers
 /// that overlap are slowed by the same thing, and would count as many signs of it.
