Take an echoed stamp only from the run that gave it

A trace of questions, claims and changes shows that no entry asked the store after 4.33 s. At 4.0 s front-leinster-b-2 was back after a loss of power, at its old address and with a clock that started lower (14,491 s before, 11,650 s after). Peers still echoed the stamp of its last run, so it read their beacons as made thousands of seconds in the future. That claim was the newest of all, spread with an age of 0, kept every process from its turn to ask, and called everything current.

Ruled out: old answers of the store (revisions in answers and watches are in step), changes that were passed over (the first watch after the refusal has all 148), peers' messages with a wrong revision.

Change: an echo carries the run that gave the stamp and counts for no other; a claim of a time to come is not taken.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -51,7 +51,7 @@
 const LONGEST: usize = 1400;
 
 /// Bytes that are kept free for the echo and the message's kind.
-const ECHO: usize = 24;
+const ECHO: usize = 34;
 
 /// Bytes of changes in one datagram; the rest is for their frame.
 const ITEMS: usize = LONGEST - 100;
@@ -260,7 +260,7 @@
         self.shared.queue.hear(&beacon);
         self.shared.moving.hear(&beacon);
         self.shared.quotas.borrow_mut().hear(&beacon);
-        if let Some(claim) = beacon.claim() {
+        if let Some(claim) = beacon.claim(self.incarnation) {
             self.shared.fresh.borrow_mut().hear(clock::now(), claim);
         }
     }
--- a/components/models/src/lib.rs
+++ b/components/models/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod contract;
 pub mod edits;
+pub mod freshness;
 pub mod moves;
 pub mod orders;
 pub mod search;
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -121,6 +121,9 @@
 /// was suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
+    /// The receiver's run that gave the stamp. A host's clock starts anew with the host, so that a
+    /// stamp of an earlier run means nothing to the next one at the same address.
+    pub incarnation: Incarnation,
     /// The receiver's stamp.
     pub stamp: u64,
     /// Milliseconds that it lay at the sender.
@@ -205,11 +208,11 @@
 }
 
 impl Beacon {
-    /// What a beacon says of the store, by the receiver's clock; `None` when it can't be told when
-    /// the beacon was made.
-    pub fn claim(&self) -> Option<Claim> {
+    /// What a beacon says of the store, by the clock of the receiver's run; `None` when it can't be
+    /// told when the beacon was made.
+    pub fn claim(&self, receiver: Incarnation) -> Option<Claim> {
         let fresh = self.fresh?;
-        let echo = self.echo?;
+        let echo = self.echo.filter(|echo| echo.incarnation == receiver)?;
         let made = Duration::from_millis(echo.stamp + echo.held_ms);
         Some(Claim {
             revision: fresh.revision,
@@ -419,6 +422,7 @@
         let peer = self.peers.get(&target)?;
         let held = now.saturating_sub(peer.heard);
         Some(Echo {
+            incarnation: peer.incarnation,
             stamp: peer.stamp,
             held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
         })
--- a/components/spread/src/fresh.rs
+++ b/components/spread/src/fresh.rs
@@ -40,7 +40,7 @@
 const ALONE: Duration = Duration::from_millis(2200);
 
 /// The store's revision was `revision` at `at` or later.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Claim {
     /// The revision.
     pub revision: Revision,
@@ -49,7 +49,7 @@
 }
 
 /// What is known, and how current it is.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Fresh {
     /// All changes up to this revision are known.
     revision: Option<Revision>,
@@ -111,8 +111,12 @@
         self.confirmed = self.confirmed.max(Some(ahead.at));
     }
 
-    /// Takes a claim, this process's own or a peer's.
+    /// Takes a claim, this process's own or a peer's. One of a time that is still to come can't be
+    /// true: taken, it would keep all from asking, and call what is known current until then.
     pub fn hear(&mut self, now: Clock, claim: Claim) {
+        if claim.at > now {
+            return;
+        }
         if self.newest < Some(claim.at) {
             self.newest = Some(claim.at);
             // Somebody reaches the store, so this process may too.
--- a/components/spread/tests/beacon.rs
+++ b/components/spread/tests/beacon.rs
@@ -8,6 +8,7 @@
 use names::Clock;
 use rstest::rstest;
 use spread::beacon::{
+    Age,
     Beacon,
     Incarnation,
     Reach,
@@ -107,3 +108,26 @@
     assert_eq!(table.audience("dc0", Reach::All).len(), 4);
     assert!(table.audience("dc0", Reach::Near).is_empty());
 }
+
+/// Guards against stamps of another clock: a host that lost its power is back at its old address, and
+/// peers still echo what its last run sent.
+#[test]
+fn a_stamp_of_an_earlier_run_claims_nothing() {
+    let mut table = Table::new(1, Vec::new());
+    let sent = Beacon {
+        stamp: 62_000_000,
+        ..beacon(2, 1, Duration::ZERO)
+    };
+    table.hear(Clock::ZERO, address(2), &sent);
+    let answer = Beacon {
+        fresh: Some(Age {
+            revision: 7,
+            ms: 100,
+        }),
+        echo: table.echo(MILLISECOND * 40, address(2)),
+        ..beacon(1, 1, Duration::ZERO)
+    };
+    let claim = answer.claim(2).expect("the run that gave the stamp");
+    assert_eq!(claim.at, MILLISECOND * 61_999_940);
+    assert_eq!(answer.claim(3), None);
+}
--- a/components/spread/tests/fresh.rs
+++ b/components/spread/tests/fresh.rs
@@ -81,3 +81,16 @@
     finder.hear(SECOND * 2, claim(9, SECOND * 2));
     assert!(finder.fetch() > Some(SECOND * 2));
 }
+
+/// Guards against a wrong clock reading that stops all questions to the store: a claim of the future
+/// would be the newest for as long as it lies ahead.
+#[test]
+fn a_claim_of_a_time_to_come_is_not_taken() {
+    let mut fresh = Fresh::default();
+    fresh.learned(7);
+    fresh.hear(SECOND, claim(7, SECOND));
+    let due = fresh.due();
+    fresh.hear(SECOND * 2, claim(7, SECOND * 3));
+    assert_eq!(fresh.confirmed(), Some(SECOND));
+    assert_eq!(fresh.due(), due);
+}
