Tell callers of the last entry of a data centre when another can be reached

An entry that stops refused all streams with a Retry-After of 0.1 s; the balancer keeps to the data centre until it has asked twice, so callers reached the same entry again, were refused again, and had no retry left (logs: 11 refusals at front-leinster-b-1 from 1.4 to 2.5 s, in pairs). Streams were refused although they fit: before the first whole one is known, twice the objective (9 s) is taken for their time, then the mean and three deviations.

Ruled out: leaving sooner; with all three entries out the balancer sends to any, and closing the listener would lose the short requests as well.

Change: peers are told that a process stops. At the last entry of a data centre Retry-After is the rest of the balancer's time, and a stream is taken when the mean and one deviation (or 1.5 objectives) fit the rest of the grace time.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -49,7 +49,6 @@
     accept,
     book::State,
     clock,
-    departure::Departure,
     edge::Edge,
     fleet::Fleet,
     handle::Desk,
@@ -113,7 +112,7 @@
             moving: Rc::default(),
             opening: Opening::default(),
             outlook: RefCell::default(),
-            departure: Departure::default(),
+            departure: Rc::default(),
             started: Instant::now(),
             running: Cell::new(0),
             connections: Cell::new(0),
@@ -259,6 +258,7 @@
                 quotas: desk.quotas.clone(),
                 queue: desk.queue.clone(),
                 moving: desk.moving.clone(),
+                departure: desk.departure.clone(),
                 settings: desk.settings.clone(),
             };
             let peers = Peers::new(peers, shared, exchange);
--- a/components/gateway/src/departure.rs
+++ b/components/gateway/src/departure.rs
@@ -17,6 +17,8 @@
 use names::Route;
 use tokio::time::Instant;
 
+use crate::refuse::COME_BACK;
+
 /// Time for which the balancer may still send new connections: it takes a process out after two
 /// questions, one a second, and the answer to the first may be on its way.
 const BALANCER: Duration = Duration::from_millis(2600);
@@ -30,9 +32,15 @@
 /// Deviations above the usual duration that a request may take.
 const DEVIATIONS: f64 = 3.0;
 
+/// The same at the last entry of a data centre, whose callers can't come back at once.
+const DEVIATIONS_LAST: f64 = 1.0;
+
 /// Multiple of the objective that a request of a route without a usual duration is taken to need.
 const UNKNOWN: f64 = 2.0;
 
+/// The same at the last entry of a data centre.
+const UNKNOWN_LAST: f64 = 1.5;
+
 /// Usual duration of a route's requests, in seconds, and its mean deviation.
 #[derive(Clone, Copy, Debug)]
 struct Usual {
@@ -44,6 +52,8 @@
 #[derive(Debug, Default)]
 pub struct Departure {
     began: Cell<Option<Instant>>,
+    /// Other entries of the data centre that take new work.
+    neighbours: Cell<usize>,
     usual: RefCell<HashMap<Route, Usual>>,
 }
 
@@ -58,6 +68,21 @@
         self.began.get().is_some()
     }
 
+    /// Notes the number of other entries of the data centre that take new work.
+    pub fn set_neighbours(&self, neighbours: usize) {
+        self.neighbours.set(neighbours);
+    }
+
+    /// Time after which a caller that is refused now reaches another entry. The balancer keeps to the
+    /// caller's data centre while it believes that there is an entry, and this one may be the last.
+    pub fn retry_after(&self) -> Duration {
+        let (Some(close), 0) = (self.close(), self.neighbours.get()) else {
+            return COME_BACK;
+        };
+        let left = close.saturating_duration_since(Instant::now());
+        left.max(COME_BACK)
+    }
+
     /// When connections that rest are closed.
     pub fn close(&self) -> Option<Instant> {
         self.began.get().map(|began| began + BALANCER)
@@ -102,10 +127,14 @@
             return true;
         };
         let left = end.saturating_duration_since(Instant::now()).as_secs_f64();
+        let (deviations, unknown) = match self.neighbours.get() {
+            0 => (DEVIATIONS_LAST, UNKNOWN_LAST),
+            _ => (DEVIATIONS, UNKNOWN),
+        };
         let routes = self.usual.borrow();
         let time = match routes.get(route) {
-            Some(usual) => usual.mean + DEVIATIONS * usual.deviation,
-            None => objective.as_secs_f64() * UNKNOWN,
+            Some(usual) => usual.mean + deviations * usual.deviation,
+            None => objective.as_secs_f64() * unknown,
         };
         time < left
     }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -111,7 +111,7 @@
     /// How long answers take.
     pub outlook: RefCell<Outlook>,
     /// The process's way out.
-    pub departure: Departure,
+    pub departure: Rc<Departure>,
     /// When the process started.
     pub started: Instant,
     /// Requests in progress.
@@ -251,7 +251,7 @@
         let (rule, pass, service, team) = route(index, &parts, &ask).map_err(refuse)?;
         let grace = settings.bounds.grace;
         if !self.departure.fits(&rule, pass.objective, grace) {
-            return Err(refuse(Refusal::Leaving));
+            return Err(refuse(Refusal::Leaving(self.departure.retry_after())));
         }
         let bounds = index.document().callers.as_ref();
         let body = read(&parts, body, bounds, arrived).await.map_err(refuse)?;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -39,6 +39,7 @@
 
 use crate::{
     clock,
+    departure::Departure,
     fleet::Fleet,
     moving::Moving,
     queue::Queue,
@@ -84,6 +85,8 @@
     pub queue: Rc<Queue>,
     /// Moves between versions.
     pub moving: Rc<Moving>,
+    /// The process's way out.
+    pub departure: Rc<Departure>,
     /// Settings of the process.
     pub settings: Rc<RefCell<Rc<Settings>>>,
 }
@@ -158,6 +161,8 @@
             .fresh
             .borrow_mut()
             .stand(self.table.place().0, near);
+        let neighbours = self.table.neighbours(&settings.data_centre);
+        self.shared.departure.set_neighbours(neighbours);
         self.table.reseed_from(&settings.seeds);
     }
 
@@ -169,6 +174,7 @@
             incarnation: self.incarnation,
             data_centre: settings.data_centre.clone(),
             sequence: self.sequence,
+            leaving: self.shared.departure.begun(),
             known: self.table.known(),
             ..Beacon::default()
         };
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -194,7 +194,7 @@
                     desk.queue.wait(&call.service);
                     let grace = desk.settings.borrow().bounds.grace;
                     if !desk.departure.fits(&call.route, call.pass.objective, grace) {
-                        return Err(Refusal::Leaving);
+                        return Err(Refusal::Leaving(desk.departure.retry_after()));
                     }
                 }
             }
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -51,8 +51,8 @@
     Slow,
     /// No document is known yet, or it may be out of date.
     Unsure,
-    /// The process stops before the request would end.
-    Leaving,
+    /// The process stops before the request would end; another entry can be reached after this time.
+    Leaving(Duration),
     /// No backend server can take the request now.
     NoServer,
     /// Its time was over before a server ran it.
@@ -79,7 +79,7 @@
             Refusal::Long => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Slow => StatusCode::REQUEST_TIMEOUT,
             Refusal::Unsure
-            | Refusal::Leaving
+            | Refusal::Leaving(_)
             | Refusal::NoServer
             | Refusal::Expired
             | Refusal::Hopeless
@@ -99,7 +99,7 @@
             Refusal::Long => "too_long",
             Refusal::Slow => "too_slow",
             Refusal::Unsure => "no_current_document",
-            Refusal::Leaving => "leaving",
+            Refusal::Leaving(_) => "leaving",
             Refusal::NoServer => "no_server",
             Refusal::Expired => "expired",
             Refusal::Hopeless => "too_little_time",
@@ -149,7 +149,7 @@
         let again = matches!(
             self,
             Refusal::Unsure
-                | Refusal::Leaving
+                | Refusal::Leaving(_)
                 | Refusal::NoServer
                 | Refusal::Expired
                 | Refusal::Busy(_)
@@ -157,6 +157,7 @@
         );
         let time = match self {
             Refusal::Busy(refused) => refused.retry_after,
+            Refusal::Leaving(time) => *time,
             _ => COME_BACK,
         };
         if again {
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -419,6 +419,8 @@
     pub callers: SocketAddr,
     /// Where the platform asks.
     pub ready: SocketAddr,
+    /// Where other gateways send beacons.
+    pub peers: SocketAddr,
     /// Tells it to stop.
     pub stop: CancellationToken,
     /// Set when it has stopped.
@@ -543,6 +545,7 @@
         let listeners = gateway.listen().expect("free ports");
         let callers = listeners.callers.local_addr().expect("bound");
         let ready = listeners.ready.local_addr().expect("bound");
+        let peers = listeners.peers.local_addr().expect("bound");
         let (stop, stopped) = (CancellationToken::new(), CancellationToken::new());
         let (runs, told, done) = (gateway.clone(), stop.clone(), stopped.clone());
         spawn_local(async move {
@@ -553,6 +556,7 @@
             gateway,
             callers,
             ready,
+            peers,
             stop,
             stopped,
         }
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -386,9 +386,19 @@
 
     /// This process's place among those of its data centre that live.
     pub fn place_near(&self, data_centre: &str) -> usize {
-        let near = |peer: &&Peer| !peer.silent && !peer.leaving && peer.data_centre == data_centre;
         let before = |peer: &&Peer| peer.incarnation < self.incarnation;
-        self.peers.values().filter(near).filter(before).count()
+        self.near(data_centre).filter(before).count()
+    }
+
+    /// Number of the other processes of the data centre that live.
+    pub fn neighbours(&self, data_centre: &str) -> usize {
+        self.near(data_centre).count()
+    }
+
+    fn near(&self, data_centre: &str) -> impl Iterator<Item = &Peer> {
+        let near =
+            move |peer: &&Peer| !peer.silent && !peer.leaving && peer.data_centre == data_centre;
+        self.peers.values().filter(near)
     }
 
     /// Who is told what this process heard: all peers of a small fleet, by who heard it from the
