Place prompts where they delay the fewest requests

Cause: an engine that reads a prompt gives the streams beside it a tenth of their tokens. Load counted memory like work: an idle engine with two copies (0.22) came after one that ran a stream (0.17).

Change: a prompt weighs by the requests that it delays; memory weighs by the square of the part that is taken, as it matters when it runs out; prompts that are unread weigh 4 in place of 3.

--- a/components/routing/src/placement/seat.rs
+++ b/components/routing/src/placement/seat.rs
@@ -31,7 +31,10 @@
 
 /// Weight of a prompt that is still to be read, against the memory that it fills. Reading delays
 /// all that runs beside it; memory only counts when it runs out.
-const READING: f64 = 3.0;
+const READING: f64 = 4.0;
+
+/// Weight of a prompt for each request that runs beside it: it is delayed while the prompt is read.
+const DISTURBED: f64 = 2.0;
 
 /// Load that a server in another data centre must be lower by to be preferred.
 const FAR: f64 = 0.01;
@@ -178,7 +181,10 @@
         if self.facts.memory > 0 {
             let unread = all.unread + wish.work.unread.saturating_sub(known);
             let reading = READING * unread as f64 * slowness;
-            load += (all.tokens as f64 + reading) / self.facts.memory as f64;
+            let memory = self.facts.memory as f64;
+            let prompt = wish.work.unread.saturating_sub(known) as f64;
+            let disturbed = DISTURBED * prompt * f64::from(all.requests) * slowness;
+            load += (reading + disturbed) / memory + (all.tokens as f64 / memory).powi(2);
         }
         if self.facts.data_centre != *wish.home {
             load += FAR;
