Let callers that come back wait for servers that register again

At 36.27 s the new ones read a register with 9 of 32 engines and send 40 callers' prompts there, to be read anew and behind one another: first events after 6.5 s, runs given up as silent after 5.4 s and read once more elsewhere. The engines that had the prompts in their caches registered 0.6 s later and were never asked.

A caller that comes back waits for the server that has its prompt, up to 2 s and a tenth of the time it has left; servers that register within 10 s of the question to the others are asked too. MH1014 logs the wait.

--- a/components/events/src/direct.rs
+++ b/components/events/src/direct.rs
@@ -28,6 +28,8 @@
     ADMITTED = 1012, Debug, "Request waited for an engine with room";
     /// A request waited for the first call to the store of a process that had just started.
     OPENED = 1013, Info, "Request waited for the first document";
+    /// A caller came back while servers that may hold its prompt were missing from the register.
+    REGISTERING = 1014, Info, "Request waited for servers that register again";
     /// A retry would exceed the bound over all processes.
     SPENT = 1009, Info, "No retry is left for the service";
 
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -64,7 +64,10 @@
     ready,
     sender::Sender,
     settings::Settings,
-    survey::Survey,
+    survey::{
+        self,
+        Survey, //
+    },
     update::Update, //
 };
 
@@ -137,6 +140,11 @@
         self.desk.opening.end();
     }
 
+    /// Notes that servers may be missing from the register for a time, as it is made anew.
+    pub fn registering(&self, time: Duration) {
+        self.desk.survey.registering(time);
+    }
+
     /// The states of moves that should stand in the store and don't.
     pub fn due(&self) -> Vec<Report> {
         self.desk.moving.due()
@@ -182,6 +190,7 @@
                         address = told.address.to_string().as_str(),
                         leaving = told.leaving
                     );
+                    survey::registered(&self.desk, &told);
                 }
             }
             Update::Move { service, order } => {
--- a/components/gateway/src/stream/place.rs
+++ b/components/gateway/src/stream/place.rs
@@ -144,9 +144,11 @@
         let Some(part) = self.parts().last().filter(|_| back) else {
             return;
         };
-        if !self.desk.fleet.borrow().found(*part) {
-            survey::learn(&self.desk, &self.call.service, left).await;
+        if self.desk.fleet.borrow().found(*part) {
+            return;
         }
+        survey::learn(&self.desk, &self.call.service, left).await;
+        survey::wait(&self.desk, &self.call, *part, left).await;
     }
 
     /// Whether a server should try to give the answer: there is room, so that a try takes nothing
--- a/components/gateway/src/survey.rs
+++ b/components/gateway/src/survey.rs
@@ -7,7 +7,10 @@
 //! together.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     rc::Rc,
     time::Duration, //
@@ -24,11 +27,13 @@
 };
 use http::Method;
 use names::Service;
+use routing::Part;
 use tokio::{
     sync::watch,
     task::spawn_local,
     time::{
         Instant,
+        sleep,
         timeout, //
     },
 };
@@ -36,7 +41,11 @@
 use crate::{
     edge::Edge,
     fleet::Chosen,
-    handle::Desk, //
+    handle::{
+        Call,
+        Desk, //
+    },
+    update::Registration, //
 };
 
 /// Time for one engine's answer.
@@ -55,13 +64,23 @@
 /// Engines that are asked at the same time.
 const ABREAST: usize = 16;
 
+/// Pace at which a request looks whether its prompt was found.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What was asked of late, and whether the answers are in.
 #[derive(Default)]
 pub struct Survey {
     asked: RefCell<HashMap<Service, (Instant, watch::Receiver<bool>)>>,
+    /// Until when servers may be missing from the register.
+    registering: Cell<Option<Instant>>,
 }
 
 impl Survey {
+    /// Notes that servers may be missing from the register for a time.
+    pub fn registering(&self, time: Duration) {
+        self.registering.set(Some(Instant::now() + time));
+    }
+
     /// The answers of a service's engines, if they were asked for a moment ago.
     fn fresh(&self, service: &Service) -> Option<watch::Receiver<bool>> {
         let asked = self.asked.borrow();
@@ -80,6 +99,47 @@
     let _ = timeout(patience, done.wait_for(|done| *done)).await;
 }
 
+/// Lets a request wait for the server that has read its prompt, while servers are missing from the
+/// register: one that registers later is asked as well. Another server would read the prompt anew.
+pub async fn wait<E: Edge>(desk: &Desk<E>, call: &Call, part: (Part, u32), left: Duration) {
+    let Some(until) = desk.survey.registering.get() else {
+        return;
+    };
+    let began = Instant::now();
+    let until = until.min(began + left.mul_f64(PART));
+    let found = || desk.fleet.borrow().found(part);
+    while Instant::now() < until && !found() {
+        sleep(POLL_INTERVAL).await;
+    }
+    if began.elapsed() < POLL_INTERVAL {
+        return;
+    }
+    note!(
+        direct::REGISTERING,
+        id = call.packet.ask.id.as_str(),
+        found = found(),
+        waited_ms = began.elapsed().as_millis() as u64
+    );
+}
+
+/// Asks a server that has just registered, if the others of its service were asked a moment ago.
+pub fn registered<E: Edge + 'static>(desk: &Rc<Desk<E>>, registration: &Registration) {
+    if desk.survey.fresh(&registration.facts.service).is_none() {
+        return;
+    }
+    let engines = desk.fleet.borrow().of(&registration.facts.service);
+    let engine = engines
+        .into_iter()
+        .find(|engine| engine.server == registration.server);
+    let Some(engine) = engine else {
+        return;
+    };
+    let desk = desk.clone();
+    spawn_local(async move {
+        ask(&desk, engine).await;
+    });
+}
+
 fn begin<E: Edge + 'static>(desk: &Rc<Desk<E>>, service: &Service) -> watch::Receiver<bool> {
     let (told, done) = watch::channel(false);
     let asked = (Instant::now(), done.clone());
