Keep the backoff of a process that the store turns away

Ruled out: the questions by turns (121 calls) and watches (157) grow with neither the hosts that are turned away nor the changes.

Change: a call that fails while the store answers others marks the process as turned away; claims of others don't end its backoff then, its own answer does.

Tests: fresh.rs, claims_of_others_do_not_hurry_a_process_that_is_turned_away fails before (an answer's claim reset the backoff each second), and the return after an outage stays as quick.

--- a/components/spread/src/fresh.rs
+++ b/components/spread/src/fresh.rs
@@ -66,6 +66,8 @@
     /// When this process may ask again after it got no answer, and how often that was in a row.
     again: Clock,
     failures: u32,
+    /// The last call got no answer while the store answered others.
+    turned_away: bool,
     /// Place among all processes, and among those of the data centre.
     place: u32,
     place_near: u32,
@@ -119,9 +121,11 @@
         }
         if self.newest < Some(claim.at) {
             self.newest = Some(claim.at);
-            // Somebody reaches the store, so this process may too.
-            self.failures = 0;
-            self.again = Clock::ZERO;
+            // The store is back, so that this process may reach it too.
+            if !self.turned_away {
+                self.failures = 0;
+                self.again = Clock::ZERO;
+            }
         }
         if self.revision >= Some(claim.revision) {
             self.confirmed = self.confirmed.max(Some(claim.at));
@@ -144,8 +148,18 @@
         self.found = self.behind.is_some();
     }
 
-    /// Notes that the store didn't answer this process's question.
+    /// Notes that the store answered a call of this process.
+    pub fn answered(&mut self) {
+        self.turned_away = false;
+        self.failures = 0;
+        self.again = Clock::ZERO;
+    }
+
+    /// Notes that the store didn't answer a call of this process. Where it answers others, their claims
+    /// are no reason to call sooner.
     pub fn failed(&mut self, now: Clock) {
+        let age = self.newest.map(|newest| now.saturating_sub(newest));
+        self.turned_away = age.is_some_and(|age| age <= ALONE);
         let wait = (AGAIN * (1 << self.failures.min(5))).min(AGAIN_MOST);
         self.again = now + wait;
         self.failures += 1;
--- a/components/spread/tests/fresh.rs
+++ b/components/spread/tests/fresh.rs
@@ -94,3 +94,41 @@
     assert_eq!(fresh.confirmed(), Some(SECOND));
     assert_eq!(fresh.due(), due);
 }
+
+/// Guards against calls that are refused over and over: the store turns this host away and serves the
+/// others, whose claims come every second.
+#[test]
+fn claims_of_others_do_not_hurry_a_process_that_is_turned_away() {
+    let mut fresh = Fresh::default();
+    fresh.learned(7);
+    let mut now = SECOND;
+    let mut calls = 0;
+    while now < SECOND * 11 {
+        if now.as_millis().is_multiple_of(1000) {
+            fresh.hear(now, claim(7, now));
+        }
+        if fresh.again() <= now {
+            calls += 1;
+            fresh.failed(now);
+        }
+        now += SECOND / 20;
+    }
+    assert!(calls <= 12, "{calls} calls in 10 s");
+    fresh.answered();
+    assert_eq!(fresh.again(), Duration::ZERO);
+}
+
+/// Guards against a slow return after an outage: the first claim after it shows that the store is back.
+#[test]
+fn the_first_claim_after_an_outage_ends_the_backoff() {
+    let mut fresh = Fresh::default();
+    fresh.learned(7);
+    fresh.hear(SECOND, claim(7, SECOND));
+    let now = SECOND * 10;
+    for _ in 0..6 {
+        fresh.failed(now);
+    }
+    assert!(fresh.again() > now);
+    fresh.hear(now, claim(7, now));
+    assert_eq!(fresh.again(), Duration::ZERO);
+}
