Try a suspicion that the retry budget denied again soon

Cause of the known red crossed_callers_get_their_own_letters: beside busy processes engines look silent now and then, and the wrong suspicions spend the entry's retry budget. The letters of the engine that really stopped are then denied their second epoch, and each waited its whole limit of 2 s once more, though another letter's second epoch shows after some 100 ms that the engine is silent, from when on no budget is needed.

Ruled out: a second silent engine (only one is stopped), a place that is refused (three engines have room).

Change: after a denial the next try comes after the limit's lower bound, 250 ms in place of up to 2 s.

Test: a_denied_suspicion_is_tried_again_soon fails before; the models of the answer hold.

--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -237,7 +237,9 @@
             self.replace(now, actions);
             return;
         }
-        self.quiet_until = now + self.threshold.limit();
+        // Others on the same server have a second epoch soon, which shows whether it is silent. A
+        // further whole limit would double the caller's wait.
+        self.quiet_until = now + self.threshold.lowest();
     }
 
     fn take(
--- a/components/answer/src/threshold.rs
+++ b/components/answer/src/threshold.rs
@@ -124,6 +124,11 @@
         limit.clamp(self.floor, settings.highest)
     }
 
+    /// Lower bound of [`Threshold::limit`].
+    pub fn lowest(&self) -> Duration {
+        self.settings.lowest
+    }
+
     /// Upper bound of [`Threshold::limit`].
     pub fn highest(&self) -> Duration {
         self.settings.highest
--- a/components/answer/tests/resume.rs
+++ b/components/answer/tests/resume.rs
@@ -410,3 +410,28 @@
     let wake = suspicion(&mut resume).expect("the answer goes on");
     assert_eq!((wake - now).as_millis() as u64, limit);
 }
+
+/// Guards against a caller that waits twice for a silent server: the retry budget denies its suspicion
+/// just before another answer shows that the server is silent.
+#[test]
+fn a_denied_suspicion_is_tried_again_soon() {
+    let settings = Settings {
+        suspicion: threshold::Settings {
+            lowest: SECOND / 4,
+            highest: SECOND * 2,
+            ..threshold::Settings::default()
+        },
+        ..settings()
+    };
+    let mut resume = Resume::new(settings, Duration::ZERO);
+    let mut actions = Vec::new();
+    resume.handle(Duration::ZERO, begin(), &mut actions);
+    resume.handle(Duration::ZERO, placed(1), &mut actions);
+    let suspected = resume.next_wake().expect("it is silent");
+    actions.clear();
+    resume.handle(suspected, Event::Tick, &mut actions);
+    assert_matches!(actions[..], [Action::Start { epoch: 2, .. }]);
+    resume.handle(suspected, Event::Denied { epoch: 2 }, &mut actions);
+    let again = resume.next_wake().expect("it is silent still");
+    assert_eq!(again, suspected + SECOND / 4);
+}
