--- a/components/entry/src/answers.rs
+++ b/components/entry/src/answers.rs
@@ -56,7 +56,7 @@
 use crate::{
     attempt::Attempt,
     burn::Meter,
-    gates::Pass,
+    gates::Permit,
     moves::{
         Witness, //
         movers::Picked,
@@ -125,7 +125,7 @@
 }
 
 /// Answers a request; the pieces come through the channel.
-pub(crate) fn answer(state: Arc<State>, ask: Ask, pass: Arc<Pass>) -> mpsc::Receiver<Piece> {
+pub(crate) fn answer(state: Arc<State>, ask: Ask, pass: Arc<Permit>) -> mpsc::Receiver<Piece> {
     let (pieces, receiver) = mpsc::channel(AHEAD);
     tokio::spawn(drive(state, ask, pass, pieces));
     receiver
@@ -134,7 +134,7 @@
 struct Driver {
     state: Arc<State>,
     ask: Ask,
-    pass: Arc<Pass>,
+    pass: Arc<Permit>,
     resume: Resume,
     attempts: HashMap<Epoch, Arc<Attempt>>,
     /// Every token of the answer so far, with the mark after it.
@@ -151,7 +151,7 @@
     resumed: bool,
 }
 
-async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Pass>, pieces: mpsc::Sender<Piece>) {
+async fn drive(state: Arc<State>, ask: Ask, pass: Arc<Permit>, pieces: mpsc::Sender<Piece>) {
     let (events, mut incoming) = mpsc::channel(WAITING);
     let now = state.now();
     let settings = settings(&state, &ask, now);
--- a/components/entry/src/callers/completions.rs
+++ b/components/entry/src/callers/completions.rs
@@ -54,8 +54,7 @@
     calls,
     gates::{
         self,
-        Knock,
-        Pass, //
+        Permit, //
     },
     problem::{
         Code,
@@ -78,7 +77,7 @@
 
 /// What a request in progress holds: its place at the entry, and its pass for the service.
 struct Leave {
-    pass: Arc<Pass>,
+    pass: Arc<Permit>,
     _ticket: Ticket,
 }
 
@@ -160,7 +159,7 @@
         if let Verdict::Refused { left } = state.suspects.verdict(ask.fingerprint()) {
             return Err(calls::refusal(Reason::Poisonous, Some(left)));
         }
-        let knock = Knock {
+        let request = gates::Request {
             service: &ask.target.service,
             team: &ask.team,
             limit: limit(state, &held.document.limit(&ask.team)),
@@ -170,7 +169,7 @@
             lowest: gates::lowest(),
             resume: ask.mark.is_some(),
         };
-        let pass = Arc::new(state.gates.admit(knock).await?);
+        let pass = Arc::new(state.gates.admit(request).await?);
         Ok((
             ask,
             Leave {
--- a/components/entry/src/callers/service.rs
+++ b/components/entry/src/callers/service.rs
@@ -27,10 +27,7 @@
         self,
         Answer, //
     },
-    gates::{
-        self,
-        Knock, //
-    },
+    gates::{self},
     problem::{
         Code,
         Problem, //
@@ -92,7 +89,7 @@
             kept: None,
         };
         let team = call.team.clone();
-        let knock = Knock {
+        let request = gates::Request {
             service: &provision.name,
             team: &team,
             limit: limit(state, &held.document.limit(&team)),
@@ -102,7 +99,7 @@
             lowest: gates::lowest(),
             resume: false,
         };
-        let pass = state.gates.admit(knock).await?;
+        let pass = state.gates.admit(request).await?;
         let answer = calls::call(state, provision, &target.version, call).await;
         pass.first();
         pass.used(1);
--- a/components/entry/src/gates.rs
+++ b/components/entry/src/gates.rs
@@ -19,8 +19,8 @@
     Refused, //
 };
 pub(crate) use gates::{
-    Knock,
-    Pass, //
+    Permit, //
+    Request,
 };
 use tokio::time::Instant;
 
@@ -57,8 +57,8 @@
     }
 
     /// Lets a request in, at once or after a wait; or says at once why not and when to come back.
-    pub(crate) async fn admit(&self, knock: Knock<'_>) -> Result<Pass, Problem> {
-        let pass = self.lines.admit(knock).await.map_err(refusal)?;
+    pub(crate) async fn admit(&self, request: Request<'_>) -> Result<Permit, Problem> {
+        let pass = self.lines.admit(request).await.map_err(refusal)?;
         self.budget.lock().expect("no panic while held").request();
         Ok(pass)
     }
--- a/components/experiment/src/entry.rs
+++ b/components/experiment/src/entry.rs
@@ -32,8 +32,8 @@
     Outcome,
     Placement,
     placement::{
+        Request,
         Versions,
-        Wish,
         Work, //
     }, //
 };
@@ -191,7 +191,7 @@
                 .cloned();
         }
         let (service, home) = (service(), self.data_centre.clone());
-        let wish = Wish {
+        let request = Request {
             service: &service,
             home: &home,
             work,
@@ -200,7 +200,7 @@
             versions: Versions::Any,
             avoid_data_centre: None,
         };
-        let choice = self.placement.choose(now, &wish, rng)?;
+        let choice = self.placement.choose(now, &request, rng)?;
         Some(choice.server)
     }
 
@@ -220,7 +220,7 @@
         }
         let (service, home) = (service(), self.data_centre.clone());
         let own = self.placement.facts(server)?.data_centre.clone();
-        let wish = Wish {
+        let request = Request {
             service: &service,
             home: &home,
             work: Work {
@@ -233,7 +233,7 @@
             versions: Versions::Any,
             avoid_data_centre: Some(&own),
         };
-        let choice = self.placement.choose_backup(now, &wish, rng)?;
+        let choice = self.placement.choose_backup(now, &request, rng)?;
         Some(choice.server)
     }
 
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -23,7 +23,7 @@
     Outcome,
     placement::{
         Facts,
-        Sign,
+        Suspicion,
         Work, //
     },
 };
@@ -384,7 +384,7 @@
             };
             if self.engines[number(&server)].lost {
                 let placement = &mut self.entries[entry].placement;
-                placement.lost(self.now, &server, Sign::Refused);
+                placement.lost(self.now, &server, Suspicion::Refused);
                 avoid.push(server);
                 continue;
             }
@@ -530,7 +530,7 @@
         let copy = copy.filter(|(holder, _)| begun && !self.engines[*holder].lost);
         self.entries[entry]
             .placement
-            .lost(self.now, &server, Sign::Refused);
+            .lost(self.now, &server, Suspicion::Refused);
         let request = &self.requests[id];
         let work = Work {
             requests: 1,
--- a/components/gates/src/gates.rs
+++ b/components/gates/src/gates.rs
@@ -76,14 +76,14 @@
 }
 
 /// What becomes of a request at its gate.
-type Admitted = Result<Pass, Refused>;
+type Admitted = Result<Permit, Refused>;
 
 /// A request that was told to wait, and where it hears what becomes of it.
 type Queued = (Ticket, oneshot::Receiver<Admitted>);
 
 /// A request that wants in.
 #[derive(Clone, Copy, Debug)]
-pub struct Knock<'a> {
+pub struct Request<'a> {
     /// Service that it is for.
     pub service: &'a Service,
     /// Whose it is.
@@ -113,7 +113,7 @@
 }
 
 /// Leave to run; dropping it ends the request.
-pub struct Pass {
+pub struct Permit {
     gates: Arc<Gates>,
     service: Service,
     entrant: Entrant,
@@ -152,13 +152,13 @@
     /// # Errors
     ///
     /// [`Refused`], at once or when its patience is over.
-    pub async fn admit(self: &Arc<Self>, knock: Knock<'_>) -> Result<Pass, Refused> {
-        let Some((ticket, outcome)) = self.arrive(&knock)? else {
-            return Ok(self.pass(knock.service, Entrant::new(&knock)));
+    pub async fn admit(self: &Arc<Self>, request: Request<'_>) -> Result<Permit, Refused> {
+        let Some((ticket, outcome)) = self.arrive(&request)? else {
+            return Ok(self.pass(request.service, Entrant::new(&request)));
         };
         let _waiting = Waiting {
             gates: self,
-            service: knock.service,
+            service: request.service,
             ticket,
         };
         match outcome.await {
@@ -170,31 +170,33 @@
         }
     }
 
-    fn arrive(&self, knock: &Knock<'_>) -> Result<Option<Queued>, Refused> {
+    fn arrive(&self, request: &Request<'_>) -> Result<Option<Queued>, Refused> {
         let arrival = Arrival {
-            team: knock.team,
-            limit: knock.limit,
-            cost: knock.cost,
-            patience: knock.patience,
-            resume: knock.resume,
+            team: request.team,
+            limit: request.limit,
+            cost: request.cost,
+            patience: request.patience,
+            resume: request.resume,
         };
         let now = self.origin.elapsed();
         let mut held = self.held();
         let Held { gates, rng } = &mut *held;
-        let line = gates.entry(knock.service.clone()).or_insert_with(|| Line {
-            gate: Gate::new(Settings {
-                first: knock.objective,
-                lowest: knock.lowest,
-                ..Settings::default()
-            }),
-            waiting: HashMap::new(),
-        });
+        let line = gates
+            .entry(request.service.clone())
+            .or_insert_with(|| Line {
+                gate: Gate::new(Settings {
+                    first: request.objective,
+                    lowest: request.lowest,
+                    ..Settings::default()
+                }),
+                waiting: HashMap::new(),
+            });
         match line.gate.arrive(now, &arrival, rng) {
             Verdict::Admit => Ok(None),
             Verdict::Queue(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 let waiter = Waiter {
-                    entrant: Entrant::new(knock),
+                    entrant: Entrant::new(request),
                     sender,
                 };
                 line.waiting.insert(ticket, waiter);
@@ -210,8 +212,8 @@
         }
     }
 
-    fn pass(self: &Arc<Self>, service: &str, entrant: Entrant) -> Pass {
-        Pass {
+    fn pass(self: &Arc<Self>, service: &str, entrant: Entrant) -> Permit {
+        Permit {
             gates: self.clone(),
             service: service.to_string(),
             entrant,
@@ -301,17 +303,17 @@
 }
 
 impl Entrant {
-    fn new(knock: &Knock<'_>) -> Entrant {
+    fn new(request: &Request<'_>) -> Entrant {
         Entrant {
-            team: knock.team.clone(),
-            priority: knock.limit.priority,
-            cost: knock.cost,
+            team: request.team.clone(),
+            priority: request.limit.priority,
+            cost: request.cost,
             arrived: Instant::now(),
         }
     }
 }
 
-impl Pass {
+impl Permit {
     /// The first token or byte came.
     pub fn first(&self) {
         let mut first = self.first.lock().unwrap_or_else(PoisonError::into_inner);
@@ -324,7 +326,7 @@
     }
 }
 
-impl Drop for Pass {
+impl Drop for Permit {
     fn drop(&mut self) {
         let done = Done {
             priority: self.entrant.priority,
--- a/components/gates/src/lib.rs
+++ b/components/gates/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use gates::{
     Gates,
-    Knock,
-    Pass,
+    Permit,
     Refused, //
+    Request,
 };
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     rc::Rc,
     task::{
-        Context,
+        self,
         Poll,
         ready, //
     },
@@ -49,7 +49,7 @@
 
 use crate::{
     edge::Edge,
-    handle::Desk, //
+    handle::Context, //
 };
 
 /// Time for which a connection may rest while no document says.
@@ -64,7 +64,7 @@
 /// Accepts connections until `stop`.
 pub async fn run<E: Edge + 'static>(
     listener: TcpListener,
-    desk: Rc<Desk<E>>,
+    context: Rc<Context<E>>,
     stop: CancellationToken,
     close: CancellationToken,
 ) {
@@ -75,8 +75,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let serve = serve(stream, desk.clone(), close.clone());
-                let open = Open::new(&desk);
+                let serve = serve(stream, context.clone(), close.clone());
+                let open = Open::new(&context);
                 spawn_local(async move {
                     serve.await;
                     drop(open);
@@ -89,12 +89,12 @@
 }
 
 /// A connection that is open.
-struct Open<E>(Rc<Desk<E>>);
+struct Open<E>(Rc<Context<E>>);
 
 impl<E> Open<E> {
-    fn new(desk: &Rc<Desk<E>>) -> Open<E> {
-        desk.connections.set(desk.connections.get() + 1);
-        Open(desk.clone())
+    fn new(context: &Rc<Context<E>>) -> Open<E> {
+        context.connections.set(context.connections.get() + 1);
+        Open(context.clone())
     }
 }
 
@@ -133,22 +133,26 @@
     }
 }
 
-async fn serve<E: Edge + 'static>(stream: TcpStream, desk: Rc<Desk<E>>, close: CancellationToken) {
+async fn serve<E: Edge + 'static>(
+    stream: TcpStream,
+    context: Rc<Context<E>>,
+    close: CancellationToken,
+) {
     // Without it the last piece of an answer waits for an acknowledgement.
     let _ = stream.set_nodelay(true);
     let progress = Rc::new(Progress::default());
     progress.rested.set(Some(Instant::now()));
-    let (idle, header, head) = limits(&desk);
+    let (idle, header, head) = limits(&context);
     let service = {
         let progress = progress.clone();
-        let desk = desk.clone();
+        let context = context.clone();
         service_fn(move |request: Request<Incoming>| {
             let progress = progress.clone();
-            let desk = desk.clone();
+            let context = context.clone();
             async move {
                 let busy = Busy::new(progress);
-                let mut response = desk.serve(request).await;
-                if desk.departure.begun() {
+                let mut response = context.serve(request).await;
+                if context.departure.begun() {
                     let value = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, value);
                 }
@@ -188,9 +192,9 @@
     }
 }
 
-fn limits<E>(desk: &Desk<E>) -> (Duration, Duration, usize) {
-    let book = desk.book.borrow();
-    let edition = book.edition();
+fn limits<E>(context: &Context<E>) -> (Duration, Duration, usize) {
+    let document_cache = context.document_cache.borrow();
+    let edition = document_cache.edition();
     let bounds = edition.and_then(|edition| edition.index.document().callers.as_ref());
     match bounds {
         Some(bounds) => (bounds.idle_time, bounds.header_time, bounds.header_bytes),
@@ -227,13 +231,13 @@
 impl Read for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        waker: &mut task::Context<'_>,
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut bytes = [0; 8192];
         let room = cursor.remaining().min(bytes.len());
         let mut buffer = ReadBuf::new(&mut bytes[..room]);
-        ready!(Pin::new(&mut self.inner).poll_read(context, &mut buffer))?;
+        ready!(Pin::new(&mut self.inner).poll_read(waker, &mut buffer))?;
         let read = buffer.filled();
         if !read.is_empty() && !self.progress.running.get() && self.progress.begun.get().is_none() {
             self.progress.begun.set(Some(Instant::now()));
@@ -246,18 +250,21 @@
 impl Write for Stream {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        waker: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        Pin::new(&mut self.inner).poll_write(waker, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(waker)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        waker: &mut task::Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(waker)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -266,9 +273,9 @@
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        waker: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        Pin::new(&mut self.inner).poll_write_vectored(waker, slices)
     }
 }
--- a/components/gateway/src/survey.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -43,39 +43,39 @@
     fleet::Chosen,
     handle::{
         Call,
-        Desk, //
+        Context, //
     },
     update::Registration, //
 };
 
 /// Time for one engine's answer.
-const CALL: Duration = Duration::from_millis(250);
+const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Longest time that a request waits for the answers: a tenth of what reading a prompt takes.
-const PATIENCE: Duration = Duration::from_millis(120);
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Part of the time that a request has left that it waits at most.
-const PART: f64 = 0.1;
+const MAX_WAIT_SHARE: f64 = 0.1;
 
 /// Time for which the engines' answers stand. Callers of entries that failed together come back
 /// within a second or two; what is read after that, this entry or a peer knows of.
-const STANDS: Duration = Duration::from_secs(10);
+const CACHE_TTL: Duration = Duration::from_secs(10);
 
 /// Engines that are asked at the same time.
-const ABREAST: usize = 16;
+const MAX_CONCURRENT_LOOKUPS: usize = 16;
 
 /// Pace at which a request looks whether its prompt was found.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What was asked of late, and whether the answers are in.
 #[derive(Default)]
-pub struct Survey {
+pub struct CacheLookup {
     asked: RefCell<HashMap<Service, (Instant, watch::Receiver<bool>)>>,
     /// Until when servers may be missing from the register.
     registering: Cell<Option<Instant>>,
 }
 
-impl Survey {
+impl CacheLookup {
     /// Notes that servers may be missing from the register for a time.
     pub fn registering(&self, time: Duration) {
         self.registering.set(Some(Instant::now() + time));
@@ -85,29 +85,29 @@
     fn fresh(&self, service: &Service) -> Option<watch::Receiver<bool>> {
         let asked = self.asked.borrow();
         let (at, done) = asked.get(service)?;
-        (at.elapsed() < STANDS).then(|| done.clone())
+        (at.elapsed() < CACHE_TTL).then(|| done.clone())
     }
 }
 
 /// Learns which engines of a service hold which prompts, for a request that has some time `left`;
 /// returns when that is known, or when it takes too long.
-pub async fn learn<E: Edge + 'static>(desk: &Rc<Desk<E>>, service: &Service, left: Duration) {
-    let fresh = desk.survey.fresh(service);
-    let mut done = fresh.unwrap_or_else(|| begin(desk, service));
+pub async fn learn<E: Edge + 'static>(context: &Rc<Context<E>>, service: &Service, left: Duration) {
+    let fresh = context.cache_lookup.fresh(service);
+    let mut done = fresh.unwrap_or_else(|| begin(context, service));
     // A time-out leaves the request with what is known by then.
-    let patience = PATIENCE.min(left.mul_f64(PART));
+    let patience = LOOKUP_TIMEOUT.min(left.mul_f64(MAX_WAIT_SHARE));
     let _ = timeout(patience, done.wait_for(|done| *done)).await;
 }
 
 /// Lets a request wait for the server that has read its prompt, while servers are missing from the
 /// register: one that registers later is asked as well. Another server would read the prompt anew.
-pub async fn wait<E: Edge>(desk: &Desk<E>, call: &Call, part: (Part, u32), left: Duration) {
-    let Some(until) = desk.survey.registering.get() else {
+pub async fn wait<E: Edge>(context: &Context<E>, call: &Call, part: (Part, u32), left: Duration) {
+    let Some(until) = context.cache_lookup.registering.get() else {
         return;
     };
     let began = Instant::now();
-    let until = until.min(began + left.mul_f64(PART));
-    let found = || desk.fleet.borrow().found(part);
+    let until = until.min(began + left.mul_f64(MAX_WAIT_SHARE));
+    let found = || context.fleet.borrow().found(part);
     while Instant::now() < until && !found() {
         sleep(POLL_INTERVAL).await;
     }
@@ -123,37 +123,42 @@
 }
 
 /// Asks a server that has just registered, if the others of its service were asked a moment ago.
-pub fn registered<E: Edge + 'static>(desk: &Rc<Desk<E>>, registration: &Registration) {
-    if desk.survey.fresh(&registration.facts.service).is_none() {
+pub fn registered<E: Edge + 'static>(context: &Rc<Context<E>>, registration: &Registration) {
+    if context
+        .cache_lookup
+        .fresh(&registration.facts.service)
+        .is_none()
+    {
         return;
     }
-    let engines = desk.fleet.borrow().of(&registration.facts.service);
+    let engines = context.fleet.borrow().of(&registration.facts.service);
     let engine = engines
         .into_iter()
         .find(|engine| engine.server == registration.server);
     let Some(engine) = engine else {
         return;
     };
-    let desk = desk.clone();
+    let context = context.clone();
     spawn_local(async move {
-        ask(&desk, engine).await;
+        ask(&context, engine).await;
     });
 }
 
-fn begin<E: Edge + 'static>(desk: &Rc<Desk<E>>, service: &Service) -> watch::Receiver<bool> {
+fn begin<E: Edge + 'static>(context: &Rc<Context<E>>, service: &Service) -> watch::Receiver<bool> {
     let (told, done) = watch::channel(false);
     let asked = (Instant::now(), done.clone());
-    desk.survey
+    context
+        .cache_lookup
         .asked
         .borrow_mut()
         .insert(service.clone(), asked);
-    let engines = desk.fleet.borrow().of(service);
-    let (desk, service) = (desk.clone(), service.clone());
+    let engines = context.fleet.borrow().of(service);
+    let (context, service) = (context.clone(), service.clone());
     spawn_local(async move {
         let began = Instant::now();
         let count = engines.len();
-        let calls = engines.into_iter().map(|engine| ask(&desk, engine));
-        let answers = stream::iter(calls).buffer_unordered(ABREAST);
+        let calls = engines.into_iter().map(|engine| ask(&context, engine));
+        let answers = stream::iter(calls).buffer_unordered(MAX_CONCURRENT_LOOKUPS);
         let prompts: Vec<usize> = answers.collect().await;
         note!(
             direct::SURVEYED,
@@ -169,16 +174,16 @@
 }
 
 /// Asks an engine what its cache holds; returns how many parts of prompts that is.
-async fn ask<E: Edge>(desk: &Desk<E>, engine: Chosen) -> usize {
-    let edge = desk.sender.edge();
-    let call = desk
+async fn ask<E: Edge>(context: &Context<E>, engine: Chosen) -> usize {
+    let edge = context.sender.edge();
+    let call = context
         .sender
         .call(&engine, &Method::GET, edge.holdings(), Bytes::new());
     // An engine that doesn't answer holds nothing that could be used now.
-    let Ok(Ok((head, body))) = timeout(CALL, call).await else {
+    let Ok(Ok((head, body))) = timeout(CALL_TIMEOUT, call).await else {
         return 0;
     };
     let parts = edge.held(&head, &body).unwrap_or_default();
-    desk.fleet.borrow_mut().holds(&parts, &engine.server);
+    context.fleet.borrow_mut().holds(&parts, &engine.server);
     parts.len()
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -47,14 +47,18 @@
 
 use crate::{
     accept,
-    book::State,
+    cache_lookup::{
+        self,
+        CacheLookup, //
+    },
     clock,
+    document_cache::State,
     edge::Edge,
     fleet::Fleet,
-    handle::Desk,
+    handle::Context,
+    initial_sync::InitialSync,
     meter::Level,
     moving::Report,
-    opening::Opening,
     peers::{
         Exchange,
         Peers,
@@ -64,10 +68,6 @@
     ready,
     sender::Sender,
     settings::Settings,
-    survey::{
-        self,
-        Survey, //
-    },
     update::Update, //
 };
 
@@ -94,7 +94,7 @@
 
 /// A gateway that serves.
 pub struct Gateway<E> {
-    desk: Rc<Desk<E>>,
+    context: Rc<Context<E>>,
     exchange: Cell<Option<Exchange>>,
     told: UnboundedSender<(Changes, Reach)>,
     heard: Cell<Option<UnboundedReceiver<Changes>>>,
@@ -103,17 +103,17 @@
 impl<E: Edge + 'static> Gateway<E> {
     /// Prepares a gateway; it knows nothing yet.
     pub fn new(settings: Settings, edge: E) -> Gateway<E> {
-        let desk = Desk {
+        let context = Context {
             settings: Rc::new(RefCell::new(Rc::new(settings))),
-            book: RefCell::default(),
+            document_cache: RefCell::default(),
             fresh: Rc::default(),
             fleet: Rc::new(RefCell::new(Fleet::new(rand::random()))),
             sender: Sender::new(Rc::new(edge)),
             quotas: Rc::default(),
-            survey: Survey::default(),
+            cache_lookup: CacheLookup::default(),
             queue: Rc::new(Queue::default()),
             moving: Rc::default(),
-            opening: Opening::default(),
+            initial_sync: InitialSync::default(),
             outlook: RefCell::default(),
             departure: Rc::default(),
             started: Instant::now(),
@@ -123,7 +123,7 @@
         let (told, out) = unbounded_channel();
         let (inward, heard) = unbounded_channel();
         Gateway {
-            desk: Rc::new(desk),
+            context: Rc::new(context),
             exchange: Cell::new(Some(Exchange { out, inward })),
             told,
             heard: Cell::new(Some(heard)),
@@ -132,27 +132,27 @@
 
     /// How current what is known is. Whoever reads the store keeps this up to date.
     pub fn fresh(&self) -> &RefCell<Fresh> {
-        &self.desk.fresh
+        &self.context.fresh
     }
 
     /// Notes that the first call to the store has ended, with an answer or without.
     pub fn opened(&self) {
-        self.desk.opening.end();
+        self.context.initial_sync.end();
     }
 
     /// Notes that servers may be missing from the register for a time, as it is made anew.
     pub fn registering(&self, time: Duration) {
-        self.desk.survey.registering(time);
+        self.context.cache_lookup.registering(time);
     }
 
     /// The states of moves that should stand in the store and don't.
     pub fn due(&self) -> Vec<Report> {
-        self.desk.moving.due()
+        self.context.moving.due()
     }
 
     /// This process's place among those that live.
     pub fn place(&self) -> usize {
-        self.desk.moving.place()
+        self.context.moving.place()
     }
 
     /// Tells peers what was heard from the store, or from another peer.
@@ -171,7 +171,7 @@
         match update {
             Update::Document(edition) => {
                 let version = edition.version;
-                if self.desk.book.borrow_mut().learn(edition) {
+                if self.context.document_cache.borrow_mut().learn(edition) {
                     note!(direct::DOCUMENT, version = version);
                 }
             }
@@ -180,7 +180,7 @@
                 since,
             } => {
                 let told = registration.clone();
-                if self.desk.fleet.borrow_mut().put(registration, since) {
+                if self.context.fleet.borrow_mut().put(registration, since) {
                     note!(
                         direct::SERVER,
                         server = told.server.as_str(),
@@ -190,24 +190,24 @@
                         address = told.address.to_string().as_str(),
                         leaving = told.leaving
                     );
-                    survey::registered(&self.desk, &told);
+                    cache_lookup::registered(&self.context, &told);
                 }
             }
             Update::Move { service, order } => {
-                let exposure = self.desk.settings.borrow().bounds.exposure;
-                self.desk.moving.order(&service, order, exposure);
+                let exposure = self.context.settings.borrow().bounds.exposure;
+                self.context.moving.order(&service, order, exposure);
             }
             Update::Standing {
                 service,
                 at,
                 to,
                 state,
-            } => self.desk.moving.stands(&service, at, &to, state),
+            } => self.context.moving.stands(&service, at, &to, state),
             Update::Gone(server) => {
                 note!(direct::GONE, server = server.as_str());
-                let address = self.desk.fleet.borrow_mut().remove(&server);
+                let address = self.context.fleet.borrow_mut().remove(&server);
                 if let Some(address) = address {
-                    self.desk.sender.forget(address);
+                    self.context.sender.forget(address);
                 }
             }
         }
@@ -215,7 +215,7 @@
 
     /// Takes changed settings. Addresses are those of the start.
     pub fn change(&self, settings: Settings) {
-        *self.desk.settings.borrow_mut() = Rc::new(settings);
+        *self.context.settings.borrow_mut() = Rc::new(settings);
     }
 
     /// Binds the addresses of the settings.
@@ -224,7 +224,7 @@
     ///
     /// When an address can't be bound.
     pub fn listen(&self) -> io::Result<Listeners> {
-        let settings = self.desk.settings.borrow().clone();
+        let settings = self.context.settings.borrow().clone();
         Ok(Listeners {
             callers: listen(settings.callers)?,
             ready: listen(settings.ready)?,
@@ -243,32 +243,32 @@
         } = listeners;
         let over = CancellationToken::new();
         let close = CancellationToken::new();
-        let accept = accept::run(callers, self.desk.clone(), over.clone(), close.clone());
+        let accept = accept::run(callers, self.context.clone(), over.clone(), close.clone());
         spawn_local(accept);
-        let desk = self.desk.clone();
-        let answer = Rc::new(move || match is_ready(&desk) {
+        let context = self.context.clone();
+        let answer = Rc::new(move || match is_ready(&context) {
             true => (StatusCode::OK, String::new()),
             false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         });
         spawn_local(ready::run(asked, answer, over.clone()));
         if let Some(metrics) = metrics {
-            let (desk, handle) = (self.desk.clone(), metering::install());
+            let (context, handle) = (self.context.clone(), metering::install());
             let answer = Rc::new(move || {
-                level(&desk).set();
+                level(&context).set();
                 (StatusCode::OK, handle.render())
             });
             spawn_local(ready::run(metrics, answer, over.clone()));
         }
-        let desk = &self.desk;
+        let context = &self.context;
         if let Some(exchange) = self.exchange.take() {
             let shared = Shared {
-                fleet: desk.fleet.clone(),
-                fresh: desk.fresh.clone(),
-                quotas: desk.quotas.clone(),
-                queue: desk.queue.clone(),
-                moving: desk.moving.clone(),
-                departure: desk.departure.clone(),
-                settings: desk.settings.clone(),
+                fleet: context.fleet.clone(),
+                fresh: context.fresh.clone(),
+                quotas: context.quotas.clone(),
+                queue: context.queue.clone(),
+                moving: context.moving.clone(),
+                departure: context.departure.clone(),
+                settings: context.settings.clone(),
             };
             let peers = Peers::new(peers, shared, exchange);
             spawn_local(peers.run(over.clone()));
@@ -277,49 +277,51 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
-                _ = pace.tick() => self.desk.sender.sweep(),
+                _ = pace.tick() => self.context.sender.sweep(),
             }
         }
         self.leave(&over, &close).await;
     }
 
     async fn leave(&self, over: &CancellationToken, close: &CancellationToken) {
-        let desk = &self.desk;
-        desk.departure.begin();
-        note!(process::STOPPING, running = desk.running.get());
-        let grace = desk.settings.borrow().bounds.grace;
-        if let Some(at) = desk.departure.close() {
+        let context = &self.context;
+        context.departure.begin();
+        note!(process::STOPPING, running = context.running.get());
+        let grace = context.settings.borrow().bounds.grace;
+        if let Some(at) = context.departure.close() {
             sleep_until(at).await;
         }
         close.cancel();
-        let end = desk.departure.end(grace).unwrap_or_else(Instant::now);
-        while desk.connections.get() > 0 && Instant::now() < end {
+        let end = context.departure.end(grace).unwrap_or_else(Instant::now);
+        while context.connections.get() > 0 && Instant::now() < end {
             sleep(PACE).await;
         }
-        if desk.running.get() > 0 {
-            note!(process::CUT, running = desk.running.get());
+        if context.running.get() > 0 {
+            note!(process::CUT, running = context.running.get());
         }
         over.cancel();
     }
 }
 
-fn level<E>(desk: &Desk<E>) -> Level {
-    let book = desk.book.borrow();
-    let confirmed = desk.fresh.borrow().confirmed();
+fn level<E>(context: &Context<E>) -> Level {
+    let document_cache = context.document_cache.borrow();
+    let confirmed = context.fresh.borrow().confirmed();
     Level {
-        connections: desk.connections.get(),
-        running: desk.running.get(),
-        document: book.edition().map_or(0, |edition| edition.version),
+        connections: context.connections.get(),
+        running: context.running.get(),
+        document: document_cache
+            .edition()
+            .map_or(0, |edition| edition.version),
         age: confirmed.map(|at| clock::now().saturating_sub(at)),
     }
 }
 
-fn is_ready<E: Edge + 'static>(desk: &Desk<E>) -> bool {
-    if desk.departure.begun() {
+fn is_ready<E: Edge + 'static>(context: &Context<E>) -> bool {
+    if context.departure.begun() {
         return false;
     }
-    let settings = desk.settings.borrow().clone();
-    matches!(desk.state(&settings), State::Current(_))
+    let settings = context.settings.borrow().clone();
+    matches!(context.state(&settings), State::Current(_))
 }
 
 fn datagrams(address: SocketAddr) -> io::Result<UdpSocket> {
--- a/components/gateway/src/departure.rs
+++ b/components/gateway/src/departure.rs
@@ -21,13 +21,13 @@
 
 /// Time for which the balancer may still send new connections: it takes a process out after two
 /// questions, one a second, and the answer to the first may be on its way.
-const BALANCER: Duration = Duration::from_millis(2600);
+const BALANCER_DELAY: Duration = Duration::from_millis(2600);
 
 /// Time that is kept free before the end of the grace time.
 const MARGIN: Duration = Duration::from_millis(400);
 
 /// Weight of a new reading in the usual duration of a route's requests.
-const FRESH: f64 = 0.1;
+const EWMA_WEIGHT: f64 = 0.1;
 
 /// Deviations above the usual duration that a request may take.
 const DEVIATIONS: f64 = 3.0;
@@ -82,7 +82,7 @@
 
     /// When connections that rest are closed.
     pub fn close(&self) -> Option<Instant> {
-        self.began.get().map(|began| began + BALANCER)
+        self.began.get().map(|began| began + BALANCER_DELAY)
     }
 
     /// When the process ends, whatever is in progress.
@@ -113,8 +113,8 @@
             return;
         };
         let error = (time - usual.mean).abs();
-        usual.mean += FRESH * (time - usual.mean);
-        usual.deviation += FRESH * (error - usual.deviation);
+        usual.mean += EWMA_WEIGHT * (time - usual.mean);
+        usual.deviation += EWMA_WEIGHT * (error - usual.deviation);
     }
 
     /// Whether a request that comes now is taken: it can be expected to end before the process does.
--- a/components/gateway/src/book.rs
+++ b/components/gateway/src/document_cache.rs
@@ -14,7 +14,7 @@
 
 /// The document in force here.
 #[derive(Debug, Default)]
-pub struct Book {
+pub struct DocumentCache {
     current: Option<Edition>,
 }
 
@@ -38,7 +38,7 @@
     Current(Edition),
 }
 
-impl Book {
+impl DocumentCache {
     /// Takes a document. One that is older than the known one is ignored: within a process's life
     /// a document never goes back.
     pub fn learn(&mut self, edition: Edition) -> bool {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -22,16 +22,16 @@
     SeedableRng,
     rngs::SmallRng, //
 };
-pub use routing::placement::Sign;
+pub use routing::placement::Suspicion;
 use routing::{
     Outcome,
     Part,
     Placement,
     placement::{
         Choice,
+        Request,
         Versions,
         Why,
-        Wish,
         Work, //
     }, //
 };
@@ -57,10 +57,10 @@
 }
 
 /// What a connection that didn't come about says of its server.
-pub fn sign(error: &upstream::Error) -> Sign {
+pub fn suspicion(error: &upstream::Error) -> Suspicion {
     match error {
-        upstream::Error::Timeout => Sign::Dark,
-        _ => Sign::Refused,
+        upstream::Error::Timeout => Suspicion::Dark,
+        _ => Suspicion::Refused,
     }
 }
 
@@ -199,15 +199,15 @@
     }
 
     /// Chooses a server for work.
-    pub fn choose(&mut self, wish: &Wish<'_>) -> Option<Chosen> {
+    pub fn choose(&mut self, request: &Request<'_>) -> Option<Chosen> {
         let now = clock::now();
-        let choice = self.placement.choose(now, wish, &mut self.rng);
-        let choice = match (choice, wish.versions) {
+        let choice = self.placement.choose(now, request, &mut self.rng);
+        let choice = match (choice, request.versions) {
             // A version that should get samples may have no server yet; any other can serve them.
             (None, Versions::Only(version)) => {
-                let others = Wish {
+                let others = Request {
                     versions: Versions::Not(version),
-                    ..wish.clone()
+                    ..request.clone()
                 };
                 self.placement.choose(now, &others, &mut self.rng)
             }
@@ -217,9 +217,9 @@
     }
 
     /// Chooses a server for the copy of a run's memory, if one has room.
-    pub fn choose_backup(&mut self, wish: &Wish<'_>) -> Option<Chosen> {
+    pub fn choose_backup(&mut self, request: &Request<'_>) -> Option<Chosen> {
         let now = clock::now();
-        let choice = self.placement.choose_backup(now, wish, &mut self.rng)?;
+        let choice = self.placement.choose_backup(now, request, &mut self.rng)?;
         self.chosen(choice)
     }
 
@@ -286,8 +286,8 @@
     }
 
     /// Notes that a server should get no new work for a while.
-    pub fn lost(&mut self, server: &Server, sign: Sign) {
-        self.placement.lost(clock::now(), server, sign);
+    pub fn lost(&mut self, server: &Server, suspicion: Suspicion) {
+        self.placement.lost(clock::now(), server, suspicion);
         self.changed = true;
     }
 
@@ -314,21 +314,21 @@
     }
 }
 
-fn told(sign: Sign) -> beacon::Sign {
-    match sign {
-        Sign::Refused => beacon::Sign::Refused,
-        Sign::Dark => beacon::Sign::Dark,
-        Sign::Broke => beacon::Sign::Broke,
-        Sign::Full => beacon::Sign::Full,
+fn told(suspicion: Suspicion) -> beacon::Suspicion {
+    match suspicion {
+        Suspicion::Refused => beacon::Suspicion::Refused,
+        Suspicion::Dark => beacon::Suspicion::Dark,
+        Suspicion::Broke => beacon::Suspicion::Broke,
+        Suspicion::Full => beacon::Suspicion::Full,
     }
 }
 
-fn heard(sign: beacon::Sign) -> Sign {
-    match sign {
-        beacon::Sign::Refused => Sign::Refused,
-        beacon::Sign::Dark => Sign::Dark,
-        beacon::Sign::Broke => Sign::Broke,
-        beacon::Sign::Full => Sign::Full,
+fn heard(suspicion: beacon::Suspicion) -> Suspicion {
+    match suspicion {
+        beacon::Suspicion::Refused => Suspicion::Refused,
+        beacon::Suspicion::Dark => Suspicion::Dark,
+        beacon::Suspicion::Broke => Suspicion::Broke,
+        beacon::Suspicion::Full => Suspicion::Full,
     }
 }
 
@@ -346,11 +346,11 @@
             });
         }
         self.tell_prompts(beacon);
-        for (server, age, sign) in self.placement.losses(clock::now()) {
+        for (server, age, suspicion) in self.placement.losses(clock::now()) {
             beacon.losses.push(Loss {
                 server: beacon::number(server),
                 age_ms: age.as_millis() as u32,
-                sign: told(sign),
+                suspicion: told(suspicion),
             });
         }
     }
@@ -394,7 +394,7 @@
                 continue;
             };
             let at = now.saturating_sub(Duration::from_millis(u64::from(loss.age_ms)));
-            self.placement.peer_lost(at, server, heard(loss.sign));
+            self.placement.peer_lost(at, server, heard(loss.suspicion));
         }
     }
 
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -53,20 +53,21 @@
 
 use crate::{
     body::Body,
-    book::{
-        Book,
-        State, //
-    },
+    cache_lookup::CacheLookup, //
     clock,
     departure::Departure,
+    document_cache::{
+        DocumentCache,
+        State, //
+    },
     edge::{
         Ask,
         Edge,
         Prompt, //
     },
     fleet::Fleet,
+    initial_sync::InitialSync,
     moving::Moving,
-    opening::Opening,
     plain,
     queue::Queue,
     quotas::Quotas,
@@ -80,18 +81,17 @@
     },
     settings::Settings,
     stream,
-    survey::Survey, //
 };
 
 /// Time for the body of a request where the document gives none.
 const BODY: Duration = Duration::from_secs(10);
 
 /// What a request needs.
-pub struct Desk<E> {
+pub struct Context<E> {
     /// Settings of the process.
     pub settings: Rc<RefCell<Rc<Settings>>>,
     /// The document.
-    pub book: RefCell<Book>,
+    pub document_cache: RefCell<DocumentCache>,
     /// How current it is.
     pub fresh: Rc<RefCell<Fresh>>,
     /// The backend servers.
@@ -101,13 +101,13 @@
     /// Retries of each service.
     pub quotas: Rc<RefCell<Quotas>>,
     /// What engines said of their caches.
-    pub survey: Survey,
+    pub cache_lookup: CacheLookup,
     /// Streams that wait for an engine.
     pub queue: Rc<Queue>,
     /// Moves between versions.
     pub moving: Rc<Moving>,
     /// The first call to the store.
-    pub opening: Opening,
+    pub initial_sync: InitialSync,
     /// How long answers take.
     pub outlook: RefCell<Outlook>,
     /// The process's way out.
@@ -164,7 +164,7 @@
     }
 }
 
-impl<E: Edge + 'static> Desk<E> {
+impl<E: Edge + 'static> Context<E> {
     /// Answers a request.
     pub async fn serve(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         self.running.set(self.running.get() + 1);
@@ -180,10 +180,12 @@
 
     /// What decisions go by now, for logs.
     fn basis(&self) -> Basis {
-        let book = self.book.borrow();
+        let document_cache = self.document_cache.borrow();
         let confirmed = self.fresh.borrow().confirmed();
         Basis {
-            document: book.edition().map_or(0, |edition| edition.version),
+            document: document_cache
+                .edition()
+                .map_or(0, |edition| edition.version),
             age: confirmed.map(|at| clock::now().saturating_sub(at)),
         }
     }
@@ -192,7 +194,7 @@
     pub fn state(&self, settings: &Settings) -> State {
         let confirmed = self.fresh.borrow().confirmed();
         let revocation = settings.bounds.revocation;
-        self.book
+        self.document_cache
             .borrow()
             .state(clock::now(), confirmed, revocation)
     }
@@ -216,11 +218,11 @@
 
     /// Lets a request that comes before the first document wait for the first call to the store.
     async fn open(&self, ask: &Ask) {
-        if self.book.borrow().edition().is_some() || self.opening.over() {
+        if self.document_cache.borrow().edition().is_some() || self.initial_sync.over() {
             return;
         }
         let came = Instant::now();
-        self.opening.wait(ask.deadline).await;
+        self.initial_sync.wait(ask.deadline).await;
         note!(
             direct::OPENED,
             id = ask.id.as_str(),
@@ -274,7 +276,7 @@
     }
 }
 
-struct Running<E: 'static>(Rc<Desk<E>>);
+struct Running<E: 'static>(Rc<Context<E>>);
 
 impl<E> Drop for Running<E> {
     fn drop(&mut self) {
--- a/components/gateway/src/opening.rs
+++ b/components/gateway/src/initial_sync.rs
@@ -11,18 +11,18 @@
 use tokio_util::sync::CancellationToken;
 
 /// Part of the caller's time that a request may wait; seven eighths are left for its answer.
-const PART: u32 = 8;
+const MAX_WAIT_SHARE: u32 = 8;
 
 /// Longest wait. A first call to the store that takes longer is given up, and the store is out.
-const LONGEST: Duration = Duration::from_secs(1);
+const MAX_WAIT: Duration = Duration::from_secs(1);
 
 /// Whether the first call to the store is still under way.
 #[derive(Debug, Default)]
-pub struct Opening {
+pub struct InitialSync {
     over: CancellationToken,
 }
 
-impl Opening {
+impl InitialSync {
     /// Notes that the store has answered, or failed to.
     pub fn end(&self) {
         self.over.cancel();
@@ -35,7 +35,7 @@
 
     /// Waits for the end of the first call, within the time that a request can spare.
     pub async fn wait(&self, deadline: Option<Duration>) {
-        let spare = deadline.map_or(LONGEST, |deadline| LONGEST.min(deadline / PART));
+        let spare = deadline.map_or(MAX_WAIT, |deadline| MAX_WAIT.min(deadline / MAX_WAIT_SHARE));
         // Whether a document is known then is seen from the document.
         let _ = timeout(spare, self.over.cancelled()).await;
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,16 +6,17 @@
 
 mod accept;
 mod body;
-pub mod book;
+mod cache_lookup;
 pub mod clock;
 pub mod daemon;
 mod departure;
+pub mod document_cache;
 pub mod edge;
 mod fleet;
 mod handle;
+mod initial_sync;
 mod meter;
 pub mod moving;
-mod opening;
 mod peers;
 mod plain;
 mod queue;
@@ -25,7 +26,6 @@
 mod sender;
 pub mod settings;
 mod stream;
-mod survey;
 pub mod update;
 
 pub use daemon::Gateway;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -49,16 +49,16 @@
 
 /// Longest beacon that is sent, in bytes: one that doesn't fit a packet is lost with any of its
 /// parts.
-const LONGEST: usize = 1400;
+const MAX_DATAGRAM: usize = 1400;
 
 /// Bytes that are kept free for the echo and the message's kind.
-const ECHO: usize = 34;
+const ECHO_BYTES: usize = 34;
 
 /// Bytes of changes in one datagram; the rest is for their frame.
-const ITEMS: usize = LONGEST - 100;
+const MAX_ITEMS: usize = MAX_DATAGRAM - 100;
 
 /// Pace at which it is looked whether there is news.
-const LOOK: std::time::Duration = std::time::Duration::from_millis(30);
+const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
 
 /// The peers' side of a gateway.
 pub struct Peers {
@@ -119,7 +119,7 @@
     /// Sends and takes beacons until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         let mut sent = Instant::now();
-        let mut bytes = vec![0; LONGEST];
+        let mut bytes = vec![0; MAX_DATAGRAM];
         loop {
             let now = Instant::now();
             let confirmed = self.shared.fresh.borrow().confirmed();
@@ -131,7 +131,13 @@
                 self.tick();
                 continue;
             }
-            let wake = due.min(now + if news { LOOK } else { LOOK * 4 });
+            let wake = due.min(
+                now + if news {
+                    POLL_INTERVAL
+                } else {
+                    POLL_INTERVAL * 4
+                },
+            );
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
@@ -276,7 +282,7 @@
 fn fit(beacon: &mut Beacon) {
     let loads = &mut beacon.loads;
     loads.sort_unstable_by_key(|load| std::cmp::Reverse(load.unread + load.tokens));
-    while postcard::to_stdvec(&*beacon).is_ok_and(|bytes| bytes.len() > LONGEST - ECHO) {
+    while postcard::to_stdvec(&*beacon).is_ok_and(|bytes| bytes.len() > MAX_DATAGRAM - ECHO_BYTES) {
         let keep = beacon.loads.len().max(beacon.losses.len()) * 3 / 4;
         beacon.loads.truncate(keep);
         beacon.losses.truncate(keep);
@@ -297,11 +303,11 @@
     };
     let mut size = 0;
     for (revision, item) in changes.items {
-        if item.len() > ITEMS {
+        if item.len() > MAX_ITEMS {
             parts.push(part);
             return parts;
         }
-        if size + item.len() > ITEMS {
+        if size + item.len() > MAX_ITEMS {
             let next = part.to;
             parts.push(std::mem::take(&mut part));
             part.from = next;
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -30,7 +30,7 @@
 use routing::{
     Outcome,
     placement::{
-        Wish,
+        Request,
         Work, //
     },
 };
@@ -58,11 +58,11 @@
         Charge,
         Chosen,
         rounded,
-        sign, //
+        suspicion, //
     },
     handle::{
         Call,
-        Desk, //
+        Context, //
     },
     meter,
     moving::Pick,
@@ -91,15 +91,15 @@
 };
 
 /// Answers a request.
-pub async fn run<E: Edge + 'static>(desk: &Rc<Desk<E>>, call: Call) -> Response<Body> {
+pub async fn run<E: Edge + 'static>(context: &Rc<Context<E>>, call: Call) -> Response<Body> {
     let class = match call.pass.repeats {
         Repeats::Always => Class::Repeatable,
         Repeats::Never | Repeats::Resumes => Class::Once,
     };
     let plain = Plain {
-        desk,
+        context,
         sends: Sends::new(class, call.pass.attempts),
-        pick: desk.moving.pick(&call.service, &call.route),
+        pick: context.moving.pick(&call.service, &call.route),
         call,
         class,
         tried: Vec::new(),
@@ -110,7 +110,7 @@
 
 /// One request from its arrival to its answer.
 struct Plain<'a, E> {
-    desk: &'a Rc<Desk<E>>,
+    context: &'a Rc<Context<E>>,
     call: Call,
     /// Versions that it may go to.
     pick: Pick,
@@ -150,8 +150,8 @@
 
     /// Chooses the next server, if there is one and another send is allowed.
     fn next(&mut self) -> Option<Chosen> {
-        let home = self.desk.settings.borrow().data_centre.clone();
-        let wish = Wish {
+        let home = self.context.settings.borrow().data_centre.clone();
+        let request = Request {
             service: &self.call.service,
             home: &home,
             work: WORK,
@@ -160,10 +160,10 @@
             avoid: &self.tried,
             avoid_data_centre: None,
         };
-        let chosen = self.desk.fleet.borrow_mut().choose(&wish)?;
+        let chosen = self.context.fleet.borrow_mut().choose(&request)?;
         let first = self.tried.is_empty();
         let service = &self.call.service;
-        if !self.desk.may_send(service, first, Purpose::First) {
+        if !self.context.may_send(service, first, Purpose::First) {
             return None;
         }
         self.tried.push(chosen.server.clone());
@@ -172,8 +172,8 @@
 
     /// Sends the request; to a second server too when the first takes long and it may be repeated.
     async fn race(&mut self, chosen: Chosen) -> Vec<End> {
-        let (desk, call) = (self.desk.clone(), self.call.clone());
-        let first = attempt(&desk, &call, &chosen);
+        let (context, call) = (self.context.clone(), self.call.clone());
+        let first = attempt(&context, &call, &chosen);
         let mut first = std::pin::pin!(first);
         if self.class == Class::Once || self.sends.left() < 2 {
             return vec![first.await];
@@ -185,7 +185,7 @@
         let Some(chosen) = self.next() else {
             return vec![first.await];
         };
-        let second = attempt(&desk, &call, &chosen);
+        let second = attempt(&context, &call, &chosen);
         let second = std::pin::pin!(second);
         let (end, other) = match select(first, second).await {
             Either::Left((end, other)) => (end, Either::Left(other)),
@@ -203,7 +203,7 @@
 
     fn hedge(&self) -> Duration {
         let objective = self.call.pass.objective;
-        let usual = self.desk.fleet.borrow().usual(&self.call.service);
+        let usual = self.context.fleet.borrow().usual(&self.call.service);
         let (least, most) = HEDGE_WITHIN;
         usual
             .mul_f64(HEDGE)
@@ -222,7 +222,7 @@
     fn tell(mut self, verdict: Verdict) -> Response<Body> {
         match (verdict, self.answer.take()) {
             (Verdict::Answer, Some(answer)) => {
-                let departure = &self.desk.departure;
+                let departure = &self.context.departure;
                 let time = self.call.arrived.elapsed();
                 departure.learn(&self.call.route, time);
                 meter::outcome("answered", time);
@@ -235,8 +235,8 @@
 }
 
 /// Sends the request to a server and reads its whole answer.
-async fn attempt<E: Edge + 'static>(desk: &Rc<Desk<E>>, call: &Call, chosen: &Chosen) -> End {
-    let mut charge = Charge::new(&desk.fleet, &chosen.server, WORK);
+async fn attempt<E: Edge + 'static>(context: &Rc<Context<E>>, call: &Call, chosen: &Chosen) -> End {
+    let mut charge = Charge::new(&context.fleet, &chosen.server, WORK);
     // A request whose caller's time ends meanwhile is the server's failure.
     charge.end(Outcome::Failed);
     note!(
@@ -249,7 +249,7 @@
         document = call.basis.document
     );
     let began = Instant::now();
-    let end = exchange(desk, call, chosen).await;
+    let end = exchange(context, call, chosen).await;
     meter::send(match end.ending {
         Ending::Answered => "answered",
         Ending::Failed => "failed",
@@ -263,7 +263,7 @@
         _ => None,
     };
     if let Some(time) = time {
-        let moving = &desk.moving;
+        let moving = &context.moving;
         moving.ended(&call.service, &call.route, &chosen.version, time);
     }
     charge.end(match end.ending {
@@ -278,7 +278,11 @@
     end
 }
 
-async fn exchange<E: Edge + 'static>(desk: &Rc<Desk<E>>, call: &Call, chosen: &Chosen) -> End {
+async fn exchange<E: Edge + 'static>(
+    context: &Rc<Context<E>>,
+    call: &Call,
+    chosen: &Chosen,
+) -> End {
     let id = call.packet.ask.id.as_str();
     let server = chosen.server.as_str();
     let sending = Sending {
@@ -289,11 +293,14 @@
         backup: None,
         copy: None,
     };
-    let sent = desk.sender.send(&call.packet, chosen, &sending).await;
+    let sent = context.sender.send(&call.packet, chosen, &sending).await;
     let mut connection = match sent {
         Ok(connection) => connection,
         Err(Failure::Unsent(error)) => {
-            desk.fleet.borrow_mut().lost(&chosen.server, sign(&error));
+            context
+                .fleet
+                .borrow_mut()
+                .lost(&chosen.server, suspicion(&error));
             let reason = error.to_string();
             note!(
                 direct::DECLINED,
@@ -304,7 +311,7 @@
             return End::without(Ending::Unsent);
         }
     };
-    let (head, reply) = match desk.sender.answer(&call.packet, &mut connection).await {
+    let (head, reply) = match context.sender.answer(&call.packet, &mut connection).await {
         Ok(answer) => answer,
         Err(error) => return lost(id, server, &error.to_string()),
     };
@@ -319,13 +326,13 @@
             status = status.as_u16()
         );
         if whole.is_ok() {
-            desk.sender.keep(connection);
+            context.sender.keep(connection);
         }
         if !reply.other {
             return End::without(Ending::Declined);
         }
-        desk.fleet.borrow_mut().replaced(&chosen.server);
-        desk.sender.forget(chosen.address);
+        context.fleet.borrow_mut().replaced(&chosen.server);
+        context.sender.forget(chosen.address);
         return End::without(Ending::Misdirected);
     }
     let Ok(whole) = whole else {
@@ -334,17 +341,17 @@
     if !reply.signed || reply.encoded {
         return lost(id, server, "not the server's answer");
     }
-    desk.fleet.borrow_mut().alive(&chosen.server);
+    context.fleet.borrow_mut().alive(&chosen.server);
     let body = match whole {
         Whole::Complete(body) => {
-            desk.sender.keep(connection);
+            context.sender.keep(connection);
             Body::whole(body)
         }
-        Whole::Longer(first) => rest(desk, call, connection, first),
+        Whole::Longer(first) => rest(context, call, connection, first),
     };
     let mut response = Response::new(body);
     *response.status_mut() = status;
-    *response.headers_mut() = desk.sender.edge().headers(head.headers);
+    *response.headers_mut() = context.sender.edge().headers(head.headers);
     let ending = match status.is_server_error() {
         true => Ending::Failed,
         false => Ending::Answered,
@@ -368,12 +375,12 @@
 
 /// The body of a long answer: what was read of it, and the rest as it comes.
 fn rest<E: Edge + 'static>(
-    desk: &Rc<Desk<E>>,
+    context: &Rc<Context<E>>,
     call: &Call,
     mut connection: Connection,
     first: Bytes,
 ) -> Body {
-    let (desk, until) = (desk.clone(), call.until);
+    let (context, until) = (context.clone(), call.until);
     Body::stream(stream! {
         yield Ok(first);
         loop {
@@ -386,7 +393,7 @@
                 }
             }
         }
-        desk.sender.keep(connection);
+        context.sender.keep(connection);
     })
 }
 
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -31,9 +31,9 @@
 };
 use gates::{
     Gates,
-    Knock,
-    Pass,
+    Permit,
     Refused, //
+    Request,
 };
 use names::Service;
 use routing::placement::Work;
@@ -58,25 +58,25 @@
     edge::Edge,
     handle::{
         Call,
-        Desk, //
+        Context, //
     },
     refuse::Refusal, //
 };
 
 /// Pace at which it is looked whether an engine has room: first events take hundreds of
 /// milliseconds, so that this much more isn't noticed.
-const LOOK: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Pace at which a request that waits looks whether the process is stopping. A shorter wait is one
 /// for its turn among the entries and doesn't count as pressure.
-const STOPPING: Duration = Duration::from_millis(100);
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time after a wait for which a service counts as pressed: as long as runs take, whose memory
 /// is what others wait for.
-const PRESSED: Duration = Duration::from_secs(5);
+const PRESSURE_TTL: Duration = Duration::from_secs(5);
 
 /// Weight of a new request in the usual size of a service's requests.
-const FRESH: f64 = 0.1;
+const EWMA_WEIGHT: f64 = 0.1;
 
 /// Gates of the services that have engines.
 pub struct Queue {
@@ -118,8 +118,8 @@
 
 impl Size {
     fn learn(&mut self, work: Work) {
-        self.tokens += FRESH * (work.tokens as f64 - self.tokens);
-        self.unread += FRESH * (work.unread as f64 - self.unread);
+        self.tokens += EWMA_WEIGHT * (work.tokens as f64 - self.tokens);
+        self.unread += EWMA_WEIGHT * (work.unread as f64 - self.unread);
     }
 
     fn work(&self) -> Work {
@@ -133,7 +133,7 @@
 
 /// A request's place among those that the engines have room for, until it is dropped.
 pub struct Place {
-    pass: Pass,
+    pass: Permit,
     in_time: bool,
 }
 
@@ -152,15 +152,15 @@
 ///
 /// [`Refusal`] when it can't be served, or the process stops first. It hasn't run.
 pub async fn enter<E: Edge + 'static>(
-    desk: &Rc<Desk<E>>,
+    context: &Rc<Context<E>>,
     call: &Call,
     work: Work,
 ) -> Result<Place, Refusal> {
     let began = Instant::now();
-    desk.queue.know(call, work);
+    context.queue.know(call, work);
     let mut refused = Refused {
         reason: Reason::Late,
-        retry_after: LOOK,
+        retry_after: POLL_INTERVAL,
     };
     let team = call.team.clone().unwrap_or_default();
     let ask = Ask {
@@ -168,11 +168,11 @@
         objective: call.pass.objective,
         timeout: call.pass.timeout,
         deadline: call.packet.ask.deadline,
-        usual: desk.departure.usual(&call.route),
+        usual: context.departure.usual(&call.route),
     };
     for turn in ask.turns() {
-        report(desk, turn.in_time.then_some(&call.service));
-        let admitted = desk.queue.gates.admit(Knock {
+        report(context, turn.in_time.then_some(&call.service));
+        let admitted = context.queue.gates.admit(Request {
             service: &call.service,
             team: &team,
             limit: turn.limit,
@@ -182,19 +182,19 @@
             lowest: 1.0,
             resume: call.packet.ask.after.is_some(),
         });
-        let _hurried = turn.in_time.then(|| Hurried::new(desk, &call.service));
+        let _hurried = turn.in_time.then(|| Hurried::new(context, &call.service));
         pin!(admitted);
-        follow(desk);
-        let mut pace = interval_at(Instant::now() + STOPPING, STOPPING);
+        follow(context);
+        let mut pace = interval_at(Instant::now() + STOP_POLL_INTERVAL, STOP_POLL_INTERVAL);
         let ended = loop {
             select! {
                 biased;
                 ended = &mut admitted => break ended,
                 _ = pace.tick() => {
-                    desk.queue.wait(&call.service);
-                    let grace = desk.settings.borrow().bounds.grace;
-                    if !desk.departure.fits(&call.route, call.pass.objective, grace) {
-                        return Err(Refusal::Leaving(desk.departure.retry_after()));
+                    context.queue.wait(&call.service);
+                    let grace = context.settings.borrow().bounds.grace;
+                    if !context.departure.fits(&call.route, call.pass.objective, grace) {
+                        return Err(Refusal::Leaving(context.departure.retry_after()));
                     }
                 }
             }
@@ -213,21 +213,21 @@
 
 /// A request that waits and can still be in time, until it is dropped.
 struct Hurried<'a, E> {
-    desk: &'a Desk<E>,
+    context: &'a Context<E>,
     service: &'a Service,
 }
 
 impl<'a, E> Hurried<'a, E> {
-    fn new(desk: &'a Desk<E>, service: &'a Service) -> Hurried<'a, E> {
-        let mut hurried = desk.queue.hurried.borrow_mut();
+    fn new(context: &'a Context<E>, service: &'a Service) -> Hurried<'a, E> {
+        let mut hurried = context.queue.hurried.borrow_mut();
         *hurried.entry(service.clone()).or_default() += 1;
-        Hurried { desk, service }
+        Hurried { context, service }
     }
 }
 
 impl<E> Drop for Hurried<'_, E> {
     fn drop(&mut self) {
-        let mut hurried = self.desk.queue.hurried.borrow_mut();
+        let mut hurried = self.context.queue.hurried.borrow_mut();
         if let Some(count) = hurried.get_mut(self.service) {
             *count = count.saturating_sub(1);
         }
@@ -282,7 +282,9 @@
     /// Whether requests had to wait for a service a moment ago.
     pub fn pressed(&self, service: &Service) -> bool {
         let waited = self.waited.borrow();
-        waited.get(service).is_some_and(|at| at.elapsed() < PRESSED)
+        waited
+            .get(service)
+            .is_some_and(|at| at.elapsed() < PRESSURE_TTL)
     }
 
     fn wait(&self, service: &Service) {
@@ -310,7 +312,7 @@
 
 /// Logs a wait that was longer than a look.
 fn note(call: &Call, in_time: bool, waited: Duration) {
-    if waited < LOOK {
+    if waited < POLL_INTERVAL {
         return;
     }
     note!(
@@ -323,13 +325,13 @@
 
 /// Tells the gates what the engines have room for; `fresh` is the service of a request that comes
 /// now and can be in time.
-fn report<E: Edge>(desk: &Desk<E>, fresh: Option<&Service>) {
-    let queue = &desk.queue;
-    let fleet = desk.fleet.borrow();
+fn report<E: Edge>(context: &Context<E>, fresh: Option<&Service>) {
+    let queue = &context.queue;
+    let fleet = context.fleet.borrow();
     let sizes = queue.sizes.borrow();
     queue.gates.report(|service, running| {
         let size = sizes.get(service)?;
-        let pick = desk.moving.limit(service);
+        let pick = context.moving.limit(service);
         let versions = pick.versions();
         let mut room = fleet.room(service, versions, size.work(), size.within);
         // What is late here stands behind what can be in time elsewhere.
@@ -346,21 +348,21 @@
 }
 
 /// Sees to the gates while requests wait.
-fn follow<E: Edge + 'static>(desk: &Rc<Desk<E>>) {
-    if desk.queue.following.replace(true) {
+fn follow<E: Edge + 'static>(context: &Rc<Context<E>>) {
+    if context.queue.following.replace(true) {
         return;
     }
-    let desk = desk.clone();
+    let context = context.clone();
     spawn_local(async move {
-        let mut pace = interval(LOOK);
+        let mut pace = interval(POLL_INTERVAL);
         loop {
             pace.tick().await;
-            report(&desk, None);
-            desk.queue.gates.tick();
-            if !desk.queue.gates.any_waiting() {
+            report(&context, None);
+            context.queue.gates.tick();
+            if !context.queue.gates.any_waiting() {
                 break;
             }
         }
-        desk.queue.following.set(false);
+        context.queue.following.set(false);
     });
 }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -35,7 +35,7 @@
     fleet::Chosen,
     handle::{
         Call,
-        Desk, //
+        Context, //
     },
     meter,
     moving::Pick,
@@ -45,9 +45,9 @@
     },
     refuse::Refusal,
     stream::{
-        onward::{
+        resumption::{
             Next,
-            Onward, //
+            Resumption, //
         },
         run::{
             Run,
@@ -57,19 +57,19 @@
     },
 };
 
-mod held;
-mod onward;
+mod backup;
 mod place;
+mod resumption;
 mod run;
 
 /// Sends that a server declined after which a request is refused.
 const DECLINED: u32 = 4;
 
 /// Answers a request with a stream.
-pub async fn run<E: Edge + 'static>(desk: &Rc<Desk<E>>, call: Call) -> Response<Body> {
+pub async fn run<E: Edge + 'static>(context: &Rc<Context<E>>, call: Call) -> Response<Body> {
     let mut story = Story {
         leaving: Leaving::new(&call),
-        desk: desk.clone(),
+        context: context.clone(),
         sequence: Sequence::after(call.packet.ask.after),
         pick: Pick::default(),
         call,
@@ -105,7 +105,7 @@
 /// One stream from its request to its end.
 struct Story<E> {
     leaving: Leaving,
-    desk: Rc<Desk<E>>,
+    context: Rc<Context<E>>,
     call: Call,
     /// Versions that it may go to.
     pick: Pick,
@@ -129,14 +129,14 @@
 impl<E: Edge + 'static> Story<E> {
     /// Starts runs until one answers, or there is nothing left to try.
     async fn begin(&mut self) -> Result<Begun, Response<Body>> {
-        self.survey().await;
+        self.cache_lookup().await;
         let work = self.work();
-        match queue::enter(&self.desk, &self.call, work).await {
+        match queue::enter(&self.context, &self.call, work).await {
             Ok(place) => self.place = Some(place),
             Err(refusal) => return Err(self.call.refuse(&refusal)),
         }
         let (service, route) = (&self.call.service, &self.call.route);
-        self.pick = self.desk.moving.pick(service, route);
+        self.pick = self.context.moving.pick(service, route);
         let mut declined = 0;
         let mut failure = None;
         let mut next = None;
@@ -147,7 +147,7 @@
                 return Err(self.call.refuse(&Refusal::Hopeless));
             }
             if !self
-                .desk
+                .context
                 .may_send(&self.call.service, first, Purpose::First)
             {
                 spent = true;
@@ -288,14 +288,14 @@
             gap_ms = self.gap.as_millis() as u64,
             ms = self.call.arrived.elapsed().as_millis() as u64
         );
-        let departure = &self.desk.departure;
+        let departure = &self.context.departure;
         departure.learn(&self.call.route, self.call.arrived.elapsed());
         if let (None, Some(first), Some(events)) =
             (self.call.packet.ask.after, self.first, self.sequence.last())
         {
             let time = self.call.arrived.elapsed().saturating_sub(first);
             let answer = Answer { events, time };
-            self.desk
+            self.context
                 .outlook
                 .borrow_mut()
                 .learn(&self.call.route, answer);
@@ -303,7 +303,7 @@
         meter::outcome("answered", self.call.arrived.elapsed());
         meter::gap(self.gap);
         if let Some(connection) = run.finish() {
-            self.desk.sender.keep(connection);
+            self.context.sender.keep(connection);
         }
     }
 
@@ -312,13 +312,13 @@
             return None;
         }
         let mut next = None;
-        self.pick = self.desk.moving.limit(&self.call.service);
+        self.pick = self.context.moving.limit(&self.call.service);
         self.onward(&mut next, lost);
         let mut declined = 0;
         while !self.over() {
             let (chosen, copy) = self.choose(&mut next)?;
             if !self
-                .desk
+                .context
                 .may_send(&self.call.service, false, Purpose::Resume)
             {
                 return None;
@@ -361,14 +361,14 @@
     /// Notes what a version did with the request.
     fn judged(&self, chosen: &Chosen, time: Option<Duration>) {
         let (service, route) = (&self.call.service, &self.call.route);
-        self.desk
+        self.context
             .moving
             .ended(service, route, &chosen.version, time);
     }
 
     /// Takes a loss into what is left to try. A run that was lost before it gave an event has no
     /// copy of its own; the one of the run before it still stands.
-    fn onward(&mut self, next: &mut Option<Onward>, lost: Next) {
+    fn onward(&mut self, next: &mut Option<Resumption>, lost: Next) {
         self.ran(&lost.server);
         let server = lost.server.server.clone();
         let again = self.lost.replace(server) == Some(lost.server.server.clone());
@@ -376,7 +376,7 @@
             onward.skip_same();
             return;
         }
-        *next = Some(Onward::new(lost, again));
+        *next = Some(Resumption::new(lost, again));
     }
 }
 
--- a/components/gateway/src/stream/held.rs
+++ b/components/gateway/src/stream/backup.rs
@@ -36,7 +36,7 @@
         Charge,
         Chosen, //
     },
-    handle::Desk, //
+    handle::Context, //
 };
 
 /// Time for one call that makes a copy: tens of milliseconds of transfer, behind others.
@@ -49,7 +49,7 @@
 const AGAIN: Duration = Duration::from_millis(500);
 
 /// A copy, or what is to become one.
-pub(super) struct Held {
+pub(super) struct Backup {
     /// The server that holds it.
     pub(super) holder: Chosen,
     /// Counts the memory at the holder.
@@ -80,14 +80,14 @@
     }
 }
 
-impl Held {
+impl Backup {
     /// A copy that the run's server makes by itself.
-    pub(super) fn running(holder: Chosen, charge: Charge, id: &str) -> Held {
+    pub(super) fn running(holder: Chosen, charge: Charge, id: &str) -> Backup {
         let copy = Copy {
             address: holder.address,
             name: id.to_string(),
         };
-        Held {
+        Backup {
             holder,
             _charge: charge,
             kind: Kind::Running(copy),
@@ -95,8 +95,8 @@
     }
 
     /// A copy that is to be made on request.
-    pub(super) fn asked(holder: Chosen, charge: Charge) -> Held {
-        Held {
+    pub(super) fn asked(holder: Chosen, charge: Charge) -> Backup {
+        Backup {
             holder,
             _charge: charge,
             kind: Kind::Asked(Rc::default()),
@@ -114,7 +114,7 @@
     /// Brings a copy on request up to date when it is time.
     pub(super) fn refresh<E: Edge + 'static>(
         &self,
-        desk: &Rc<Desk<E>>,
+        context: &Rc<Context<E>>,
         source: &Chosen,
         id: &str,
         kept: Duration,
@@ -128,7 +128,7 @@
             return;
         }
         let call = Call {
-            desk: desk.clone(),
+            context: context.clone(),
             source: source.clone(),
             holder: self.holder.clone(),
             id: id.to_string(),
@@ -155,7 +155,7 @@
 
 /// One call that makes or refreshes a copy.
 struct Call<E> {
-    desk: Rc<Desk<E>>,
+    context: Rc<Context<E>>,
     source: Chosen,
     holder: Chosen,
     id: String,
@@ -165,7 +165,7 @@
 impl<E: Edge> Call<E> {
     async fn run(&self) -> Option<Copy> {
         let began = Instant::now();
-        let sender = &self.desk.sender;
+        let sender = &self.context.sender;
         let (head, body) = sender.edge().copy(&self.id, self.holder.address);
         let answer = timeout(CALL, sender.call(&self.source, &Method::POST, head, body)).await;
         let answer = answer.ok().and_then(Result::ok);
--- a/components/gateway/src/stream/place.rs
+++ b/components/gateway/src/stream/place.rs
@@ -3,13 +3,14 @@
 use answer::loss::Candidate;
 use environment::document::Repeats;
 use routing::placement::{
+    Request,
     Versions,
-    Wish,
     Work, //
 };
 use tokio::time::Instant;
 
 use crate::{
+    cache_lookup, //
     edge::{
         Copy,
         Edge, //
@@ -20,9 +21,8 @@
     },
     stream::{
         Story,
-        onward::Onward, //
+        resumption::Resumption, //
     },
-    survey, //
 };
 
 /// Part of the usual time to read a prompt that it takes at the least.
@@ -55,8 +55,11 @@
 
     /// Chooses a server, and the copy from which it goes on: what is left to try after a loss,
     /// or the best. `None` when there is none, or the request may not be sent any more.
-    pub(super) fn choose(&mut self, next: &mut Option<Onward>) -> Option<(Chosen, Option<Copy>)> {
-        let fleet = self.desk.fleet.clone();
+    pub(super) fn choose(
+        &mut self,
+        next: &mut Option<Resumption>,
+    ) -> Option<(Chosen, Option<Copy>)> {
+        let fleet = self.context.fleet.clone();
         if let Some(onward) = next {
             while let Some(candidate) = onward.take() {
                 let (chosen, copy) = match candidate {
@@ -78,8 +81,10 @@
                 }
             }
         }
-        let home = self.desk.settings.borrow().data_centre.clone();
-        let chosen = fleet.borrow_mut().choose(&self.wish(&home, self.work()))?;
+        let home = self.context.settings.borrow().data_centre.clone();
+        let chosen = fleet
+            .borrow_mut()
+            .choose(&self.request(&home, self.work()))?;
         if !self.may(&chosen.server) {
             return None;
         }
@@ -93,8 +98,8 @@
         }
     }
 
-    fn wish<'a>(&'a self, home: &'a str, work: Work) -> Wish<'a> {
-        Wish {
+    fn request<'a>(&'a self, home: &'a str, work: Work) -> Request<'a> {
+        Request {
             service: &self.call.service,
             home,
             work,
@@ -114,41 +119,41 @@
         // there is memory for both, a copy takes nobody's place: what callers wait for is then a slot,
         // or an engine that has prompts to read.
         let service = &self.call.service;
-        let scarce = || self.desk.fleet.borrow().fill(service) > SCARCE;
-        if self.desk.queue.pressed(service) && scarce() {
+        let scarce = || self.context.fleet.borrow().fill(service) > SCARCE;
+        if self.context.queue.pressed(service) && scarce() {
             return None;
         }
-        let home = self.desk.settings.borrow().data_centre.clone();
+        let home = self.context.settings.borrow().data_centre.clone();
         let work = Work {
             requests: 0,
             unread: 0,
             ..self.work()
         };
-        let wish = Wish {
+        let request = Request {
             versions: Versions::Only(&chosen.version),
             avoid_data_centre: Some(&chosen.data_centre),
-            ..self.wish(&home, work)
+            ..self.request(&home, work)
         };
-        let backup = self.desk.fleet.borrow_mut().choose_backup(&wish)?;
-        let charge = Charge::new(&self.desk.fleet, &backup.server, work);
+        let backup = self.context.fleet.borrow_mut().choose_backup(&request)?;
+        let charge = Charge::new(&self.context.fleet, &backup.server, work);
         Some((backup, charge))
     }
 
     /// Finds out where the prompt of a caller that comes back was read, if nobody knows.
-    pub(super) async fn survey(&self) {
+    pub(super) async fn cache_lookup(&self) {
         let left = self.call.until.saturating_duration_since(Instant::now());
         // It may have lost its entry before the first event; an entry that started long ago knows.
         let timeout = self.call.pass.timeout.unwrap_or_default();
-        let waited = left < timeout / 2 && self.desk.started.elapsed() < timeout;
+        let waited = left < timeout / 2 && self.context.started.elapsed() < timeout;
         let back = self.call.packet.ask.after.is_some() || waited;
         let Some(part) = self.parts().last().filter(|_| back) else {
             return;
         };
-        if self.desk.fleet.borrow().found(*part) {
+        if self.context.fleet.borrow().found(*part) {
             return;
         }
-        survey::learn(&self.desk, &self.call.service, left).await;
-        survey::wait(&self.desk, &self.call, *part, left).await;
+        cache_lookup::learn(&self.context, &self.call.service, left).await;
+        cache_lookup::wait(&self.context, &self.call, *part, left).await;
     }
 
     /// Whether a server should try to give the answer: there is room, so that a try takes nothing
@@ -159,11 +164,11 @@
         }
         let left = self.call.until.saturating_duration_since(Instant::now());
         let after = self.sequence.last().unwrap_or(0);
-        let rest = self.desk.outlook.borrow().rest(&self.call.route, after);
+        let rest = self.context.outlook.borrow().rest(&self.call.route, after);
         let Some(rest) = rest else {
             return true;
         };
-        let fleet = self.desk.fleet.borrow();
+        let fleet = self.context.fleet.borrow();
         let unread = self
             .work()
             .unread
--- a/components/gateway/src/stream/onward.rs
+++ b/components/gateway/src/stream/resumption.rs
@@ -27,17 +27,17 @@
 }
 
 /// What is left to try after a loss.
-pub(super) struct Onward {
+pub(super) struct Resumption {
     pub(super) next: Next,
     left: &'static [Candidate],
 }
 
-impl Onward {
+impl Resumption {
     /// `again` when the run before was lost at the same server.
-    pub(super) fn new(next: Next, again: bool) -> Onward {
+    pub(super) fn new(next: Next, again: bool) -> Resumption {
         let read = next.events > 0 || next.age >= READING || next.from.is_some();
         let worth = !again && read;
-        Onward {
+        Resumption {
             left: next.loss.candidates(worth),
             next,
         }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -48,9 +48,9 @@
     fleet::{
         Charge,
         Chosen,
-        Sign,
+        Suspicion,
         rounded,
-        sign, //
+        suspicion, //
     },
     meter,
     refuse::COME_BACK,
@@ -58,28 +58,28 @@
     stream::{
         Next,
         Story,
-        held::Held, //
+        backup::Backup, //
     },
 };
 
 /// Longest body of a failure that is read whole, in bytes.
-const WHOLE: usize = 64 * 1024;
+const MAX_FAILURE_BODY: usize = 64 * 1024;
 
 /// Longest wait for a server's next bytes before it is looked whether it is known to be over.
-const GLANCE: Duration = Duration::from_millis(400);
+const MAX_FILL_WAIT: Duration = Duration::from_millis(400);
 
 /// Pace at which it is looked whether the copy's holder is still there.
-const LOOK: Duration = Duration::from_millis(200);
+const BACKUP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time for the body of a failure.
-const BODY: Duration = Duration::from_millis(500);
+const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A run that gives events.
 pub(super) struct Run {
     pub(super) chosen: Chosen,
     connection: Connection,
     charge: Charge,
-    held: Option<Held>,
+    held: Option<Backup>,
     splitter: Splitter,
     silence: Silence,
     pub(super) began: Instant,
@@ -173,7 +173,7 @@
             return Ok(None);
         };
         let packet = &story.call.packet;
-        let reply = story.desk.sender.reply(packet, &head);
+        let reply = story.context.sender.reply(packet, &head);
         let reply = reply.ok_or(Error::Malformed("answer to another request"))?;
         Ok(Some(Heard::Head(head, reply)))
     }
@@ -192,7 +192,7 @@
             if self.over() {
                 return Heard::Late;
             }
-            if self.desk.fleet.borrow().is_over(&run.chosen.server) {
+            if self.context.fleet.borrow().is_over(&run.chosen.server) {
                 return Heard::Lost(Loss::Dark);
             }
             self.doubt(run);
@@ -202,14 +202,14 @@
                 Advice::Leave => return Heard::Lost(Loss::Slow),
                 Advice::Wait(limit) => {
                     let until = (run.heard + limit).min(self.call.until);
-                    let until = until.min(Instant::now() + GLANCE);
+                    let until = until.min(Instant::now() + MAX_FILL_WAIT);
                     // A time-out is looked into at the next turn.
                     if let Ok(Err(_)) = timeout_at(until, run.connection.fill()).await {
                         return Heard::Lost(Loss::Reset);
                     }
                 }
                 Advice::Check => {
-                    let check = self.desk.sender.check(&run.chosen);
+                    let check = self.context.sender.check(&run.chosen);
                     tokio::select! {
                         biased;
                         filled = run.connection.fill() => {
@@ -227,7 +227,7 @@
                     }
                 }
                 Advice::Inquire => {
-                    let inquiry = self.desk.sender.inquire(&run.chosen);
+                    let inquiry = self.context.sender.inquire(&run.chosen);
                     tokio::select! {
                         biased;
                         filled = run.connection.fill() => {
@@ -253,7 +253,7 @@
 
     /// Takes note when others find the run's server dark after its last sign of life.
     fn doubt(&self, run: &mut Run) {
-        let Some(age) = self.desk.fleet.borrow().doubted(&run.chosen.server) else {
+        let Some(age) = self.context.fleet.borrow().doubted(&run.chosen.server) else {
             return;
         };
         if age < run.sound.elapsed() {
@@ -286,18 +286,18 @@
 
     /// Sees to it that another server holds a copy of the run's memory.
     fn hold(&self, run: &mut Run) {
-        if run.events == 0 || Instant::now() < run.looked + LOOK {
+        if run.events == 0 || Instant::now() < run.looked + BACKUP_CHECK_INTERVAL {
             return;
         }
         run.looked = Instant::now();
-        let holds = |held: &Held| self.desk.fleet.borrow().usable(&held.holder.server);
+        let holds = |held: &Backup| self.context.fleet.borrow().usable(&held.holder.server);
         if !run.held.as_ref().is_some_and(holds) {
             let backup = self.backup(&run.chosen);
-            run.held = backup.map(|(holder, charge)| Held::asked(holder, charge));
+            run.held = backup.map(|(holder, charge)| Backup::asked(holder, charge));
         }
         if let Some(held) = &run.held {
             let id = &self.call.packet.ask.id;
-            held.refresh(&self.desk, &run.chosen, id, self.call.copy_kept);
+            held.refresh(&self.context, &run.chosen, id, self.call.copy_kept);
         }
     }
 
@@ -311,7 +311,7 @@
             run.sound = now;
             if run.events == 0 {
                 run.charge.read(run.began.elapsed());
-                let mut fleet = self.desk.fleet.borrow_mut();
+                let mut fleet = self.context.fleet.borrow_mut();
                 fleet.alive(&run.chosen.server);
                 fleet.has_read(self.parts(), &run.chosen.server);
             }
@@ -340,15 +340,15 @@
         meter::loss(loss.name());
         meter::send("lost");
         let server = &run.chosen.server;
-        let mut fleet = self.desk.fleet.borrow_mut();
+        let mut fleet = self.context.fleet.borrow_mut();
         if loss.unreachable() {
-            fleet.lost(server, Sign::Dark);
+            fleet.lost(server, Suspicion::Dark);
         } else if loss.at_once(run.events, run.began.elapsed()) {
-            fleet.lost(server, Sign::Broke);
+            fleet.lost(server, Suspicion::Broke);
         }
         drop(fleet);
         // If it crashed, what rests there is dead too, and would pass for a run that was lost.
-        self.desk.sender.forget(run.chosen.address);
+        self.context.sender.forget(run.chosen.address);
         note!(
             direct::LOST,
             id = self.call.packet.ask.id.as_str(),
@@ -365,19 +365,23 @@
     pub(super) async fn start(&self, chosen: &Chosen, copy: Option<&Copy>) -> Start {
         let began = Instant::now();
         let mut work = self.work();
-        let known = self.desk.fleet.borrow().known(self.parts(), &chosen.server);
+        let known = self
+            .context
+            .fleet
+            .borrow()
+            .known(self.parts(), &chosen.server);
         // A copy of a run that gave no event yet may hold hardly any of the prompt.
         work.unread = match copy {
             Some(_) if self.sequence.last().is_some() => 0,
             _ => work.unread.saturating_sub(known),
         };
         if self.sequence.last().is_none() {
-            self.desk.queue.sent(&self.call.service, work);
+            self.context.queue.sent(&self.call.service, work);
         }
         let held = self
             .backup(chosen)
-            .map(|(holder, charge)| Held::running(holder, charge, &self.call.packet.ask.id));
-        let mut charge = Charge::new(&self.desk.fleet, &chosen.server, work);
+            .map(|(holder, charge)| Backup::running(holder, charge, &self.call.packet.ask.id));
+        let mut charge = Charge::new(&self.context.fleet, &chosen.server, work);
         let sending = Sending {
             server: &chosen.server,
             deadline: self.call.left(),
@@ -402,14 +406,17 @@
             copy = copy.is_some(),
             backup = held.as_ref().map(|held| held.holder.server.as_str())
         );
-        let sent = self.desk.sender.send(&self.call.packet, chosen, &sending);
+        let sent = self
+            .context
+            .sender
+            .send(&self.call.packet, chosen, &sending);
         let connection = match timeout_at(self.call.until, sent).await {
             Err(_) => return Start::Late,
             Ok(Err(Failure::Unsent(error))) => {
                 meter::send("unsent");
                 charge.end(Outcome::Failed);
-                let seen = sign(&error);
-                self.desk.fleet.borrow_mut().lost(&chosen.server, seen);
+                let seen = suspicion(&error);
+                self.context.fleet.borrow_mut().lost(&chosen.server, seen);
                 note!(
                     direct::DECLINED,
                     id = self.call.packet.ask.id.as_str(),
@@ -423,8 +430,8 @@
         let pass = &self.call.pass;
         let waited = self.sequence.last().is_some();
         let expected = (!waited).then(|| Expectation {
-            here: self.desk.fleet.borrow().expected(chosen),
-            elsewhere: self.desk.fleet.borrow().alone(chosen, work.unread),
+            here: self.context.fleet.borrow().expected(chosen),
+            elsewhere: self.context.fleet.borrow().alone(chosen, work.unread),
             waited: self.call.arrived.elapsed(),
         });
         let mut run = Run {
@@ -469,14 +476,17 @@
                 status = status
             );
             if head.status == StatusCode::SERVICE_UNAVAILABLE && run.copy.is_none() {
-                self.desk.fleet.borrow_mut().lost(&server, Sign::Full);
+                self.context
+                    .fleet
+                    .borrow_mut()
+                    .lost(&server, Suspicion::Full);
             }
             if reply.other {
-                self.desk.fleet.borrow_mut().replaced(&server);
-                self.desk.sender.forget(run.chosen.address);
+                self.context.fleet.borrow_mut().replaced(&server);
+                self.context.sender.forget(run.chosen.address);
             }
             if self.rest(&mut run).await.is_some() && !reply.other {
-                self.desk.sender.keep(run.connection);
+                self.context.sender.keep(run.connection);
             }
             return match reply.other {
                 true => Start::Unreachable,
@@ -486,7 +496,7 @@
         let usable = reply.signed && !reply.encoded;
         if usable && head.status.is_success() {
             meter::send("answered");
-            let headers = self.desk.sender.edge().headers(head.headers);
+            let headers = self.context.sender.edge().headers(head.headers);
             return Start::Running {
                 run: Box::new(run),
                 status: head.status,
@@ -506,17 +516,17 @@
         let (Some(body), true) = (body, usable) else {
             return Start::Lost(Box::new(run.lost(Loss::Malformed)));
         };
-        self.desk.sender.keep(run.connection);
+        self.context.sender.keep(run.connection);
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
-        *response.headers_mut() = self.desk.sender.edge().headers(head.headers);
+        *response.headers_mut() = self.context.sender.edge().headers(head.headers);
         Start::Failed(response)
     }
 
     /// Reads the body of an answer that isn't a stream.
     async fn rest(&self, run: &mut Run) -> Option<Bytes> {
-        let whole = run.connection.whole(WHOLE);
-        let whole = timeout_at(Instant::now() + BODY, whole).await;
+        let whole = run.connection.whole(MAX_FAILURE_BODY);
+        let whole = timeout_at(Instant::now() + FAILURE_BODY_TIMEOUT, whole).await;
         whole.ok()?.ok()?.complete()
     }
 }
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -15,7 +15,7 @@
 };
 use routing::placement::Facts;
 
-use crate::book::Edition;
+use crate::document_cache::Edition;
 
 /// News for the gateway.
 #[derive(Clone, Debug)]
--- a/components/gateway/tests/callers.rs
+++ b/components/gateway/tests/callers.rs
@@ -10,8 +10,8 @@
 
 use common::{
     Backend,
-    Desk,
     HOST,
+    Harness,
     answer,
     document,
     event,
@@ -45,11 +45,11 @@
     .await
 }
 
-async fn desk() -> (Desk, Backend) {
+async fn harness() -> (Harness, Backend) {
     let server = fine().await;
-    let desk = Desk::with(document());
-    desk.register("s1", "ledger", "a", server.address);
-    (desk, server)
+    let harness = Harness::with(document());
+    harness.register("s1", "ledger", "a", server.address);
+    (harness, server)
 }
 
 /// Requests that the document doesn't allow, or that can't be understood, each get the status that
@@ -81,8 +81,10 @@
 )]
 fn what_is_not_allowed_is_told_apart(#[case] request: &'static str, #[case] status: u16) {
     common::run(async move {
-        let (desk, server) = desk().await;
-        let mut caller = TcpStream::connect(desk.callers).await.expect("it listens");
+        let (harness, server) = harness().await;
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         caller
             .write_all(request.as_bytes())
             .await
@@ -97,8 +99,10 @@
 #[test]
 fn a_long_head_is_refused() {
     common::run(async {
-        let (desk, server) = desk().await;
-        let mut caller = TcpStream::connect(desk.callers).await.expect("it listens");
+        let (harness, server) = harness().await;
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         let long = "x".repeat(20 * 1024);
         let text = request("r", "/safe/x", &format!("more: {long}\r\n"));
         caller.write_all(text.as_bytes()).await.expect("it reads");
@@ -113,11 +117,13 @@
 #[test]
 fn a_request_inside_a_body_stays_a_body() {
     common::run(async {
-        let (desk, server) = desk().await;
+        let (harness, server) = harness().await;
         let hidden = "POST /unsafe/y HTTP/1.1\r\nhost: desk.example\r\nid: r2\r\nkey: k\r\n\r\n";
         let more = format!("content-length: {}\r\n\r\n{hidden}", hidden.len());
         let text = format!("POST /unsafe/x HTTP/1.1\r\nhost: {HOST}\r\nid: r1\r\nkey: k\r\n{more}");
-        let mut caller = TcpStream::connect(desk.callers).await.expect("it listens");
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         caller.write_all(text.as_bytes()).await.expect("it reads");
         common::read(&mut caller).await.expect("an answer");
         sleep(Duration::from_millis(20)).await;
@@ -132,13 +138,15 @@
 #[test]
 fn what_two_framings_hide_is_never_run() {
     common::run(async {
-        let (desk, server) = desk().await;
+        let (harness, server) = harness().await;
         let hidden = "POST /unsafe/y HTTP/1.1\r\nhost: desk.example\r\nid: r2\r\nkey: k\r\n\r\n";
         let more = "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
         let text = format!(
             "POST /unsafe/x HTTP/1.1\r\nhost: {HOST}\r\nid: r1\r\nkey: k\r\n{more}{hidden}"
         );
-        let mut caller = TcpStream::connect(desk.callers).await.expect("it listens");
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         caller.write_all(text.as_bytes()).await.expect("it reads");
         let mut bytes = Vec::new();
         let read = timeout(Duration::from_secs(2), caller.read_to_end(&mut bytes)).await;
@@ -156,8 +164,10 @@
 #[test]
 fn a_connection_carries_many_requests() {
     common::run(async {
-        let (desk, _server) = desk().await;
-        let mut caller = TcpStream::connect(desk.callers).await.expect("it listens");
+        let (harness, _server) = harness().await;
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         let mut text = String::new();
         for number in 0..3 {
             text += &request(&format!("r{number}"), "/unsafe/x", "");
@@ -181,8 +191,10 @@
         let bounds = document.callers.as_mut().expect("bounds");
         bounds.idle_time = Duration::from_millis(300);
         bounds.header_time = Duration::from_millis(150);
-        let desk = Desk::with(document);
-        let mut caller = TcpStream::connect(desk.callers).await.expect("it listens");
+        let harness = Harness::with(document);
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         caller.write_all(sent.as_bytes()).await.expect("it reads");
         let began = Instant::now();
         let mut bytes = Vec::new();
@@ -214,10 +226,10 @@
             }
         })
         .await;
-        let desk = Desk::with(document());
+        let harness = Harness::with(document());
         let service = if stream { "draft" } else { "ledger" };
-        desk.register("s1", service, "a", server.address);
-        let caller = desk.connect("r1", path, "tokens: 10\r\n").await;
+        harness.register("s1", service, "a", server.address);
+        let caller = harness.connect("r1", path, "tokens: 10\r\n").await;
         sleep(Duration::from_millis(50)).await;
         drop(caller);
         sleep(Duration::from_millis(100)).await;
@@ -233,19 +245,19 @@
         let server = fine().await;
         let mut settings = common::settings();
         settings.bounds.revocation = Duration::from_millis(300);
-        let desk = Desk::start(settings);
-        desk.register("s1", "ledger", "a", server.address);
-        let (_, told) = desk.ask("r0", "/safe/x", "").await;
+        let harness = Harness::start(settings);
+        harness.register("s1", "ledger", "a", server.address);
+        let (_, told) = harness.ask("r0", "/safe/x", "").await;
         assert_eq!(told.expect("an answer").status(), 503, "no document yet");
-        desk.put(1, document());
-        let (_, told) = desk.ask("r1", "/safe/x", "").await;
+        harness.put(1, document());
+        let (_, told) = harness.ask("r1", "/safe/x", "").await;
         assert_eq!(told.expect("an answer").status(), 200);
         sleep(Duration::from_millis(300)).await;
-        let (_, told) = desk.ask("r2", "/safe/x", "").await;
+        let (_, told) = harness.ask("r2", "/safe/x", "").await;
         let told = told.expect("an answer");
         assert_eq!(told.status(), 503);
         assert!(told.header("retry-after").is_some());
-        let mut asker = TcpStream::connect(desk.ready).await.expect("it listens");
+        let mut asker = TcpStream::connect(harness.ready).await.expect("it listens");
         asker
             .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
             .await
@@ -265,12 +277,12 @@
 fn a_request_before_the_first_document_waits_for_it() {
     common::run(async {
         let server = fine().await;
-        let desk = Desk::start(common::settings());
-        let mut early = desk.connect("r0", "/safe/x", "deadline: 4000\r\n").await;
+        let harness = Harness::start(common::settings());
+        let mut early = harness.connect("r0", "/safe/x", "deadline: 4000\r\n").await;
         sleep(Duration::from_millis(50)).await;
-        desk.register("s1", "ledger", "a", server.address);
-        desk.put(1, document());
-        desk.gateway.opened();
+        harness.register("s1", "ledger", "a", server.address);
+        harness.put(1, document());
+        harness.gateway.opened();
         let told = common::read(&mut early).await.expect("an answer");
         assert_eq!((told.status(), server.count()), (200, 1));
     });
@@ -281,13 +293,15 @@
 #[test]
 fn nothing_waits_for_a_document_that_can_not_be_read() {
     common::run(async {
-        let desk = Desk::start(common::settings());
+        let harness = Harness::start(common::settings());
         let began = Instant::now();
-        let mut early = desk.connect("r0", "/safe/x", "deadline: 25000\r\n").await;
+        let mut early = harness
+            .connect("r0", "/safe/x", "deadline: 25000\r\n")
+            .await;
         sleep(Duration::from_millis(50)).await;
-        desk.gateway.opened();
+        harness.gateway.opened();
         let told = common::read(&mut early).await.expect("an answer");
-        let (_, late) = desk.ask("r1", "/safe/x", "deadline: 25000\r\n").await;
+        let (_, late) = harness.ask("r1", "/safe/x", "deadline: 25000\r\n").await;
         for told in [told, late.expect("an answer")] {
             assert_eq!(told.status(), 503);
             assert!(told.header("retry-after").is_some());
@@ -302,9 +316,9 @@
 #[test]
 fn the_wait_for_the_first_document_leaves_most_of_the_time() {
     common::run(async {
-        let desk = Desk::start(common::settings());
+        let harness = Harness::start(common::settings());
         let began = Instant::now();
-        let (_, told) = desk.ask("r0", "/safe/x", "deadline: 800\r\n").await;
+        let (_, told) = harness.ask("r0", "/safe/x", "deadline: 800\r\n").await;
         assert_eq!(told.expect("an answer").status(), 503);
         let waited = began.elapsed();
         assert!(waited >= Duration::from_millis(100) && waited < Duration::from_millis(400));
@@ -316,8 +330,10 @@
 #[test]
 fn a_process_that_stops_answers_what_still_comes() {
     common::run(async {
-        let (desk, _server) = desk().await;
-        let mut kept = TcpStream::connect(desk.callers).await.expect("it listens");
+        let (harness, _server) = harness().await;
+        let mut kept = TcpStream::connect(harness.callers)
+            .await
+            .expect("it listens");
         kept.write_all(request("r1", "/unsafe/x", "").as_bytes())
             .await
             .expect("it reads");
@@ -328,7 +344,7 @@
                 .header("connection"),
             None
         );
-        desk.stop.cancel();
+        harness.stop.cancel();
         sleep(Duration::from_millis(20)).await;
         kept.write_all(request("r2", "/unsafe/x", "").as_bytes())
             .await
@@ -338,9 +354,9 @@
             (told.status(), told.header("connection")),
             (200, Some("close"))
         );
-        let (_, fresh) = desk.ask("r3", "/unsafe/x", "").await;
+        let (_, fresh) = harness.ask("r3", "/unsafe/x", "").await;
         assert_eq!(fresh.expect("an answer").status(), 200);
-        let stopped = timeout(Duration::from_secs(5), desk.stopped.cancelled()).await;
+        let stopped = timeout(Duration::from_secs(5), harness.stopped.cancelled()).await;
         assert!(stopped.is_ok(), "it ends when its connections have");
     });
 }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -34,8 +34,8 @@
     Gateway,
     Settings,
     Update,
-    book::Edition,
     clock,
+    document_cache::Edition,
     edge::{
         Ask,
         Flaw,
@@ -412,7 +412,7 @@
 }
 
 /// A gateway that runs.
-pub struct Desk {
+pub struct Harness {
     /// It.
     pub gateway: Rc<Gateway<Plain>>,
     /// Where callers connect.
@@ -538,9 +538,9 @@
     }
 }
 
-impl Desk {
+impl Harness {
     /// Starts a gateway.
-    pub fn start(settings: Settings) -> Desk {
+    pub fn start(settings: Settings) -> Harness {
         let gateway = Rc::new(Gateway::new(settings, Plain));
         let listeners = gateway.listen().expect("free ports");
         let callers = listeners.callers.local_addr().expect("bound");
@@ -552,7 +552,7 @@
             runs.run(listeners, told).await;
             done.cancel();
         });
-        Desk {
+        Harness {
             gateway,
             callers,
             ready,
@@ -563,10 +563,10 @@
     }
 
     /// Starts a gateway that knows a document.
-    pub fn with(document: Document) -> Desk {
-        let desk = Desk::start(settings());
-        desk.put(1, document);
-        desk
+    pub fn with(document: Document) -> Harness {
+        let harness = Harness::start(settings());
+        harness.put(1, document);
+        harness
     }
 
     /// Puts a document in force.
--- a/components/gateway/tests/departure.rs
+++ b/components/gateway/tests/departure.rs
@@ -6,7 +6,7 @@
 
 use common::{
     Backend,
-    Desk,
+    Harness,
     Message,
     document,
     events,
@@ -34,12 +34,12 @@
     .await
 }
 
-fn stopping_within(grace: Duration) -> (Settings, Desk) {
+fn stopping_within(grace: Duration) -> (Settings, Harness) {
     let mut settings = settings();
     settings.bounds.grace = grace;
-    let desk = Desk::start(settings.clone());
-    desk.put(1, document());
-    (settings, desk)
+    let harness = Harness::start(settings.clone());
+    harness.put(1, document());
+    (settings, harness)
 }
 
 fn retry_after(answer: &Message) -> Duration {
@@ -54,16 +54,16 @@
 #[case::with_a_neighbour(true)]
 fn a_refused_caller_is_told_when_another_entry_can_be_reached(#[case] neighbour: bool) {
     common::run(async move {
-        let (mut settings, desk) = stopping_within(Duration::from_secs(5));
+        let (mut settings, harness) = stopping_within(Duration::from_secs(5));
         let backend = engine().await;
-        desk.register("s1", "draft", "a", backend.address);
-        settings.seeds = vec![desk.peers];
-        let _other = neighbour.then(|| Desk::start(settings));
+        harness.register("s1", "draft", "a", backend.address);
+        settings.seeds = vec![harness.peers];
+        let _other = neighbour.then(|| Harness::start(settings));
         sleep(Duration::from_millis(1200)).await;
-        desk.stop.cancel();
+        harness.stop.cancel();
         let stopped = Instant::now();
         sleep(Duration::from_millis(20)).await;
-        let (_, answer) = desk.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        let (_, answer) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
         let answer = answer.expect("an answer");
         assert_eq!(answer.status(), 503);
         let again = retry_after(&answer);
@@ -83,14 +83,14 @@
 #[test]
 fn the_last_entry_of_a_data_centre_takes_what_fits() {
     common::run(async {
-        let (_, desk) = stopping_within(Duration::from_millis(2000));
+        let (_, harness) = stopping_within(Duration::from_millis(2000));
         let backend = engine().await;
-        desk.register("s1", "draft", "a", backend.address);
-        let (_, usual) = desk.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        harness.register("s1", "draft", "a", backend.address);
+        let (_, usual) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
         assert_eq!(usual.expect("a whole answer").status(), 200);
-        desk.stop.cancel();
+        harness.stop.cancel();
         sleep(Duration::from_millis(20)).await;
-        let (_, answer) = desk.ask("r2", "/stream/x", "tokens: 10\r\n").await;
+        let (_, answer) = harness.ask("r2", "/stream/x", "tokens: 10\r\n").await;
         let answer = answer.expect("a whole answer");
         assert_eq!(answer.status(), 200);
         assert!(answer.text().ends_with("piece 50\n\n"), "{}", answer.text());
--- a/components/gateway/tests/plain.rs
+++ b/components/gateway/tests/plain.rs
@@ -10,7 +10,7 @@
 
 use common::{
     Backend,
-    Desk,
+    Harness,
     Line,
     Message,
     answer,
@@ -118,10 +118,10 @@
             pass.timeout = Some(Duration::from_millis(300));
         }
         let (one, two) = (faulty(fault).await, faulty(fault).await);
-        let desk = Desk::with(document);
-        desk.register("s1", "ledger", "a", one.address);
-        desk.register("s2", "ledger", "a", two.address);
-        let (_, told) = desk.ask("r1", "/unsafe/x", "").await;
+        let harness = Harness::with(document);
+        harness.register("s1", "ledger", "a", one.address);
+        harness.register("s2", "ledger", "a", two.address);
+        let (_, told) = harness.ask("r1", "/unsafe/x", "").await;
         let told = told.expect("an answer");
         let sent = one.count() + two.count();
         match fault {
@@ -153,9 +153,9 @@
             pass.objective = Duration::from_millis(200);
         }
         let bad = faulty(fault).await;
-        let desk = Desk::with(document);
-        desk.register("s1", "ledger", "a", bad.address);
-        let mut asked = desk.connect("r1", "/safe/x", "").await;
+        let harness = Harness::with(document);
+        harness.register("s1", "ledger", "a", bad.address);
+        let mut asked = harness.connect("r1", "/safe/x", "").await;
         sleep(Duration::from_millis(5)).await;
         let good = Backend::start(|message, line| async move {
             line.write(&answer(
@@ -167,9 +167,9 @@
             true
         })
         .await;
-        desk.register("s2", "ledger", "a", good.address);
+        harness.register("s2", "ledger", "a", good.address);
         let began = Instant::now();
-        let (_, second) = desk.ask("r2", "/safe/x", "").await;
+        let (_, second) = harness.ask("r2", "/safe/x", "").await;
         assert_eq!(second.expect("an answer").status(), 200);
         assert!(began.elapsed() < Duration::from_secs(1));
         // The first one met the fault before there was a second server, unless it waits for it.
@@ -195,10 +195,10 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "ledger", "a", server.address);
+        let harness = Harness::with(document());
+        harness.register("s1", "ledger", "a", server.address);
         for id in ["r1", "r2", "r3"] {
-            let (_, told) = desk.ask(id, "/unsafe/x", "").await;
+            let (_, told) = harness.ask(id, "/unsafe/x", "").await;
             assert_eq!(told.expect("an answer").text(), format!("balance of {id}"));
         }
     });
@@ -217,10 +217,10 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "ledger", "a", server.address);
+        let harness = Harness::with(document());
+        harness.register("s1", "ledger", "a", server.address);
         for id in ["r1", "r2", "r3"] {
-            let (_, told) = desk.ask(id, "/unsafe/x", "").await;
+            let (_, told) = harness.ask(id, "/unsafe/x", "").await;
             assert_eq!(told.expect("an answer").text(), "fine");
             sleep(Duration::from_millis(10)).await;
         }
@@ -247,9 +247,9 @@
             false
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "ledger", "a", server.address);
-        let (_, told) = desk.ask("r1", "/unsafe/x", "").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "ledger", "a", server.address);
+        let (_, told) = harness.ask("r1", "/unsafe/x", "").await;
         assert_eq!(told.expect("an answer").status(), status);
     });
 }
@@ -270,9 +270,9 @@
             whole
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "ledger", "a", server.address);
-        let (_, told) = desk.ask("r1", "/safe/x", "").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "ledger", "a", server.address);
+        let (_, told) = harness.ask("r1", "/safe/x", "").await;
         match whole {
             true => assert_eq!(told.expect("a whole answer").body.len(), length),
             false => assert!(told.is_err()),
@@ -295,10 +295,10 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "ledger", "a", server.address);
+        let harness = Harness::with(document());
+        harness.register("s1", "ledger", "a", server.address);
         let more = "deadline: 5000\r\ncontent-length: 7\r\n\r\namount=";
-        let mut caller = desk.connect("r1", "/unsafe/pay?n=5", more).await;
+        let mut caller = harness.connect("r1", "/unsafe/pay?n=5", more).await;
         let _ = common::read(&mut caller).await;
         let seen: Message = server.seen.borrow()[0].clone();
         assert_eq!(seen.first, "POST /unsafe/pay?n=5 HTTP/1.1");
--- a/components/gateway/tests/queue.rs
+++ b/components/gateway/tests/queue.rs
@@ -14,7 +14,7 @@
 
 use common::{
     Backend,
-    Desk,
+    Harness,
     Line,
     Message,
     document,
@@ -58,10 +58,10 @@
 fn a_burst_waits_at_the_entry() {
     common::run(async {
         let (backend, most) = engine(20).await;
-        let desk = Desk::with(document());
-        desk.register_slots("s1", "draft", "a", backend.address, 2);
+        let harness = Harness::with(document());
+        harness.register_slots("s1", "draft", "a", backend.address, 2);
         let ids: Vec<String> = (0..6).map(|number| format!("r{number}")).collect();
-        let asked = ids.iter().map(|id| desk.ask(id, "/stream/x", PROMPT));
+        let asked = ids.iter().map(|id| harness.ask(id, "/stream/x", PROMPT));
         for (_, answer) in join_all(asked).await {
             assert_eq!(answer.expect("a whole answer").status(), 200);
         }
@@ -76,13 +76,13 @@
 fn a_request_that_cannot_be_begun_in_its_time_is_refused_early() {
     common::run(async {
         let (backend, _) = engine(200).await;
-        let desk = Desk::with(document());
-        desk.register_slots("s1", "draft", "a", backend.address, 1);
-        let _busy = desk.connect("r1", "/stream/x", PROMPT).await;
+        let harness = Harness::with(document());
+        harness.register_slots("s1", "draft", "a", backend.address, 1);
+        let _busy = harness.connect("r1", "/stream/x", PROMPT).await;
         sleep(PACE * 3).await;
         let came = Instant::now();
         let hurried = "tokens: 100\r\ndeadline: 1000\r\n";
-        let (_, answer) = desk.ask("r2", "/stream/x", hurried).await;
+        let (_, answer) = harness.ask("r2", "/stream/x", hurried).await;
         let answer = answer.expect("an answer");
         assert!(
             came.elapsed() < Duration::from_millis(300),
@@ -106,16 +106,16 @@
 fn a_stream_that_waits_is_refused_when_the_process_stops() {
     common::run(async {
         let (backend, _) = engine(400).await;
-        let desk = Desk::with(document());
-        desk.register_slots("s1", "draft", "a", backend.address, 1);
-        let _busy = desk.connect("r1", "/stream/x", PROMPT).await;
+        let harness = Harness::with(document());
+        harness.register_slots("s1", "draft", "a", backend.address, 1);
+        let _busy = harness.connect("r1", "/stream/x", PROMPT).await;
         sleep(PACE * 3).await;
         let stopping = async {
             sleep(PACE * 10).await;
-            desk.stop.cancel();
+            harness.stop.cancel();
             Instant::now()
         };
-        let (stopped, (_, answer)) = tokio::join!(stopping, desk.ask("r2", "/stream/x", PROMPT));
+        let (stopped, (_, answer)) = tokio::join!(stopping, harness.ask("r2", "/stream/x", PROMPT));
         assert!(
             stopped.elapsed() < Duration::from_millis(300),
             "{:?}",
@@ -133,14 +133,14 @@
 fn a_caller_that_leaves_gives_its_place_up() {
     common::run(async {
         let (backend, _) = engine(20).await;
-        let desk = Desk::with(document());
-        desk.register_slots("s1", "draft", "a", backend.address, 1);
-        let _busy = desk.connect("r1", "/stream/x", PROMPT).await;
+        let harness = Harness::with(document());
+        harness.register_slots("s1", "draft", "a", backend.address, 1);
+        let _busy = harness.connect("r1", "/stream/x", PROMPT).await;
         sleep(PACE * 3).await;
-        let gone = desk.connect("r2", "/stream/x", PROMPT).await;
+        let gone = harness.connect("r2", "/stream/x", PROMPT).await;
         sleep(PACE * 3).await;
         drop(gone);
-        let (_, answer) = desk.ask("r3", "/stream/x", PROMPT).await;
+        let (_, answer) = harness.ask("r3", "/stream/x", PROMPT).await;
         assert_eq!(answer.expect("a whole answer").status(), 200);
         let ran: Vec<String> = backend
             .seen
@@ -189,14 +189,14 @@
             long_engine(&[30, 60], &ended).await,
             long_engine(&[60], &ended).await,
         ];
-        let desk = Desk::with(document());
-        desk.register_slots("s1", "draft", "a", servers[0].address, 5);
-        desk.register_slots("s2", "draft", "b", servers[1].address, 5);
+        let harness = Harness::with(document());
+        harness.register_slots("s1", "draft", "a", servers[0].address, 5);
+        harness.register_slots("s2", "draft", "b", servers[1].address, 5);
         let prompt = format!("tokens: {tokens}\r\n");
         let mut callers = Vec::new();
         for number in 0..11 {
             let id = format!("r{number}");
-            callers.push(desk.connect(&id, "/stream/x", &prompt).await);
+            callers.push(harness.connect(&id, "/stream/x", &prompt).await);
             sleep(PACE).await;
         }
         // One ends, and the one that waited takes its place, as there is no other. Then one more ends at
@@ -205,7 +205,7 @@
             sleep(PACE).await;
         }
         sleep(PACE * 5).await;
-        callers.push(desk.connect("r11", "/stream/x", &prompt).await);
+        callers.push(harness.connect("r11", "/stream/x", &prompt).await);
         let last = loop {
             sleep(PACE).await;
             let all = servers
--- a/components/gateway/tests/returning.rs
+++ b/components/gateway/tests/returning.rs
@@ -10,7 +10,7 @@
 
 use common::{
     Backend,
-    Desk,
+    Harness,
     answer,
     document,
     events,
@@ -58,18 +58,18 @@
         let ran = Ran::default();
         let other = engine("other", "", &ran).await;
         let holder = engine("holder", "77:5000", &ran).await;
-        let desk = Desk::with(document());
+        let harness = Harness::with(document());
         if registering {
-            desk.gateway.registering(Duration::from_secs(2));
+            harness.gateway.registering(Duration::from_secs(2));
         }
-        desk.register("s1", "draft", "a", other.address);
+        harness.register("s1", "draft", "a", other.address);
         let more = "tokens: 5000\r\nparts: 77:5000\r\nafter: 4\r\ndeadline: 15000\r\n";
         let register = async {
             sleep(Duration::from_millis(400)).await;
-            desk.register("s2", "draft", "b", holder.address);
+            harness.register("s2", "draft", "b", holder.address);
         };
         let began = Instant::now();
-        let ((_, answer), ()) = tokio::join!(desk.ask("r1", "/stream/x", more), register);
+        let ((_, answer), ()) = tokio::join!(harness.ask("r1", "/stream/x", more), register);
         assert_eq!(answer.expect("a whole answer").status(), 200);
         assert_eq!(*ran.borrow(), [expected]);
         assert!(began.elapsed() < Duration::from_secs(1));
@@ -82,12 +82,12 @@
     common::run(async {
         let ran = Ran::default();
         let other = engine("other", "", &ran).await;
-        let desk = Desk::with(document());
-        desk.gateway.registering(Duration::from_millis(300));
-        desk.register("s1", "draft", "a", other.address);
+        let harness = Harness::with(document());
+        harness.gateway.registering(Duration::from_millis(300));
+        harness.register("s1", "draft", "a", other.address);
         let more = "tokens: 5000\r\nparts: 77:5000\r\nafter: 4\r\ndeadline: 15000\r\n";
         let began = Instant::now();
-        let (_, answer) = desk.ask("r1", "/stream/x", more).await;
+        let (_, answer) = harness.ask("r1", "/stream/x", more).await;
         assert_eq!(answer.expect("a whole answer").status(), 200);
         assert!(began.elapsed() < Duration::from_millis(800));
     });
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -10,7 +10,7 @@
 
 use common::{
     Backend,
-    Desk,
+    Harness,
     Line,
     Message,
     document,
@@ -42,9 +42,9 @@
         let mut document = document();
         let callers = document.callers.as_mut().expect("bounds");
         callers.idle_time = Duration::from_millis(200);
-        let desk = Desk::with(document);
-        desk.register("s1", "draft", "a", backend.address);
-        let (_, answer) = desk.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document);
+        harness.register("s1", "draft", "a", backend.address);
+        let (_, answer) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
         let answer = answer.expect("a whole answer");
         assert_eq!(answer.status(), 200);
         assert!(answer.text().ends_with("piece 40\n\n"), "{}", answer.text());
@@ -77,11 +77,11 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", dying.address);
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", dying.address);
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE / 2).await;
-        desk.register("s2", "draft", "b", other.address);
+        harness.register("s2", "draft", "b", other.address);
         let answer = common::read(&mut caller).await.expect("a whole answer");
         let mut expected = String::new();
         for id in 1..=6 {
@@ -107,20 +107,20 @@
         .await;
         let mut settings = common::settings();
         settings.bounds.grace = Duration::from_secs(1);
-        let desk = Desk::start(settings);
-        desk.put(1, document());
-        desk.register("s1", "draft", "a", backend.address);
-        let (_, answer) = desk.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::start(settings);
+        harness.put(1, document());
+        harness.register("s1", "draft", "a", backend.address);
+        let (_, answer) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
         assert_eq!(answer.expect("a whole answer").status(), 200);
         let ((), running) = tokio::join!(
             async {
                 tokio::time::sleep(PACE).await;
-                desk.stop.cancel();
+                harness.stop.cancel();
             },
-            desk.ask("r2", "/stream/x", "tokens: 10\r\n")
+            harness.ask("r2", "/stream/x", "tokens: 10\r\n")
         );
         assert_eq!(running.1.expect("finished within the grace").status(), 200);
-        let (_, late) = desk.ask("r3", "/stream/x", "tokens: 10\r\n").await;
+        let (_, late) = harness.ask("r3", "/stream/x", "tokens: 10\r\n").await;
         let late = late.expect("an answer");
         assert_eq!(late.status(), 503);
         assert!(late.header("retry-after").is_some());
@@ -141,11 +141,11 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", backend.address);
-        desk.stop.cancel();
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", backend.address);
+        harness.stop.cancel();
         tokio::time::sleep(PACE).await;
-        let (_, answer) = desk.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        let (_, answer) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
         assert_eq!(answer.expect("an answer").status(), 503);
         assert_eq!(backend.count(), 0);
     });
@@ -183,11 +183,11 @@
             false
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", losing.address);
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", losing.address);
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE / 2).await;
-        desk.register("s2", "draft", "b", other.address);
+        harness.register("s2", "draft", "b", other.address);
         let answer = common::read(&mut caller).await.expect("a whole answer");
         assert_eq!(answer.text(), pieces(1, 6));
         assert_eq!(runs.get(), 2);
@@ -216,10 +216,10 @@
             true
         };
         let (one, two) = (Backend::start(work).await, Backend::start(work).await);
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", one.address);
-        desk.register("s2", "draft", "b", two.address);
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", one.address);
+        harness.register("s2", "draft", "b", two.address);
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE * 2).await;
         let (first, second) = if one.count() == 1 {
             (one, two)
@@ -270,10 +270,10 @@
         };
         let one = Backend::start(work.clone()).await;
         let two = Backend::start(work).await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", one.address);
-        desk.register("s2", "draft", "b", two.address);
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", one.address);
+        harness.register("s2", "draft", "b", two.address);
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE * 2).await;
         let (first, second) = match one.count() {
             1 => (one, two),
@@ -285,7 +285,7 @@
             false
         })
         .await;
-        desk.register("s3", "draft", "c", third.address);
+        harness.register("s3", "draft", "c", third.address);
         let answer = common::read(&mut caller).await.expect("a whole answer");
         let count = answer.text().matches("piece").count() as u64;
         assert_eq!(answer.text(), pieces(1, count));
@@ -320,12 +320,12 @@
             Backend::start(work).await,
             Backend::start(work).await,
         ];
-        let desk = Desk::with(document());
+        let harness = Harness::with(document());
         let names = ["s1", "s2", "s3"];
         for (name, server) in names.iter().zip(&servers) {
-            desk.register(name, "draft", name, server.address);
+            harness.register(name, "draft", name, server.address);
         }
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE * 3).await;
         let run = servers.iter().position(|server| server.count() == 1);
         let run = run.expect("one of them runs it");
@@ -336,7 +336,7 @@
             .iter()
             .position(|s| Some(s.address.to_string()) == backup);
         let holder = holder.expect("one of them holds the copy");
-        desk.gateway.learn(Update::Gone(names[holder].into()));
+        harness.gateway.learn(Update::Gone(names[holder].into()));
         tokio::time::sleep(PACE * 20).await;
         let third = 3 - run - holder;
         let asked = servers[run].seen.borrow()[1].clone();
@@ -376,11 +376,11 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", mute.address);
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", mute.address);
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE).await;
-        desk.register("s2", "draft", "b", other.address);
+        harness.register("s2", "draft", "b", other.address);
         let began = Instant::now();
         let answer = timeout(Duration::from_secs(19), common::read(&mut caller)).await;
         let answer = answer.expect("in time").expect("a whole answer");
@@ -408,11 +408,11 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", hung.address);
-        let mut caller = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", hung.address);
+        let mut caller = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
         tokio::time::sleep(PACE).await;
-        desk.register("s9", "draft", "a", hung.address);
+        harness.register("s9", "draft", "a", hung.address);
         let answer = timeout(Duration::from_secs(1), common::read(&mut caller)).await;
         let answer = answer.expect("in time").expect("a whole answer");
         assert_eq!(answer.text(), pieces(1, 3));
@@ -435,13 +435,13 @@
         for _ in 0..8 {
             servers.push(Backend::start(work).await);
         }
-        let desk = Desk::with(document());
+        let harness = Harness::with(document());
         for (number, server) in servers.iter().enumerate() {
-            desk.register(&format!("s{number}"), "draft", "a", server.address);
+            harness.register(&format!("s{number}"), "draft", "a", server.address);
         }
         for round in 0..5 {
             let parts = format!("tokens: 5000\r\nparts: 7:200,{round}9:4800\r\n");
-            let caller = desk
+            let caller = harness
                 .connect(&format!("a{round}"), "/stream/x", &parts)
                 .await;
             tokio::time::sleep(PACE * 3).await;
@@ -449,7 +449,9 @@
             drop(caller);
             tokio::time::sleep(PACE).await;
             let more = format!("{parts}after: 2\r\n");
-            let caller = desk.connect(&format!("b{round}"), "/stream/x", &more).await;
+            let caller = harness
+                .connect(&format!("b{round}"), "/stream/x", &more)
+                .await;
             tokio::time::sleep(PACE * 2).await;
             assert_eq!(holder(&servers, &format!("b{round}")), first);
             drop(caller);
@@ -494,23 +496,23 @@
             true
         })
         .await;
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", backend.address);
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", backend.address);
         for turn in 0..8 {
             let id = format!("r{turn}");
-            let (_, answer) = desk.ask(&id, "/stream/x", "tokens: 30000\r\n").await;
+            let (_, answer) = harness.ask(&id, "/stream/x", "tokens: 30000\r\n").await;
             assert_eq!(answer.expect("a whole answer").status(), 200);
         }
         let late = "tokens: 30000\r\nafter: 2\r\ndeadline: 60\r\n";
-        let (_, answer) = desk.ask("room", "/stream/x", late).await;
+        let (_, answer) = harness.ask("room", "/stream/x", late).await;
         assert!(answer.is_err(), "tried, and its time ends in the middle");
         assert_eq!(backend.count(), 9);
-        let _long = desk
+        let _long = harness
             .connect("long", "/stream/x", "tokens: 30000\r\nafter: 30\r\n")
             .await;
         tokio::time::sleep(PACE).await;
         let came = Instant::now();
-        let (_, answer) = desk.ask("late", "/stream/x", late).await;
+        let (_, answer) = harness.ask("late", "/stream/x", late).await;
         let answer = answer.expect("an answer");
         assert!(came.elapsed() < PACE, "{:?}", came.elapsed());
         assert_eq!(answer.status(), 503);
@@ -521,7 +523,7 @@
         );
         assert_eq!(backend.count(), 10);
         let enough = "tokens: 30000\r\nafter: 18\r\ndeadline: 1000\r\n";
-        let (_, answer) = desk.ask("enough", "/stream/x", enough).await;
+        let (_, answer) = harness.ask("enough", "/stream/x", enough).await;
         assert_eq!(answer.expect("a whole answer").status(), 200);
     });
 }
@@ -548,20 +550,20 @@
             })
         };
         let (near, far) = (engine("1:20").await, engine("1:20,77:9000,78:8000").await);
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", near.address);
-        desk.register("s2", "draft", "b", far.address);
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", near.address);
+        harness.register("s2", "draft", "b", far.address);
         let runs = |backend: &Backend| {
             let seen = backend.seen.borrow();
             let runs = seen.iter().filter(|message| message.header("id").is_some());
             runs.count()
         };
         let back = "tokens: 9020\r\nafter: 3\r\nparts: 1:20,77:9000\r\n";
-        let (_, answer) = desk.ask("r1", "/stream/x", back).await;
+        let (_, answer) = harness.ask("r1", "/stream/x", back).await;
         assert_eq!(answer.expect("a whole answer").text(), pieces(4, 6));
         assert_eq!((runs(&near), runs(&far)), (0, 1));
         let other = "tokens: 8020\r\nafter: 3\r\nparts: 1:20,78:8000\r\n";
-        let (_, answer) = desk.ask("r2", "/stream/x", other).await;
+        let (_, answer) = harness.ask("r2", "/stream/x", other).await;
         assert_eq!(answer.expect("a whole answer").text(), pieces(4, 6));
         assert_eq!((runs(&near), runs(&far)), (0, 2));
         assert_eq!((near.count(), far.count()), (1, 3));
@@ -588,11 +590,11 @@
             })
         };
         let (near, far) = (engine("1:20").await, engine("1:20,77:9000").await);
-        let desk = Desk::with(document());
-        desk.register("s1", "draft", "a", near.address);
-        desk.register("s2", "draft", "b", far.address);
+        let harness = Harness::with(document());
+        harness.register("s1", "draft", "a", near.address);
+        harness.register("s2", "draft", "b", far.address);
         let back = "tokens: 9020\r\ndeadline: 4000\r\nparts: 1:20,77:9000\r\n";
-        let (_, answer) = desk.ask("r1", "/stream/x", back).await;
+        let (_, answer) = harness.ask("r1", "/stream/x", back).await;
         assert_eq!(answer.expect("a whole answer").text(), pieces(1, 6));
         assert_eq!((near.count(), far.count()), (1, 2));
     });
@@ -621,14 +623,14 @@
         let mut document = document();
         // Left alone, the second stream would be looked into after a quarter of this.
         document.routes[2].pass.as_mut().expect("passed").objective = Duration::from_secs(20);
-        let desk = Desk::with(document);
-        desk.register("s1", "draft", "a", one.address);
-        let mut begun = desk.connect("r1", "/stream/x", "tokens: 10\r\n").await;
-        let mut waiting = desk.connect("r2", "/stream/x", "tokens: 10\r\n").await;
+        let harness = Harness::with(document);
+        harness.register("s1", "draft", "a", one.address);
+        let mut begun = harness.connect("r1", "/stream/x", "tokens: 10\r\n").await;
+        let mut waiting = harness.connect("r2", "/stream/x", "tokens: 10\r\n").await;
         while one.count() < 2 {
             tokio::time::sleep(PACE).await;
         }
-        desk.register("s2", "draft", "b", two.address);
+        harness.register("s2", "draft", "b", two.address);
         one.deafen();
         let dark = Instant::now();
         for caller in [&mut begun, &mut waiting] {
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -13,8 +13,8 @@
 };
 
 use self::{
-    seat::Seat,
-    sign::Losses, //
+    candidate::Candidate,
+    suspicion::Losses, //
 };
 use crate::{
     Outcome,
@@ -30,17 +30,17 @@
     Version, //
 };
 
+mod candidate;
 mod choice;
-mod seat;
-mod sign;
+mod suspicion;
 
 pub use choice::{
     Choice,
+    Request, //
     Versions,
     Why,
-    Wish, //
 };
-pub use sign::Sign;
+pub use suspicion::Suspicion;
 
 /// What is known of a server from its registration.
 #[derive(Clone, Debug, PartialEq)]
@@ -106,7 +106,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     settings: Settings,
-    seats: BTreeMap<Server, Seat>,
+    candidates: BTreeMap<Server, Candidate>,
     losses: Losses,
     /// Usual time of a request, in seconds, by service.
     times: HashMap<Service, f64>,
@@ -131,63 +131,70 @@
 
     /// Adds a server, or changes what is known of it.
     pub fn put(&mut self, now: Clock, server: &Server, facts: Facts, leaving: bool) {
-        if let Some(seat) = self.seats.get_mut(server) {
-            seat.learn(facts);
-            seat.leaving = leaving;
+        if let Some(candidate) = self.candidates.get_mut(server) {
+            candidate.learn(facts);
+            candidate.leaving = leaving;
             return;
         }
-        let mut seat = Seat::new(now, server, facts, leaving);
-        seat.peers = self.of_peers(server);
-        seat.stand(server, self.place);
-        self.seats.insert(server.clone(), seat);
+        let mut candidate = Candidate::new(now, server, facts, leaving);
+        candidate.peers = self.of_peers(server);
+        candidate.stand(server, self.place);
+        self.candidates.insert(server.clone(), candidate);
     }
 
     /// Forgets a server.
     pub fn remove(&mut self, server: &Server) {
-        self.seats.remove(server);
+        self.candidates.remove(server);
     }
 
     /// Whether a server is known.
     pub fn knows(&self, server: &Server) -> bool {
-        self.seats.contains_key(server)
+        self.candidates.contains_key(server)
     }
 
     /// The servers that are known.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
-        self.seats.keys()
+        self.candidates.keys()
     }
 
     /// What a server's registration says.
     pub fn facts(&self, server: &Server) -> Option<&Facts> {
-        self.seats.get(server).map(|seat| &seat.facts)
+        self.candidates
+            .get(server)
+            .map(|candidate| &candidate.facts)
     }
 
     /// Whether a server takes new work as far as its registration says.
     pub fn open(&self, server: &Server) -> bool {
-        self.seats.get(server).is_some_and(|seat| !seat.leaving)
+        self.candidates
+            .get(server)
+            .is_some_and(|candidate| !candidate.leaving)
     }
 
     /// Notes work that was sent.
     pub fn sent(&mut self, now: Clock, server: &Server, work: Work) {
-        if let Some(seat) = self.seats.get_mut(server) {
-            seat.sent(now, work);
+        if let Some(candidate) = self.candidates.get_mut(server) {
+            candidate.sent(now, work);
         }
     }
 
     /// Notes that a prompt was read, `time` after it was sent, when `ahead` tokens were to be read
     /// at its server.
     pub fn read(&mut self, now: Clock, server: &Server, tokens: u64, ahead: u64, time: Duration) {
-        let Some(seat) = self.seats.get_mut(server) else {
+        let Some(candidate) = self.candidates.get_mut(server) else {
             return;
         };
-        seat.own.unread = seat.own.unread.saturating_sub(tokens);
-        seat.member.answered();
+        candidate.own.unread = candidate.own.unread.saturating_sub(tokens);
+        candidate.member.answered();
         if ahead == 0 {
             return;
         }
         let pace = time.as_secs_f64() / ahead as f64;
-        let known = self.paces.entry(seat.facts.service.clone()).or_insert(pace);
-        seat.speed.learn(now, pace / *known);
+        let known = self
+            .paces
+            .entry(candidate.facts.service.clone())
+            .or_insert(pace);
+        candidate.speed.learn(now, pace / *known);
         *known += PACE_FRESH * (pace - *known);
     }
 
@@ -205,7 +212,9 @@
 
     /// Tokens of prompts that are to be read at a server.
     pub fn unread(&self, server: &Server) -> u64 {
-        self.seats.get(server).map_or(0, |seat| seat.all().unread)
+        self.candidates
+            .get(server)
+            .map_or(0, |candidate| candidate.all().unread)
     }
 
     /// Usual time of a plain request of a service.
@@ -215,15 +224,15 @@
 
     /// Time that the prompts which are to be read at a server usually take.
     pub fn expected(&self, server: &Server) -> Option<Duration> {
-        let seat = self.seats.get(server)?;
-        let pace = self.paces.get(&seat.facts.service)?;
-        Duration::try_from_secs_f64(pace * seat.all().unread as f64).ok()
+        let candidate = self.candidates.get(server)?;
+        let pace = self.paces.get(&candidate.facts.service)?;
+        Duration::try_from_secs_f64(pace * candidate.all().unread as f64).ok()
     }
 
     /// Time that a prompt usually takes at a server of the same service that reads nothing else.
     pub fn alone(&self, server: &Server, unread: u64) -> Option<Duration> {
-        let seat = self.seats.get(server)?;
-        let pace = self.paces.get(&seat.facts.service)?;
+        let candidate = self.candidates.get(server)?;
+        let pace = self.paces.get(&candidate.facts.service)?;
         Duration::try_from_secs_f64(pace * unread as f64).ok()
     }
 
@@ -231,65 +240,72 @@
     pub fn done(&mut self, now: Clock, server: &Server, work: Work, outcome: Outcome) {
         // Thousands of engines are looked at only when one of them failed.
         let plain = self
-            .seats
+            .candidates
             .get(server)
-            .is_some_and(|seat| seat.facts.memory == 0);
+            .is_some_and(|candidate| candidate.facts.memory == 0);
         let (others, better) = match plain || outcome == Outcome::Failed {
             true => self.others(now, server),
             false => (0.0, 0.0),
         };
-        let Some(seat) = self.seats.get_mut(server) else {
+        let Some(candidate) = self.candidates.get_mut(server) else {
             return;
         };
-        seat.own.take(work);
+        candidate.own.take(work);
         let usual = Duration::from_secs(1);
-        seat.member.done(now, outcome, usual, &self.settings);
+        candidate.member.done(now, outcome, usual, &self.settings);
         let answers = matches!(outcome, Outcome::Served { .. } | Outcome::Failed);
         if plain && answers {
             let failed = outcome == Outcome::Failed;
-            seat.member.weigh(now, failed, better, &self.settings);
+            candidate.member.weigh(now, failed, better, &self.settings);
         }
         // Of engines the time to read a prompt is known, which tells more.
         if let Outcome::Served { time } = outcome
-            && seat.facts.memory == 0
+            && candidate.facts.memory == 0
         {
             let time = time.as_secs_f64();
-            let known = self.times.entry(seat.facts.service.clone()).or_insert(time);
-            seat.speed.learn(now, time / known.max(f64::MIN_POSITIVE));
+            let known = self
+                .times
+                .entry(candidate.facts.service.clone())
+                .or_insert(time);
+            candidate
+                .speed
+                .learn(now, time / known.max(f64::MIN_POSITIVE));
             *known += TIME_FRESH * (time - *known);
         }
         if outcome == Outcome::Failed {
-            seat.member.judge(now, others, &self.settings);
+            candidate.member.judge(now, others, &self.settings);
         }
     }
 
     /// Notes that a server should get no new work for a while.
-    pub fn lost(&mut self, now: Clock, server: &Server, sign: Sign) {
-        let Some(seat) = self.seats.get_mut(server) else {
+    pub fn lost(&mut self, now: Clock, server: &Server, suspicion: Suspicion) {
+        let Some(candidate) = self.candidates.get_mut(server) else {
             return;
         };
-        seat.suspend(now, sign);
-        self.losses.note(now, seat.domain.clone(), server, sign);
+        candidate.suspend(now, suspicion);
+        self.losses
+            .note(now, candidate.domain.clone(), server, suspicion);
     }
 
     /// When this entry or a peer last found a server dark, or enough of its data centre that it is
     /// probably dark too.
     pub fn doubted(&self, now: Clock, server: &Server) -> Option<Clock> {
-        let seat = self.seats.get(server)?;
-        self.losses.doubted(now, &seat.domain, server, seat.heard)
+        let candidate = self.candidates.get(server)?;
+        self.losses
+            .doubted(now, &candidate.domain, server, candidate.heard)
     }
 
     /// Notes that a server answered.
     pub fn alive(&mut self, now: Clock, server: &Server) {
-        if let Some(seat) = self.seats.get_mut(server) {
-            seat.alive(now);
+        if let Some(candidate) = self.candidates.get_mut(server) {
+            candidate.alive(now);
         }
     }
 
     /// Notes a sign of life that was given at a time, such as a heartbeat in the register.
     pub fn heard(&mut self, at: Clock, server: &Server) {
-        if let Some(seat) = self.seats.get_mut(server) {
-            seat.heard = seat.heard.max(at);
+        if let Some(candidate) = self.candidates.get_mut(server) {
+            candidate.heard = candidate.heard.max(at);
         }
     }
 
@@ -297,8 +313,8 @@
     pub fn peer(&mut self, peer: Peer, loads: HashMap<Server, Work>) {
         self.forget(peer);
         for (server, work) in &loads {
-            if let Some(seat) = self.seats.get_mut(server) {
-                seat.peers.add(*work);
+            if let Some(candidate) = self.candidates.get_mut(server) {
+                candidate.peers.add(*work);
             }
         }
         self.peers.insert(peer, loads);
@@ -307,8 +323,8 @@
     /// Forgets the work of a peer that ended or fell silent.
     pub fn forget(&mut self, peer: Peer) {
         for (server, work) in self.peers.remove(&peer).unwrap_or_default() {
-            if let Some(seat) = self.seats.get_mut(&server) {
-                seat.peers.take(work);
+            if let Some(candidate) = self.candidates.get_mut(&server) {
+                candidate.peers.take(work);
             }
         }
     }
@@ -316,26 +332,26 @@
     /// Work of this entry, by server.
     pub fn own(&self) -> impl Iterator<Item = (&Server, Work)> {
         let busy = self
-            .seats
+            .candidates
             .iter()
-            .filter(|(_, seat)| seat.own != Work::default());
-        busy.map(|(server, seat)| (server, seat.own))
+            .filter(|(_, candidate)| candidate.own != Work::default());
+        busy.map(|(server, candidate)| (server, candidate.own))
     }
 
     /// What this entry or a peer noted of servers a moment ago.
-    pub fn losses(&self, now: Clock) -> Vec<(&Server, Duration, Sign)> {
+    pub fn losses(&self, now: Clock) -> Vec<(&Server, Duration, Suspicion)> {
         self.losses.told(now)
     }
 
     /// Takes a loss that a peer saw.
-    pub fn peer_lost(&mut self, at: Clock, server: &Server, sign: Sign) {
-        let Some(seat) = self.seats.get(server) else {
+    pub fn peer_lost(&mut self, at: Clock, server: &Server, suspicion: Suspicion) {
+        let Some(candidate) = self.candidates.get(server) else {
             return;
         };
-        if seat.knows_better(at) {
+        if candidate.knows_better(at) {
             return;
         }
-        self.lost(at, server, sign);
+        self.lost(at, server, suspicion);
     }
 
     /// Notes this entry's place among all, and their number.
@@ -344,8 +360,8 @@
             return;
         }
         self.place = place;
-        for (server, seat) in &mut self.seats {
-            seat.stand(server, place);
+        for (server, candidate) in &mut self.candidates {
+            candidate.stand(server, place);
         }
     }
 
@@ -360,15 +376,15 @@
     /// Share of failures among the other servers of the same service, and among the better half of
     /// them: of three servers two may have the same fault.
     fn others(&self, now: Clock, server: &Server) -> (f64, f64) {
-        let Some(own) = self.seats.get(server) else {
+        let Some(own) = self.candidates.get(server) else {
             return (0.0, 0.0);
         };
         let mut counts: Vec<(f64, f64)> = Vec::new();
-        for (name, seat) in &self.seats {
-            if name == server || seat.facts.service != own.facts.service {
+        for (name, candidate) in &self.candidates {
+            if name == server || candidate.facts.service != own.facts.service {
                 continue;
             }
-            counts.push(seat.member.counts(now, &self.settings));
+            counts.push(candidate.member.counts(now, &self.settings));
         }
         let half = counts.len().div_ceil(2);
         if half < counts.len() {
--- a/components/routing/src/placement/seat.rs
+++ b/components/routing/src/placement/candidate.rs
@@ -11,44 +11,44 @@
 use super::{
     FEW,
     Facts,
-    Sign,
-    Wish,
+    Request,
+    Suspicion,
     Work,
-    sign::Domain, //
+    suspicion::Domain, //
 };
 use crate::member::Member;
 
 /// Time for which a server that couldn't be reached gets no new work while there are others; it
 /// doubles with each time in a row.
-const SUSPENDED: Duration = Duration::from_millis(400);
+const SUSPENSION: Duration = Duration::from_millis(400);
 
 /// Longest such time: servers that crash are back within seconds.
-const SUSPENDED_MOST: Duration = Duration::from_secs(3);
+const MAX_SUSPENSION: Duration = Duration::from_secs(3);
 
 /// Time for which the first work after a suspension goes alone. Without it all that comes at the
 /// moment a suspension ends goes to the server that failed last, as it has nothing to do.
-const TRIAL: Duration = Duration::from_millis(400);
+const TRIAL_TIME: Duration = Duration::from_millis(400);
 
 /// Weight of a prompt that is still to be read, against the memory that it fills. Reading delays
 /// all that runs beside it; memory only counts when it runs out.
-const READING: f64 = 4.0;
+const UNREAD_WEIGHT: f64 = 4.0;
 
 /// Weight of a prompt for each request that runs beside it: it is delayed while the prompt is read.
-const DISTURBED: f64 = 2.0;
+const INTERFERENCE_WEIGHT: f64 = 2.0;
 
 /// Load that a server in another data centre must be lower by to be preferred.
-const FAR: f64 = 0.01;
+const CROSS_DATA_CENTRE_PENALTY: f64 = 0.01;
 
 /// Largest offset between entries: less than a single prompt, so that it only breaks ties.
-const SPREAD: f64 = 0.05;
+const TIE_BREAK: f64 = 0.05;
 
 /// Load that a server of another entry's part must be lower by to be preferred: less than a prompt
 /// that is to be read, so that nobody waits behind one while a server stands idle.
-const OTHERS: f64 = 0.12;
+const FOREIGN_PART_PENALTY: f64 = 0.12;
 
 /// A server as a place for work.
 #[derive(Clone, Debug)]
-pub(super) struct Seat {
+pub(super) struct Candidate {
     pub(super) facts: Facts,
     /// Where it may be lost together with others; looked up for each server at each choice.
     pub(super) domain: Domain,
@@ -58,7 +58,7 @@
     pub(super) peers: Work,
     pub(super) speed: Speed,
     suspended: Clock,
-    sign: Sign,
+    suspicion: Suspicion,
     row: u32,
     /// While this is ahead, work after a suspension is on trial.
     trial: Clock,
@@ -70,9 +70,9 @@
     pub(super) is_own: bool,
 }
 
-impl Seat {
-    pub(super) fn new(now: Clock, server: &Server, facts: Facts, leaving: bool) -> Seat {
-        Seat {
+impl Candidate {
+    pub(super) fn new(now: Clock, server: &Server, facts: Facts, leaving: bool) -> Candidate {
+        Candidate {
             domain: domain(&facts),
             facts,
             leaving,
@@ -81,7 +81,7 @@
             peers: Work::default(),
             speed: Speed::default(),
             suspended: Clock::ZERO,
-            sign: Sign::Refused,
+            suspicion: Suspicion::Refused,
             row: 0,
             trial: Clock::ZERO,
             heard: now,
@@ -96,10 +96,10 @@
         self.facts = facts;
     }
 
-    pub(super) fn suspend(&mut self, now: Clock, sign: Sign) {
-        let time = SUSPENDED * (1 << self.row.min(4));
-        self.suspended = now + time.min(SUSPENDED_MOST);
-        self.sign = sign;
+    pub(super) fn suspend(&mut self, now: Clock, suspicion: Suspicion) {
+        let time = SUSPENSION * (1 << self.row.min(4));
+        self.suspended = now + time.min(MAX_SUSPENSION);
+        self.suspicion = suspicion;
         self.row += 1;
         self.trial = Clock::ZERO;
     }
@@ -116,7 +116,7 @@
         self.own.add(work);
         self.member.sent(now);
         if self.row > 0 {
-            self.trial = now + TRIAL;
+            self.trial = now + TRIAL_TIME;
         }
     }
 
@@ -127,7 +127,7 @@
 
     /// Whether it couldn't be reached a moment ago.
     pub(super) fn is_unreachable(&self, now: Clock) -> bool {
-        self.suspended > now && self.sign.unreachable()
+        self.suspended > now && self.suspicion.unreachable()
     }
 
     /// Whether it was heard, or suspended, after a time.
@@ -173,26 +173,26 @@
     }
 
     /// The load that the server would have with the work, of whose prompt it has `known` tokens.
-    pub(super) fn load(&self, now: Clock, wish: &Wish<'_>, known: u64) -> f64 {
+    pub(super) fn load(&self, now: Clock, request: &Request<'_>, known: u64) -> f64 {
         let all = self.all();
         let slowness = self.speed.slowness(now);
-        let requests = f64::from(all.requests + wish.work.requests);
+        let requests = f64::from(all.requests + request.work.requests);
         let mut load = requests / f64::from(self.facts.slots.max(1)) * slowness;
         if self.facts.memory > 0 {
-            let unread = all.unread + wish.work.unread.saturating_sub(known);
-            let reading = READING * unread as f64 * slowness;
+            let unread = all.unread + request.work.unread.saturating_sub(known);
+            let reading = UNREAD_WEIGHT * unread as f64 * slowness;
             let memory = self.facts.memory as f64;
-            let prompt = wish.work.unread.saturating_sub(known) as f64;
-            let disturbed = DISTURBED * prompt * f64::from(all.requests) * slowness;
+            let prompt = request.work.unread.saturating_sub(known) as f64;
+            let disturbed = INTERFERENCE_WEIGHT * prompt * f64::from(all.requests) * slowness;
             load += (reading + disturbed) / memory + (all.tokens as f64 / memory).powi(2);
         }
-        if self.facts.data_centre != *wish.home {
-            load += FAR;
+        if self.facts.data_centre != *request.home {
+            load += CROSS_DATA_CENTRE_PENALTY;
         }
         if !self.is_own {
-            load += OTHERS;
+            load += FOREIGN_PART_PENALTY;
         }
-        load + SPREAD * self.turn
+        load + TIE_BREAK * self.turn
     }
 
     /// Notes the place of this entry among all, and their number. Entries that are too many to know
@@ -212,14 +212,14 @@
 }
 
 /// Weight of a new reading in a server's slowness.
-const FRESH: f64 = 0.25;
+const EWMA_WEIGHT: f64 = 0.25;
 
 /// Bounds of one reading: a single long request says little.
-const READINGS: (f64, f64) = (0.25, 10.0);
+const RATIO_BOUNDS: (f64, f64) = (0.25, 10.0);
 
 /// Time after which a slowness that isn't read again counts half: a server that gets no work for
 /// its slowness must be tried again.
-const HALF: Duration = Duration::from_secs(4);
+const HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// How slow a server is against the others of its service.
 #[derive(Clone, Copy, Debug)]
@@ -240,16 +240,16 @@
 impl Speed {
     /// Takes a reading: the time that a piece of work took, against the usual one.
     pub(super) fn learn(&mut self, now: Clock, ratio: f64) {
-        let ratio = ratio.clamp(READINGS.0, READINGS.1);
+        let ratio = ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
         let known = self.slowness(now);
-        self.slowness = known + FRESH * (ratio - known);
+        self.slowness = known + EWMA_WEIGHT * (ratio - known);
         self.at = now;
     }
 
     /// 1 for a server that is as quick as the others, 2 for one that takes twice as long.
     pub(super) fn slowness(&self, now: Clock) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        let left = (-age / HALF.as_secs_f64()).exp2();
+        let left = (-age / HALF_LIFE.as_secs_f64()).exp2();
         1.0 + (self.slowness - 1.0) * left
     }
 }
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -18,7 +18,7 @@
     FEW,
     Placement,
     Work,
-    seat::Seat, //
+    candidate::Candidate, //
 };
 use crate::Part;
 
@@ -65,7 +65,7 @@
 
 /// What is asked of a placement.
 #[derive(Clone, Debug)]
-pub struct Wish<'a> {
+pub struct Request<'a> {
     /// Service that must serve it.
     pub service: &'a Service,
     /// Where the entry is.
@@ -125,18 +125,21 @@
         let pace = self.paces.get(service).copied();
         let tokens = pace.map(|pace| within.as_secs_f64() / pace.max(f64::MIN_POSITIVE));
         let mut room = 0_u32;
-        for seat in self.seats.values() {
-            if seat.leaving || seat.facts.service != *service || seat.is_suspended(now) {
+        for candidate in self.candidates.values() {
+            if candidate.leaving
+                || candidate.facts.service != *service
+                || candidate.is_suspended(now)
+            {
                 continue;
             }
-            if !versions.allow(&seat.facts.version) {
+            if !versions.allow(&candidate.facts.version) {
                 continue;
             }
-            let doubted = self.losses.shaken(now, &seat.domain, seat.heard);
-            if doubted || seat.member.ejected(now) || seat.member.refusing(now) {
+            let doubted = self.losses.shaken(now, &candidate.domain, candidate.heard);
+            if doubted || candidate.member.ejected(now) || candidate.member.refusing(now) {
                 continue;
             }
-            room = room.saturating_add(seat.room(now, work, tokens));
+            room = room.saturating_add(candidate.room(now, work, tokens));
         }
         room
     }
@@ -144,33 +147,41 @@
     /// Part of the memory of a service's servers that is taken, among those that can be reached.
     pub fn fill(&self, now: Clock, service: &Service) -> f64 {
         let (mut taken, mut memory) = (0, 0);
-        for seat in self.seats.values() {
-            if seat.leaving || seat.facts.service != *service || seat.is_unreachable(now) {
+        for candidate in self.candidates.values() {
+            if candidate.leaving
+                || candidate.facts.service != *service
+                || candidate.is_unreachable(now)
+            {
                 continue;
             }
-            taken += seat.all().tokens;
-            memory += seat.facts.memory;
+            taken += candidate.all().tokens;
+            memory += candidate.facts.memory;
         }
         taken as f64 / memory.max(1) as f64
     }
 
     /// Whether a server is known, takes work and can be reached as far as is known.
     pub fn usable(&self, now: Clock, server: &Server) -> bool {
-        let Some(seat) = self.seats.get(server) else {
+        let Some(candidate) = self.candidates.get(server) else {
             return false;
         };
-        !seat.leaving && !seat.is_unreachable(now)
+        !candidate.leaving && !candidate.is_unreachable(now)
     }
 
     /// Chooses a server: the least loaded of those that can be used.
-    pub fn choose(&self, now: Clock, wish: &Wish<'_>, rng: &mut impl Rng) -> Option<Choice> {
-        self.pick(now, wish, u8::MAX, f64::INFINITY, rng)
+    pub fn choose(&self, now: Clock, request: &Request<'_>, rng: &mut impl Rng) -> Option<Choice> {
+        self.pick(now, request, u8::MAX, f64::INFINITY, rng)
     }
 
     /// Chooses a server that has room for a copy. A copy is worth no more than the work that it
     /// would take the place of, so a server that is only just good enough isn't taken.
-    pub fn choose_backup(&self, now: Clock, wish: &Wish<'_>, rng: &mut impl Rng) -> Option<Choice> {
-        self.pick(now, wish, NEAR, COPIES, rng)
+    pub fn choose_backup(
+        &self,
+        now: Clock,
+        request: &Request<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        self.pick(now, request, NEAR, COPIES, rng)
     }
 
     /// The least loaded server against which at most `worst` speaks, and of whose memory at most a
@@ -178,26 +189,26 @@
     fn pick(
         &self,
         now: Clock,
-        wish: &Wish<'_>,
+        request: &Request<'_>,
         worst: u8,
         part: f64,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
         let mut best: Option<((u8, bool, f64), &Server)> = None;
-        let seats = self.seats.iter().filter(|(_, seat)| {
-            let serves = !seat.leaving && seat.facts.service == *wish.service;
-            serves && wish.versions.allow(&seat.facts.version)
+        let candidates = self.candidates.iter().filter(|(_, candidate)| {
+            let serves = !candidate.leaving && candidate.facts.service == *request.service;
+            serves && request.versions.allow(&candidate.facts.version)
         });
-        let among = u32::try_from(seats.clone().count()).unwrap_or(u32::MAX);
+        let among = u32::try_from(candidates.clone().count()).unwrap_or(u32::MAX);
         let drawn = self.drawn(among);
-        for (server, seat) in seats {
-            let tier = self.tier(now, server, seat, wish);
-            if tier > worst || seat.use_with(wish.work) > part {
+        for (server, candidate) in candidates {
+            let tier = self.tier(now, server, candidate, request);
+            if tier > worst || candidate.use_with(request.work) > part {
                 continue;
             }
-            let known = self.prompts.known(now, wish.parts, server);
-            let load = seat.load(now, wish, known) + rng.random_range(0.0..JITTER);
-            let passed_over = known == 0 && !seat.is_own && !rng.random_bool(drawn);
+            let known = self.prompts.known(now, request.parts, server);
+            let load = candidate.load(now, request, known) + rng.random_range(0.0..JITTER);
+            let passed_over = known == 0 && !candidate.is_own && !rng.random_bool(drawn);
             let rank = (tier, passed_over, load);
             if best.is_none_or(|(known, _)| rank < known) {
                 best = Some((rank, server));
@@ -221,13 +232,19 @@
     }
 
     /// 0 for a server that is wanted, more for one that is only taken for want of others.
-    fn tier(&self, now: Clock, server: &Server, seat: &Seat, wish: &Wish<'_>) -> u8 {
-        let avoided = wish.avoid.contains(server);
-        let ejected = seat.member.ejected(now);
-        let full = seat.member.refusing(now) || !seat.fits(wish.work);
-        let near = wish.avoid_data_centre == Some(&seat.facts.data_centre);
-        let suspended = seat.is_suspended(now);
-        let shaken = self.losses.shaken(now, &seat.domain, seat.heard);
+    fn tier(
+        &self,
+        now: Clock,
+        server: &Server,
+        candidate: &Candidate,
+        request: &Request<'_>,
+    ) -> u8 {
+        let avoided = request.avoid.contains(server);
+        let ejected = candidate.member.ejected(now);
+        let full = candidate.member.refusing(now) || !candidate.fits(request.work);
+        let near = request.avoid_data_centre == Some(&candidate.facts.data_centre);
+        let suspended = candidate.is_suspended(now);
+        let shaken = self.losses.shaken(now, &candidate.domain, candidate.heard);
         u8::from(suspended) * SUSPENDED
             + u8::from(avoided) * AVOIDED
             + u8::from(shaken) * SHAKEN
--- a/components/routing/src/placement/sign.rs
+++ b/components/routing/src/placement/suspicion.rs
@@ -24,7 +24,7 @@
 
 /// What speaks against sending new work to a server for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sign {
+pub enum Suspicion {
     /// It refused a connection: its process is gone, and its host is there.
     Refused,
     /// Nothing comes back from it at all. One server that goes dark says more of its data centre
@@ -36,19 +36,19 @@
     Full,
 }
 
-impl Sign {
+impl Suspicion {
     /// How much it says of the rest of the data centre, see [`MANY`].
     fn weight(self) -> usize {
         match self {
-            Sign::Refused => 1,
-            Sign::Dark => MANY,
-            Sign::Broke | Sign::Full => 0,
+            Suspicion::Refused => 1,
+            Suspicion::Dark => MANY,
+            Suspicion::Broke | Suspicion::Full => 0,
         }
     }
 
     /// Whether what the server holds is out of reach as well.
     pub(super) fn unreachable(self) -> bool {
-        matches!(self, Sign::Refused | Sign::Dark)
+        matches!(self, Suspicion::Refused | Suspicion::Dark)
     }
 }
 
@@ -58,14 +58,20 @@
 /// Servers that were lost of late.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Losses {
-    domains: HashMap<Domain, HashMap<Server, (Clock, Sign)>>,
+    domains: HashMap<Domain, HashMap<Server, (Clock, Suspicion)>>,
 }
 
 impl Losses {
-    pub(super) fn note(&mut self, now: Clock, domain: Domain, server: &Server, sign: Sign) {
+    pub(super) fn note(
+        &mut self,
+        now: Clock,
+        domain: Domain,
+        server: &Server,
+        suspicion: Suspicion,
+    ) {
         let lost = self.domains.entry(domain).or_default();
         lost.retain(|_, (at, _)| now.saturating_sub(*at) <= DOUBTED);
-        lost.insert(server.clone(), (now, sign));
+        lost.insert(server.clone(), (now, suspicion));
     }
 
     /// Whether so many servers were lost together that another one of the domain, which was last
@@ -75,10 +81,10 @@
             return false;
         };
         let mut weight = 0;
-        for (at, sign) in lost.values() {
+        for (at, suspicion) in lost.values() {
             // Whoever was heard since is not meant.
             if now.saturating_sub(*at) <= DOUBTED && heard <= *at {
-                weight += sign.weight();
+                weight += suspicion.weight();
             }
         }
         weight >= MANY
@@ -94,7 +100,8 @@
         heard: Clock,
     ) -> Option<Clock> {
         let lost = self.domains.get(domain)?;
-        let dark = |(at, sign): &(Clock, Sign)| *sign == Sign::Dark && *at >= heard;
+        let dark =
+            |(at, suspicion): &(Clock, Suspicion)| *suspicion == Suspicion::Dark && *at >= heard;
         let own = lost.get(server).copied().filter(dark);
         if let Some((at, _)) = own {
             return Some(at);
@@ -107,13 +114,13 @@
     }
 
     /// Losses that peers are told of, with their age.
-    pub(super) fn told(&self, now: Clock) -> Vec<(&Server, Duration, Sign)> {
+    pub(super) fn told(&self, now: Clock) -> Vec<(&Server, Duration, Suspicion)> {
         let mut told = Vec::new();
         for lost in self.domains.values() {
-            for (server, (at, sign)) in lost {
+            for (server, (at, suspicion)) in lost {
                 let age = now.saturating_sub(*at);
                 if age <= TOLD {
-                    told.push((server, age, *sign));
+                    told.push((server, age, *suspicion));
                 }
             }
         }
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -15,9 +15,9 @@
     Outcome, Placement,
     placement::{
         Facts,
-        Sign,
+        Request,
+        Suspicion,
         Versions,
-        Wish,
         Work, //
     },
 };
@@ -63,7 +63,7 @@
 
 fn choose(placement: &Placement, rng: &mut SmallRng) -> Server {
     let (service, home) = ("draft".to_string(), "dc0");
-    let wish = Wish {
+    let request = Request {
         service: &service,
         home,
         work: WORK,
@@ -72,7 +72,7 @@
         versions: Versions::Any,
         avoid_data_centre: None,
     };
-    let choice = placement.choose(Duration::ZERO, &wish, rng);
+    let choice = placement.choose(Duration::ZERO, &request, rng);
     choice.expect("there are servers").server
 }
 
@@ -149,20 +149,20 @@
 /// What others saw of a server, or of its data centre, is news for a stream there: servers that went
 /// dark with it, but not those that broke a connection or answered since.
 #[rstest]
-#[case::itself(&[("s0", Sign::Dark)], None, true)]
-#[case::one_beside_it(&[("s3", Sign::Dark)], None, true)]
-#[case::another_data_centre(&[("s1", Sign::Dark)], None, false)]
-#[case::processes_that_are_gone(&[("s0", Sign::Refused), ("s3", Sign::Refused)], None, false)]
-#[case::heard_since(&[("s3", Sign::Dark)], Some(2), false)]
+#[case::itself(&[("s0", Suspicion::Dark)], None, true)]
+#[case::one_beside_it(&[("s3", Suspicion::Dark)], None, true)]
+#[case::another_data_centre(&[("s1", Suspicion::Dark)], None, false)]
+#[case::processes_that_are_gone(&[("s0", Suspicion::Refused), ("s3", Suspicion::Refused)], None, false)]
+#[case::heard_since(&[("s3", Suspicion::Dark)], Some(2), false)]
 fn a_server_is_doubted(
-    #[case] lost: &[(&str, Sign)],
+    #[case] lost: &[(&str, Suspicion)],
     #[case] heard: Option<u64>,
     #[case] doubted: bool,
 ) {
     let mut placement = entries(1, 6, |_| 0).remove(0);
     let second = Duration::from_secs(1);
-    for (server, sign) in lost {
-        placement.lost(second, &server.to_string(), *sign);
+    for (server, suspicion) in lost {
+        placement.lost(second, &server.to_string(), *suspicion);
     }
     let server = "s0".to_string();
     if let Some(heard) = heard {
@@ -241,7 +241,7 @@
 
 fn request(placement: &mut Placement, now: Duration, rng: &mut SmallRng) -> Server {
     let (service, home) = ("draft".to_string(), "elsewhere");
-    let wish = Wish {
+    let request = Request {
         service: &service,
         home,
         work: CALL,
@@ -250,7 +250,7 @@
         versions: Versions::Any,
         avoid_data_centre: None,
     };
-    let choice = placement.choose(now, &wish, rng).expect("a server");
+    let choice = placement.choose(now, &request, rng).expect("a server");
     placement.sent(now, &choice.server, CALL);
     choice.server
 }
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -191,12 +191,12 @@
     /// How long ago, in milliseconds.
     pub age_ms: u32,
     /// What speaks against it.
-    pub sign: Sign,
+    pub suspicion: Suspicion,
 }
 
 /// What speaks against a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Sign {
+pub enum Suspicion {
     /// It refused a connection.
     Refused,
     /// Nothing came back from it, not even a refusal.
--- a/components/spread/src/fresh.rs
+++ b/components/spread/src/fresh.rs
@@ -15,29 +15,29 @@
 };
 
 /// Age of the newest claim at which the first process asks the store.
-const ASK: Duration = Duration::from_millis(1000);
+const QUESTION_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// Further age for each process that is before this one in the order: if it asks in time, its claim
 /// is here before.
-const TURN: Duration = Duration::from_millis(200);
+const TURN_DELAY: Duration = Duration::from_millis(200);
 
 /// Processes that wait for their turn one behind the other; those behind them share the last turn.
-const TURNS: u32 = 6;
+const MAX_TURNS: u32 = 6;
 
-/// Time before the next try after one that failed; it doubles with each up to [`AGAIN_MOST`], as a
+/// Time before the next try after one that failed; it doubles with each up to [`MAX_BACKOFF`], as a
 /// call that is refused is paid for too.
-const AGAIN: Duration = Duration::from_millis(200);
+const BACKOFF: Duration = Duration::from_millis(200);
 
 /// Longest time between two tries. Processes try by turns, so that the store's return is noticed
 /// sooner than this.
-const AGAIN_MOST: Duration = Duration::from_millis(1200);
+const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 
 /// Time for which changes that are missing may still be on their way from a peer: from the one that
 /// found them out, at a process that listens to the store, and at one that listens to that.
-const PATIENCE: (Duration, Duration) = (Duration::from_millis(75), Duration::from_millis(150));
+const FETCH_DELAYS: (Duration, Duration) = (Duration::from_millis(75), Duration::from_millis(150));
 
 /// Age of the newest claim at which a process that listens to others listens to the store itself.
-const ALONE: Duration = Duration::from_millis(2200);
+const TAKEOVER_AGE: Duration = Duration::from_millis(2200);
 
 /// The store's revision was `revision` at `at` or later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -159,8 +159,8 @@
     /// are no reason to call sooner.
     pub fn failed(&mut self, now: Clock) {
         let age = self.newest.map(|newest| now.saturating_sub(newest));
-        self.turned_away = age.is_some_and(|age| age <= ALONE);
-        let wait = (AGAIN * (1 << self.failures.min(5))).min(AGAIN_MOST);
+        self.turned_away = age.is_some_and(|age| age <= TAKEOVER_AGE);
+        let wait = (BACKOFF * (1 << self.failures.min(5))).min(MAX_BACKOFF);
         self.again = now + wait;
         self.failures += 1;
     }
@@ -172,7 +172,7 @@
 
     /// When this process asks the store whether what is known is current.
     pub fn due(&self) -> Clock {
-        let turn = ASK + TURN * self.place.min(TURNS);
+        let turn = QUESTION_INTERVAL + TURN_DELAY * self.place.min(MAX_TURNS);
         let due = self.newest.map_or(Clock::ZERO, |newest| newest + turn);
         due.max(self.again)
     }
@@ -185,7 +185,7 @@
     /// When this process reads missing changes itself, instead of waiting for a peer's message. The
     /// one that found them out does so at once, and tells the others.
     pub fn fetch(&self) -> Option<Clock> {
-        let (listening, other) = PATIENCE;
+        let (listening, other) = FETCH_DELAYS;
         let patience = match (self.found, self.place_near) {
             (true, _) => Duration::ZERO,
             (false, 0) => listening,
@@ -197,6 +197,6 @@
     /// Whether this process listens to the store for changes, or to its peers.
     pub fn listens(&self, now: Clock) -> bool {
         let age = self.newest.map(|newest| now.saturating_sub(newest));
-        self.place_near == 0 || age.is_none_or(|age| age > ALONE)
+        self.place_near == 0 || age.is_none_or(|age| age > TAKEOVER_AGE)
     }
 }
