Sum up what became of all requests of some logs

Windows go by the hosts' time of day: by the steady clocks brought together, a restarted host's requests fell into windows 25 s too early, as it learns at its start what others learned before.

Missing arguments end with 2, as before. An SVG over time isn't built.

--- a/components/report/src/explain.rs
+++ b/components/report/src/explain.rs
@@ -8,6 +8,7 @@
 mod cause;
 mod clocks;
 mod line;
+pub mod summary;
 
 use std::{
     collections::BTreeSet,
--- a/components/report/src/explain/cause.rs
+++ b/components/report/src/explain/cause.rs
@@ -6,15 +6,15 @@
 };
 
 const STARTED: u64 = 100;
-const REFUSED: u64 = 1000;
+pub(super) const REFUSED: u64 = 1000;
 const SENT: u64 = 1001;
-const ANSWERED: u64 = 1002;
+pub(super) const ANSWERED: u64 = 1002;
 const DECLINED: u64 = 1003;
 const LOST: u64 = 1004;
-const FAILED: u64 = 1005;
+pub(super) const FAILED: u64 = 1005;
 const RESUMED: u64 = 1006;
-const CUT: u64 = 1007;
-const ABANDONED: u64 = 1008;
+pub(super) const CUT: u64 = 1007;
+pub(super) const ABANDONED: u64 = 1008;
 const STORE_LOST: u64 = 1105;
 
 /// Whether a line tells of a request's end.
--- a/components/report/tests/explain.rs
+++ b/components/report/tests/explain.rs
@@ -1,9 +1,19 @@
 //! Requests' stories, from lines that processes wrote on a played day. The lines of one host are
 //! shifted: its time of day by five seconds, its steady clock by an hour.
 
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
 use report::explain::{
+    Line,
     explain,
-    read, //
+    read,
+    summary::{
+        Summary,
+        summary, //
+    }, //
 };
 use rstest::rstest;
 
@@ -52,3 +62,28 @@
     assert_eq!(read(&mixed).len(), 1);
     assert!(explain(&read(&mixed), "nobody").is_none());
 }
+
+/// Guards against a summary that counts a request twice, or tells another cause than its story does.
+#[test]
+fn a_summary_has_each_request_once_with_its_cause() {
+    let lines = read(LOG);
+    let ids: BTreeSet<_> = lines.iter().filter_map(Line::id).collect();
+    let summary = summary(&lines, Duration::from_secs(2));
+    let by_kind: u64 = summary
+        .kinds
+        .values()
+        .flat_map(|kind| kind.outcomes.values())
+        .sum();
+    let by_time: u64 = summary
+        .windows
+        .iter()
+        .flat_map(|window| window.outcomes.values())
+        .sum();
+    assert_eq!((by_kind, by_time), (ids.len() as u64, ids.len() as u64));
+    insta::assert_snapshot!("summary", summary.to_string());
+}
+
+#[test]
+fn a_summary_of_nothing_is_empty() {
+    assert_eq!(summary(&[], Duration::from_secs(2)), Summary::default());
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,8 @@
 
 use std::{
     path::PathBuf,
-    process::ExitCode, //
+    process::ExitCode,
+    time::Duration, //
 };
 
 use argh::FromArgs;
@@ -44,16 +45,23 @@
     Demo(Demo),
 }
 
-/// Tell what became of a request and why, from the log files of any number of processes.
+/// Tell what became of a request and why, or with --summary of all requests, from the log files of
+/// any number of processes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Explain {
-    /// id of the request
-    #[argh(positional)]
-    pub id: String,
-    /// log files; what isn't a log line of ours is passed over
+    /// sum up all requests by kind, cause and time; only log files are named then
+    #[argh(switch)]
+    pub summary: bool,
+    /// with --summary: length of a window of time, in seconds (2)
+    #[argh(option, default = "Duration::from_secs(2)", from_str_fn(seconds))]
+    pub window: Duration,
+    /// with --summary: print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// id of the request, then log files; what isn't a log line of ours is passed over
     #[argh(positional)]
-    pub files: Vec<PathBuf>,
+    pub words: Vec<String>,
 }
 
 /// Work with settings files.
@@ -352,3 +360,13 @@
         ExitCode::from(USAGE)
     })
 }
+
+/// Reads a length of time in seconds.
+fn seconds(text: &str) -> Result<Duration, String> {
+    let seconds: f64 = text.parse().map_err(|_| format!("{text} is no number"))?;
+    let time = Duration::try_from_secs_f64(seconds).map_err(|error| error.to_string())?;
+    match time.is_zero() {
+        true => Err("a window is longer than nothing".into()),
+        false => Ok(time),
+    }
+}
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -18,6 +18,8 @@
     Failed(String),
     /// Somebody can't be reached: nothing is known.
     Unreachable(String),
+    /// The arguments are wrong.
+    Usage(String),
 }
 
 impl Failure {
@@ -26,6 +28,7 @@
         match self {
             Self::Failed(_) => ExitCode::from(1),
             Self::Unreachable(_) => ExitCode::from(3),
+            Self::Usage(_) => ExitCode::from(USAGE),
         }
     }
 }
@@ -33,7 +36,9 @@
 impl fmt::Display for Failure {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Failed(message) | Self::Unreachable(message) => formatter.write_str(message),
+            Self::Failed(message) | Self::Unreachable(message) | Self::Usage(message) => {
+                formatter.write_str(message)
+            }
         }
     }
 }
