Tell peers of changes that don't fit a datagram in several

Each change of the document (9.4 KB, 40 teams) is read from the store by all 103 processes, as a change that is too long for a datagram was left out; 36 hosts that the store turns away fail to read it once a second each. And 1,001 datagrams could not be read: 54 removals at once made 1,464 bytes, as only the items' own bytes counted against the 1,400 of a datagram and not the frame of each, so that the end was cut off and a data centre's loss reached nobody.

Change: changes that don't fit go compressed (miniz_oxide) in up to 64 numbered fragments under the hash of the whole. A receiver keeps eight unfinished messages at most; a lost fragment leaves the whole to the store, as a lost datagram did.

Tests (spread, fragments): each message fits, for 54 removals and a document of 9,500 bytes too (fails on the code before); fragments of several peers in any order and twice; one lost; one changed; many that are never complete.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -15,12 +15,15 @@
 use spread::{
     Fresh,
     beacon::{
+        self,
         Age,
         Beacon,
         Changes,
+        MAX_DATAGRAM,
         Message,
         News,
         Reach,
+        Reassembly,
         Table, //
     },
 };
@@ -47,16 +50,9 @@
     settings::Settings, //
 };
 
-/// Longest beacon that is sent, in bytes: one that doesn't fit a packet is lost with any of its
-/// parts.
-const MAX_DATAGRAM: usize = 1400;
-
 /// Bytes that are kept free for the echo and the message's kind.
 const ECHO_BYTES: usize = 34;
 
-/// Bytes of changes in one datagram; the rest is for their frame.
-const MAX_ITEMS: usize = MAX_DATAGRAM - 100;
-
 /// Pace at which it is looked whether there is news.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
 
@@ -67,6 +63,7 @@
     shared: Shared,
     told: Option<Clock>,
     changes: Exchange,
+    reassembly: Reassembly,
     incarnation: u64,
     sequence: u64,
     /// Bytes of the last beacon.
@@ -112,6 +109,7 @@
             shared,
             told: None,
             changes,
+            reassembly: Reassembly::default(),
             incarnation,
             sequence: 0,
             size: 0,
@@ -231,14 +229,21 @@
     fn pass_on(&self, changes: Changes, reach: Reach) {
         let home = self.shared.settings.borrow().data_centre.clone();
         let audience = self.table.audience(&home, reach);
-        for part in parts(changes) {
-            let message = Message::Changes(part);
+        for message in beacon::split(changes) {
             for target in &audience {
                 self.post(&message, *target);
             }
         }
     }
 
+    /// Takes changes from a peer that is heard.
+    fn heard(&self, from: SocketAddr, changes: Changes) {
+        if self.table.knows(from) {
+            // Nobody listens any more when the process ends.
+            let _ = self.changes.inward.send(changes);
+        }
+    }
+
     fn take(&mut self, received: io::Result<(usize, SocketAddr)>, bytes: &[u8]) {
         let Ok((length, from)) = received else {
             return;
@@ -246,9 +251,12 @@
         let beacon = match postcard::from_bytes(&bytes[..length]) {
             Ok(Message::Beacon(beacon)) => beacon,
             Ok(Message::Changes(changes)) => {
-                if self.table.knows(from) {
-                    // Nobody listens any more when the process ends.
-                    let _ = self.changes.inward.send(changes);
+                self.heard(from, changes);
+                return;
+            }
+            Ok(Message::Fragment(fragment)) => {
+                if let Some(changes) = self.reassembly.add(from, fragment) {
+                    self.heard(from, changes);
                 }
                 return;
             }
@@ -305,33 +313,3 @@
         }
     }
 }
-
-/// Cuts changes into parts that fit a datagram each. A change that is too long for one is left out
-/// with all behind it: whoever misses them reads them from the store.
-fn parts(changes: Changes) -> Vec<Changes> {
-    let mut parts = Vec::new();
-    let mut part = Changes {
-        from: changes.from,
-        to: changes.from,
-        items: Vec::new(),
-    };
-    let mut size = 0;
-    for (revision, item) in changes.items {
-        if item.len() > MAX_ITEMS {
-            parts.push(part);
-            return parts;
-        }
-        if size + item.len() > MAX_ITEMS {
-            let next = part.to;
-            parts.push(std::mem::take(&mut part));
-            part.from = next;
-            size = 0;
-        }
-        size += item.len();
-        part.to = revision;
-        part.items.push((revision, item));
-    }
-    part.to = changes.to;
-    parts.push(part);
-    parts
-}
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -23,8 +23,15 @@
 
 use crate::fresh::Claim;
 
+mod fragment;
 mod table;
 
+pub use fragment::{
+    Fragment,
+    MAX_DATAGRAM,
+    Reassembly,
+    split, //
+};
 pub use table::{
     News,
     Reach,
@@ -122,6 +129,8 @@
     Beacon(Box<Beacon>),
     /// What it heard from the store.
     Changes(Changes),
+    /// A part of what it heard from the store.
+    Fragment(Fragment),
     /// Addresses of peers, for one that hears few.
     Introduction(Vec<SocketAddr>),
 }
