Count only sends that may reach a server as retries; ask again where a lost stream may go

When a move of traffic is done, the servers of the old version stop. Streams that waited there for their first event kept the versions that they might go to when they came, and tried the old version's servers one after the other: 64 refused connections for one stream, 806 counted retries within ten seconds against 573 requests of all entries. Six seconds later a data centre's engines crash; 85 sends to go on were denied for want of retries, and 34 streams were cut.

Ruled out: engines without room (256 of the new version, a fifth taken); the old version getting new streams after the move (none).

Change: a stream asks for its versions again before each further try. A send that reached no server leaves its count to the next one; it isn't an arrival that a server has to bear. After eight servers in a row that can't be reached a stream that hasn't run is refused as not run, one that has begun waits 100 ms before each try.

--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -103,6 +103,7 @@
         call,
         class,
         tried: Vec::new(),
+        unsent: 0,
         answer: None,
     };
     plain.run().await
@@ -118,6 +119,8 @@
     sends: Sends,
     /// Servers that it was sent to.
     tried: Vec<Server>,
+    /// Sends that were counted and reached no server.
+    unsent: u32,
     /// The last answer of a server.
     answer: Option<Response<Body>>,
 }
@@ -137,6 +140,7 @@
             };
             let mut verdict = Verdict::Send;
             for end in ends {
+                self.unsent += u32::from(end.ending == Ending::Unsent);
                 self.answer = end.answer.or(self.answer.take());
                 verdict = self.sends.ended(end.ending);
             }
@@ -163,7 +167,10 @@
         let chosen = self.context.fleet.borrow_mut().choose(&request)?;
         let first = self.tried.is_empty();
         let service = &self.call.service;
-        if !self.context.may_send(service, first, Purpose::First) {
+        // Only what may reach a server counts.
+        if self.unsent > 0 {
+            self.unsent -= 1;
+        } else if !self.context.may_send(service, first, Purpose::First) {
             return None;
         }
         self.tried.push(chosen.server.clone());
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -24,7 +24,10 @@
     StatusCode, //
 };
 use names::Server;
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use crate::{
     body::{
@@ -65,6 +68,13 @@
 /// Sends that a server declined after which a request is refused.
 const DECLINED: u32 = 4;
 
+/// Servers in a row that can't be reached after which a request is refused, or one that has begun
+/// waits before each further try. What is known of the rest is no better then.
+const UNREACHABLE: u32 = 8;
+
+/// Time between tries while servers can't be reached.
+const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(100);
+
 /// Answers a request with a stream.
 pub async fn run<E: Edge + 'static>(context: &Rc<Context<E>>, call: Call) -> Response<Body> {
     let mut story = Story {
@@ -77,6 +87,8 @@
         tried: Vec::new(),
         ran: Vec::new(),
         lost: None,
+        unsent: 0,
+        unreachable: 0,
         heard: Instant::now(),
         first: None,
         gap: Duration::ZERO,
@@ -118,6 +130,10 @@
     ran: Vec<Server>,
     /// Server of the run that was lost last.
     lost: Option<Server>,
+    /// Sends that were counted and reached no server.
+    unsent: u32,
+    /// Servers in a row that couldn't be reached.
+    unreachable: u32,
     /// When the caller was last sent an event, or the request came.
     heard: Instant,
     /// Time from the request to its first event.
@@ -146,10 +162,7 @@
             if self.ran.is_empty() && !self.worth_trying(&chosen) {
                 return Err(self.call.refuse(&Refusal::Hopeless));
             }
-            if !self
-                .context
-                .may_send(&self.call.service, first, Purpose::First)
-            {
+            if !self.may_send(first, Purpose::First) {
                 spent = true;
                 break;
             }
@@ -160,6 +173,7 @@
                     status,
                     headers,
                 } => {
+                    self.unreachable = 0;
                     return Ok(Begun {
                         run,
                         status,
@@ -169,7 +183,10 @@
                 Start::Late => {
                     return Err(failure.unwrap_or_else(|| self.call.refuse(&Refusal::Late)));
                 }
-                Start::Unreachable => {}
+                Start::Unreachable if self.ran.is_empty() && self.unreachable >= UNREACHABLE => {
+                    break;
+                }
+                Start::Unreachable => self.unreachable().await,
                 Start::Declined => {
                     declined += 1;
                     if declined > DECLINED {
@@ -186,6 +203,8 @@
             if self.over() {
                 break;
             }
+            // The move may have ended meanwhile, and the servers that it left with it.
+            self.pick = self.context.moving.limit(&self.call.service);
         }
         Err(match failure {
             Some(response) => response,
@@ -200,6 +219,25 @@
         Instant::now() >= self.call.until
     }
 
+    /// Counts a send; `false` when it is a retry and there is none left. Only what may reach a server
+    /// is one.
+    fn may_send(&mut self, first: bool, purpose: Purpose) -> bool {
+        if self.unsent > 0 {
+            self.unsent -= 1;
+            return true;
+        }
+        self.context.may_send(&self.call.service, first, purpose)
+    }
+
+    /// Notes that a server couldn't be reached, and waits when many can't.
+    async fn unreachable(&mut self) {
+        self.unsent += 1;
+        self.unreachable += 1;
+        if self.unreachable > UNREACHABLE {
+            sleep(UNREACHABLE_BACKOFF).await;
+        }
+    }
+
     /// Notes that the request may have run at a server.
     fn ran(&mut self, chosen: &Chosen) {
         if !self.ran.contains(&chosen.server) {
@@ -317,14 +355,12 @@
         let mut declined = 0;
         while !self.over() {
             let (chosen, copy) = self.choose(&mut next)?;
-            if !self
-                .context
-                .may_send(&self.call.service, false, Purpose::Resume)
-            {
+            if !self.may_send(false, Purpose::Resume) {
                 return None;
             }
             match self.start(&chosen, copy.as_ref()).await {
                 Start::Running { run, .. } => {
+                    self.unreachable = 0;
                     let same = self.ran.last() == Some(&chosen.server);
                     let from = match (copy.is_some(), same) {
                         (true, _) => "copy",
@@ -346,7 +382,7 @@
                 Start::Late => return None,
                 Start::Failed(_) => self.ran(&chosen),
                 Start::Lost(lost) => self.onward(&mut next, *lost),
-                Start::Unreachable => {}
+                Start::Unreachable => self.unreachable().await,
                 Start::Declined => {
                     declined += 1;
                     if declined > DECLINED {
