Let late requests take the room that nobody elsewhere waits for

Late ones got no room at all while any peer told that a request waits there that can be in time; among 103 peers, whose beacons are seconds apart, one nearly always does.

The tool has a pattern of a hundred entries whose callers give less than the route.

Test (gateway, queue): with three waiting elsewhere and room for seven a late request goes on at once (fails with the rule before), with eight it is refused early.

--- a/components/admission/src/turn.rs
+++ b/components/admission/src/turn.rs
@@ -50,6 +50,12 @@
     objective.mul_f64(ENGINE)
 }
 
+/// Room that is left for a request which is late already, behind those that wait at other entries and
+/// can still be in time. In a large fleet some wait nearly always, also while most engines are idle.
+pub fn behind(room: u32, hurried: u32) -> u32 {
+    room.saturating_sub(hurried)
+}
+
 /// What one of several entries may take of the engines' room now. Each of them sees the same room
 /// for as long as it takes to hear of the others' sends, and together they would fill it several
 /// times over. A part of a place is taken with its probability, as otherwise nobody would take the
--- a/components/experiment/src/entry.rs
+++ b/components/experiment/src/entry.rs
@@ -55,8 +55,8 @@
     waited: Option<Clock>,
     /// Requests here that can still be in time.
     hurried: HashSet<Id>,
-    /// Whether other entries have such requests.
-    pub(crate) others: bool,
+    /// Such requests at other entries.
+    pub(crate) others: u32,
     next: usize,
     policy: Policy,
     work: Work,
@@ -84,7 +84,7 @@
             waiting: HashMap::new(),
             waited: None,
             hurried: HashSet::new(),
-            others: false,
+            others: 0,
             next: 0,
             policy,
             work: Work {
@@ -100,8 +100,10 @@
         let service = service();
         let any = Versions::Any;
         let room = self.placement.room(now, &service, any, self.work, within);
-        let held = self.others && self.hurried.is_empty() && !fresh;
-        let room = if held { 0 } else { room };
+        let room = match self.hurried.is_empty() && !fresh {
+            true => turn::behind(room, self.others),
+            false => room,
+        };
         let room = turn::share(room, setup.entries as u32, rng.random_range(0.0..1.0));
         let running = self.gate.running();
         self.gate.report(Report {
@@ -141,9 +143,9 @@
         }
     }
 
-    /// Whether requests wait here that can still be in time.
-    pub(crate) fn hurries(&self) -> bool {
-        !self.hurried.is_empty()
+    /// Requests that wait here and can still be in time.
+    pub(crate) fn hurried(&self) -> u32 {
+        self.hurried.len() as u32
     }
 
     /// Looks at those that wait.
--- a/components/experiment/src/pattern.rs
+++ b/components/experiment/src/pattern.rs
@@ -24,12 +24,15 @@
     DataCentre,
     /// One engine of three is lost, at 0.4 of the capacity of all.
     OneOfThree,
+    /// Callers come at a multiple of the capacity to a hundred entries before engines with few slots;
+    /// many give less time than their route.
+    Fleet(f64),
 }
 
 /// A pattern that nobody knows.
 #[derive(Debug, thiserror::Error)]
 #[error(
-    "{0}: not one of steady:X, burst:X, one-key, one-team, impatient, data-centre, one-of-three"
+    "{0}: not one of steady:X, burst:X, one-key, one-team, impatient, data-centre, one-of-three, fleet:X"
 )]
 pub struct Unknown(String);
 
@@ -50,6 +53,7 @@
             "impatient" => Pattern::Impatient,
             "data-centre" => Pattern::DataCentre,
             "one-of-three" => Pattern::OneOfThree,
+            "fleet" => Pattern::Fleet(times),
             _ => return Err(unknown()),
         })
     }
@@ -66,6 +70,7 @@
             Pattern::Impatient => "a burst of callers that repeat at once".into(),
             Pattern::DataCentre => "a data centre's engines lost three times".into(),
             Pattern::OneOfThree => "one engine of three lost".into(),
+            Pattern::Fleet(times) => format!("{times} times the capacity, a hundred entries"),
         }
     }
 
@@ -76,6 +81,16 @@
                 engines: 3,
                 ..Setup::default()
             },
+            Pattern::Fleet(_) => Setup {
+                entries: 103,
+                engines: 256,
+                data_centres: 5,
+                slots: 8,
+                teams: 40,
+                gives: (0.85, 1.0),
+                length: Duration::from_secs(20),
+                ..Setup::default()
+            },
             _ => Setup::default(),
         }
     }
@@ -90,7 +105,7 @@
     pub fn load(&self, setup: &Setup, now: Duration) -> f64 {
         let on = self.on(setup, now);
         match self {
-            Pattern::Steady(times) => *times,
+            Pattern::Steady(times) | Pattern::Fleet(times) => *times,
             Pattern::Burst(times) if on => *times,
             Pattern::OneKey | Pattern::OneTeam | Pattern::Impatient if on => 2.0,
             _ => 0.4,
--- a/components/experiment/src/setup.rs
+++ b/components/experiment/src/setup.rs
@@ -33,6 +33,8 @@
     pub gap: Duration,
     /// Time for the whole answer.
     pub timeout: Duration,
+    /// Part of it that callers give, at the least and at the most.
+    pub gives: (f64, f64),
     /// Times that a refused caller comes back.
     pub retries: u32,
     /// Length of a play; the pattern fills its middle.
@@ -56,6 +58,7 @@
             objective: Duration::from_millis(4500),
             gap: Duration::from_millis(700),
             timeout: Duration::from_secs(25),
+            gives: (1.0, 1.0),
             retries: 1,
             length: Duration::from_secs(60),
         }
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -259,12 +259,17 @@
             _ => setup.shared as f64,
         };
         let rest = (prompt - shared) as u32;
+        let (least, most) = setup.gives;
+        let gives = match least < most {
+            true => setup.timeout.mul_f64(self.rng.random_range(least..most)),
+            false => setup.timeout.mul_f64(most),
+        };
         self.seen.asked += 1;
         self.seen.teams[team].0 += 1;
         self.seen.sizes[usize::from(prompt > setup.size.0)].0 += 1;
         self.requests.push(Request {
             asked: self.now,
-            until: self.now + setup.timeout,
+            until: self.now + gives,
             team,
             prompt,
             events: events.floor(),
@@ -301,11 +306,12 @@
 
     fn knock(&mut self, id: Id) {
         let request = &self.requests[id];
+        let deadline = request.until.saturating_sub(self.now);
         let ask = Ask {
             rank: 1,
             objective: self.setup.objective,
             timeout: Some(self.setup.timeout),
-            deadline: Some(request.until.saturating_sub(self.now)),
+            deadline: Some(deadline),
             usual: Some(self.setup.step.mul_f64(self.setup.size.1 * 2.0)),
         };
         let turn = ask.turns().find(|turn| !request.late || !turn.in_time);
@@ -562,9 +568,9 @@
                 own.map(|(server, work)| (server.clone(), work)).collect()
             })
             .collect();
-        let hurry: Vec<bool> = self.entries.iter().map(Entry::hurries).collect();
+        let hurried: Vec<u32> = self.entries.iter().map(Entry::hurried).collect();
         for (place, entry) in self.entries.iter_mut().enumerate() {
-            entry.others = (0..hurry.len()).any(|peer| peer != place && hurry[peer]);
+            entry.others = hurried.iter().sum::<u32>() - hurried[place];
             for (peer, loads) in told.iter().enumerate() {
                 if peer != place {
                     let loads: std::collections::HashMap<_, _> = Clone::clone(loads);
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -86,8 +86,8 @@
     waited: RefCell<HashMap<Service, Instant>>,
     /// Requests that wait here and can still be in time, by service.
     hurried: RefCell<HashMap<Service, u32>>,
-    /// Services for which such requests wait at peers.
-    peers: RefCell<HashMap<Incarnation, Vec<Number>>>,
+    /// Such requests at peers.
+    peers: RefCell<HashMap<Incarnation, Vec<(Number, u32)>>>,
     /// Entries that share the engines.
     entries: Cell<u32>,
     following: Cell<bool>,
@@ -240,9 +240,8 @@
     pub fn tell(&self, beacon: &mut Beacon) {
         let hurried = self.hurried.borrow();
         let waiting = hurried.iter().filter(|(_, count)| **count > 0);
-        beacon
-            .hurries
-            .extend(waiting.map(|(service, _)| beacon::number(service)));
+        let waiting = waiting.map(|(service, count)| (beacon::number(service), *count));
+        beacon.hurries.extend(waiting);
     }
 
     /// Takes what a peer tells.
@@ -273,10 +272,14 @@
             .is_some_and(|count| *count > 0)
     }
 
-    fn peers_hurry(&self, service: &Service) -> bool {
+    /// Requests that wait at peers for a service and can still be in time.
+    fn hurried_elsewhere(&self, service: &Service) -> u32 {
         let number = beacon::number(service);
         let peers = self.peers.borrow();
-        peers.values().any(|hurries| hurries.contains(&number))
+        let all = peers.values().flatten();
+        all.filter(|(service, _)| *service == number)
+            .map(|(_, count)| count)
+            .sum()
     }
 
     /// Whether requests had to wait for a service a moment ago.
@@ -335,8 +338,8 @@
         let versions = pick.versions();
         let mut room = fleet.room(service, versions, size.work(), size.within);
         // What is late here stands behind what can be in time elsewhere.
-        if fresh != Some(service) && !queue.hurries(service) && queue.peers_hurry(service) {
-            room = 0;
+        if fresh != Some(service) && !queue.hurries(service) {
+            room = turn::behind(room, queue.hurried_elsewhere(service));
         }
         let room = turn::share(room, queue.entries.get(), rand::random());
         Some(Report {
--- a/components/gateway/tests/queue.rs
+++ b/components/gateway/tests/queue.rs
@@ -16,16 +16,24 @@
     Backend,
     Harness,
     Line,
-    Message,
+    Message as Request,
     document,
     events,
     stream_head, //
 };
 use futures_util::future::join_all;
 use rstest::rstest;
-use tokio::time::{
-    Instant,
-    sleep, //
+use spread::beacon::{
+    self,
+    Beacon,
+    Message, //
+};
+use tokio::{
+    net::UdpSocket,
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 const PACE: Duration = Duration::from_millis(10);
@@ -100,6 +108,41 @@
     });
 }
 
+/// Guards against a large fleet in which some request nearly always waits somewhere: callers who had asked
+/// before were held, and refused, while most engines were idle.
+#[rstest]
+#[case::more_room_than_wait_elsewhere(3, 200)]
+#[case::all_room_is_for_those_elsewhere(8, 503)]
+fn a_late_request_takes_room_that_nobody_elsewhere_waits_for(
+    #[case] waiting: u32,
+    #[case] status: u16,
+) {
+    common::run(async move {
+        let (backend, _) = engine(40).await;
+        let harness = Harness::with(document());
+        harness.register_slots("s1", "draft", "a", backend.address, 8);
+        // An entry at which nothing runs lets one request in whatever waits elsewhere.
+        let _runs = harness.connect("r0", "/stream/x", PROMPT).await;
+        let peer = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let beacon = Beacon {
+            incarnation: 7,
+            sequence: 1,
+            pace_ms: 10_000,
+            hurries: vec![(beacon::number("draft"), waiting)],
+            ..Beacon::default()
+        };
+        let bytes = postcard::to_stdvec(&Message::Beacon(Box::new(beacon))).expect("encoded");
+        peer.send_to(&bytes, harness.peers).await.expect("sent");
+        let mut told = [0; 2048];
+        peer.recv(&mut told).await.expect("it is heard");
+        let late = "tokens: 100\r\ndeadline: 2000\r\n";
+        let came = Instant::now();
+        let (_, answer) = harness.ask("r1", "/stream/x", late).await;
+        assert_eq!(answer.expect("an answer").status(), status);
+        assert!(came.elapsed() < Duration::from_millis(900));
+    });
+}
+
 /// The process is told to stop while a stream waits that would outlast it. Its caller must hear so
 /// while another entry can still serve it.
 #[test]
@@ -157,7 +200,7 @@
 async fn long_engine(first: &[u64], ended: &Rc<Cell<u32>>) -> Backend {
     let first = Rc::new(RefCell::new(VecDeque::from(first.to_vec())));
     let ended = ended.clone();
-    Backend::start(move |message: Message, line: Line| {
+    Backend::start(move |message: Request, line: Line| {
         let count = first.borrow_mut().pop_front();
         let ended = ended.clone();
         async move {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -70,8 +70,8 @@
     pub sends: Vec<Sends>,
     /// Prompts that servers have read for it.
     pub prompts: Vec<Read>,
-    /// Services for which requests wait there that can still be in time.
-    pub hurries: Vec<Number>,
+    /// Requests that wait there and can still be in time, by service.
+    pub hurries: Vec<(Number, u32)>,
     /// Moves between versions: the service, and what was counted.
     pub moves: Vec<(Number, Tale)>,
     /// Some other peers' addresses.
