Divide lookups of prompts among the entries of a large fleet

A lookup took 154 ms in the middle, longer than the 120 ms for which callers wait for it.

Ruled out: fewer prompts in beacons (they carry an entry's own 24, and no entry that just started has any); asking only the likely engine (nobody knows which).

Change: in a fleet whose entries have a part of the engines each, an entry that looks for a prompt tells its peers so; each asks its own part, once in ten seconds, and tells all what it heard. An entry whose place has changed asks its new part. Small fleets ask as before.

--- a/components/gateway/src/cache_lookup.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -4,7 +4,8 @@
 //! the rest of their answers. No entry knows any more where their prompts were read, so each would
 //! have them read anew, for a second of an engine and of the little time that the callers have left.
 //! The engines know what their caches hold. They are asked once for all callers that come back
-//! together.
+//! together; in a large fleet each entry asks its part of them and tells the others, as a hundred
+//! entries that ask all engines keep the engines from their work.
 
 use std::{
     cell::{
@@ -26,15 +27,30 @@
     stream, //
 };
 use http::Method;
-use names::Service;
+use names::{
+    Server,
+    Service, //
+};
 use routing::Part;
+use spread::beacon::{
+    Number,
+    Read,
+    number, //
+};
 use tokio::{
-    sync::watch,
+    sync::{
+        mpsc::{
+            UnboundedReceiver,
+            UnboundedSender, //
+        },
+        watch, //
+    },
     task::spawn_local,
     time::{
         Instant,
         sleep,
-        timeout, //
+        timeout,
+        timeout_at, //
     },
 };
 
@@ -45,6 +61,7 @@
         Call,
         Context, //
     },
+    peers::Outgoing,
     update::Registration, //
 };
 
@@ -68,35 +85,119 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What was asked of late, and whether the answers are in.
-#[derive(Default)]
 pub struct CacheLookup {
-    asked: RefCell<HashMap<Service, (Instant, watch::Receiver<bool>)>>,
+    asked: RefCell<HashMap<Service, Asked>>,
+    /// When each engine was asked by this entry.
+    engines: RefCell<HashMap<Server, Instant>>,
     /// Until when servers may be missing from the register.
     registering: Cell<Option<Instant>>,
+    peers: UnboundedSender<Outgoing>,
+}
+
+/// A lookup of a service's engines.
+#[derive(Clone)]
+struct Asked {
+    at: Instant,
+    /// This entry's place among all, and their number, which tell its part of the engines.
+    place: (usize, usize),
+    done: watch::Receiver<bool>,
 }
 
 impl CacheLookup {
+    /// Nothing was asked yet.
+    pub fn new(peers: UnboundedSender<Outgoing>) -> CacheLookup {
+        CacheLookup {
+            asked: RefCell::default(),
+            engines: RefCell::default(),
+            registering: Cell::default(),
+            peers,
+        }
+    }
+
     /// Notes that servers may be missing from the register for a time.
     pub fn registering(&self, time: Duration) {
         self.registering.set(Some(Instant::now() + time));
     }
 
-    /// The answers of a service's engines, if they were asked for a moment ago.
-    fn fresh(&self, service: &Service) -> Option<watch::Receiver<bool>> {
-        let asked = self.asked.borrow();
-        let (at, done) = asked.get(service)?;
-        (at.elapsed() < CACHE_TTL).then(|| done.clone())
+    /// The lookup of a service's engines, if there was one a moment ago.
+    fn fresh(&self, service: &Service) -> Option<Asked> {
+        let asked = self.asked.borrow().get(service).cloned();
+        asked.filter(|asked| asked.at.elapsed() < CACHE_TTL)
+    }
+
+    /// Notes that an engine is asked; `false` if it was asked a moment ago.
+    fn asks(&self, server: &Server) -> bool {
+        let now = Instant::now();
+        let mut engines = self.engines.borrow_mut();
+        engines.retain(|_, at| at.elapsed() < CACHE_TTL);
+        engines.insert(server.clone(), now).is_none()
+    }
+
+    fn tell(&self, outgoing: Outgoing) {
+        // Nobody listens any more when the process ends.
+        let _ = self.peers.send(outgoing);
     }
 }
 
-/// Learns which engines of a service hold which prompts, for a request that has some time `left`;
-/// returns when that is known, or when it takes too long.
-pub async fn learn<E: Edge + 'static>(context: &Rc<Context<E>>, service: &Service, left: Duration) {
-    let fresh = context.cache_lookup.fresh(service);
-    let mut done = fresh.unwrap_or_else(|| begin(context, service));
+/// Learns which engines of a service hold which prompts, for a request with a part of a prompt and some
+/// time `left`; returns when that is known, or when it takes too long.
+pub async fn learn<E: Edge + 'static>(
+    context: &Rc<Context<E>>,
+    service: &Service,
+    part: (Part, u32),
+    left: Duration,
+) {
+    let divided = context.fleet.borrow().divided();
+    let mut asked = match fresh(context, service) {
+        Some(asked) => asked,
+        None => {
+            if divided {
+                context.cache_lookup.tell(Outgoing::Lookup(number(service)));
+            }
+            begin(context, service)
+        }
+    };
     // A time-out leaves the request with what is known by then.
-    let patience = LOOKUP_TIMEOUT.min(left.mul_f64(MAX_WAIT_SHARE));
-    let _ = timeout(patience, done.wait_for(|done| *done)).await;
+    let until = Instant::now() + LOOKUP_TIMEOUT.min(left.mul_f64(MAX_WAIT_SHARE));
+    let _ = timeout_at(until, asked.done.wait_for(|done| *done)).await;
+    // What peers learn comes with their messages.
+    let until = until.min(asked.at + LOOKUP_TIMEOUT);
+    let found = || context.fleet.borrow().found(part);
+    while divided && Instant::now() < until && !found() {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Asks this entry's part of the engines whenever a peer wants that.
+pub async fn serve<E: Edge + 'static>(
+    context: Rc<Context<E>>,
+    mut wanted: UnboundedReceiver<Number>,
+) {
+    while let Some(wanted) = wanted.recv().await {
+        let Some(service) = named(&context, wanted) else {
+            continue;
+        };
+        if fresh(&context, &service).is_none() {
+            begin(&context, &service);
+        }
+    }
+}
+
+/// The service with a number.
+fn named<E>(context: &Context<E>, wanted: Number) -> Option<Service> {
+    let cache = context.document_cache.borrow();
+    let services = &cache.edition()?.index.document().services;
+    let service = services.iter().find(|one| number(&one.name) == wanted)?;
+    Some(service.name.clone())
+}
+
+/// The lookup of a service's engines, if there was one a moment ago. An entry whose place changed has
+/// another part of the engines, and so have the others.
+fn fresh<E>(context: &Context<E>, service: &Service) -> Option<Asked> {
+    let fleet = context.fleet.borrow();
+    let asked = context.cache_lookup.fresh(service)?;
+    let same = asked.place == fleet.place() || !fleet.divided();
+    same.then_some(asked)
 }
 
 /// Lets a request wait for the server that has read its prompt, while servers are missing from the
@@ -122,16 +223,14 @@
     );
 }
 
-/// Asks a server that has just registered, if the others of its service were asked a moment ago.
+/// Asks a server that has just registered, if the others of its service were asked a moment ago and
+/// it is of this entry's part.
 pub fn registered<E: Edge + 'static>(context: &Rc<Context<E>>, registration: &Registration) {
-    if context
-        .cache_lookup
-        .fresh(&registration.facts.service)
-        .is_none()
-    {
+    let service = &registration.facts.service;
+    if context.cache_lookup.fresh(service).is_none() {
         return;
     }
-    let engines = context.fleet.borrow().of(&registration.facts.service);
+    let engines = part(context, service);
     let engine = engines
         .into_iter()
         .find(|engine| engine.server == registration.server);
@@ -140,50 +239,73 @@
     };
     let context = context.clone();
     spawn_local(async move {
-        ask(&context, engine).await;
+        let held = ask(&context, engine).await;
+        tell(&context, held);
     });
 }
 
-fn begin<E: Edge + 'static>(context: &Rc<Context<E>>, service: &Service) -> watch::Receiver<bool> {
+/// Tells the others what engines of this entry's part hold.
+fn tell<E>(context: &Context<E>, held: Vec<Read>) {
+    if context.fleet.borrow().divided() && !held.is_empty() {
+        context.cache_lookup.tell(Outgoing::Held(held));
+    }
+}
+
+/// The engines of a service that are this entry's to ask.
+fn part<E>(context: &Context<E>, service: &Service) -> Vec<Chosen> {
+    let fleet = context.fleet.borrow();
+    let mut engines = fleet.of(service);
+    engines.retain(|engine| fleet.owns(&engine.server));
+    engines
+}
+
+fn begin<E: Edge + 'static>(context: &Rc<Context<E>>, service: &Service) -> Asked {
     let (told, done) = watch::channel(false);
-    let asked = (Instant::now(), done.clone());
-    context
-        .cache_lookup
-        .asked
-        .borrow_mut()
-        .insert(service.clone(), asked);
-    let engines = context.fleet.borrow().of(service);
+    let asked = Asked {
+        at: Instant::now(),
+        place: context.fleet.borrow().place(),
+        done,
+    };
+    let lookup = &context.cache_lookup;
+    let all = &mut *lookup.asked.borrow_mut();
+    all.insert(service.clone(), asked.clone());
+    let mut engines = part(context, service);
+    engines.retain(|engine| lookup.asks(&engine.server));
     let (context, service) = (context.clone(), service.clone());
     spawn_local(async move {
-        let began = Instant::now();
         let count = engines.len();
         let calls = engines.into_iter().map(|engine| ask(&context, engine));
         let answers = stream::iter(calls).buffer_unordered(MAX_CONCURRENT_LOOKUPS);
-        let prompts: Vec<usize> = answers.collect().await;
+        let held: Vec<Read> = answers.concat().await;
         note!(
             direct::SURVEYED,
             service = service.as_str(),
             engines = count,
-            prompts = prompts.iter().sum::<usize>(),
-            ms = began.elapsed().as_millis() as u64
+            prompts = held.len(),
+            ms = asked.at.elapsed().as_millis() as u64
         );
+        tell(&context, held);
         // Nobody waits any more when all requests timed out.
         let _ = told.send(true);
     });
-    done
+    asked
 }
 
-/// Asks an engine what its cache holds; returns how many parts of prompts that is.
-async fn ask<E: Edge>(context: &Context<E>, engine: Chosen) -> usize {
+/// Asks an engine what its cache holds.
+async fn ask<E: Edge>(context: &Context<E>, engine: Chosen) -> Vec<Read> {
     let edge = context.sender.edge();
     let call = context
         .sender
         .call(&engine, &Method::GET, edge.holdings(), Bytes::new());
     // An engine that doesn't answer holds nothing that could be used now.
     let Ok(Ok((head, body))) = timeout(CALL_TIMEOUT, call).await else {
-        return 0;
+        return Vec::new();
     };
     let parts = edge.held(&head, &body).unwrap_or_default();
     context.fleet.borrow_mut().holds(&parts, &engine.server);
-    parts.len()
+    let server = number(&engine.server);
+    parts
+        .into_iter()
+        .map(|(part, _)| Read { part, server })
+        .collect()
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -21,6 +21,7 @@
     Fresh,
     beacon::{
         Changes,
+        Number,
         Reach, //
     },
 };
@@ -61,6 +62,7 @@
     moving::Report,
     peers::{
         Exchange,
+        Outgoing,
         Peers,
         Shared, //
     },
@@ -96,13 +98,17 @@
 pub struct Gateway<E> {
     context: Rc<Context<E>>,
     exchange: Cell<Option<Exchange>>,
-    told: UnboundedSender<(Changes, Reach)>,
+    told: UnboundedSender<Outgoing>,
     heard: Cell<Option<UnboundedReceiver<Changes>>>,
+    wanted: Cell<Option<UnboundedReceiver<Number>>>,
 }
 
 impl<E: Edge + 'static> Gateway<E> {
     /// Prepares a gateway; it knows nothing yet.
     pub fn new(settings: Settings, edge: E) -> Gateway<E> {
+        let (told, out) = unbounded_channel();
+        let (inward, heard) = unbounded_channel();
+        let (lookups, wanted) = unbounded_channel();
         let context = Context {
             settings: Rc::new(RefCell::new(Rc::new(settings))),
             document_cache: RefCell::default(),
@@ -110,7 +116,7 @@
             fleet: Rc::new(RefCell::new(Fleet::new(rand::random()))),
             sender: Sender::new(Rc::new(edge)),
             quotas: Rc::default(),
-            cache_lookup: CacheLookup::default(),
+            cache_lookup: CacheLookup::new(told.clone()),
             queue: Rc::new(Queue::default()),
             moving: Rc::default(),
             initial_sync: InitialSync::default(),
@@ -120,13 +126,17 @@
             running: Cell::new(0),
             connections: Cell::new(0),
         };
-        let (told, out) = unbounded_channel();
-        let (inward, heard) = unbounded_channel();
+        let exchange = Exchange {
+            out,
+            inward,
+            lookups,
+        };
         Gateway {
             context: Rc::new(context),
-            exchange: Cell::new(Some(Exchange { out, inward })),
+            exchange: Cell::new(Some(exchange)),
             told,
             heard: Cell::new(Some(heard)),
+            wanted: Cell::new(Some(wanted)),
         }
     }
 
@@ -158,7 +168,7 @@
     /// Tells peers what was heard from the store, or from another peer.
     pub fn tell(&self, changes: Changes, reach: Reach) {
         // Nobody listens any more when the process ends.
-        let _ = self.told.send((changes, reach));
+        let _ = self.told.send(Outgoing::Changes(changes, reach));
     }
 
     /// What peers heard from the store; to be taken once.
@@ -273,6 +283,9 @@
             let peers = Peers::new(peers, shared, exchange);
             spawn_local(peers.run(over.clone()));
         }
+        if let Some(wanted) = self.wanted.take() {
+            spawn_local(cache_lookup::serve(context.clone(), wanted));
+        }
         let mut pace = interval(SWEEP);
         loop {
             tokio::select! {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -368,6 +368,16 @@
         }
     }
 
+    /// Takes what engines told a peer that they hold.
+    pub fn held(&mut self, reads: &[Read]) {
+        let now = clock::now();
+        for read in reads {
+            if let Some(server) = self.numbers.get(&read.server) {
+                self.placement.has_read(now, &[(read.part, 0)], server);
+            }
+        }
+    }
+
     /// Takes what a peer tells.
     pub fn hear(&mut self, beacon: &Beacon) {
         let mut loads = HashMap::with_capacity(beacon.loads.len());
@@ -383,12 +393,8 @@
             loads.insert(server.clone(), work);
         }
         self.placement.peer(beacon.incarnation, loads);
+        self.held(&beacon.prompts);
         let now = clock::now();
-        for read in &beacon.prompts {
-            if let Some(server) = self.numbers.get(&read.server) {
-                self.placement.has_read(now, &[(read.part, 0)], server);
-            }
-        }
         for loss in &beacon.losses {
             let Some(server) = self.numbers.get(&loss.server) else {
                 continue;
@@ -408,6 +414,21 @@
         self.placement.stand(place);
     }
 
+    /// This entry's place among all, and their number.
+    pub fn place(&self) -> (usize, usize) {
+        self.placement.place()
+    }
+
+    /// Whether the entries are so many that each has a part of the servers.
+    pub fn divided(&self) -> bool {
+        self.placement.divided()
+    }
+
+    /// Whether a server is of this entry's part.
+    pub fn owns(&self, server: &Server) -> bool {
+        self.placement.owns(server)
+    }
+
     /// Whether there is news for peers.
     pub fn changed(&self) -> bool {
         self.changed
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -22,7 +22,9 @@
         MAX_DATAGRAM,
         Message,
         News,
+        Number,
         Reach,
+        Read,
         Reassembly,
         Table, //
     },
@@ -53,6 +55,9 @@
 /// Bytes that are kept free for the echo and the message's kind.
 const ECHO_BYTES: usize = 34;
 
+/// Prompts in one datagram: with their frame they fit it.
+const MAX_READS: usize = 80;
+
 /// Pace at which it is looked whether there is news.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
 
@@ -62,7 +67,7 @@
     table: Table,
     shared: Shared,
     told: Option<Clock>,
-    changes: Exchange,
+    exchange: Exchange,
     reassembly: Reassembly,
     incarnation: u64,
     sequence: u64,
@@ -90,17 +95,30 @@
     pub settings: Rc<RefCell<Rc<Settings>>>,
 }
 
-/// Changes of the store, from and to peers.
+/// What this process has for its peers besides beacons.
+#[derive(Clone, Debug)]
+pub enum Outgoing {
+    /// What it heard from the store.
+    Changes(Changes, Reach),
+    /// A caller came back whose prompt may be at any engine of a service.
+    Lookup(Number),
+    /// What engines hold, as they said.
+    Held(Vec<Read>),
+}
+
+/// The other side of what goes to peers, and comes from them.
 pub struct Exchange {
-    /// What this process heard from the store, for its peers.
-    pub out: UnboundedReceiver<(Changes, Reach)>,
+    /// What is for the peers.
+    pub out: UnboundedReceiver<Outgoing>,
     /// What peers heard from the store.
     pub inward: UnboundedSender<Changes>,
+    /// Services whose engines peers want to be asked.
+    pub lookups: UnboundedSender<Number>,
 }
 
 impl Peers {
     /// Prepares beacons on a socket.
-    pub fn new(socket: UdpSocket, shared: Shared, changes: Exchange) -> Peers {
+    pub fn new(socket: UdpSocket, shared: Shared, exchange: Exchange) -> Peers {
         let incarnation = rand::random();
         let seeds = shared.settings.borrow().seeds.clone();
         Peers {
@@ -108,7 +126,7 @@
             table: Table::new(incarnation, seeds),
             shared,
             told: None,
-            changes,
+            exchange,
             reassembly: Reassembly::default(),
             incarnation,
             sequence: 0,
@@ -143,8 +161,15 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
-                changes = self.changes.out.recv() => if let Some((changes, reach)) = changes {
-                    self.pass_on(changes, reach);
+                outgoing = self.exchange.out.recv() => match outgoing {
+                    None => {}
+                    Some(Outgoing::Changes(changes, reach)) => self.pass_on(changes, reach),
+                    Some(Outgoing::Lookup(service)) => self.tell(&Message::Lookup(service)),
+                    Some(Outgoing::Held(reads)) => {
+                        for reads in reads.chunks(MAX_READS) {
+                            self.tell(&Message::Held(reads.to_vec()));
+                        }
+                    }
                 },
                 received = self.socket.recv_from(&mut bytes) => self.take(received, &bytes),
             }
@@ -236,11 +261,18 @@
         }
     }
 
+    /// Sends a message to all peers that are heard.
+    fn tell(&self, message: &Message) {
+        for target in self.table.peers() {
+            self.post(message, target);
+        }
+    }
+
     /// Takes changes from a peer that is heard.
     fn heard(&self, from: SocketAddr, changes: Changes) {
         if self.table.knows(from) {
             // Nobody listens any more when the process ends.
-            let _ = self.changes.inward.send(changes);
+            let _ = self.exchange.inward.send(changes);
         }
     }
 
@@ -260,6 +292,19 @@
                 }
                 return;
             }
+            Ok(Message::Lookup(service)) => {
+                if self.table.knows(from) {
+                    // Nobody asks any more when the process ends.
+                    let _ = self.exchange.lookups.send(service);
+                }
+                return;
+            }
+            Ok(Message::Held(reads)) => {
+                if self.table.knows(from) {
+                    self.shared.fleet.borrow_mut().held(&reads);
+                }
+                return;
+            }
             Ok(Message::Introduction(addresses)) => {
                 self.table.introduce(from, &addresses);
                 return;
--- a/components/gateway/src/stream/place.rs
+++ b/components/gateway/src/stream/place.rs
@@ -152,7 +152,7 @@
         if self.context.fleet.borrow().found(*part) {
             return;
         }
-        cache_lookup::learn(&self.context, &self.call.service, left).await;
+        cache_lookup::learn(&self.context, &self.call.service, *part, left).await;
         cache_lookup::wait(&self.context, &self.call, *part, left).await;
     }
 
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -365,6 +365,22 @@
         }
     }
 
+    /// This entry's place among all, and their number.
+    pub fn place(&self) -> (usize, usize) {
+        self.place
+    }
+
+    /// Whether the entries are so many that each has a part of the servers.
+    pub fn divided(&self) -> bool {
+        self.place.1 as f64 > FEW
+    }
+
+    /// Whether a server is of this entry's part; in a small fleet all servers are of everybody's.
+    pub fn owns(&self, server: &Server) -> bool {
+        let candidate = self.candidates.get(server);
+        candidate.is_some_and(|candidate| candidate.is_own)
+    }
+
     fn of_peers(&self, server: &Server) -> Work {
         let mut sum = Work::default();
         for loads in self.peers.values() {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -133,6 +133,10 @@
     Fragment(Fragment),
     /// Addresses of peers, for one that hears few.
     Introduction(Vec<SocketAddr>),
+    /// Each peer should ask its part of a service's engines what their caches hold.
+    Lookup(Number),
+    /// What engines said that they hold.
+    Held(Vec<Read>),
 }
 
 /// Work at one server.
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -233,6 +233,11 @@
         silent
     }
 
+    /// Addresses of all peers that are heard.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.peers.keys().copied().collect()
+    }
+
     /// Addresses that a beacon goes to: the peers, and seeds that aren't among them.
     pub fn targets(&self) -> Vec<SocketAddr> {
         let mut targets: Vec<_> = self.peers.keys().copied().collect();
