Tell a data centre's entries at once what is sent, and follow its engines

An entry looks at its own two or three engines and at two drawn ones, and hears of others' work in beacons that leave seconds apart, as 102 peers share 20 KB/s.

Change: what an entry's own sends change at a server goes at once to the other entries of its data centre, as all its work there now; beacons repair what is lost. An entry of a large fleet looks at all engines of its data centre. Offsets of up to 0.15 and lots of up to 0.08 of load, less than a prompt's 0.36, keep apart entries that choose within the time of a message: five at one of 66 engines without.

Tests: routing, placement: a blind burst at followed engines, at most four at one server (fails without the lots); 60 prompts of 34 entries told at once, at most 10 of 600 behind another one (14 without following). gateway, divided: loads are told at once and taken.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -109,11 +109,13 @@
         let (told, out) = unbounded_channel();
         let (inward, heard) = unbounded_channel();
         let (lookups, wanted) = unbounded_channel();
+        let mut fleet = Fleet::new(rand::random());
+        fleet.live_at(&settings.data_centre);
         let context = Context {
             settings: Rc::new(RefCell::new(Rc::new(settings))),
             document_cache: RefCell::default(),
             fresh: Rc::default(),
-            fleet: Rc::new(RefCell::new(Fleet::new(rand::random()))),
+            fleet: Rc::new(RefCell::new(fleet)),
             sender: Sender::new(Rc::new(edge)),
             quotas: Rc::default(),
             cache_lookup: CacheLookup::new(told.clone()),
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     collections::{
         HashMap,
+        HashSet,
         VecDeque, //
     },
     net::SocketAddr,
@@ -41,11 +42,14 @@
     Beacon,
     Incarnation,
     Load,
+    Loads,
     Loss,
     Number,
     Read, //
 };
 
+use tokio::sync::Notify;
+
 use crate::{
     clock,
     update::Registration, //
@@ -81,6 +85,12 @@
     numbers: HashMap<Number, Server>,
     /// Work changed since the last beacon.
     changed: bool,
+    /// Servers at which own work changed since peers of the data centre were told.
+    moved: HashSet<Server>,
+    /// Wakes who tells them.
+    wake: Rc<Notify>,
+    /// Newest message of each peer on its work.
+    told: HashMap<Incarnation, u64>,
     /// Prompts that were read for this entry: the last part, the server, and when that was.
     prompts: VecDeque<(Part, Server, Clock)>,
     /// Servers that were found to be over, as another stands at their address; the newest last.
@@ -111,6 +121,9 @@
             addresses: HashMap::new(),
             numbers: HashMap::new(),
             changed: false,
+            moved: HashSet::new(),
+            wake: Rc::default(),
+            told: HashMap::new(),
             prompts: VecDeque::new(),
             over: VecDeque::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -314,6 +327,23 @@
     }
 }
 
+fn load(server: &Server, work: Work) -> Load {
+    Load {
+        server: beacon::number(server),
+        requests: work.requests,
+        tokens: work.tokens,
+        unread: work.unread,
+    }
+}
+
+fn work(load: &Load) -> Work {
+    Work {
+        requests: load.requests,
+        tokens: load.tokens,
+        unread: load.unread,
+    }
+}
+
 fn told(suspicion: Suspicion) -> beacon::Suspicion {
     match suspicion {
         Suspicion::Refused => beacon::Suspicion::Refused,
@@ -337,14 +367,10 @@
     /// Work and losses for a beacon.
     pub fn tell(&mut self, beacon: &mut Beacon) {
         self.changed = false;
-        for (server, work) in self.placement.own() {
-            beacon.loads.push(Load {
-                server: beacon::number(server),
-                requests: work.requests,
-                tokens: work.tokens,
-                unread: work.unread,
-            });
-        }
+        let own = self.placement.own();
+        beacon
+            .loads
+            .extend(own.map(|(server, work)| load(server, work)));
         self.tell_prompts(beacon);
         for (server, age, suspicion) in self.placement.losses(clock::now()) {
             beacon.losses.push(Loss {
@@ -368,6 +394,47 @@
         }
     }
 
+    /// Notes where this entry is.
+    pub fn live_at(&mut self, home: &DataCentre) {
+        self.placement.live_at(home);
+    }
+
+    /// What is notified when own work changes.
+    pub fn wake(&self) -> Rc<Notify> {
+        self.wake.clone()
+    }
+
+    /// Own work at servers where it changed since the last call, for peers of the data centre. In a
+    /// small fleet beacons are quick enough.
+    pub fn moved(&mut self) -> Vec<Load> {
+        let moved = std::mem::take(&mut self.moved);
+        if !self.divided() {
+            return Vec::new();
+        }
+        let load = |server: &Server| load(server, self.placement.own_at(server));
+        moved.iter().map(load).collect()
+    }
+
+    fn note_moved(&mut self, server: &Server) {
+        self.changed = true;
+        self.moved.insert(server.clone());
+        self.wake.notify_one();
+    }
+
+    /// Takes the work of a peer of the data centre.
+    pub fn hear_loads(&mut self, told: &Loads) {
+        let newest = self.told.entry(told.incarnation).or_default();
+        if *newest >= told.sequence {
+            return;
+        }
+        *newest = told.sequence;
+        for load in &told.loads {
+            if let Some(server) = self.numbers.get(&load.server) {
+                self.placement.peer_at(told.incarnation, server, work(load));
+            }
+        }
+    }
+
     /// Takes what engines told a peer that they hold.
     pub fn held(&mut self, reads: &[Read]) {
         let now = clock::now();
@@ -385,12 +452,7 @@
             let Some(server) = self.numbers.get(&load.server) else {
                 continue;
             };
-            let work = Work {
-                requests: load.requests,
-                tokens: load.tokens,
-                unread: load.unread,
-            };
-            loads.insert(server.clone(), work);
+            loads.insert(server.clone(), work(load));
         }
         self.placement.peer(beacon.incarnation, loads);
         self.held(&beacon.prompts);
@@ -406,6 +468,7 @@
 
     /// Forgets the work of a peer that ended or fell silent.
     pub fn forget(&mut self, peer: Incarnation) {
+        self.told.remove(&peer);
         self.placement.forget(peer);
     }
 
@@ -450,7 +513,7 @@
     pub fn new(fleet: &Rc<RefCell<Fleet>>, server: &Server, work: Work) -> Charge {
         let mut inner = fleet.borrow_mut();
         inner.placement.sent(clock::now(), server, work);
-        inner.changed = true;
+        inner.note_moved(server);
         let ahead = inner.placement.unread(server);
         drop(inner);
         Charge {
@@ -466,7 +529,7 @@
     pub fn read(&mut self, time: Duration) {
         let unread = std::mem::take(&mut self.work.unread);
         let mut fleet = self.fleet.borrow_mut();
-        fleet.changed = true;
+        fleet.note_moved(&self.server);
         fleet
             .placement
             .read(clock::now(), &self.server, unread, self.ahead, time);
@@ -481,7 +544,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.changed = true;
+        fleet.note_moved(&self.server);
         let placement = &mut fleet.placement;
         placement.done(clock::now(), &self.server, self.work, self.outcome);
     }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -19,6 +19,7 @@
         Age,
         Beacon,
         Changes,
+        Loads,
         MAX_DATAGRAM,
         Message,
         News,
@@ -55,6 +56,9 @@
 /// Bytes that are kept free for the echo and the message's kind.
 const ECHO_BYTES: usize = 34;
 
+/// Servers in one message on work that changed: with its frame it fits a datagram.
+const MAX_LOADS: usize = 50;
+
 /// Prompts in one datagram: with their frame they fit it.
 const MAX_READS: usize = 80;
 
@@ -71,9 +75,11 @@
     reassembly: Reassembly,
     incarnation: u64,
     sequence: u64,
+    /// Messages on work that changed.
+    told_loads: u64,
     /// Bytes of the last beacon.
     size: usize,
-    /// Peers were told of since the last beacon.
+    /// There are addresses that no beacon went to yet.
     grown: bool,
 }
 
@@ -130,6 +136,7 @@
             reassembly: Reassembly::default(),
             incarnation,
             sequence: 0,
+            told_loads: 0,
             size: 0,
             grown: false,
         }
@@ -137,6 +144,7 @@
 
     /// Sends and takes beacons until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
+        let moved = self.shared.fleet.borrow().wake();
         let mut sent = Instant::now();
         let mut bytes = vec![0; MAX_DATAGRAM];
         loop {
@@ -161,6 +169,7 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
+                () = moved.notified() => self.tell_loads(),
                 outgoing = self.exchange.out.recv() => match outgoing {
                     None => {}
                     Some(Outgoing::Changes(changes, reach)) => self.pass_on(changes, reach),
@@ -261,6 +270,23 @@
         }
     }
 
+    /// Tells the data centre's other processes of work that changed.
+    fn tell_loads(&mut self) {
+        let loads = self.shared.fleet.borrow_mut().moved();
+        let home = self.shared.settings.borrow().data_centre.clone();
+        for loads in loads.chunks(MAX_LOADS) {
+            self.told_loads += 1;
+            let message = Message::Loads(Loads {
+                incarnation: self.incarnation,
+                sequence: self.told_loads,
+                loads: loads.to_vec(),
+            });
+            for target in self.table.peers_near(&home) {
+                self.post(&message, target);
+            }
+        }
+    }
+
     /// Sends a message to all peers that are heard.
     fn tell(&self, message: &Message) {
         for target in self.table.peers() {
@@ -292,6 +318,12 @@
                 }
                 return;
             }
+            Ok(Message::Loads(loads)) => {
+                if self.table.knows(from) {
+                    self.shared.fleet.borrow_mut().hear_loads(&loads);
+                }
+                return;
+            }
             Ok(Message::Lookup(service)) => {
                 if self.table.knows(from) {
                     // Nobody asks any more when the process ends.
--- a/components/gateway/tests/divided.rs
+++ b/components/gateway/tests/divided.rs
@@ -16,6 +16,8 @@
     self,
     Beacon,
     Incarnation,
+    Load,
+    Loads,
     Message,
     Read, //
 };
@@ -56,7 +58,7 @@
     harness: Harness,
     engines: Vec<Backend>,
     peer: UdpSocket,
-    _others: Vec<UdpSocket>,
+    others: Vec<UdpSocket>,
 }
 
 impl Fleet {
@@ -85,10 +87,26 @@
             harness,
             engines,
             peer,
-            _others: peers,
+            others: peers,
         }
     }
 
+    /// Returns when the gateway has heard all that was sent to it before.
+    async fn heard_in_order(&self) {
+        let behind = Beacon {
+            sequence: 2,
+            stamp: 1234,
+            ..fleet_beacon(2)
+        };
+        let other = &self.others[0];
+        send(other, &self.harness, Message::Beacon(Box::new(behind))).await;
+        let echoed = |message: &Message| match message {
+            Message::Beacon(beacon) => beacon.echo.is_some_and(|echo| echo.stamp == 1234),
+            _ => false,
+        };
+        hear(other, echoed).await;
+    }
+
     /// Engines that were asked what they hold, or that ran a request.
     fn asked(&self) -> Vec<usize> {
         let asked = |number: &usize| self.engines[*number].count() > 0;
@@ -100,6 +118,7 @@
     Beacon {
         incarnation: number,
         sequence: 1,
+        data_centre: "a".into(),
         pace_ms: 10_000,
         peers: PEERS as u32,
         ..Beacon::default()
@@ -175,6 +194,42 @@
     });
 }
 
+/// Guards against prompts that are sent behind one another: what an entry sends, its data centre hears with
+/// no wait for the next beacon, and it doesn't send there itself.
+#[test]
+fn entries_of_a_data_centre_hear_at_once_what_is_sent() {
+    common::run(async {
+        let fleet = Fleet::start("").await;
+        // Elsewhere all engines but one have a prompt to read.
+        let loads = (0..ENGINES)
+            .filter(|number| *number != 5)
+            .map(|number| Load {
+                server: beacon::number(&name(number)),
+                requests: 1,
+                tokens: 6000,
+                unread: 5000,
+            });
+        let told = Message::Loads(Loads {
+            incarnation: 1,
+            sequence: 1,
+            loads: loads.collect(),
+        });
+        send(&fleet.peer, &fleet.harness, told).await;
+        fleet.heard_in_order().await;
+        let is_loads = |message: &Message| matches!(message, Message::Loads(_));
+        let first = "tokens: 5020\r\nparts: 1:20,78:5000\r\n";
+        let asked = fleet.harness.ask("r1", "/stream/x", first);
+        let (heard, (_, answer)) = tokio::join!(hear(&fleet.peer, is_loads), asked);
+        assert_eq!(answer.expect("a whole answer").status(), 200);
+        assert_eq!(fleet.asked(), vec![5]);
+        let Message::Loads(heard) = heard else {
+            unreachable!("loads are waited for");
+        };
+        assert_eq!(heard.loads[0].server, beacon::number(&name(5)));
+        assert_eq!((heard.loads[0].requests, heard.loads[0].unread), (1, 5020));
+    });
+}
+
 /// Guards against engines that nobody asks: each entry asks its part when a peer looks for a prompt, once.
 #[test]
 fn an_entry_asks_its_part_when_a_peer_wants_it() {
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -118,6 +118,8 @@
     peers: HashMap<Peer, HashMap<Server, Work>>,
     /// This entry's place among all, and their number.
     place: (usize, usize),
+    /// Where this entry is.
+    home: DataCentre,
 }
 
 impl Placement {
@@ -129,6 +131,14 @@
         }
     }
 
+    /// Notes where this entry is.
+    pub fn live_at(&mut self, home: &DataCentre) {
+        self.home.clone_from(home);
+        for (server, candidate) in &mut self.candidates {
+            candidate.stand(server, self.place, home);
+        }
+    }
+
     /// Adds a server, or changes what is known of it.
     pub fn put(&mut self, now: Clock, server: &Server, facts: Facts, leaving: bool) {
         if let Some(candidate) = self.candidates.get_mut(server) {
@@ -138,7 +148,7 @@
         }
         let mut candidate = Candidate::new(now, server, facts, leaving);
         candidate.peers = self.of_peers(server);
-        candidate.stand(server, self.place);
+        candidate.stand(server, self.place, &self.home);
         self.candidates.insert(server.clone(), candidate);
     }
 
@@ -320,6 +330,22 @@
         self.peers.insert(peer, loads);
     }
 
+    /// Takes all work that a peer has at one server, in place of what it had there before.
+    pub fn peer_at(&mut self, peer: Peer, server: &Server, work: Work) {
+        let loads = self.peers.entry(peer).or_default();
+        let before = loads.insert(server.clone(), work).unwrap_or_default();
+        if let Some(candidate) = self.candidates.get_mut(server) {
+            candidate.peers.take(before);
+            candidate.peers.add(work);
+        }
+    }
+
+    /// Work of this entry at a server.
+    pub fn own_at(&self, server: &Server) -> Work {
+        let candidate = self.candidates.get(server);
+        candidate.map_or_else(Work::default, |candidate| candidate.own)
+    }
+
     /// Forgets the work of a peer that ended or fell silent.
     pub fn forget(&mut self, peer: Peer) {
         for (server, work) in self.peers.remove(&peer).unwrap_or_default() {
@@ -361,7 +387,7 @@
         }
         self.place = place;
         for (server, candidate) in &mut self.candidates {
-            candidate.stand(server, place);
+            candidate.stand(server, place, &self.home);
         }
     }
 
--- a/components/routing/src/placement/candidate.rs
+++ b/components/routing/src/placement/candidate.rs
@@ -4,6 +4,7 @@
 
 use names::{
     Clock,
+    DataCentre,
     Server, //
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -42,9 +43,12 @@
 /// Largest offset between entries: less than a single prompt, so that it only breaks ties.
 const TIE_BREAK: f64 = 0.05;
 
-/// Load that a server of another entry's part must be lower by to be preferred: less than a prompt
+/// The same in a large fleet: a hundred entries choose within the time that a message takes.
+const DIVIDED_TIE_BREAK: f64 = 0.15;
+
+/// Load that a server of which little is known must be lower by to be preferred: less than a prompt
 /// that is to be read, so that nobody waits behind one while a server stands idle.
-const FOREIGN_PART_PENALTY: f64 = 0.12;
+const UNFOLLOWED_PENALTY: f64 = 0.12;
 
 /// A server as a place for work.
 #[derive(Clone, Debug)]
@@ -64,10 +68,13 @@
     trial: Clock,
     /// Last sign of life.
     pub(super) heard: Clock,
-    /// How far it is from this entry's part of the servers, from 0 to 1.
-    turn: f64,
+    /// Load that is added for its distance from this entry's part of the servers.
+    offset: f64,
     /// It is of this entry's part, or all entries know what the others send.
     pub(super) is_own: bool,
+    /// What other entries send there is known soon: the fleet is small, or the server is in this
+    /// entry's data centre.
+    pub(super) followed: bool,
 }
 
 impl Candidate {
@@ -85,8 +92,9 @@
             row: 0,
             trial: Clock::ZERO,
             heard: now,
-            turn: 0.0,
+            offset: 0.0,
             is_own: true,
+            followed: true,
         }
     }
 
@@ -189,21 +197,29 @@
         if self.facts.data_centre != *request.home {
             load += CROSS_DATA_CENTRE_PENALTY;
         }
-        if !self.is_own {
-            load += FOREIGN_PART_PENALTY;
+        if !self.followed {
+            load += UNFOLLOWED_PENALTY;
         }
-        load + TIE_BREAK * self.turn
+        load + self.offset
     }
 
     /// Notes the place of this entry among all, and their number. Entries that are too many to know
     /// what the others send have a part of the servers each, so that those which see the same loads
     /// at the same moment don't choose the same servers.
-    pub(super) fn stand(&mut self, server: &str, (place, count): (usize, usize)) {
+    pub(super) fn stand(
+        &mut self,
+        server: &str,
+        (place, count): (usize, usize),
+        home: &DataCentre,
+    ) {
         let count = count.max(1);
         let hash = xxh3_64(server.as_bytes()) as usize;
         let turn = (hash % count + count - place % count) % count;
-        self.turn = turn as f64 / count as f64;
-        self.is_own = turn == 0 || count as f64 <= FEW;
+        let few = count as f64 <= FEW;
+        let most = if few { TIE_BREAK } else { DIVIDED_TIE_BREAK };
+        self.offset = most * turn as f64 / count as f64;
+        self.is_own = turn == 0 || few;
+        self.followed = few || self.facts.data_centre == *home;
     }
 }
 
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -25,6 +25,9 @@
 /// Random part of a load, so that entries which know the same don't all choose the same server.
 const JITTER: f64 = 0.005;
 
+/// The same in a large fleet, whose entries are too many to be told apart by small offsets.
+const DIVIDED_JITTER: f64 = 0.08;
+
 /// Servers that are looked at for each choice, on the average, at the least.
 const LEAST_DRAWN: f64 = 2.0;
 
@@ -201,14 +204,20 @@
         });
         let among = u32::try_from(candidates.clone().count()).unwrap_or(u32::MAX);
         let drawn = self.drawn(among);
+        let jitter = if self.divided() {
+            DIVIDED_JITTER
+        } else {
+            JITTER
+        };
         for (server, candidate) in candidates {
             let tier = self.tier(now, server, candidate, request);
             if tier > worst || candidate.use_with(request.work) > part {
                 continue;
             }
             let known = self.prompts.known(now, request.parts, server);
-            let load = candidate.load(now, request, known) + rng.random_range(0.0..JITTER);
-            let passed_over = known == 0 && !candidate.is_own && !rng.random_bool(drawn);
+            let load = candidate.load(now, request, known) + rng.random_range(0.0..jitter);
+            let looked_at = candidate.followed || candidate.is_own;
+            let passed_over = known == 0 && !looked_at && !rng.random_bool(drawn);
             let rank = (tier, passed_over, load);
             if best.is_none_or(|(known, _)| rank < known) {
                 best = Some((rank, server));
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -62,7 +62,11 @@
 }
 
 fn choose(placement: &Placement, rng: &mut SmallRng) -> Server {
-    let (service, home) = ("draft".to_string(), "dc0");
+    choose_at(placement, "dc0", rng)
+}
+
+fn choose_at(placement: &Placement, home: &str, rng: &mut SmallRng) -> Server {
+    let service = "draft".to_string();
     let request = Request {
         service: &service,
         home,
@@ -104,6 +108,68 @@
     }
 }
 
+/// The same of entries that follow the engines of their data centre: the messages that they send one
+/// another at once are under way while they choose.
+#[rstest]
+#[case::many_entries(28, 66, 2, 4)]
+#[case::a_large_fleet(340, 2000, 1, 4)]
+fn a_burst_of_entries_that_follow_their_data_centre_spreads(
+    #[case] count: usize,
+    #[case] servers: usize,
+    #[case] each: usize,
+    #[case] most: u32,
+) {
+    for seed in 0..5 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let entries = entries(count, servers, |number| 1000 * (number as u64 % 10));
+        let mut counts: HashMap<Server, u32> = HashMap::new();
+        for (place, mut placement) in entries.into_iter().enumerate() {
+            let home = format!("dc{}", place % 3);
+            placement.live_at(&home);
+            for _ in 0..each {
+                let server = choose_at(&placement, &home, &mut rng);
+                placement.sent(Duration::ZERO, &server, WORK);
+                *counts.entry(server).or_default() += 1;
+            }
+        }
+        let highest = counts.values().max().copied().unwrap_or_default();
+        assert!(highest <= most, "seed {seed}: {highest} at one server");
+    }
+}
+
+/// Guards against prompts that are sent behind others while engines stand idle: entries of a large fleet
+/// looked at a few engines each, and heard of the others' work seconds later.
+#[test]
+fn entries_of_a_data_centre_do_not_send_prompts_behind_one_another() {
+    let mut behind = 0;
+    for seed in 0..10 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let home = "dc0".to_string();
+        let mut entries = entries(102, 255, |_| 0);
+        // Those of the data centre.
+        entries.truncate(34);
+        for placement in &mut entries {
+            placement.live_at(&home);
+        }
+        let mut taken: HashMap<Server, u32> = HashMap::new();
+        for sent in 0..60 {
+            let at = sent * 7 % entries.len();
+            let server = choose_at(&entries[at], &home, &mut rng);
+            entries[at].sent(Duration::ZERO, &server, WORK);
+            let work = entries[at].own_at(&server);
+            for (peer, placement) in entries.iter_mut().enumerate() {
+                if peer != at {
+                    placement.peer_at(at as u64 + 100, &server, work);
+                }
+            }
+            let taken = taken.entry(server).or_default();
+            behind += *taken;
+            *taken += 1;
+        }
+    }
+    assert!(behind <= 10, "{behind} of 600 prompts behind another one");
+}
+
 /// One entry alone knows all there is to know. It takes the server with the least to do.
 #[test]
 fn one_entry_takes_the_least_loaded() {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -133,6 +133,8 @@
     Fragment(Fragment),
     /// Addresses of peers, for one that hears few.
     Introduction(Vec<SocketAddr>),
+    /// Work that changed, for peers of the same data centre.
+    Loads(Loads),
     /// Each peer should ask its part of a service's engines what their caches hold.
     Lookup(Number),
     /// What engines said that they hold.
@@ -152,6 +154,17 @@
     pub unread: u64,
 }
 
+/// All work of a process at some servers, as it is after a change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loads {
+    /// Who sends it.
+    pub incarnation: Incarnation,
+    /// Number of the message within the run; late ones are dropped.
+    pub sequence: u64,
+    /// The work.
+    pub loads: Vec<Load>,
+}
+
 /// A prompt that a server has read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Read {
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -238,6 +238,13 @@
         self.peers.keys().copied().collect()
     }
 
+    /// Addresses of the other processes of the data centre that live.
+    pub fn peers_near(&self, data_centre: &str) -> Vec<SocketAddr> {
+        let live = |peer: &Peer| !peer.silent && peer.data_centre == data_centre;
+        let near = self.peers.iter().filter(|(_, peer)| live(peer));
+        near.map(|(address, _)| *address).collect()
+    }
+
     /// Addresses that a beacon goes to: the peers, and seeds that aren't among them.
     pub fn targets(&self) -> Vec<SocketAddr> {
         let mut targets: Vec<_> = self.peers.keys().copied().collect();
