Let lookups and calls to a store that is out go by turns of the fleet

(1) All processes are killed; 91 of 103 ask all engines for their caches within 0.3 s of their start (19,828 calls), as they hear at most seven peers then; the first beacon leaves after half a second, and the next waits for its part of 20 KB/s. (2) The store is out for eight seconds: each process tries it every 1.2 s, twice, 1,900 failed calls in all, 481 of them in the third second, when the last turn comes for 97 processes.

Change: (1) the first beacon, and the one after an introduction, leaves within 60 ms; a lookup waits for up to 0.3 s after the start until others are told of, and up to 0.9 s until enough of them are heard, also one that a peer wants. (2) The last turn is spread over 0.7 s; when the store answers nobody, all processes together try ten times a second, whatever their number, and who gets an answer after three seconds without tells all peers at once. A process that only itself is turned away keeps its backoff.

Tests (spread, fresh): five, 103 and 342 processes whose store is out for 15 s: at most 90, 260 and 520 questions, never two seconds without one; fails for 103 and 342 with the backoff before. models freshness holds. The waits of (1) have no test of their own.

--- a/components/gateway/src/cache_lookup.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -68,6 +68,9 @@
 /// Time for one engine's answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Times after its start in which an entry is told of the others, and hears enough of them.
+const SETTLE_TIMES: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(900));
+
 /// Longest time that a request waits for the answers: a tenth of what reading a prompt takes.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -147,6 +150,7 @@
     part: (Part, u32),
     left: Duration,
 ) {
+    settle(context, left.mul_f64(MAX_WAIT_SHARE)).await;
     let divided = context.fleet.borrow().divided();
     let mut asked = match fresh(context, service) {
         Some(asked) => asked,
@@ -168,6 +172,24 @@
     }
 }
 
+/// Waits until an entry that started a moment ago knows that its fleet is large: all entries may have
+/// started together, and as long as each hears few others it would ask all engines.
+async fn settle<E>(context: &Context<E>, longest: Duration) {
+    let (told, heard) = SETTLE_TIMES;
+    let longest = Instant::now() + longest;
+    loop {
+        let (divided, forming) = {
+            let fleet = context.fleet.borrow();
+            (fleet.divided(), fleet.forming())
+        };
+        let until = context.started + if forming { heard } else { told };
+        if divided || Instant::now() >= until.min(longest) {
+            return;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Asks this entry's part of the engines whenever a peer wants that.
 pub async fn serve<E: Edge + 'static>(
     context: Rc<Context<E>>,
@@ -177,7 +199,9 @@
         let Some(service) = named(&context, wanted) else {
             continue;
         };
-        if fresh(&context, &service).is_none() {
+        settle(&context, SETTLE_TIMES.1).await;
+        // An entry that hears few peers doesn't know its part.
+        if context.fleet.borrow().divided() && fresh(&context, &service).is_none() {
             begin(&context, &service);
         }
     }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -89,6 +89,8 @@
     moved: HashSet<Server>,
     /// Wakes who tells them.
     wake: Rc<Notify>,
+    /// Entries that there may be.
+    expected: usize,
     /// Newest message of each peer on its work.
     told: HashMap<Incarnation, u64>,
     /// Prompts that were read for this entry: the last part, the server, and when that was.
@@ -123,6 +125,7 @@
             changed: false,
             moved: HashSet::new(),
             wake: Rc::default(),
+            expected: 1,
             told: HashMap::new(),
             prompts: VecDeque::new(),
             over: VecDeque::new(),
@@ -487,6 +490,16 @@
         self.placement.divided()
     }
 
+    /// Notes how many entries there may be: those that are heard, and those that others told of.
+    pub fn expect(&mut self, entries: usize) {
+        self.expected = entries;
+    }
+
+    /// Whether more entries are still to be heard before each can have its part of the servers.
+    pub fn forming(&self) -> bool {
+        !self.divided() && routing::placement::divides(self.expected)
+    }
+
     /// Whether a server is of this entry's part.
     pub fn owns(&self, server: &Server) -> bool {
         self.placement.owns(server)
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -62,6 +62,9 @@
 /// Prompts in one datagram: with their frame they fit it.
 const MAX_READS: usize = 80;
 
+/// Age of a confirmation from which on the next one is told at once.
+const LAPSE: std::time::Duration = std::time::Duration::from_secs(3);
+
 /// Pace at which it is looked whether there is news.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
 
@@ -81,6 +84,10 @@
     size: usize,
     /// There are addresses that no beacon went to yet.
     grown: bool,
+    /// When what is known was last known to be complete, as it was looked at last.
+    confirmed: Option<Clock>,
+    /// That was a while ago before the newest confirmation.
+    regained: bool,
 }
 
 /// What peers tell one another of.
@@ -138,7 +145,9 @@
             sequence: 0,
             told_loads: 0,
             size: 0,
-            grown: false,
+            grown: true,
+            confirmed: None,
+            regained: false,
         }
     }
 
@@ -150,7 +159,12 @@
         loop {
             let now = Instant::now();
             let confirmed = self.shared.fresh.borrow().confirmed();
-            self.grown |= self.table.grown();
+            if self.table.grown() {
+                self.grown = true;
+                let entries = self.table.targets().len() + 1;
+                self.shared.fleet.borrow_mut().expect(entries);
+            }
+            self.watch_confirmed(confirmed);
             let news = self.grown || self.shared.fleet.borrow().changed() || confirmed != self.told;
             let due = sent + self.table.pace(news, self.size);
             if now >= due {
@@ -185,6 +199,17 @@
         }
     }
 
+    /// Notes when what is known is confirmed again after a while in which it wasn't: the others wait for
+    /// that as well, and some refuse requests meanwhile.
+    fn watch_confirmed(&mut self, confirmed: Option<Clock>) {
+        if confirmed == self.confirmed {
+            return;
+        }
+        let age = self.confirmed.map(|at| clock::now().saturating_sub(at));
+        self.regained |= age.is_some_and(|age| age > LAPSE);
+        self.confirmed = confirmed;
+    }
+
     fn tick(&mut self) {
         let mut fleet = self.shared.fleet.borrow_mut();
         for silent in self.table.silent(clock::now()) {
@@ -202,7 +227,7 @@
         self.shared
             .fresh
             .borrow_mut()
-            .stand(self.table.place().0, near);
+            .stand(self.table.place(), near);
         let neighbours = self.table.neighbours(&settings.data_centre);
         self.shared.departure.set_neighbours(neighbours);
         self.table.reseed_from(&settings.seeds);
@@ -211,6 +236,7 @@
     async fn send(&mut self) -> usize {
         self.sequence += 1;
         self.grown = false;
+        self.regained = false;
         let settings = self.shared.settings.borrow().clone();
         let mut beacon = Beacon {
             host: settings.host.clone(),
--- a/components/models/src/freshness.rs
+++ b/components/models/src/freshness.rs
@@ -159,7 +159,7 @@
     let host = |number: usize| {
         let mut host = Host::new(number as Incarnation, CLOCK);
         host.read(1);
-        host.fresh.stand(number, number);
+        host.fresh.stand((number, hosts), number);
         host
     };
     State {
@@ -336,7 +336,7 @@
                 let turned_away = host.turned_away;
                 let mut host = Host::new(incarnation, host.ahead - EARLIER);
                 host.turned_away = turned_away;
-                host.fresh.stand(*at, *at);
+                host.fresh.stand((*at, self.hosts.len()), *at);
                 self.hosts[*at] = host;
             }
         }
--- a/components/spread/src/fresh.rs
+++ b/components/spread/src/fresh.rs
@@ -32,6 +32,13 @@
 /// sooner than this.
 const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 
+/// Time before the next try for each process of the fleet, when the store answers none of them: all
+/// together try so often, whatever their number, and the first that gets an answer tells the others.
+const FLEET_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Time over which the processes of the last turn are spread.
+const LAST_TURN: Duration = Duration::from_millis(700);
+
 /// Time for which changes that are missing may still be on their way from a peer: from the one that
 /// found them out, at a process that listens to the store, and at one that listens to that.
 const FETCH_DELAYS: (Duration, Duration) = (Duration::from_millis(75), Duration::from_millis(150));
@@ -71,6 +78,8 @@
     /// Place among all processes, and among those of the data centre.
     place: u32,
     place_near: u32,
+    /// Number of processes.
+    count: u32,
 }
 
 impl Fresh {
@@ -92,12 +101,19 @@
         })
     }
 
-    /// Notes this process's place among all, and among those of its data centre.
-    pub fn stand(&mut self, place: usize, near: usize) {
+    /// Notes this process's place among all, their number, and its place in its data centre.
+    pub fn stand(&mut self, (place, count): (usize, usize), near: usize) {
         self.place = u32::try_from(place).unwrap_or(u32::MAX);
+        self.count = u32::try_from(count).unwrap_or(u32::MAX);
         self.place_near = u32::try_from(near).unwrap_or(u32::MAX);
     }
 
+    /// Further time that this process leaves to those before it in the last turn.
+    fn spread(&self) -> Duration {
+        let behind = self.place.saturating_sub(MAX_TURNS);
+        LAST_TURN * behind / self.count.max(1)
+    }
+
     /// Takes note that all changes up to a revision are known now.
     pub fn learned(&mut self, revision: Revision) {
         self.revision = self.revision.max(Some(revision));
@@ -160,7 +176,15 @@
     pub fn failed(&mut self, now: Clock) {
         let age = self.newest.map(|newest| now.saturating_sub(newest));
         self.turned_away = age.is_some_and(|age| age <= TAKEOVER_AGE);
-        let wait = (BACKOFF * (1 << self.failures.min(5))).min(MAX_BACKOFF);
+        let mut wait = (BACKOFF * (1 << self.failures.min(5))).min(MAX_BACKOFF);
+        if !self.turned_away {
+            // All fail for the first time within a moment, and go on one behind the other.
+            let behind = match self.failures {
+                0 => self.place + 1,
+                _ => self.count,
+            };
+            wait = wait.max(FLEET_BACKOFF * behind);
+        }
         self.again = now + wait;
         self.failures += 1;
     }
@@ -172,7 +196,7 @@
 
     /// When this process asks the store whether what is known is current.
     pub fn due(&self) -> Clock {
-        let turn = QUESTION_INTERVAL + TURN_DELAY * self.place.min(MAX_TURNS);
+        let turn = QUESTION_INTERVAL + TURN_DELAY * self.place.min(MAX_TURNS) + self.spread();
         let due = self.newest.map_or(Clock::ZERO, |newest| newest + turn);
         due.max(self.again)
     }
@@ -197,6 +221,6 @@
     /// Whether this process listens to the store for changes, or to its peers.
     pub fn listens(&self, now: Clock) -> bool {
         let age = self.newest.map(|newest| now.saturating_sub(newest));
-        self.place_near == 0 || age.is_none_or(|age| age > TAKEOVER_AGE)
+        self.place_near == 0 || age.is_none_or(|age| age > TAKEOVER_AGE + self.spread())
     }
 }
--- a/components/spread/tests/fresh.rs
+++ b/components/spread/tests/fresh.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use spread::fresh::{
     Claim,
     Fresh, //
@@ -48,7 +49,7 @@
     for place in 0..300 {
         let mut fresh = Fresh::default();
         fresh.learned(7);
-        fresh.stand(place, place);
+        fresh.stand((place, 300), place);
         fresh.hear(SECOND, claim(7, SECOND));
         dues.push(fresh.due());
     }
@@ -64,7 +65,7 @@
     let process = |near: usize| {
         let mut fresh = Fresh::default();
         fresh.learned(7);
-        fresh.stand(near, near);
+        fresh.stand((near, 2), near);
         fresh
     };
     let (mut finder, mut listener, mut other) = (process(1), process(0), process(1));
@@ -132,3 +133,32 @@
     fresh.hear(now, claim(7, now));
     assert_eq!(fresh.again(), Duration::ZERO);
 }
+
+/// Guards against a fleet that storms a store which is out: all its processes together try so often,
+/// whatever their number, and one of them soon after its return.
+#[rstest]
+#[case::five(5, 90)]
+#[case::a_hundred(103, 260)]
+#[case::three_hundred(342, 520)]
+fn a_large_fleet_tries_no_more_often_than_a_small_one(#[case] count: usize, #[case] most: usize) {
+    let mut tries = Vec::new();
+    for place in 0..count {
+        let mut fresh = Fresh::default();
+        fresh.learned(7);
+        fresh.stand((place, count), place / 5);
+        fresh.hear(SECOND, claim(7, SECOND));
+        let mut now = SECOND;
+        while now < SECOND * 16 {
+            if fresh.due() <= now {
+                tries.push(now);
+                fresh.failed(now);
+            }
+            now += SECOND / 20;
+        }
+    }
+    tries.sort_unstable();
+    assert!(tries.len() <= most, "{} tries", tries.len());
+    let late = tries.windows(2).filter(|pair| pair[0] > SECOND * 3);
+    let longest = late.map(|pair| pair[1] - pair[0]).max();
+    assert!(longest <= Some(SECOND * 2), "{longest:?} without a try");
+}
