Count sends to servers that stand at others' addresses again

Since sends that reach no server leave their count to the next one, streams went round among servers that answer for another one (421): they share an outcome with refused connections, but they got the request.

Ruled out: refused connections (no arrival), retries told late by peers (the traced requests are sent on ten times by one entry).

Change: an outcome of its own, which counts as before.

Test (gateway, unreachable): six such servers and one retry, two arrivals (six before).

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -187,6 +187,7 @@
                     break;
                 }
                 Start::Unreachable => self.unreachable().await,
+                Start::Replaced => {}
                 Start::Declined => {
                     declined += 1;
                     if declined > DECLINED {
@@ -383,6 +384,7 @@
                 Start::Failed(_) => self.ran(&chosen),
                 Start::Lost(lost) => self.onward(&mut next, *lost),
                 Start::Unreachable => self.unreachable().await,
+                Start::Replaced => {}
                 Start::Declined => {
                     declined += 1;
                     if declined > DECLINED {
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -118,8 +118,10 @@
     Failed(Response<Body>),
     /// The server didn't run it.
     Declined,
-    /// The server can't be reached, and no byte left; or it is over, as another says at its address.
+    /// The server can't be reached, and no byte left.
     Unreachable,
+    /// The server is over: another one got the request at its address, and didn't run it.
+    Replaced,
     /// It may have run, or have begun to.
     Lost(Box<Next>),
     /// The time of the whole answer is over.
@@ -489,7 +491,7 @@
                 self.context.sender.keep(run.connection);
             }
             return match reply.other {
-                true => Start::Unreachable,
+                true => Start::Replaced,
                 false => Start::Declined,
             };
         }
--- a/components/gateway/tests/unreachable.rs
+++ b/components/gateway/tests/unreachable.rs
@@ -92,6 +92,33 @@
     });
 }
 
+/// Guards against requests that go round among servers which stand at others' addresses: each of them gets
+/// the request, so that each send counts.
+#[test]
+fn a_server_that_answers_for_another_bears_a_retry() {
+    common::run(async {
+        let harness = scarce();
+        let mut servers = Vec::new();
+        for number in 0..REFUSING {
+            let server = Backend::start(|message, line| async move {
+                let id = message.header("id").unwrap_or_default();
+                let head = format!("HTTP/1.1 421 x\r\nid: {id}\r\nnot-run: 1\r\nother: 1\r\n");
+                line.write(&(head + "content-length: 0\r\n\r\n")).await;
+                true
+            })
+            .await;
+            harness.register(&format!("over-{number}"), "draft", "a", server.address);
+            servers.push(server);
+        }
+        let (_, refusal) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        let refusal = refusal.expect("an answer");
+        assert_eq!(refusal.status(), 503);
+        assert!(refusal.text().contains("not_run"), "{}", refusal.text());
+        let arrivals: usize = servers.iter().map(Backend::count).sum();
+        assert_eq!(arrivals, 2, "a send and a retry");
+    });
+}
+
 /// Guards against streams that look for a server among those of the version that the traffic has
 /// left, one after the other, as that was right when they came.
 #[test]
