--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -62,9 +62,6 @@
 /// Prompts in one datagram: with their frame they fit it.
 const MAX_READS: usize = 80;
 
-/// Age of a confirmation from which on the next one is told at once.
-const LAPSE: std::time::Duration = std::time::Duration::from_secs(3);
-
 /// Pace at which it is looked whether there is news.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
 
@@ -84,10 +81,6 @@
     size: usize,
     /// There are addresses that no beacon went to yet.
     grown: bool,
-    /// When what is known was last known to be complete, as it was looked at last.
-    confirmed: Option<Clock>,
-    /// That was a while ago before the newest confirmation.
-    regained: bool,
 }
 
 /// What peers tell one another of.
@@ -146,8 +139,6 @@
             told_loads: 0,
             size: 0,
             grown: true,
-            confirmed: None,
-            regained: false,
         }
     }
 
@@ -164,12 +155,8 @@
                 let entries = self.table.targets().len() + 1;
                 self.shared.fleet.borrow_mut().expect(entries);
             }
-            self.watch_confirmed(confirmed);
-            let news = self.shared.fleet.borrow().changed() || confirmed != self.told;
-            let due = match self.grown || self.regained {
-                true => sent + self.table.first_pace(),
-                false => sent + self.table.pace(news, self.size),
-            };
+            let news = self.grown || self.shared.fleet.borrow().changed() || confirmed != self.told;
+            let due = sent + self.table.pace(news, self.size);
             if now >= due {
                 self.size = self.send().await;
                 sent = now;
@@ -202,17 +189,6 @@
         }
     }
 
-    /// Notes when what is known is confirmed again after a while in which it wasn't: the others wait for
-    /// that as well, and some refuse requests meanwhile.
-    fn watch_confirmed(&mut self, confirmed: Option<Clock>) {
-        if confirmed == self.confirmed {
-            return;
-        }
-        let age = self.confirmed.map(|at| clock::now().saturating_sub(at));
-        self.regained |= age.is_some_and(|age| age > LAPSE);
-        self.confirmed = confirmed;
-    }
-
     fn tick(&mut self) {
         let mut fleet = self.shared.fleet.borrow_mut();
         for silent in self.table.silent(clock::now()) {
@@ -239,7 +215,6 @@
     async fn send(&mut self) -> usize {
         self.sequence += 1;
         self.grown = false;
-        self.regained = false;
         let settings = self.shared.settings.borrow().clone();
         let mut beacon = Beacon {
             host: settings.host.clone(),
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -352,12 +352,6 @@
         self.peers.values().map(|peer| &peer.host)
     }
 
-    /// Time until the next beacon when there are addresses that none went to yet: until they hear it,
-    /// they know nothing of this process.
-    pub fn first_pace(&self) -> Duration {
-        NEWS
-    }
-
     /// Time until the next beacon of a size, with or without news.
     pub fn pace(&self, news: bool, bytes: usize) -> Duration {
         let usual = if news { NEWS } else { CALM };
