--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -110,7 +110,7 @@
         let (inward, heard) = unbounded_channel();
         let (lookups, wanted) = unbounded_channel();
         let mut fleet = Fleet::new(rand::random());
-        fleet.live_at(&settings.data_centre);
+        fleet.set_home(&settings.data_centre);
         let context = Context {
             settings: Rc::new(RefCell::new(Rc::new(settings))),
             document_cache: RefCell::default(),
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -86,13 +86,13 @@
     /// Work changed since the last beacon.
     changed: bool,
     /// Servers at which own work changed since peers of the data centre were told.
-    moved: HashSet<Server>,
+    changed_at: HashSet<Server>,
     /// Wakes who tells them.
     wake: Rc<Notify>,
     /// Entries that there may be.
     expected: usize,
-    /// Newest message of each peer on its work.
-    told: HashMap<Incarnation, u64>,
+    /// Newest sequence number of each peer's messages on its work.
+    loads_sequences: HashMap<Incarnation, u64>,
     /// Prompts that were read for this entry: the last part, the server, and when that was.
     prompts: VecDeque<(Part, Server, Clock)>,
     /// Servers that were found to be over, as another stands at their address; the newest last.
@@ -123,10 +123,10 @@
             addresses: HashMap::new(),
             numbers: HashMap::new(),
             changed: false,
-            moved: HashSet::new(),
+            changed_at: HashSet::new(),
             wake: Rc::default(),
             expected: 1,
-            told: HashMap::new(),
+            loads_sequences: HashMap::new(),
             prompts: VecDeque::new(),
             over: VecDeque::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -398,8 +398,8 @@
     }
 
     /// Notes where this entry is.
-    pub fn live_at(&mut self, home: &DataCentre) {
-        self.placement.live_at(home);
+    pub fn set_home(&mut self, home: &DataCentre) {
+        self.placement.set_home(home);
     }
 
     /// What is notified when own work changes.
@@ -409,31 +409,32 @@
 
     /// Own work at servers where it changed since the last call, for peers of the data centre. In a
     /// small fleet beacons are quick enough.
-    pub fn moved(&mut self) -> Vec<Load> {
-        let moved = std::mem::take(&mut self.moved);
+    pub fn take_changed(&mut self) -> Vec<Load> {
+        let changed = std::mem::take(&mut self.changed_at);
         if !self.divided() {
             return Vec::new();
         }
-        let load = |server: &Server| load(server, self.placement.own_at(server));
-        moved.iter().map(load).collect()
+        let load = |server: &Server| load(server, self.placement.own_work(server));
+        changed.iter().map(load).collect()
     }
 
-    fn note_moved(&mut self, server: &Server) {
+    fn mark_changed(&mut self, server: &Server) {
         self.changed = true;
-        self.moved.insert(server.clone());
+        self.changed_at.insert(server.clone());
         self.wake.notify_one();
     }
 
     /// Takes the work of a peer of the data centre.
-    pub fn hear_loads(&mut self, told: &Loads) {
-        let newest = self.told.entry(told.incarnation).or_default();
-        if *newest >= told.sequence {
+    pub fn apply_loads(&mut self, message: &Loads) {
+        let newest = self.loads_sequences.entry(message.incarnation).or_default();
+        if *newest >= message.sequence {
             return;
         }
-        *newest = told.sequence;
-        for load in &told.loads {
+        *newest = message.sequence;
+        for load in &message.loads {
             if let Some(server) = self.numbers.get(&load.server) {
-                self.placement.peer_at(told.incarnation, server, work(load));
+                self.placement
+                    .set_peer_work(message.incarnation, server, work(load));
             }
         }
     }
@@ -471,7 +472,7 @@
 
     /// Forgets the work of a peer that ended or fell silent.
     pub fn forget(&mut self, peer: Incarnation) {
-        self.told.remove(&peer);
+        self.loads_sequences.remove(&peer);
         self.placement.forget(peer);
     }
 
@@ -491,7 +492,7 @@
     }
 
     /// Notes how many entries there may be: those that are heard, and those that others told of.
-    pub fn expect(&mut self, entries: usize) {
+    pub fn set_expected(&mut self, entries: usize) {
         self.expected = entries;
     }
 
@@ -526,7 +527,7 @@
     pub fn new(fleet: &Rc<RefCell<Fleet>>, server: &Server, work: Work) -> Charge {
         let mut inner = fleet.borrow_mut();
         inner.placement.sent(clock::now(), server, work);
-        inner.note_moved(server);
+        inner.mark_changed(server);
         let ahead = inner.placement.unread(server);
         drop(inner);
         Charge {
@@ -542,7 +543,7 @@
     pub fn read(&mut self, time: Duration) {
         let unread = std::mem::take(&mut self.work.unread);
         let mut fleet = self.fleet.borrow_mut();
-        fleet.note_moved(&self.server);
+        fleet.mark_changed(&self.server);
         fleet
             .placement
             .read(clock::now(), &self.server, unread, self.ahead, time);
@@ -557,7 +558,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.note_moved(&self.server);
+        fleet.mark_changed(&self.server);
         let placement = &mut fleet.placement;
         placement.done(clock::now(), &self.server, self.work, self.outcome);
     }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -75,8 +75,8 @@
     reassembly: Reassembly,
     incarnation: u64,
     sequence: u64,
-    /// Messages on work that changed.
-    told_loads: u64,
+    /// Sequence number of messages on work that changed.
+    loads_sequence: u64,
     /// Bytes of the last beacon.
     size: usize,
     /// There are addresses that no beacon went to yet.
@@ -136,7 +136,7 @@
             reassembly: Reassembly::default(),
             incarnation,
             sequence: 0,
-            told_loads: 0,
+            loads_sequence: 0,
             size: 0,
             grown: true,
         }
@@ -144,7 +144,7 @@
 
     /// Sends and takes beacons until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
-        let moved = self.shared.fleet.borrow().wake();
+        let changed = self.shared.fleet.borrow().wake();
         let mut sent = Instant::now();
         let mut bytes = vec![0; MAX_DATAGRAM];
         loop {
@@ -153,7 +153,7 @@
             if self.table.grown() {
                 self.grown = true;
                 let entries = self.table.targets().len() + 1;
-                self.shared.fleet.borrow_mut().expect(entries);
+                self.shared.fleet.borrow_mut().set_expected(entries);
             }
             let news = self.grown || self.shared.fleet.borrow().changed() || confirmed != self.told;
             let due = sent + self.table.pace(news, self.size);
@@ -173,7 +173,7 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
-                () = moved.notified() => self.tell_loads(),
+                () = changed.notified() => self.send_loads(),
                 outgoing = self.exchange.out.recv() => match outgoing {
                     None => {}
                     Some(Outgoing::Changes(changes, reach)) => self.pass_on(changes, reach),
@@ -275,14 +275,14 @@
     }
 
     /// Tells the data centre's other processes of work that changed.
-    fn tell_loads(&mut self) {
-        let loads = self.shared.fleet.borrow_mut().moved();
+    fn send_loads(&mut self) {
+        let loads = self.shared.fleet.borrow_mut().take_changed();
         let home = self.shared.settings.borrow().data_centre.clone();
         for loads in loads.chunks(MAX_LOADS) {
-            self.told_loads += 1;
+            self.loads_sequence += 1;
             let message = Message::Loads(Loads {
                 incarnation: self.incarnation,
-                sequence: self.told_loads,
+                sequence: self.loads_sequence,
                 loads: loads.to_vec(),
             });
             for target in self.table.peers_near(&home) {
@@ -324,7 +324,7 @@
             }
             Ok(Message::Loads(loads)) => {
                 if self.table.knows(from) {
-                    self.shared.fleet.borrow_mut().hear_loads(&loads);
+                    self.shared.fleet.borrow_mut().apply_loads(&loads);
                 }
                 return;
             }
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -137,7 +137,7 @@
     }
 
     /// Notes where this entry is.
-    pub fn live_at(&mut self, home: &DataCentre) {
+    pub fn set_home(&mut self, home: &DataCentre) {
         self.home.clone_from(home);
         for (server, candidate) in &mut self.candidates {
             candidate.stand(server, self.place, home);
@@ -336,7 +336,7 @@
     }
 
     /// Takes all work that a peer has at one server, in place of what it had there before.
-    pub fn peer_at(&mut self, peer: Peer, server: &Server, work: Work) {
+    pub fn set_peer_work(&mut self, peer: Peer, server: &Server, work: Work) {
         let loads = self.peers.entry(peer).or_default();
         let before = loads.insert(server.clone(), work).unwrap_or_default();
         if let Some(candidate) = self.candidates.get_mut(server) {
@@ -346,7 +346,7 @@
     }
 
     /// Work of this entry at a server.
-    pub fn own_at(&self, server: &Server) -> Work {
+    pub fn own_work(&self, server: &Server) -> Work {
         let candidate = self.candidates.get(server);
         candidate.map_or_else(Work::default, |candidate| candidate.own)
     }
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -125,7 +125,7 @@
         let mut counts: HashMap<Server, u32> = HashMap::new();
         for (place, mut placement) in entries.into_iter().enumerate() {
             let home = format!("dc{}", place % 3);
-            placement.live_at(&home);
+            placement.set_home(&home);
             for _ in 0..each {
                 let server = choose_at(&placement, &home, &mut rng);
                 placement.sent(Duration::ZERO, &server, WORK);
@@ -149,17 +149,17 @@
         // Those of the data centre.
         entries.truncate(34);
         for placement in &mut entries {
-            placement.live_at(&home);
+            placement.set_home(&home);
         }
         let mut taken: HashMap<Server, u32> = HashMap::new();
         for sent in 0..60 {
             let at = sent * 7 % entries.len();
             let server = choose_at(&entries[at], &home, &mut rng);
             entries[at].sent(Duration::ZERO, &server, WORK);
-            let work = entries[at].own_at(&server);
+            let work = entries[at].own_work(&server);
             for (peer, placement) in entries.iter_mut().enumerate() {
                 if peer != at {
-                    placement.peer_at(at as u64 + 100, &server, work);
+                    placement.set_peer_work(at as u64 + 100, &server, work);
                 }
             }
             let taken = taken.entry(server).or_default();
