Leave a data centre whose servers are over after two of them

A data centre's engines crash as the store goes out, and are back under names that nobody can read. An entry that follows the engines of its data centre sent one request to each of them in turn, every 7 ms, and each answered for another server (421); 50 engines, 20 entries.

Ruled out: retries that reach no server (not counted by the users either).

Change: such an answer speaks against the data centre like a refused connection: after two, others go first. A stream that met eight in a row waits or is refused, as with servers that can't be reached; each of these sends counts.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -183,11 +183,16 @@
                 Start::Late => {
                     return Err(failure.unwrap_or_else(|| self.call.refuse(&Refusal::Late)));
                 }
-                Start::Unreachable if self.ran.is_empty() && self.unreachable >= UNREACHABLE => {
+                Start::Unreachable | Start::Replaced
+                    if self.ran.is_empty() && self.unreachable >= UNREACHABLE =>
+                {
                     break;
                 }
-                Start::Unreachable => self.unreachable().await,
-                Start::Replaced => {}
+                Start::Unreachable => {
+                    self.unsent += 1;
+                    self.unreachable().await;
+                }
+                Start::Replaced => self.unreachable().await,
                 Start::Declined => {
                     declined += 1;
                     if declined > DECLINED {
@@ -230,9 +235,8 @@
         self.context.may_send(&self.call.service, first, purpose)
     }
 
-    /// Notes that a server couldn't be reached, and waits when many can't.
+    /// Notes that a server couldn't be reached, or is over, and waits when many can't.
     async fn unreachable(&mut self) {
-        self.unsent += 1;
         self.unreachable += 1;
         if self.unreachable > UNREACHABLE {
             sleep(UNREACHABLE_BACKOFF).await;
@@ -383,8 +387,11 @@
                 Start::Late => return None,
                 Start::Failed(_) => self.ran(&chosen),
                 Start::Lost(lost) => self.onward(&mut next, *lost),
-                Start::Unreachable => self.unreachable().await,
-                Start::Replaced => {}
+                Start::Unreachable => {
+                    self.unsent += 1;
+                    self.unreachable().await;
+                }
+                Start::Replaced => self.unreachable().await,
                 Start::Declined => {
                     declined += 1;
                     if declined > DECLINED {
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -484,7 +484,12 @@
                     .lost(&server, Suspicion::Full);
             }
             if reply.other {
-                self.context.fleet.borrow_mut().replaced(&server);
+                let mut fleet = self.context.fleet.borrow_mut();
+                // Servers that were lost together come back together, under names that aren't known
+                // while the store is out.
+                fleet.lost(&server, Suspicion::Refused);
+                fleet.replaced(&server);
+                drop(fleet);
                 self.context.sender.forget(run.chosen.address);
             }
             if self.rest(&mut run).await.is_some() && !reply.other {
--- a/components/gateway/tests/unreachable.rs
+++ b/components/gateway/tests/unreachable.rs
@@ -41,6 +41,17 @@
     harness
 }
 
+/// A server that stands at the address of another one, and says so.
+async fn over() -> Backend {
+    Backend::start(|message, line| async move {
+        let id = message.header("id").unwrap_or_default();
+        let head = format!("HTTP/1.1 421 x\r\nid: {id}\r\nnot-run: 1\r\nother: 1\r\n");
+        line.write(&(head + "content-length: 0\r\n\r\n")).await;
+        true
+    })
+    .await
+}
+
 /// An address at which nothing listens.
 fn nowhere() -> SocketAddr {
     let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -100,13 +111,7 @@
         let harness = scarce();
         let mut servers = Vec::new();
         for number in 0..REFUSING {
-            let server = Backend::start(|message, line| async move {
-                let id = message.header("id").unwrap_or_default();
-                let head = format!("HTTP/1.1 421 x\r\nid: {id}\r\nnot-run: 1\r\nother: 1\r\n");
-                line.write(&(head + "content-length: 0\r\n\r\n")).await;
-                true
-            })
-            .await;
+            let server = over().await;
             harness.register(&format!("over-{number}"), "draft", "a", server.address);
             servers.push(server);
         }
@@ -119,6 +124,34 @@
     });
 }
 
+/// Guards against a data centre whose engines came back under names that aren't known yet, as the store
+/// is out: each entry sent a request to each of them, though others answer elsewhere.
+#[test]
+fn a_data_centre_whose_servers_are_over_is_left_after_two_of_them() {
+    common::run(async {
+        let harness = Harness::with(document());
+        let mut servers = Vec::new();
+        for number in 0..REFUSING {
+            let server = over().await;
+            harness.register(&format!("over-{number}"), "draft", "a", server.address);
+            servers.push(server);
+        }
+        let good = Backend::start(|message, line| async move {
+            let id = message.header("id").unwrap_or_default();
+            line.write(&stream_head(id)).await;
+            events(&line, 1, 5, PACE).await;
+            true
+        })
+        .await;
+        // The last choice while nothing speaks against the others.
+        harness.register_slots("good", "draft", "b", good.address, 1);
+        let (_, letter) = harness.ask("r1", "/stream/x", "tokens: 10\r\n").await;
+        assert_eq!(letter.expect("a whole answer").status(), 200);
+        let arrivals: usize = servers.iter().map(Backend::count).sum();
+        assert_eq!(arrivals, 2);
+    });
+}
+
 /// Guards against streams that look for a server among those of the version that the traffic has
 /// left, one after the other, as that was right when they came.
 #[test]
