--- a/components/gateway/src/cache_lookup.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -68,8 +68,8 @@
 /// Time for one engine's answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Times after its start in which an entry is told of the others, and hears enough of them.
-const SETTLE_TIMES: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(900));
+/// Time after its start in which an entry hears how many others there are.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// Longest time that a request waits for the answers: a tenth of what reading a prompt takes.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(120);
@@ -176,19 +176,11 @@
 }
 
 /// Waits until an entry that started a moment ago knows that its fleet is large: all entries may have
-/// started together, and as long as each hears few others it would ask all engines.
+/// started together, and as long as each believes that it is alone it would ask all engines.
 async fn settle<E>(context: &Context<E>, longest: Duration) {
-    let (told, heard) = SETTLE_TIMES;
-    let longest = Instant::now() + longest;
-    loop {
-        let (divided, forming) = {
-            let fleet = context.fleet.borrow();
-            (fleet.divided(), fleet.forming())
-        };
-        let until = context.started + if forming { heard } else { told };
-        if divided || Instant::now() >= until.min(longest) {
-            return;
-        }
+    let until = context.started + SETTLE_TIME;
+    let until = until.min(Instant::now() + longest);
+    while Instant::now() < until && !context.fleet.borrow().divided() {
         sleep(POLL_INTERVAL).await;
     }
 }
@@ -202,7 +194,7 @@
         let Some(service) = named(&context, wanted) else {
             continue;
         };
-        settle(&context, SETTLE_TIMES.1).await;
+        settle(&context, SETTLE_TIME).await;
         // An entry that hears few peers doesn't know its part.
         if context.fleet.borrow().divided() && fresh(&context, &service).is_none() {
             begin(&context, &service);
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -89,8 +89,6 @@
     changed_at: HashSet<Server>,
     /// Wakes who tells them.
     wake: Rc<Notify>,
-    /// Entries that there may be.
-    expected: usize,
     /// Newest sequence number of each peer's messages on its work.
     loads_sequences: HashMap<Incarnation, u64>,
     /// Prompts that were read for this entry: the last part, the server, and when that was.
@@ -125,7 +123,6 @@
             changed: false,
             changed_at: HashSet::new(),
             wake: Rc::default(),
-            expected: 1,
             loads_sequences: HashMap::new(),
             prompts: VecDeque::new(),
             over: VecDeque::new(),
@@ -491,16 +488,6 @@
         self.placement.divided()
     }
 
-    /// Notes how many entries there may be: those that are heard, and those that others told of.
-    pub fn set_expected(&mut self, entries: usize) {
-        self.expected = entries;
-    }
-
-    /// Whether more entries are still to be heard before each can have its part of the servers.
-    pub fn forming(&self) -> bool {
-        !self.divided() && routing::placement::divides(self.expected)
-    }
-
     /// Whether a server is of this entry's part.
     pub fn owns(&self, server: &Server) -> bool {
         self.placement.owns(server)
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -150,11 +150,7 @@
         loop {
             let now = Instant::now();
             let confirmed = self.shared.fresh.borrow().confirmed();
-            if self.table.grown() {
-                self.grown = true;
-                let entries = self.table.targets().len() + 1;
-                self.shared.fleet.borrow_mut().set_expected(entries);
-            }
+            self.grown |= self.table.grown();
             let news = self.grown || self.shared.fleet.borrow().changed() || confirmed != self.told;
             let due = sent + self.table.pace(news, self.size);
             if now >= due {
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -99,11 +99,6 @@
 /// part besides.
 const FEW: f64 = 7.5;
 
-/// Whether so many entries have a part of the servers each.
-pub fn divides(entries: usize) -> bool {
-    entries as f64 > FEW
-}
-
 /// Number of a peer.
 pub type Peer = u64;
 
@@ -403,7 +398,7 @@
 
     /// Whether the entries are so many that each has a part of the servers.
     pub fn divided(&self) -> bool {
-        divides(self.place.1)
+        self.place.1 as f64 > FEW
     }
 
     /// Whether a server is of this entry's part; in a small fleet all servers are of everybody's.
