--- a/components/gateway/tests/queue.rs
+++ b/components/gateway/tests/queue.rs
@@ -18,6 +18,7 @@
     Line,
     Message as Request,
     document,
+    event,
     events,
     stream_head, //
 };
@@ -195,19 +196,41 @@
     });
 }
 
-/// An engine whose first answers have these numbers of events and all others many; tells how many of
-/// the first ones have ended.
-async fn long_engine(first: &[u64], ended: &Rc<Cell<u32>>) -> Backend {
-    let first = Rc::new(RefCell::new(VecDeque::from(first.to_vec())));
-    let ended = ended.clone();
+/// Answers that a test ends: each has a rank, and goes on until `allowed` has reached it.
+#[derive(Default)]
+struct Ends {
+    allowed: Cell<u32>,
+    ended: Cell<u32>,
+}
+
+impl Ends {
+    /// Ends the answers up to a rank, and waits until as many have ended.
+    async fn allow(&self, rank: u32, count: u32) {
+        self.allowed.set(rank);
+        while self.ended.get() < count {
+            sleep(PACE).await;
+        }
+    }
+}
+
+/// An engine whose first answers have these ranks, and all others go on.
+async fn engine_with_ends(ranks: &[u32], ends: &Rc<Ends>) -> Backend {
+    let ranks = Rc::new(RefCell::new(VecDeque::from(ranks.to_vec())));
+    let ends = ends.clone();
     Backend::start(move |message: Request, line: Line| {
-        let count = first.borrow_mut().pop_front();
-        let ended = ended.clone();
+        let rank = ranks.borrow_mut().pop_front();
+        let ends = ends.clone();
         async move {
             line.write(&stream_head(message.header("id").unwrap_or_default()))
                 .await;
-            events(&line, 1, count.unwrap_or(300), PACE).await;
-            ended.set(ended.get() + u32::from(count.is_some()));
+            let mut id = 0;
+            while rank.is_none_or(|rank| rank > ends.allowed.get()) {
+                id += 1;
+                line.write(&event(id)).await;
+                sleep(PACE).await;
+            }
+            line.write("0\r\n\r\n").await;
+            ends.ended.set(ends.ended.get() + 1);
             true
         }
     })
@@ -225,16 +248,16 @@
     #[case] copied: bool,
 ) {
     common::run(async move {
-        // The first answer of the first server is the shortest, then come its second and the first of
-        // the other; all else lasts.
-        let ended = Rc::new(Cell::new(0));
+        // The first answer of the first server ends first, then its second and the first of the other.
+        let ends = Rc::new(Ends::default());
         let servers = [
-            long_engine(&[30, 60], &ended).await,
-            long_engine(&[60], &ended).await,
+            engine_with_ends(&[1, 2], &ends).await,
+            engine_with_ends(&[2], &ends).await,
         ];
         let harness = Harness::with(document());
         harness.register_slots("s1", "draft", "a", servers[0].address, 5);
         harness.register_slots("s2", "draft", "b", servers[1].address, 5);
+        let running = || servers[0].count() + servers[1].count();
         let prompt = format!("tokens: {tokens}\r\n");
         let mut callers = Vec::new();
         for number in 0..11 {
@@ -242,11 +265,18 @@
             callers.push(harness.connect(&id, "/stream/x", &prompt).await);
             sleep(PACE).await;
         }
+        while running() < 10 {
+            sleep(PACE).await;
+        }
+        // The last one waits for long enough that the service counts as pressed.
+        sleep(Duration::from_millis(300)).await;
         // One ends, and the one that waited takes its place, as there is no other. Then one more ends at
         // each server.
-        while ended.get() < 3 {
+        ends.allow(1, 1).await;
+        while running() < 11 {
             sleep(PACE).await;
         }
+        ends.allow(2, 3).await;
         sleep(PACE * 5).await;
         callers.push(harness.connect("r11", "/stream/x", &prompt).await);
         let last = loop {
