Keep retries to their bound where entries hear from one another seconds apart

Cause: entries hold the sums that the others told in beacons. Beacons keep to 20 KB a second, so that of 103 entries they leave seconds apart and of 300 some ten; when a data centre of engines ends, all entries send again within a second, each by sums that are older than that. Change: retries go with the loads that a data centre is told at once; what the other data centres sent since they were last heard is taken to be what an entry of the own one sent over that time. admission::Retries decides, without a clock.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -10,6 +10,7 @@
 mod pace;
 mod quota;
 mod request;
+mod retries;
 mod settings;
 mod table;
 mod team;
@@ -37,5 +38,9 @@
     Ticket,
     Verdict, //
 };
+pub use retries::{
+    Retries,
+    Told, //
+};
 pub use settings::Settings;
 pub use team::Limit;
--- a/components/admission/src/quota.rs
+++ b/components/admission/src/quota.rs
@@ -53,13 +53,15 @@
 }
 
 /// What the other entries sent.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Others {
     /// Their sums.
     pub totals: Totals,
     /// Part of all entries whose sums are known, this one's among them. What the others may have
     /// sent is left to them.
     pub known: f64,
+    /// Retries that they are taken to have sent since they told their sums.
+    pub unheard: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -91,7 +93,7 @@
         if purpose == Purpose::First {
             allowed *= FIRST;
         }
-        if f64::from(retries) + 1.0 > allowed {
+        if f64::from(retries) + others.unheard + 1.0 > allowed {
             return false;
         }
         self.bucket(now, bound).retries += 1;
--- a/components/admission/tests/quota.rs
+++ b/components/admission/tests/quota.rs
@@ -28,7 +28,11 @@
         totals.requests += sums.requests;
         totals.retries += sums.retries;
     }
-    Others { totals, known: 1.0 }
+    Others {
+        totals,
+        known: 1.0,
+        unheard: 0.0,
+    }
 }
 
 const ALONE: Others = Others {
@@ -37,6 +41,7 @@
         retries: 0,
     },
     known: 1.0,
+    unheard: 0.0,
 };
 
 /// Servers go down and up by turns, and each request is refused by several of them. Sent on until
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -421,11 +421,11 @@
         self.wake.notify_one();
     }
 
-    /// Takes the work of a peer of the data centre.
-    pub fn apply_loads(&mut self, message: &Loads) {
+    /// Takes the work of a peer of the data centre; `false` when newer work is known.
+    pub fn apply_loads(&mut self, message: &Loads) -> bool {
         let newest = self.loads_sequences.entry(message.incarnation).or_default();
         if *newest >= message.sequence {
-            return;
+            return false;
         }
         *newest = message.sequence;
         for load in &message.loads {
@@ -434,6 +434,7 @@
                     .set_peer_work(message.incarnation, server, work(load));
             }
         }
+        true
     }
 
     /// Takes what engines told a peer that they hold.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -226,7 +226,7 @@
         self.shared.queue.tell(&mut beacon);
         self.shared.moving.tell(&mut beacon);
         let bound = settings.bounds.retries();
-        self.shared.quotas.borrow_mut().tell(&mut beacon, &bound);
+        beacon.sends = self.shared.quotas.borrow_mut().sends(&bound);
         let now = clock::now();
         let claim = self.shared.fresh.borrow().claim();
         self.told = claim.map(|claim| claim.at);
@@ -270,19 +270,26 @@
         }
     }
 
-    /// Tells the data centre's other processes of work that changed.
+    /// Tells the data centre's other processes of work that changed, and of retries.
     fn send_loads(&mut self) {
         let loads = self.shared.fleet.borrow_mut().take_changed();
-        let home = self.shared.settings.borrow().data_centre.clone();
+        if loads.is_empty() {
+            return;
+        }
+        let settings = self.shared.settings.borrow().clone();
+        let bound = settings.bounds.retries();
+        let sends = self.shared.quotas.borrow_mut().sends(&bound);
+        let targets = self.table.peers_near(&settings.data_centre);
         for loads in loads.chunks(MAX_LOADS) {
             self.loads_sequence += 1;
             let message = Message::Loads(Loads {
                 incarnation: self.incarnation,
                 sequence: self.loads_sequence,
                 loads: loads.to_vec(),
+                sends: sends.clone(),
             });
-            for target in self.table.peers_near(&home) {
-                self.post(&message, target);
+            for target in &targets {
+                self.post(&message, *target);
             }
         }
     }
@@ -319,8 +326,9 @@
                 return;
             }
             Ok(Message::Loads(loads)) => {
-                if self.table.knows(from) {
-                    self.shared.fleet.borrow_mut().apply_loads(&loads);
+                if self.table.knows(from) && self.shared.fleet.borrow_mut().apply_loads(&loads) {
+                    let mut quotas = self.shared.quotas.borrow_mut();
+                    quotas.hear(loads.incarnation, &loads.sends, true);
                 }
                 return;
             }
@@ -370,7 +378,9 @@
         fleet.hear(&beacon);
         self.shared.queue.hear(&beacon);
         self.shared.moving.hear(&beacon);
-        self.shared.quotas.borrow_mut().hear(&beacon);
+        let near = beacon.data_centre == self.shared.settings.borrow().data_centre;
+        let mut quotas = self.shared.quotas.borrow_mut();
+        quotas.hear(beacon.incarnation, &beacon.sends, near);
         if let Some(claim) = beacon.claim(self.incarnation) {
             self.shared.fresh.borrow_mut().hear(clock::now(), claim);
         }
--- a/components/gateway/src/quotas.rs
+++ b/components/gateway/src/quotas.rs
@@ -1,12 +1,15 @@
 //! Retries of each service, over all entries.
 
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
 use admission::{
     Bound,
-    Others,
     Purpose,
-    Quota,
+    Retries,
+    Told,
     Totals, //
 };
 use events::{
@@ -16,7 +19,6 @@
 use names::Service;
 use spread::beacon::{
     self,
-    Beacon,
     Incarnation,
     Number,
     Sends, //
@@ -27,8 +29,8 @@
 /// Requests and retries of this entry, and what the others told.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    own: HashMap<Service, Quota>,
-    peers: HashMap<Incarnation, HashMap<Number, Totals>>,
+    services: HashMap<Number, Retries>,
+    peers: HashSet<Incarnation>,
     /// Most entries that were known at once.
     most: usize,
 }
@@ -36,29 +38,20 @@
 impl Quotas {
     /// Counts a request's first send.
     pub fn request(&mut self, service: &Service, bound: &Bound) {
-        let quota = self.own.entry(service.clone()).or_default();
-        quota.request(clock::now(), bound);
+        self.of(beacon::number(service))
+            .request(clock::now(), bound);
     }
 
     /// Takes a retry, if there is one left over all entries.
     pub fn retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> bool {
-        let number = beacon::number(service);
-        let mut totals = Totals::default();
-        for sends in self.peers.values() {
-            let sends = sends.get(&number).copied().unwrap_or_default();
-            totals.requests += sends.requests;
-            totals.retries += sends.retries;
-        }
-        let heard = self.peers.len() + 1;
-        let others = Others {
-            totals,
-            known: heard as f64 / self.most.max(heard) as f64,
-        };
-        let quota = self.own.entry(service.clone()).or_default();
         let now = clock::now();
-        let own = quota.totals(now, bound);
-        let left = quota.retry(now, bound, others, purpose);
+        let heard = self.peers.len() + 1;
+        let known = heard as f64 / self.most.max(heard) as f64;
+        let retries = self.of(beacon::number(service));
+        let own = retries.told(now, bound).totals;
+        let left = retries.retry(now, bound, known, purpose);
         if !left {
+            let others = retries.others(known);
             note!(
                 direct::SPENT,
                 service = service.as_str(),
@@ -66,41 +59,55 @@
                 retries = own.retries,
                 others_requests = others.totals.requests,
                 others_retries = others.totals.retries,
-                known = others.known
+                others_unheard = others.unheard,
+                known = known
             );
         }
         left
     }
 
-    /// Adds what this entry sent to a beacon.
-    pub fn tell(&mut self, beacon: &mut Beacon, bound: &Bound) {
+    /// What this entry sent, for its peers.
+    pub fn sends(&mut self, bound: &Bound) -> Vec<Sends> {
         let now = clock::now();
-        for (service, quota) in &mut self.own {
-            let totals = quota.totals(now, bound);
-            beacon.sends.push(Sends {
-                service: beacon::number(service),
+        let mut sends = Vec::with_capacity(self.services.len());
+        for (service, retries) in &mut self.services {
+            let Told { totals, retries } = retries.told(now, bound);
+            sends.push(Sends {
+                service: *service,
                 requests: totals.requests,
                 retries: totals.retries,
+                total_retries: retries,
             });
         }
+        sends
     }
 
-    /// Takes what a peer sent.
-    pub fn hear(&mut self, beacon: &Beacon) {
-        let mut sends = HashMap::with_capacity(beacon.sends.len());
-        for sent in &beacon.sends {
-            let totals = Totals {
-                requests: sent.requests,
-                retries: sent.retries,
+    /// Takes what a peer sent; `near` when it is of the same data centre.
+    pub fn hear(&mut self, peer: Incarnation, sends: &[Sends], near: bool) {
+        let now = clock::now();
+        for sent in sends {
+            let told = Told {
+                totals: Totals {
+                    requests: sent.requests,
+                    retries: sent.retries,
+                },
+                retries: sent.total_retries,
             };
-            sends.insert(sent.service, totals);
+            self.of(sent.service).hear(now, peer, told, near);
         }
-        self.peers.insert(beacon.incarnation, sends);
+        self.peers.insert(peer);
         self.most = self.most.max(self.peers.len() + 1);
     }
 
     /// Forgets a peer that ended or fell silent.
     pub fn forget(&mut self, peer: Incarnation) {
         self.peers.remove(&peer);
+        for retries in self.services.values_mut() {
+            retries.forget(peer);
+        }
+    }
+
+    fn of(&mut self, service: Number) -> &mut Retries {
+        self.services.entry(service).or_default()
     }
 }
--- a/components/gateway/tests/divided.rs
+++ b/components/gateway/tests/divided.rs
@@ -19,7 +19,8 @@
     Load,
     Loads,
     Message,
-    Read, //
+    Read,
+    Sends, //
 };
 use tokio::{
     net::UdpSocket,
@@ -54,6 +55,16 @@
     .await
 }
 
+/// An engine that fails what it is sent.
+async fn failing_engine() -> Backend {
+    Backend::start(|message, line| async move {
+        let id = message.header("id").unwrap_or_default();
+        line.write(&answer(id, 500, "failed")).await;
+        true
+    })
+    .await
+}
+
 struct Fleet {
     harness: Harness,
     engines: Vec<Backend>,
@@ -64,12 +75,18 @@
 impl Fleet {
     /// One gateway among many entries, and engines that say what they hold.
     async fn start(held: &'static str) -> Fleet {
-        let harness = Harness::with(document());
         let mut engines = Vec::new();
-        for number in 0..ENGINES {
-            let engine = engine(held).await;
+        for _ in 0..ENGINES {
+            engines.push(engine(held).await);
+        }
+        Fleet::with(engines).await
+    }
+
+    /// One gateway among many entries before engines.
+    async fn with(engines: Vec<Backend>) -> Fleet {
+        let harness = Harness::with(document());
+        for (number, engine) in engines.iter().enumerate() {
             harness.register(&name(number), "draft", "a", engine.address);
-            engines.push(engine);
         }
         let mut peers = Vec::new();
         for number in 1..=PEERS {
@@ -213,6 +230,7 @@
             incarnation: 1,
             sequence: 1,
             loads: loads.collect(),
+            sends: Vec::new(),
         });
         send(&fleet.peer, &fleet.harness, told).await;
         fleet.heard_in_order().await;
@@ -239,6 +257,37 @@
     (one.server, one.requests, one.unread) == (other.server, other.requests, other.unread)
 }
 
+/// Guards against retries beyond the bound: those of the own data centre are known with no wait for the next
+/// beacon.
+#[test]
+fn entries_of_a_data_centre_hear_at_once_of_retries() {
+    common::run(async {
+        let mut engines = Vec::new();
+        for _ in 0..ENGINES {
+            engines.push(failing_engine().await);
+        }
+        let fleet = Fleet::with(engines).await;
+        let spent = Sends {
+            service: beacon::number("draft"),
+            requests: 100,
+            retries: 10_000,
+            total_retries: 10_000,
+        };
+        let told = Message::Loads(Loads {
+            incarnation: 1,
+            sequence: 1,
+            loads: Vec::new(),
+            sends: vec![spent],
+        });
+        send(&fleet.peer, &fleet.harness, told).await;
+        fleet.heard_in_order().await;
+        let first = "tokens: 5020\r\nparts: 1:20,78:5000\r\n";
+        let _ = fleet.harness.ask("r1", "/stream/x", first).await;
+        let sends: usize = fleet.engines.iter().map(Backend::count).sum();
+        assert_eq!(sends, 1);
+    });
+}
+
 /// Guards against engines that nobody asks: each entry asks its part when a peer looks for a prompt, once.
 #[test]
 fn an_entry_asks_its_part_when_a_peer_wants_it() {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -163,6 +163,8 @@
     pub sequence: u64,
     /// The work.
     pub loads: Vec<Load>,
+    /// What it sent of late, by service.
+    pub sends: Vec<Sends>,
 }
 
 /// A prompt that a server has read.
@@ -183,6 +185,8 @@
     pub requests: u32,
     /// Sends beyond the first.
     pub retries: u32,
+    /// The same since the process started; it wraps around.
+    pub total_retries: u32,
 }
 
 /// A server that should get no new work for a while.
