--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -1,7 +1,6 @@
 //! The backend servers: where they are, and what is sent to them.
 
 use std::{
-    cell::RefCell,
     collections::{
         HashMap,
         HashSet,
@@ -25,7 +24,6 @@
 };
 pub use routing::placement::Suspicion;
 use routing::{
-    Outcome,
     Part,
     Placement,
     placement::{
@@ -36,18 +34,11 @@
         Work, //
     }, //
 };
-
 use spread::beacon::{
     self,
-    Beacon,
     Incarnation,
-    Load,
-    Loads,
-    Loss,
-    Number,
-    Read, //
+    Number, //
 };
-
 use tokio::sync::Notify;
 
 use crate::{
@@ -55,6 +46,11 @@
     update::Registration, //
 };
 
+mod charge;
+mod exchange;
+
+pub use charge::Charge;
+
 /// A load for a log line: three places tell all there is to see.
 pub fn rounded(load: f64) -> f64 {
     (load * 1000.0).round() / 1000.0
@@ -71,9 +67,6 @@
 /// Prompts that are told to peers; those that were read last.
 const PROMPTS: usize = 24;
 
-/// Age up to which they are told: runs usually end within, and their callers come back at once.
-const TOLD: Duration = Duration::from_secs(12);
-
 /// Servers that are remembered as over. Runs last minutes at most.
 const OVER: usize = 256;
 
@@ -326,228 +319,3 @@
         self.placement.usable(clock::now(), server)
     }
 }
-
-fn load(server: &Server, work: Work) -> Load {
-    Load {
-        server: beacon::number(server),
-        requests: work.requests,
-        tokens: work.tokens,
-        unread: work.unread,
-    }
-}
-
-fn work(load: &Load) -> Work {
-    Work {
-        requests: load.requests,
-        tokens: load.tokens,
-        unread: load.unread,
-    }
-}
-
-fn told(suspicion: Suspicion) -> beacon::Suspicion {
-    match suspicion {
-        Suspicion::Refused => beacon::Suspicion::Refused,
-        Suspicion::Dark => beacon::Suspicion::Dark,
-        Suspicion::Broke => beacon::Suspicion::Broke,
-        Suspicion::Full => beacon::Suspicion::Full,
-    }
-}
-
-fn heard(suspicion: beacon::Suspicion) -> Suspicion {
-    match suspicion {
-        beacon::Suspicion::Refused => Suspicion::Refused,
-        beacon::Suspicion::Dark => Suspicion::Dark,
-        beacon::Suspicion::Broke => Suspicion::Broke,
-        beacon::Suspicion::Full => Suspicion::Full,
-    }
-}
-
-// What peers tell one another.
-impl Fleet {
-    /// Work and losses for a beacon.
-    pub fn tell(&mut self, beacon: &mut Beacon) {
-        self.changed = false;
-        let own = self.placement.own();
-        beacon
-            .loads
-            .extend(own.map(|(server, work)| load(server, work)));
-        self.tell_prompts(beacon);
-        for (server, age, suspicion) in self.placement.losses(clock::now()) {
-            beacon.losses.push(Loss {
-                server: beacon::number(server),
-                age_ms: age.as_millis() as u32,
-                suspicion: told(suspicion),
-            });
-        }
-    }
-
-    fn tell_prompts(&self, beacon: &mut Beacon) {
-        let now = clock::now();
-        for (part, server, at) in &self.prompts {
-            if now.saturating_sub(*at) > TOLD {
-                continue;
-            }
-            beacon.prompts.push(Read {
-                part: *part,
-                server: beacon::number(server),
-            });
-        }
-    }
-
-    /// Notes where this entry is.
-    pub fn set_home(&mut self, home: &DataCentre) {
-        self.placement.set_home(home);
-    }
-
-    /// What is notified when own work changes.
-    pub fn wake(&self) -> Rc<Notify> {
-        self.wake.clone()
-    }
-
-    /// Own work at servers where it changed since the last call, for peers of the data centre. In a
-    /// small fleet beacons are quick enough.
-    pub fn take_changed(&mut self) -> Vec<Load> {
-        let changed = std::mem::take(&mut self.changed_at);
-        if !self.divided() {
-            return Vec::new();
-        }
-        let load = |server: &Server| load(server, self.placement.own_work(server));
-        changed.iter().map(load).collect()
-    }
-
-    fn mark_changed(&mut self, server: &Server) {
-        self.changed = true;
-        self.changed_at.insert(server.clone());
-        self.wake.notify_one();
-    }
-
-    /// Takes the work of a peer of the data centre; `false` when newer work is known.
-    pub fn apply_loads(&mut self, message: &Loads) -> bool {
-        let newest = self.loads_sequences.entry(message.incarnation).or_default();
-        if *newest >= message.sequence {
-            return false;
-        }
-        *newest = message.sequence;
-        for load in &message.loads {
-            if let Some(server) = self.numbers.get(&load.server) {
-                self.placement
-                    .set_peer_work(message.incarnation, server, work(load));
-            }
-        }
-        true
-    }
-
-    /// Takes what engines told a peer that they hold.
-    pub fn held(&mut self, reads: &[Read]) {
-        let now = clock::now();
-        for read in reads {
-            if let Some(server) = self.numbers.get(&read.server) {
-                self.placement.has_read(now, &[(read.part, 0)], server);
-            }
-        }
-    }
-
-    /// Takes what a peer tells.
-    pub fn hear(&mut self, beacon: &Beacon) {
-        let mut loads = HashMap::with_capacity(beacon.loads.len());
-        for load in &beacon.loads {
-            let Some(server) = self.numbers.get(&load.server) else {
-                continue;
-            };
-            loads.insert(server.clone(), work(load));
-        }
-        self.placement.peer(beacon.incarnation, loads);
-        self.held(&beacon.prompts);
-        let now = clock::now();
-        for loss in &beacon.losses {
-            let Some(server) = self.numbers.get(&loss.server) else {
-                continue;
-            };
-            let at = now.saturating_sub(Duration::from_millis(u64::from(loss.age_ms)));
-            self.placement.peer_lost(at, server, heard(loss.suspicion));
-        }
-    }
-
-    /// Forgets the work of a peer that ended or fell silent.
-    pub fn forget(&mut self, peer: Incarnation) {
-        self.loads_sequences.remove(&peer);
-        self.placement.forget(peer);
-    }
-
-    /// Notes this entry's place among all, and their number.
-    pub fn stand(&mut self, place: (usize, usize)) {
-        self.placement.stand(place);
-    }
-
-    /// This entry's place among all, and their number.
-    pub fn place(&self) -> (usize, usize) {
-        self.placement.place()
-    }
-
-    /// Whether the entries are so many that each has a part of the servers.
-    pub fn divided(&self) -> bool {
-        self.placement.divided()
-    }
-
-    /// Whether a server is of this entry's part.
-    pub fn owns(&self, server: &Server) -> bool {
-        self.placement.owns(server)
-    }
-
-    /// Whether there is news for peers.
-    pub fn changed(&self) -> bool {
-        self.changed
-    }
-}
-
-/// Work at a server, counted until it is dropped.
-pub struct Charge {
-    fleet: Rc<RefCell<Fleet>>,
-    server: Server,
-    work: Work,
-    /// Tokens of prompts that were to be read at the server when the work was sent, its own too.
-    ahead: u64,
-    outcome: Outcome,
-}
-
-impl Charge {
-    /// Counts work that is about to be sent.
-    pub fn new(fleet: &Rc<RefCell<Fleet>>, server: &Server, work: Work) -> Charge {
-        let mut inner = fleet.borrow_mut();
-        inner.placement.sent(clock::now(), server, work);
-        inner.mark_changed(server);
-        let ahead = inner.placement.unread(server);
-        drop(inner);
-        Charge {
-            fleet: fleet.clone(),
-            server: server.clone(),
-            work,
-            ahead,
-            outcome: Outcome::Cancelled,
-        }
-    }
-
-    /// Notes that the prompt was read, a time after it was sent.
-    pub fn read(&mut self, time: Duration) {
-        let unread = std::mem::take(&mut self.work.unread);
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.mark_changed(&self.server);
-        fleet
-            .placement
-            .read(clock::now(), &self.server, unread, self.ahead, time);
-    }
-
-    /// Notes how it ended; without this it counts as cancelled.
-    pub fn end(&mut self, outcome: Outcome) {
-        self.outcome = outcome;
-    }
-}
-
-impl Drop for Charge {
-    fn drop(&mut self) {
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.mark_changed(&self.server);
-        let placement = &mut fleet.placement;
-        placement.done(clock::now(), &self.server, self.work, self.outcome);
-    }
-}
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -247,7 +247,7 @@
 
     /// Addresses that a beacon goes to: the peers, and seeds that aren't among them.
     pub fn targets(&self) -> Vec<SocketAddr> {
-        let mut targets: Vec<_> = self.peers.keys().copied().collect();
+        let mut targets = self.peers();
         for seed in &self.seeds {
             if !self.peers.contains_key(seed) {
                 targets.push(*seed);
