--- a/components/daemon/src/lateness.rs
+++ b/components/daemon/src/lateness.rs
@@ -1,7 +1,7 @@
 //! How late this process runs.
 //!
 //! A process whose processor is taken away by its neighbours sees every answer come slowly. It can
-//! tell: a timer of its own comes late as well.
+//! tell: a timer of its own comes late as well, and a task that is ready waits long for its turn.
 
 use std::{
     collections::VecDeque,
@@ -10,9 +10,12 @@
 };
 
 use names::Clock;
-use tokio::time::{
-    MissedTickBehavior,
-    interval, //
+use tokio::{
+    task::yield_now,
+    time::{
+        MissedTickBehavior,
+        interval, //
+    },
 };
 use tokio_util::sync::CancellationToken;
 
@@ -23,13 +26,17 @@
 /// Part of a tick's lateness that is usual: the runtime's timers count in whole milliseconds.
 const USUAL: Duration = Duration::from_micros(1500);
 
+/// Time that a task that is ready usually waits for its turn. What an answer passes through waits
+/// several times, so that waits far below a timer's lateness add up.
+const USUAL_TURN: Duration = Duration::from_micros(250);
+
 /// Shortest time over which lateness is told: a shorter one may have no tick.
 const SHORTEST: Duration = Duration::from_millis(20);
 
-/// Late ticks that are remembered: those of ten seconds in which every tick is late.
-const REMEMBERED: usize = 2_000;
+/// Late ticks and turns that are remembered: those of ten seconds in which all are late.
+const REMEMBERED: usize = 4_000;
 
-/// Ticks that came late.
+/// Ticks and turns that came late.
 #[derive(Debug, Default)]
 pub struct Lateness(Mutex<Ticks>);
 
@@ -37,7 +44,7 @@
 struct Ticks {
     /// When the next one is due; none before the first.
     due: Option<Clock>,
-    /// When a late one came, and by how much it was late.
+    /// When a late tick or turn came, and by how much it was late.
     late: VecDeque<(Clock, Duration)>,
 }
 
@@ -47,14 +54,21 @@
         let mut ticks = self.0.lock().expect("no panic while held");
         let late = ticks.behind(now);
         if !late.is_zero() {
-            ticks.late.push_back((now, late));
-        }
-        if ticks.late.len() > REMEMBERED {
-            ticks.late.pop_front();
+            ticks.note(now, late);
         }
         ticks.due = Some(now + PACE);
     }
 
+    /// Notes at `now` that a task that was ready waited for its turn. Such waits are seen once a tick.
+    pub fn turn(&self, now: Clock, waited: Duration) {
+        let late = waited.saturating_sub(USUAL_TURN);
+        if late.is_zero() {
+            return;
+        }
+        let mut ticks = self.0.lock().expect("no panic while held");
+        ticks.note(now, late);
+    }
+
     /// Part of the time from `begun` to `now` by which the process ran late, from 0 to 1. Of a
     /// short time it is taken over the last 20 ms.
     pub fn part(&self, begun: Clock, now: Clock) -> f64 {
@@ -74,13 +88,25 @@
         loop {
             tokio::select! {
                 () = ended.cancelled() => return,
-                _ = ticks.tick() => self.tick(clock()),
+                _ = ticks.tick() => {}
             }
+            let ticked = clock();
+            self.tick(ticked);
+            yield_now().await;
+            let now = clock();
+            self.turn(now, now.saturating_sub(ticked));
         }
     }
 }
 
 impl Ticks {
+    fn note(&mut self, now: Clock, late: Duration) {
+        self.late.push_back((now, late));
+        if self.late.len() > REMEMBERED {
+            self.late.pop_front();
+        }
+    }
+
     fn behind(&self, now: Clock) -> Duration {
         let due = self.due.unwrap_or(now);
         now.saturating_sub(due).saturating_sub(USUAL)
--- a/components/daemon/tests/lateness.rs
+++ b/components/daemon/tests/lateness.rs
@@ -52,3 +52,20 @@
     let lateness = Lateness::default();
     assert_eq!(lateness.part(ms(0), ms(10_000)), 0.0);
 }
+
+/// Guards against a busy process that takes its own slowness for a version's: its timers come on time, and
+/// each task waits a millisecond for its turn.
+#[test]
+fn waits_for_a_turn_count() {
+    let lateness = Lateness::default();
+    for at in (0..=1_000).step_by(5) {
+        lateness.tick(ms(at));
+        lateness.turn(ms(at) + ms(1), ms(1));
+    }
+    let part = lateness.part(ms(0), ms(1_000));
+    assert!((part - 0.15).abs() < 0.01, "{part}");
+    let calm = Lateness::default();
+    calm.tick(ms(0));
+    calm.turn(ms(0), Duration::from_micros(200));
+    assert_eq!(calm.part(ms(0), ms(1)), 0.0);
+}
