--- a/components/gateway/src/cache_lookup.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -245,17 +245,15 @@
 /// Asks a server that has just registered, if the others of its service were asked a moment ago and
 /// it is of this entry's part.
 pub fn registered<E: Edge + 'static>(context: &Rc<Context<E>>, registration: &Registration) {
-    let service = &registration.facts.service;
-    if context.cache_lookup.fresh(service).is_none() {
+    let Registration { server, facts, .. } = registration;
+    if context.cache_lookup.fresh(&facts.service).is_none() {
         return;
     }
-    let engines = part(context, service);
-    let engine = engines
-        .into_iter()
-        .find(|engine| engine.server == registration.server);
-    let Some(engine) = engine else {
+    let fleet = context.fleet.borrow();
+    let Some(engine) = fleet.named(server).filter(|_| fleet.owns(server)) else {
         return;
     };
+    drop(fleet);
     let context = context.clone();
     spawn_local(async move {
         let held = ask(&context, engine).await;
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -74,6 +74,8 @@
 pub struct Fleet {
     placement: Placement,
     addresses: HashMap<Server, SocketAddr>,
+    /// The same the other way round: who stands at an address.
+    standing: HashMap<SocketAddr, Server>,
     /// Servers by their numbers in beacons.
     numbers: HashMap<Number, Server>,
     /// Work changed since the last beacon.
@@ -112,6 +114,7 @@
         Fleet {
             placement: Placement::default(),
             addresses: HashMap::new(),
+            standing: HashMap::new(),
             numbers: HashMap::new(),
             changed: false,
             changed_at: HashSet::new(),
@@ -139,14 +142,16 @@
             return false;
         }
         // A server that starts anew has a new name and its old address.
-        let before = self.addresses.iter().find(|(_, known)| **known == address);
-        let before = before.map(|(name, _)| name.clone());
+        let before = self.standing.get(&address).cloned();
         if let Some(before) = before.filter(|before| *before != server) {
             self.replaced(&before);
         }
         self.placement.put(clock::now(), &server, facts, leaving);
         self.numbers.insert(beacon::number(&server), server.clone());
-        self.addresses.insert(server, address);
+        if let Some(moved) = self.addresses.insert(server.clone(), address) {
+            self.standing.remove(&moved);
+        }
+        self.standing.insert(address, server);
         true
     }
 
@@ -168,22 +173,30 @@
     pub fn remove(&mut self, server: &Server) -> Option<SocketAddr> {
         self.placement.remove(server);
         self.numbers.remove(&beacon::number(server));
-        self.addresses.remove(server)
+        let address = self.addresses.remove(server)?;
+        self.standing.remove(&address);
+        Some(address)
     }
 
     /// The servers of a service that can be used.
     pub fn of(&self, service: &Service) -> Vec<Chosen> {
-        let mut all = Vec::new();
-        for server in self.placement.servers() {
+        let serves = |server: &&Server| {
             let facts = self.placement.facts(server);
-            if facts.is_none_or(|facts| facts.service != *service) || !self.usable(server) {
-                continue;
-            }
-            let why = Why::default();
-            let server = server.clone();
-            all.extend(self.chosen(Choice { server, why }));
+            facts.is_some_and(|facts| facts.service == *service)
+        };
+        let servers = self.placement.servers().filter(serves);
+        servers.filter_map(|server| self.named(server)).collect()
+    }
+
+    /// A server by its name, if it can be used.
+    pub fn named(&self, server: &Server) -> Option<Chosen> {
+        if !self.usable(server) {
+            return None;
         }
-        all
+        self.chosen(Choice {
+            server: server.clone(),
+            why: Why::default(),
+        })
     }
 
     /// How many more requests with some work the servers of a service could begin now, with their
