--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -147,7 +147,7 @@
         &self.context.fresh
     }
 
-    /// Notes that the first call to the store has ended, with an answer or without.
+    /// Notes that the first reading of the store has ended, or that a call failed.
     pub fn opened(&self) {
         self.context.initial_sync.end();
     }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -188,6 +188,15 @@
         servers.filter_map(|server| self.named(server)).collect()
     }
 
+    /// Whether any server of a service is known.
+    pub fn serves(&self, service: &Service) -> bool {
+        let mut servers = self.placement.servers();
+        servers.any(|server| {
+            let facts = self.placement.facts(server);
+            facts.is_some_and(|facts| facts.service == *service)
+        })
+    }
+
     /// A server by its name, if it can be used.
     pub fn named(&self, server: &Server) -> Option<Chosen> {
         if !self.usable(server) {
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -216,9 +216,9 @@
         provision.direct.as_ref()?.engine.as_ref()
     }
 
-    /// Lets a request that comes before the first document wait for the first call to the store.
-    async fn open(&self, ask: &Ask) {
-        if self.document_cache.borrow().edition().is_some() || self.initial_sync.over() {
+    /// Lets a request wait for the first reading of the store, while what it needs isn't known yet.
+    async fn synced(&self, ask: &Ask, known: bool) {
+        if known || self.initial_sync.over() {
             return;
         }
         let came = Instant::now();
@@ -239,7 +239,8 @@
             .edge()
             .ask(&parts)
             .map_err(|flaw| Refusal::Flawed(flaw).tell("", arrived, &Basis::default()))?;
-        self.open(&ask).await;
+        let documented = self.document_cache.borrow().edition().is_some();
+        self.synced(&ask, documented).await;
         let basis = self.basis();
         let refuse = |refusal: Refusal| refusal.tell(&ask.id, arrived, &basis);
         let settings = self.settings.borrow().clone();
@@ -251,6 +252,9 @@
         };
         let index = &edition.index;
         let (rule, pass, service, team) = route(index, &parts, &ask).map_err(refuse)?;
+        // A large register is read page by page, and the first ones may show no server of the service.
+        let registered = self.fleet.borrow().serves(&service);
+        self.synced(&ask, registered).await;
         let grace = settings.bounds.grace;
         if !self.departure.admits(&rule, pass.objective, grace) {
             return Err(refuse(Refusal::Leaving(self.departure.retry_after())));
