Let idle engines begin prompts that take longer than half of the time for a first event

Cause: room is counted in prompts of the usual size that an engine can read in half of the time for a first event. Where that size takes longer (13,300 tokens at 5 a millisecond, of 2.25 s), no engine counts as room, and callers are refused or wait until they are late beside engines that are idle. Change: an engine that reads nothing and runs at most a quarter of its slots has room for one prompt, however long. The test in routing fails without it.

--- a/components/experiment/src/pattern.rs
+++ b/components/experiment/src/pattern.rs
@@ -27,12 +27,16 @@
     /// Callers come at a multiple of the capacity to a hundred entries before engines with few slots;
     /// many give less time than their route.
     Fleet(f64),
+    /// Callers come at a multiple of the capacity with prompts that an engine reads for longer than half
+    /// of the time for a first event.
+    LongPrompts(f64),
 }
 
 /// A pattern that nobody knows.
 #[derive(Debug, thiserror::Error)]
 #[error(
-    "{0}: not one of steady:X, burst:X, one-key, one-team, impatient, data-centre, one-of-three, fleet:X"
+    "{0}: not one of steady:X, burst:X, one-key, one-team, impatient, data-centre, one-of-three, fleet:X, \
+     long-prompts:X"
 )]
 pub struct Unknown(String);
 
@@ -54,6 +58,7 @@
             "data-centre" => Pattern::DataCentre,
             "one-of-three" => Pattern::OneOfThree,
             "fleet" => Pattern::Fleet(times),
+            "long-prompts" => Pattern::LongPrompts(times),
             _ => return Err(unknown()),
         })
     }
@@ -71,6 +76,7 @@
             Pattern::DataCentre => "a data centre's engines lost three times".into(),
             Pattern::OneOfThree => "one engine of three lost".into(),
             Pattern::Fleet(times) => format!("{times} times the capacity, a hundred entries"),
+            Pattern::LongPrompts(times) => format!("{times} times the capacity, long prompts"),
         }
     }
 
@@ -91,6 +97,14 @@
                 length: Duration::from_secs(20),
                 ..Setup::default()
             },
+            Pattern::LongPrompts(_) => Setup {
+                entries: 17,
+                engines: 45,
+                data_centres: 5,
+                slots: 8,
+                size: (13_300.0, 130.0),
+                ..Setup::default()
+            },
             _ => Setup::default(),
         }
     }
@@ -105,7 +119,7 @@
     pub fn load(&self, setup: &Setup, now: Duration) -> f64 {
         let on = self.on(setup, now);
         match self {
-            Pattern::Steady(times) | Pattern::Fleet(times) => *times,
+            Pattern::Steady(times) | Pattern::Fleet(times) | Pattern::LongPrompts(times) => *times,
             Pattern::Burst(times) if on => *times,
             Pattern::OneKey | Pattern::OneTeam | Pattern::Impatient if on => 2.0,
             _ => 0.4,
--- a/components/experiment/tests/patterns.rs
+++ b/components/experiment/tests/patterns.rs
@@ -105,3 +105,13 @@
     let different = play(&setup, Pattern::Burst(2.0), Policy::All, 8);
     assert_ne!((one.asked, one.good), (different.asked, different.good));
 }
+
+/// Guards against prompts that no engine counts as room for, as reading one takes longer than half of the time
+/// for a first event: they were refused while most engines were idle.
+#[test]
+fn long_prompts_go_to_engines_that_read_nothing() {
+    let setup = Pattern::LongPrompts(0.4).setup();
+    let offered = setup.capacity() * 0.4;
+    let served = mean(&seen(Pattern::LongPrompts(0.4), Policy::All), Seen::goodput);
+    assert!(served >= 0.8 * offered, "{served} of {offered}");
+}
--- a/components/routing/src/placement/candidate.rs
+++ b/components/routing/src/placement/candidate.rs
@@ -37,6 +37,9 @@
 /// Weight of a prompt for each request that runs beside it: it is delayed while the prompt is read.
 const INTERFERENCE_WEIGHT: f64 = 2.0;
 
+/// Part of its slots up to which a server counts as idle.
+const IDLE: f64 = 0.25;
+
 /// Load that a server in another data centre must be lower by to be preferred.
 const CROSS_DATA_CENTRE_PENALTY: f64 = 0.01;
 
@@ -175,11 +178,18 @@
         room = room.min(count(free, work.tokens));
         if let Some(tokens) = tokens {
             let readable = (tokens / self.speed.slowness(now)) as u64;
-            room = room.min(count(readable.saturating_sub(all.unread), work.unread));
+            let begun = count(readable.saturating_sub(all.unread), work.unread);
+            // A prompt that takes longer takes it anywhere; no server begins it sooner than an idle one.
+            room = room.min(begun.max(u32::from(all.unread == 0 && self.is_idle())));
         }
         room
     }
 
+    /// Whether so little runs there that a prompt is read at about the full pace.
+    fn is_idle(&self) -> bool {
+        f64::from(self.all().requests) <= IDLE * f64::from(self.facts.slots)
+    }
+
     /// The load that the server would have with the work, of whose prompt it has `known` tokens.
     pub(super) fn load(&self, now: Clock, request: &Request<'_>, known: u64) -> f64 {
         let all = self.all();
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -212,6 +212,26 @@
     assert_eq!(room(Versions::Not(&new)), 4);
 }
 
+/// Guards against a long prompt, or the memory of one, that makes all servers look full: reading it takes
+/// longer than the time that is asked for, and no server would read it sooner than one that reads nothing.
+#[test]
+fn a_server_that_reads_nothing_has_room_for_a_long_prompt() {
+    let mut placement = entries(1, 1, |_| 0).remove(0);
+    let (service, server) = ("draft".to_string(), "s0".to_string());
+    let second = Duration::from_secs(1);
+    placement.read(second, &server, 5_000, 5_000, second);
+    let prompt = Work {
+        requests: 1,
+        tokens: 14_000,
+        unread: 13_300,
+    };
+    let room =
+        |placement: &Placement| placement.room(second, &service, Versions::Any, prompt, second);
+    assert_eq!(room(&placement), 1);
+    placement.sent(second, &server, prompt);
+    assert_eq!(room(&placement), 0);
+}
+
 /// What others saw of a server, or of its data centre, is news for a stream there: servers that went
 /// dark with it, but not those that broke a connection or answered since.
 #[rstest]
