Forget addresses that aren't heard for ten minutes

Change: what peers tell is kept apart from the settings' seeds, with the time at which it was last told or heard, and dropped after ten minutes; a peer that fell silent is tried for that long, as a cut may end. Test: an_address_that_is_not_heard_is_forgotten_in_the_end.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -346,7 +346,7 @@
                 return;
             }
             Ok(Message::Introduction(addresses)) => {
-                self.table.introduce(from, &addresses);
+                self.table.introduce(clock::now(), from, &addresses);
                 return;
             }
             Err(_) => {
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -41,6 +41,10 @@
 /// says then how many it hears.
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which an address that isn't heard gets beacons: a host that was replaced is forgotten, one
+/// behind a cut is found again when that ends.
+const TOLD_TTL: Duration = Duration::from_secs(600);
+
 /// Peers that are kept at most.
 const MOST: usize = 1024;
 
@@ -105,6 +109,8 @@
     incarnation: Incarnation,
     peers: HashMap<SocketAddr, Peer>,
     seeds: Vec<SocketAddr>,
+    /// Addresses that peers told of, or that were heard before, and when that last was.
+    told: HashMap<SocketAddr, Clock>,
     turn: usize,
     /// There are addresses that no beacon went to yet.
     grown: bool,
@@ -166,25 +172,30 @@
                 introduced,
             },
         );
-        self.told(&beacon.known);
+        self.learn(now, &beacon.known);
         News::Fresh { ended, back }
     }
 
     /// Takes addresses of peers from one that hears more. Only those that this process turned to are
     /// believed.
-    pub fn introduce(&mut self, from: SocketAddr, addresses: &[SocketAddr]) {
-        if self.knows(from) || self.seeds.contains(&from) {
-            self.told(addresses);
+    pub fn introduce(&mut self, now: Clock, from: SocketAddr, addresses: &[SocketAddr]) {
+        let asked = self.seeds.contains(&from) || self.told.contains_key(&from);
+        if asked || self.knows(from) {
+            self.learn(now, addresses);
         }
     }
 
-    fn told(&mut self, addresses: &[SocketAddr]) {
+    fn learn(&mut self, now: Clock, addresses: &[SocketAddr]) {
         for address in addresses {
-            let room = self.seeds.len() < MOST;
-            if room && !self.peers.contains_key(address) && !self.seeds.contains(address) {
-                self.seeds.push(*address);
-                self.grown = true;
+            if self.knows(*address) || self.seeds.contains(address) {
+                continue;
+            }
+            let known = self.told.contains_key(address);
+            if !known && self.told.len() >= MOST {
+                continue;
             }
+            self.told.insert(*address, now);
+            self.grown |= !known;
         }
     }
 
@@ -226,10 +237,16 @@
                 silent.push(peer.incarnation);
             }
         }
-        self.peers.retain(|_, peer| {
+        let told = &mut self.told;
+        self.peers.retain(|address, peer| {
             let after = GONE.max(peer.pace * GONE_BEACONS);
-            now.saturating_sub(peer.heard) <= after
+            let kept = now.saturating_sub(peer.heard) <= after;
+            if !kept {
+                told.insert(*address, peer.heard);
+            }
+            kept
         });
+        told.retain(|_, at| now.saturating_sub(*at) <= TOLD_TTL);
         silent
     }
 
@@ -245,14 +262,12 @@
         near.map(|(address, _)| *address).collect()
     }
 
-    /// Addresses that a beacon goes to: the peers, and seeds that aren't among them.
+    /// Addresses that a beacon goes to: the peers, and seeds and addresses told of that aren't among them.
     pub fn targets(&self) -> Vec<SocketAddr> {
         let mut targets = self.peers();
-        for seed in &self.seeds {
-            if !self.peers.contains_key(seed) {
-                targets.push(*seed);
-            }
-        }
+        let told = self.told.keys().filter(|told| !self.seeds.contains(told));
+        let others = self.seeds.iter().chain(told);
+        targets.extend(others.filter(|address| !self.knows(**address)));
         targets
     }
 
--- a/components/spread/tests/beacon.rs
+++ b/components/spread/tests/beacon.rs
@@ -165,7 +165,7 @@
                 receiver.hear(now, address(number), &sent);
                 if to != from {
                     let answer = receiver.introduction(now, address(number));
-                    self.tables[from].introduce(target, &answer);
+                    self.tables[from].introduce(now, target, &answer);
                 }
             }
         }
@@ -219,8 +219,25 @@
     );
     assert!(table.introduction(MILLISECOND * 2, address(7)).is_empty());
     let mut back = Table::new(7, vec![address(1)]);
-    back.introduce(address(2), &told);
+    back.introduce(Duration::ZERO, address(2), &told);
     assert_eq!(back.targets(), vec![address(1)]);
-    back.introduce(address(1), &told);
+    back.introduce(Duration::ZERO, address(1), &told);
     assert_eq!(back.targets().len(), 19);
 }
+
+/// Guards against beacons that go on to every host that was ever replaced.
+#[test]
+fn an_address_that_is_not_heard_is_forgotten_in_the_end() {
+    let minute = Duration::from_secs(60);
+    let mut table = Table::new(0, vec![address(1)]);
+    table.introduce(Clock::ZERO, address(1), &[address(2), address(3)]);
+    table.hear(Clock::ZERO, address(2), &beacon(2, 1, Duration::ZERO));
+    table.silent(minute);
+    assert_eq!(table.count(), 0);
+    assert_eq!(table.targets().len(), 3, "a cut may end");
+    table.introduce(minute * 6, address(1), &[address(3)]);
+    table.silent(minute * 11);
+    let mut left = table.targets();
+    left.sort_unstable();
+    assert_eq!(left, vec![address(1), address(3)]);
+}
