Look for a service's servers only while the first reading lasts

Each request looked through the register for a server of its service, also when the reading had long ended; of plain services, which have few servers, through most of it.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -217,8 +217,8 @@
     }
 
     /// Lets a request wait for the first reading of the store, while what it needs isn't known yet.
-    async fn synced(&self, ask: &Ask, known: bool) {
-        if known || self.initial_sync.over() {
+    async fn synced(&self, ask: &Ask, known: impl FnOnce() -> bool) {
+        if self.initial_sync.over() || known() {
             return;
         }
         let came = Instant::now();
@@ -239,7 +239,7 @@
             .edge()
             .ask(&parts)
             .map_err(|flaw| Refusal::Flawed(flaw).tell("", arrived, &Basis::default()))?;
-        let documented = self.document_cache.borrow().edition().is_some();
+        let documented = || self.document_cache.borrow().edition().is_some();
         self.synced(&ask, documented).await;
         let basis = self.basis();
         let refuse = |refusal: Refusal| refusal.tell(&ask.id, arrived, &basis);
@@ -253,7 +253,7 @@
         let index = &edition.index;
         let (rule, pass, service, team) = route(index, &parts, &ask).map_err(refuse)?;
         // A large register is read page by page, and the first ones may show no server of the service.
-        let registered = self.fleet.borrow().serves(&service);
+        let registered = || self.fleet.borrow().serves(&service);
         self.synced(&ask, registered).await;
         let grace = settings.bounds.grace;
         if !self.departure.admits(&rule, pass.objective, grace) {
