--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -25,7 +25,7 @@
     Link,
     Stream,
     frame::Hello,
-    link::Knock,
+    link::Incoming,
     stream::Receiver, //
 };
 
@@ -91,22 +91,22 @@
 /// Answers processes that dial us.
 pub(crate) async fn accept(state: Arc<State>) {
     loop {
-        let knock = tokio::select! {
+        let incoming = tokio::select! {
             () = state.ended.cancelled() => return,
-            knock = state.node.accept() => knock,
+            incoming = state.node.accept() => incoming,
         };
-        let Some(knock) = knock else {
+        let Some(incoming) = incoming else {
             return;
         };
-        tokio::spawn(answer(state.clone(), knock));
+        tokio::spawn(answer(state.clone(), incoming));
     }
 }
 
-async fn answer(state: Arc<State>, knock: Knock) {
-    let address = knock.address();
+async fn answer(state: Arc<State>, incoming: Incoming) {
+    let address = incoming.address();
     let silence = state.settings.times.silence;
     let greet = async {
-        let link = knock.answer().await?;
+        let link = incoming.answer().await?;
         let (stream, hello) = greeting::answered(&link, &state.hello, silence).await?;
         Ok((link, stream, hello))
     };
--- a/components/experiment/src/world.rs
+++ b/components/experiment/src/world.rs
@@ -299,12 +299,12 @@
         request.tries += 1;
         request.late = false;
         match self.policy.queues() {
-            true => self.knock(id),
+            true => self.enqueue(id),
             false => self.go(id, &[]),
         }
     }
 
-    fn knock(&mut self, id: Id) {
+    fn enqueue(&mut self, id: Id) {
         let request = &self.requests[id];
         let deadline = request.until.saturating_sub(self.now);
         let ask = Ask {
@@ -343,7 +343,7 @@
             }
             Gated::Refused(id, _) if !self.requests[id].late => {
                 self.requests[id].late = true;
-                self.knock(id);
+                self.enqueue(id);
             }
             Gated::Refused(id, retry_after) => self.refused(id, retry_after),
         }
--- a/components/measure/src/links.rs
+++ b/components/measure/src/links.rs
@@ -140,8 +140,8 @@
         ..Heartbeat::default()
     };
     let (state, _) = watch::channel(heartbeat);
-    while let Some(knock) = node.accept().await {
-        let Ok(link) = knock.answer().await else {
+    while let Some(incoming) = node.accept().await {
+        let Ok(link) = incoming.answer().await else {
             continue;
         };
         let Ok((stream, _)) = greeting::answered(&link, &hello, REST).await else {
--- a/components/sidecar/src/links.rs
+++ b/components/sidecar/src/links.rs
@@ -17,7 +17,7 @@
     Frame,
     Node,
     Stream,
-    link::Knock,
+    link::Incoming,
     stream::Receiver, //
 };
 
@@ -25,20 +25,20 @@
 
 pub(crate) async fn accept(state: Arc<State>, node: Node, ended: CancellationToken) {
     loop {
-        let knock = tokio::select! {
+        let incoming = tokio::select! {
             () = ended.cancelled() => return,
-            knock = node.accept() => knock,
+            incoming = node.accept() => incoming,
         };
-        let Some(knock) = knock else {
+        let Some(incoming) = incoming else {
             return;
         };
-        tokio::spawn(answer(state.clone(), knock, ended.clone()));
+        tokio::spawn(answer(state.clone(), incoming, ended.clone()));
     }
 }
 
-async fn answer(state: Arc<State>, knock: Knock, ended: CancellationToken) {
-    let address = knock.address();
-    let link = match knock.answer().await {
+async fn answer(state: Arc<State>, incoming: Incoming, ended: CancellationToken) {
+    let address = incoming.address();
+    let link = match incoming.answer().await {
         Ok(link) => link,
         Err(error) => return refuse(address, &error),
     };
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -16,7 +16,6 @@
     Connection,
     Endpoint,
     IdleTimeout,
-    Incoming,
     ServerConfig,
     TransportConfig,
     VarInt, //
@@ -50,7 +49,7 @@
 }
 
 /// A link that somebody dials, before its handshake is done.
-pub struct Knock(Incoming);
+pub struct Incoming(quinn::Incoming);
 
 impl Node {
     /// Binds the socket. A link on which nothing comes for `silence` is lost, on both sides; so
@@ -104,8 +103,8 @@
     }
 
     /// Waits for somebody to dial; none once the node is closed.
-    pub async fn accept(&self) -> Option<Knock> {
-        self.endpoint.accept().await.map(Knock)
+    pub async fn accept(&self) -> Option<Incoming> {
+        self.endpoint.accept().await.map(Incoming)
     }
 
     /// Closes every link, and waits until the peers have been told.
@@ -115,7 +114,7 @@
     }
 }
 
-impl Knock {
+impl Incoming {
     /// Address of the side that dials.
     pub fn address(&self) -> SocketAddr {
         self.0.remote_address()
--- a/components/wire/tests/links.rs
+++ b/components/wire/tests/links.rs
@@ -36,8 +36,8 @@
 ) -> (Result<Link, Error>, Option<Link>) {
     let address = answering.address().expect("bound");
     let (dialled, answered) = tokio::join!(dialling.dial(address, host), async {
-        let knock = timeout(LIMIT, answering.accept()).await.ok()??;
-        knock.answer().await.ok()
+        let incoming = timeout(LIMIT, answering.accept()).await.ok()??;
+        incoming.answer().await.ok()
     });
     (dialled, answered)
 }
