--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -351,11 +351,21 @@
     placement.done(now, server, CALL, outcome);
 }
 
+/// Asserts to which of two servers prompts go, with what others have there.
+fn assert_prompts_go(loads: &[Work; 2], expected: &str) {
+    let mut placement = entries(1, 2, |_| 0).remove(0);
+    let names = ["s0", "s1"].map(str::to_string);
+    placement.peer(7, names.into_iter().zip(*loads).collect());
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..20 {
+        assert_eq!(choose(&placement, &mut rng), expected);
+    }
+}
+
 /// Guards against streams that stand still while a prompt is read beside them: an engine that runs
 /// nothing but holds copies of other engines' runs is passed over for one that runs a stream.
 #[test]
 fn a_prompt_is_read_where_it_delays_nobody() {
-    let mut placement = entries(1, 2, |_| 0).remove(0);
     let run = Work {
         requests: 1,
         tokens: 6000,
@@ -366,18 +376,12 @@
         tokens: 12_000,
         unread: 0,
     };
-    let loads = HashMap::from([("s0".to_string(), run), ("s1".to_string(), copies)]);
-    placement.peer(7, loads);
-    let mut rng = SmallRng::seed_from_u64(1);
-    for _ in 0..20 {
-        assert_eq!(choose(&placement, &mut rng), "s1");
-    }
+    assert_prompts_go(&[run, copies], "s1");
 }
 
 /// Guards against prompts that queue on one engine because it runs the fewest streams.
 #[test]
 fn a_prompt_does_not_wait_behind_others_to_spare_a_stream() {
-    let mut placement = entries(1, 2, |_| 0).remove(0);
     let streams = Work {
         requests: 2,
         tokens: 12_000,
@@ -388,10 +392,5 @@
         tokens: 12_000,
         unread: 10_000,
     };
-    let loads = HashMap::from([("s0".to_string(), streams), ("s1".to_string(), prompts)]);
-    placement.peer(7, loads);
-    let mut rng = SmallRng::seed_from_u64(1);
-    for _ in 0..20 {
-        assert_eq!(choose(&placement, &mut rng), "s0");
-    }
+    assert_prompts_go(&[streams, prompts], "s0");
 }
