Copies that are made by calls are released at the end of their run

Cause: an engine that holds a copy made by a call keeps its memory and a slot until the copy is used, released or expired, some seconds after the run has ended; nobody released it. Change: a task of its own makes and refreshes the copy, and releases it when the run has ended, its caller has left or another holder was chosen; a copy from which a run resumes isn't released. A call that is under way at the end is waited for, so that its copy is released as well. New event 1015. Test: gateway streams a_copy_is_released_at_the_end_of_its_run; it also found that a retention of zero made calls without a pause, which a minimum interval now bounds.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -32,6 +32,9 @@
     /// A request waited because servers that may have its prompt cached were missing from the
     /// registry.
     AWAITED_REGISTRATIONS = 1014, Info, "Request waited for servers to register again";
+    /// The entry asked a server to release a copy of a run's KV cache that is no longer needed; the
+    /// request may have failed.
+    KV_COPY_RELEASED = 1015, Debug, "Copy of a run's cache released";
     /// A retry would exceed the retry budget shared by all processes.
     RETRY_BUDGET_SPENT = 1009, Info, "Retry budget of the service is spent";
 
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -150,6 +150,9 @@
     /// was made.
     fn parse_copy(&self, head: &upstream::Head, body: &[u8]) -> Option<String>;
 
+    /// Encodes a call to the server that assigned the name of a copy, which releases the copy.
+    fn release_request(&self, name: &str) -> Vec<u8>;
+
     /// Encodes a call that reads a server's current runs.
     fn activity_request(&self) -> Vec<u8>;
 
--- a/components/gateway/src/stream/backup.rs
+++ b/components/gateway/src/stream/backup.rs
@@ -2,7 +2,8 @@
 //!
 //! A run's server replicates its KV cache continuously to the server that the request names as the
 //! holder. When the holder is lost before the run ends, a copy at another holder is made by a call
-//! to the run's server, and refreshed until the run ends.
+//! to the run's server, and refreshed until the run ends. The holder would keep such a copy for
+//! seconds after the run, so it is released when it is no longer needed.
 
 use std::{
     cell::RefCell,
@@ -17,15 +18,16 @@
 };
 use http::Method;
 use tokio::{
-    task::{
-        JoinHandle,
-        spawn_local, //
-    },
+    task::spawn_local,
     time::{
         Instant,
         timeout, //
     },
 };
+use tokio_util::sync::{
+    CancellationToken,
+    DropGuard, //
+};
 
 use crate::{
     fleet::{
@@ -46,9 +48,16 @@
 /// Share of the retention time of an unused copy after which it is refreshed.
 const REFRESH_SHARE: f64 = 0.5;
 
+/// Minimum time between two calls, for engines that keep an unused copy only for a moment.
+const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Delay after a failed call before the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Timeout of a call that releases a copy. A copy that isn't released expires after its retention
+/// time.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A copy that exists or is being made.
 pub(super) struct Backup {
     /// Server that holds the copy.
@@ -62,24 +71,21 @@
     /// The run's server replicates its KV cache continuously.
     Continuous(KvCopy),
     /// The copy is made by calls to the run's server.
-    OnRequest(Rc<RefCell<Progress>>),
+    OnRequest(Replication),
 }
 
-/// Progress of a copy that is made by calls.
-#[derive(Default)]
-struct Progress {
-    copy: Option<KvCopy>,
-    /// Time of the next call.
-    next: Option<Instant>,
-    call: Option<JoinHandle<()>>,
+/// Replication by calls, which ends when this is dropped.
+struct Replication {
+    state: Rc<RefCell<State>>,
+    _stop: DropGuard,
 }
 
-impl Drop for Progress {
-    fn drop(&mut self) {
-        if let Some(call) = self.call.take() {
-            call.abort();
-        }
-    }
+/// State of a copy that is made by calls.
+enum State {
+    Pending,
+    Made(KvCopy),
+    /// A run resumes from the copy, which must not be released.
+    Taken,
 }
 
 impl Backup {
@@ -96,68 +102,51 @@
         }
     }
 
-    /// Creates a copy that is made by calls.
-    pub(super) fn on_request(holder: Target, in_flight: InFlight) -> Backup {
-        Backup {
-            holder,
-            _in_flight: in_flight,
-            kind: Kind::OnRequest(Rc::default()),
-        }
-    }
-
-    /// Returns the copy, if it exists yet.
-    pub(super) fn copy(&self) -> Option<KvCopy> {
-        match &self.kind {
-            Kind::Continuous(copy) => Some(copy.clone()),
-            Kind::OnRequest(progress) => progress.borrow().copy.clone(),
-        }
-    }
-
-    /// Refreshes a copy that is made by calls, if it is due. `retention` is the time for which the
-    /// holder keeps an unused copy.
-    pub(super) fn refresh<P: Protocol + 'static>(
-        &self,
+    /// Creates a copy of run `id` by calls to its server `source`. `retention` is the time for
+    /// which the holder keeps an unused copy.
+    pub(super) fn on_request<P: Protocol + 'static>(
         context: &Rc<Context<P>>,
         source: &Target,
+        holder: Target,
+        in_flight: InFlight,
         id: &str,
         retention: Duration,
-    ) {
-        let Kind::OnRequest(progress) = &self.kind else {
-            return;
-        };
-        let mut inner = progress.borrow_mut();
-        let busy = inner.call.as_ref().is_some_and(|call| !call.is_finished());
-        if busy || inner.next.is_some_and(|next| next > Instant::now()) {
-            return;
-        }
-        let call = CopyCall {
+    ) -> Backup {
+        let state = Rc::new(RefCell::new(State::Pending));
+        let stop = CancellationToken::new();
+        let replicator = Replicator {
             context: context.clone(),
             source: source.clone(),
-            holder: self.holder.clone(),
+            holder: holder.clone(),
             id: id.to_string(),
             retention,
         };
-        let progress = Rc::downgrade(progress);
-        inner.call = Some(spawn_local(async move {
-            let result = call.run().await;
-            let Some(progress) = progress.upgrade() else {
-                return;
-            };
-            let mut inner = progress.borrow_mut();
-            let delay = match &result {
-                Some(_) => call.retention.mul_f64(REFRESH_SHARE),
-                None => RETRY_DELAY,
-            };
-            inner.next = Some(Instant::now() + delay);
-            if result.is_some() {
-                inner.copy = result;
-            }
-        }));
+        spawn_local(replicator.run(state.clone(), stop.clone()));
+        Backup {
+            holder,
+            _in_flight: in_flight,
+            kind: Kind::OnRequest(Replication {
+                state,
+                _stop: stop.drop_guard(),
+            }),
+        }
+    }
+
+    /// Takes the copy for a run that resumes from it, if it exists yet.
+    pub(super) fn into_copy(self) -> Option<(Target, KvCopy)> {
+        let copy = match self.kind {
+            Kind::Continuous(copy) => copy,
+            Kind::OnRequest(replication) => match replication.state.replace(State::Taken) {
+                State::Made(copy) => copy,
+                State::Pending | State::Taken => return None,
+            },
+        };
+        Some((self.holder, copy))
     }
 }
 
-/// One call that makes or refreshes a copy.
-struct CopyCall<P> {
+/// Makes and refreshes a copy by calls to the run's server.
+struct Replicator<P> {
     context: Rc<Context<P>>,
     source: Target,
     holder: Target,
@@ -165,8 +154,31 @@
     retention: Duration,
 }
 
-impl<P: Protocol> CopyCall<P> {
-    async fn run(&self) -> Option<KvCopy> {
+impl<P: Protocol> Replicator<P> {
+    /// Refreshes the copy until `stop` is cancelled, and releases it then unless it was taken.
+    async fn run(self, state: Rc<RefCell<State>>, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let delay = match self.copy().await {
+                None => RETRY_DELAY,
+                Some(copy) => {
+                    let mut state = state.borrow_mut();
+                    if !matches!(*state, State::Taken) {
+                        *state = State::Made(copy);
+                    }
+                    let interval = self.retention.mul_f64(REFRESH_SHARE);
+                    interval.max(MIN_REFRESH_INTERVAL)
+                }
+            };
+            let _ = timeout(delay, stop.cancelled()).await;
+        }
+        let state = state.replace(State::Taken);
+        if let State::Made(copy) = state {
+            self.release(&copy).await;
+        }
+    }
+
+    /// Copies what is new since the last call.
+    async fn copy(&self) -> Option<KvCopy> {
         let began = Instant::now();
         let sender = &self.context.sender;
         let (head, body) = sender
@@ -194,4 +206,19 @@
             name,
         })
     }
+
+    async fn release(&self, copy: &KvCopy) {
+        let sender = &self.context.sender;
+        let head = sender.protocol().release_request(&copy.name);
+        let call = sender.call(&self.source, &Method::DELETE, head, Bytes::new());
+        let response = timeout(RELEASE_TIMEOUT, call).await;
+        let released = matches!(response, Ok(Ok((head, _))) if head.status.is_success());
+        note!(
+            forwarding::KV_COPY_RELEASED,
+            id = self.id.as_str(),
+            server = self.source.server.as_str(),
+            holder = self.holder.server.as_str(),
+            done = released
+        );
+    }
 }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -147,10 +147,7 @@
             age: self.began.elapsed(),
             target: self.target.clone(),
             resumed_from: self.copy.take().filter(|_| self.events == 0),
-            backup: self.backup.take().and_then(|backup| {
-                let copy = backup.copy()?;
-                Some((backup.holder, copy))
-            }),
+            backup: self.backup.take().and_then(Backup::into_copy),
         }
     }
 
@@ -307,12 +304,16 @@
         let is_usable =
             |backup: &Backup| self.context.fleet.borrow().is_usable(&backup.holder.server);
         if !run.backup.as_ref().is_some_and(is_usable) {
-            let backup = self.choose_backup(&run.target);
-            run.backup = backup.map(|(holder, in_flight)| Backup::on_request(holder, in_flight));
-        }
-        if let Some(backup) = &run.backup {
-            let id = &self.call.request.metadata.id;
-            backup.refresh(&self.context, &run.target, id, self.call.copy_kept);
+            run.backup = self.choose_backup(&run.target).map(|(holder, in_flight)| {
+                Backup::on_request(
+                    &self.context,
+                    &run.target,
+                    holder,
+                    in_flight,
+                    &self.call.request.metadata.id,
+                    self.call.copy_kept,
+                )
+            });
         }
     }
 
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -169,6 +169,10 @@
         made.then(|| String::from_utf8_lossy(body).into_owned())
     }
 
+    fn release_request(&self, name: &str) -> Vec<u8> {
+        format!("DELETE /copy/{name} HTTP/1.1\r\n\r\n").into_bytes()
+    }
+
     fn activity_request(&self) -> Vec<u8> {
         b"GET /runs HTTP/1.1\r\n\r\n".to_vec()
     }
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -382,6 +382,66 @@
     });
 }
 
+/// A copy that is made by calls outlives its run at the holder. Guards against memory that stays
+/// occupied for seconds by copies of answers that are complete.
+#[test]
+fn a_copy_is_released_at_the_end_of_its_run() {
+    common::run(async {
+        let handler = |message: Message, connection: Connection| async move {
+            if message.start_line.starts_with("POST /copy") {
+                connection
+                    .write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh7")
+                    .await;
+                return true;
+            }
+            if message.start_line.starts_with("DELETE /copy") {
+                connection
+                    .write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                    .await;
+                return true;
+            }
+            connection
+                .write(&stream_head(message.header("id").unwrap_or_default()))
+                .await;
+            write_events(&connection, 1, 40, EVENT_INTERVAL).await;
+            true
+        };
+        let servers = [
+            Backend::start(handler).await,
+            Backend::start(handler).await,
+            Backend::start(handler).await,
+        ];
+        let harness = Harness::with_document(document());
+        for (name, server) in ["s1", "s2", "s3"].iter().zip(&servers) {
+            harness.register(name, "draft", name, server.address);
+        }
+        let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
+        tokio::time::sleep(EVENT_INTERVAL * 3).await;
+        let runner = servers
+            .iter()
+            .position(|server| server.request_count() == 1);
+        let runner = &servers[runner.expect("one server runs the request")];
+        let first = runner.requests.borrow()[0].clone();
+        let holder = servers
+            .iter()
+            .position(|server| first.header("backup") == Some(&server.address.to_string()));
+        let holder = holder.expect("another server holds the copy");
+        harness
+            .gateway
+            .apply(Update::Deregistered(["s1", "s2", "s3"][holder].into()));
+        let response = common::read_message(&mut caller)
+            .await
+            .expect("a complete response");
+        assert!(response.text().ends_with("piece 40\n\n"));
+        tokio::time::sleep(EVENT_INTERVAL * 3).await;
+        let requests = runner.requests.borrow();
+        let lines = requests.iter().map(|request| request.start_line.as_str());
+        let mut lines: Vec<&str> = lines.skip(1).collect();
+        lines.dedup();
+        assert_eq!(lines, ["POST /copy HTTP/1.1", "DELETE /copy/h7 HTTP/1.1"]);
+    });
+}
+
 /// A server finishes a request, but its response is lost and the connection stays open. Only a
 /// query of the server's runs reveals this; without it the caller waits until its timeout.
 #[test]
