environment: a route shadows only routes of its host

Cause: the check for unreachable routes compared paths, teams, models and headers, but not hosts, so that a document with the same path on two hosts was refused. Change: hosts are compared, without regard to case, as the index does; a route without a host covers all. Test: a_route_shadows_only_routes_of_its_host (its first case failed before).

--- a/components/environment/src/check.rs
+++ b/components/environment/src/check.rs
@@ -397,16 +397,16 @@
 }
 
 impl Condition {
-    /// Returns whether every request that meets `other` also meets this condition, apart from their
-    /// hosts.
+    /// Returns whether every request that meets `other` also meets this condition.
     fn covers(&self, other: &Self) -> bool {
+        let host = self.host.is_empty() || self.host.eq_ignore_ascii_case(&other.host);
         let teams = self.teams.is_empty()
             || (!other.teams.is_empty() && other.teams.iter().all(|t| self.teams.contains(t)));
         let headers = self
             .headers
             .iter()
             .all(|(name, value)| other.headers.get(name) == Some(value));
-        other.path.starts_with(&self.path)
+        host && other.path.starts_with(&self.path)
             && teams
             && (self.model.is_empty() || self.model == other.model)
             && headers
--- a/components/environment/tests/document.rs
+++ b/components/environment/tests/document.rs
@@ -95,6 +95,32 @@
     insta::assert_snapshot!(name, lines.join("\n"));
 }
 
+/// Guards against a valid document that is rejected because two of its routes have the same path on
+/// different hosts.
+#[rstest]
+#[case("ledger.example", "other.example", false)]
+#[case("ledger.example", "Ledger.example", true)]
+#[case("", "other.example", true)]
+fn a_route_shadows_only_routes_of_its_host(
+    #[case] earlier: &str,
+    #[case] later: &str,
+    #[case] shadowed: bool,
+) {
+    let route = |name, host| {
+        format!(
+            "  - name: {name}\n    match: {{host: {host:?}, path: /shared/}}\n    service: ledger\n    version: \"14\"\n"
+        )
+    };
+    let routes = format!("routes:\n{}{}", route("one", earlier), route("two", later));
+    let problems = parse_checked(&PAYOUT_DESK.replacen("routes:\n", &routes, 1));
+    let lines = problems.err().unwrap_or_default();
+    let lines: Vec<_> = lines.iter().map(ToString::to_string).collect();
+    let found = lines
+        .iter()
+        .any(|line| line.contains("unreachable: the earlier route `one`"));
+    assert_eq!(found, shadowed, "{lines:?}");
+}
+
 #[test]
 fn oversized_document_is_rejected() {
     let text = format!("{PAYOUT_DESK}# {}\n", "x".repeat(1 << 20));
