upstream: trailers are bounded in total, and a body's limit holds for its first read

Cause: each trailer line was bounded, their sum wasn't, so that a server could keep a response open for ever; a body that arrived in one read was returned whole whatever the limit. Change: 16 KiB of trailers at most; the limit is checked before each further read, without a copy for bodies of one read as before.

--- a/components/upstream/src/body.rs
+++ b/components/upstream/src/body.rs
@@ -11,6 +11,9 @@
 /// Maximum length of a chunk size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4096;
 
+/// Maximum length of all trailers together, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// How a response marks the end of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -37,8 +40,8 @@
     ChunkData(u64),
     /// The line end after a chunk.
     ChunkEnd,
-    /// Trailers, and the empty line that ends them.
-    Trailers,
+    /// Trailers, and the empty line that ends them, after this many bytes of trailers.
+    Trailers(usize),
     /// All bytes until the connection closes.
     UntilClose,
 }
@@ -129,7 +132,7 @@
                     Ok(httparse::Status::Complete((length, size))) => {
                         buffer.advance(length);
                         *self = if size == 0 {
-                            Decoder::Trailers
+                            Decoder::Trailers(0)
                         } else {
                             Decoder::ChunkData(size)
                         };
@@ -141,7 +144,7 @@
                         return Err(Error::Malformed("invalid chunk size"));
                     }
                 },
-                Decoder::Trailers => {
+                Decoder::Trailers(length) => {
                     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
                         if buffer.len() > MAX_LINE_BYTES {
                             return Err(Error::Malformed("trailers"));
@@ -151,7 +154,13 @@
                     buffer.advance(end + 2);
                     if end == 0 {
                         *self = Decoder::Done;
+                        continue;
+                    }
+                    let length = length + end + 2;
+                    if length > MAX_TRAILER_BYTES {
+                        return Err(Error::Malformed("trailers"));
                     }
+                    *self = Decoder::Trailers(length);
                 }
             }
         }
--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -306,13 +306,13 @@
             return Ok(Collected::Complete(Bytes::new()));
         };
         let mut collected = BytesMut::from(first);
-        while let Some(data) = self.data().await? {
+        while collected.len() <= limit {
+            let Some(data) = self.data().await? else {
+                return Ok(Collected::Complete(collected.freeze()));
+            };
             collected.extend_from_slice(&data);
-            if collected.len() > limit {
-                return Ok(Collected::Partial(collected.freeze()));
-            }
         }
-        Ok(Collected::Complete(collected.freeze()))
+        Ok(Collected::Partial(collected.freeze()))
     }
 
     /// Waits until the server closes an idle connection or sends unsolicited bytes.
