--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -7,10 +7,8 @@
     loss::Loss,
     silence::{
         Advice,
-        Detector,
-        Expectation, //
-    },
-    threshold::Gaps, //
+        Detector, //
+    }, //
 };
 use bytes::{
     Bytes,
@@ -20,11 +18,6 @@
     forwarding,
     note, //
 };
-use http::{
-    HeaderMap,
-    Response,
-    StatusCode, //
-};
 use routing::Outcome;
 use tokio::time::{
     Instant,
@@ -38,23 +31,17 @@
 };
 
 use crate::{
-    body::Body,
     fleet::{
         InFlight,
         Suspicion,
-        Target,
-        round_load,
-        suspicion_for, //
+        Target, //
     },
     meter,
     protocol::{
-        Dispatch,
         KvCopy,
         Protocol,
         Reply, //
     },
-    refuse::DEFAULT_RETRY_AFTER,
-    sender::Failure,
     stream::{
         LostRun,
         Session,
@@ -62,8 +49,9 @@
     },
 };
 
-/// Maximum size of an error response that is read, in bytes.
-const MAX_FAILURE_BODY_BYTES: usize = 64 * 1024;
+mod start;
+
+pub(super) use start::Start;
 
 /// Longest wait for a server's next bytes before its state is checked again.
 const MAX_FILL_WAIT: Duration = Duration::from_millis(400);
@@ -71,9 +59,6 @@
 /// Interval at which the holder of the backup is checked.
 const BACKUP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Timeout of the body of an error response.
-const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A run that produces events.
 pub(super) struct Run {
     pub(super) target: Target,
@@ -106,28 +91,6 @@
     TimedOut,
 }
 
-/// Result of starting a run.
-pub(super) enum Start {
-    /// The server responded with a stream.
-    Running {
-        run: Box<Run>,
-        status: StatusCode,
-        headers: HeaderMap,
-    },
-    /// The server responded with an error.
-    Failed(Response<Body>),
-    /// The server didn't run the request.
-    Declined,
-    /// The server is unreachable, and no byte was sent.
-    Unreachable,
-    /// The server is gone: another one at its address received the request, and didn't run it.
-    Replaced,
-    /// The server may have run the request, or a part of it.
-    Lost(Box<LostRun>),
-    /// The deadline of the answer passed.
-    TimedOut,
-}
-
 /// Next piece of a run's answer.
 enum Received {
     Head(Head, Reply),
@@ -382,197 +345,4 @@
             silence_ms = run.last_received.elapsed().as_millis() as u64
         );
     }
-
-    /// Starts a run, and waits for the head of its answer.
-    pub(super) async fn start(&self, target: &Target, copy: Option<&KvCopy>) -> Start {
-        let began = Instant::now();
-        let mut work = self.remaining_work();
-        let cached = self
-            .context
-            .fleet
-            .borrow()
-            .cached_tokens(self.parts(), &target.server);
-        // The copy of a run without events may contain hardly any of the prompt.
-        work.prefill_tokens = match copy {
-            Some(_) if self.sequence.last().is_some() => 0,
-            _ => work.prefill_tokens.saturating_sub(cached),
-        };
-        if self.sequence.last().is_none() {
-            self.context.queue.record_work(&self.call.service, work);
-        }
-        let backup = self.choose_backup(target).map(|(holder, in_flight)| {
-            Backup::continuous(holder, in_flight, &self.call.request.metadata.id)
-        });
-        let mut in_flight = InFlight::new(&self.context.fleet, &target.server, work);
-        let dispatch = Dispatch {
-            server: &target.server,
-            remaining: self.call.time_left(),
-            team: self.call.team.as_ref(),
-            after: self.sequence.last(),
-            backup: backup.as_ref().map(|backup| backup.holder.address),
-            copy,
-        };
-        note!(
-            forwarding::SENT,
-            id = self.call.request.metadata.id.as_str(),
-            server = target.server.as_str(),
-            data_centre = target.data_centre.as_str(),
-            load = round_load(target.score.load),
-            against = target.score.penalties,
-            among = target.score.candidates,
-            document = self.call.document.version,
-            prompt = self.parts().last().map(|(part, _)| *part),
-            attempt = self.ran_at.len() + 1,
-            after = dispatch.after,
-            left_ms = dispatch.remaining.map(|left| left.as_millis() as u64),
-            copy = copy.is_some(),
-            backup = backup.as_ref().map(|backup| backup.holder.server.as_str())
-        );
-        let sent = self
-            .context
-            .sender
-            .send(&self.call.request, target, &dispatch);
-        let connection = match timeout_at(self.call.until, sent).await {
-            Err(_) => return Start::TimedOut,
-            Ok(Err(Failure::Unsent(error))) => {
-                meter::send("unsent");
-                in_flight.set_outcome(Outcome::Failed);
-                let suspicion = suspicion_for(&error);
-                self.context
-                    .fleet
-                    .borrow_mut()
-                    .suspect(&target.server, suspicion);
-                note!(
-                    forwarding::DECLINED,
-                    id = self.call.request.metadata.id.as_str(),
-                    server = target.server.as_str(),
-                    reason = error.to_string().as_str()
-                );
-                return Start::Unreachable;
-            }
-            Ok(Ok(connection)) => connection,
-        };
-        let pass = &self.call.pass;
-        let resumes = self.sequence.last().is_some();
-        let expected = (!resumes).then(|| Expectation {
-            here: self.context.fleet.borrow().expected_first_event(target),
-            elsewhere: self
-                .context
-                .fleet
-                .borrow()
-                .unloaded_first_event(target, work.prefill_tokens),
-            waited: self.call.arrived.elapsed(),
-        });
-        let mut run = Run {
-            target: target.clone(),
-            connection,
-            in_flight,
-            backup,
-            splitter: Splitter::default(),
-            silence: Detector::new(pass.objective, pass.gap, Gaps::default(), expected),
-            began,
-            last_received: began,
-            last_alive: began,
-            backup_checked: began,
-            events: 0,
-            complete: false,
-            copy: copy.cloned(),
-        };
-        match self.receive(&mut run, true).await {
-            Received::Head(head, reply) => self.handle_head(run, head, reply).await,
-            Received::TimedOut => Start::TimedOut,
-            Received::Lost(loss) => {
-                self.log_loss(&run, loss);
-                Start::Lost(Box::new(run.into_lost(loss)))
-            }
-            Received::Data(_) | Received::End => {
-                self.log_loss(&run, Loss::Malformed);
-                Start::Lost(Box::new(run.into_lost(Loss::Malformed)))
-            }
-        }
-    }
-
-    /// Decides by the head of its answer whether a run has started.
-    async fn handle_head(&self, mut run: Run, head: Head, reply: Reply) -> Start {
-        let id = self.call.request.metadata.id.as_str();
-        let server = run.target.server.clone();
-        let status = head.status.as_u16();
-        if reply.not_run {
-            meter::send("declined");
-            run.in_flight.set_outcome(Outcome::Refused {
-                retry_after: reply.retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
-            });
-            note!(
-                forwarding::DECLINED,
-                id = id,
-                server = server.as_str(),
-                status = status
-            );
-            if head.status == StatusCode::SERVICE_UNAVAILABLE && run.copy.is_none() {
-                self.context
-                    .fleet
-                    .borrow_mut()
-                    .suspect(&server, Suspicion::Full);
-            }
-            if reply.misdirected {
-                let mut fleet = self.context.fleet.borrow_mut();
-                // Servers that failed together restart together, under names that are unknown while
-                // the store is unavailable.
-                fleet.suspect(&server, Suspicion::Refused);
-                fleet.mark_replaced(&server);
-                drop(fleet);
-                self.context.sender.disconnect(run.target.address);
-            }
-            if self.read_body(&mut run).await.is_some() && !reply.misdirected {
-                self.context.sender.release(run.connection);
-            }
-            return match reply.misdirected {
-                true => Start::Replaced,
-                false => Start::Declined,
-            };
-        }
-        let usable = reply.signed && !reply.encoded;
-        if usable && head.status.is_success() {
-            meter::send("answered");
-            let headers = self
-                .context
-                .sender
-                .protocol()
-                .response_headers(head.headers);
-            return Start::Running {
-                run: Box::new(run),
-                status: head.status,
-                headers,
-            };
-        }
-        meter::send("failed");
-        run.in_flight.set_outcome(Outcome::Failed);
-        note!(
-            forwarding::FAILED,
-            id = id,
-            server = server.as_str(),
-            status = status,
-            signed = reply.signed
-        );
-        let body = self.read_body(&mut run).await;
-        let (Some(body), true) = (body, usable) else {
-            return Start::Lost(Box::new(run.into_lost(Loss::Malformed)));
-        };
-        self.context.sender.release(run.connection);
-        let mut response = Response::new(Body::whole(body));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = self
-            .context
-            .sender
-            .protocol()
-            .response_headers(head.headers);
-        Start::Failed(response)
-    }
-
-    /// Reads the body of an error response.
-    async fn read_body(&self, run: &mut Run) -> Option<Bytes> {
-        let read = run.connection.read_body(MAX_FAILURE_BODY_BYTES);
-        let read = timeout_at(Instant::now() + FAILURE_BODY_TIMEOUT, read).await;
-        read.ok()?.ok()?.complete()
-    }
 }
