A run whose engine is slow moves only to one that is expected to be in time

Cause: a run without an event left an engine that was much slower than expected as soon as an idle engine could still have been in time, whether there was an idle one or not. In a burst of long prompts all engines are slow, and each such run's prompt was read anew behind the prompts of another one. Change: when the move is due, the engine that would be chosen is asked for: the run stays unless the prompts that are pending there and its own fit the rest of the objective. Test: gateway streams a_slow_run_moves_only_to_a_faster_engine; its second case failed before.

--- a/components/answer/src/silence.rs
+++ b/components/answer/src/silence.rs
@@ -157,6 +157,11 @@
         self.suspected = false;
     }
 
+    /// Keeps the run at its server however slow it is, as no other one is expected to be faster.
+    pub fn stay(&mut self) {
+        self.relocate_at = None;
+    }
+
     /// Records that the server was alive at this silence.
     pub fn record_alive(&mut self, silence: Duration) {
         self.suspected = false;
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -18,7 +18,10 @@
     forwarding,
     note, //
 };
-use routing::Outcome;
+use routing::{
+    Outcome,
+    placement::Request, //
+};
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -165,7 +168,10 @@
             let silence = run.last_received.elapsed();
             match run.silence.advise(silence) {
                 Advice::Lost => return Received::Lost(Loss::Silent),
-                Advice::Relocate => return Received::Lost(Loss::Slow),
+                Advice::Relocate if self.is_faster_elsewhere(run) => {
+                    return Received::Lost(Loss::Slow);
+                }
+                Advice::Relocate => run.silence.stay(),
                 Advice::Wait(limit) => {
                     let until = (run.last_received + limit).min(self.call.until);
                     let until = until.min(Instant::now() + MAX_FILL_WAIT);
@@ -217,6 +223,24 @@
         }
     }
 
+    /// Returns whether another server is expected to send the first event of a run within the
+    /// objective, although it would process the prompt from the start.
+    fn is_faster_elsewhere(&self, run: &Run) -> bool {
+        let mut fleet = self.context.fleet.borrow_mut();
+        let data_centre = self.context.settings.borrow().data_centre.clone();
+        let request = Request {
+            avoid: std::slice::from_ref(&run.target.server),
+            ..self.request(&data_centre, self.remaining_work())
+        };
+        let Some(target) = fleet.choose(&request) else {
+            return false;
+        };
+        let prefill_tokens = request.work.prefill_tokens;
+        let first_event = fleet.expected_first_event(&target)
+            + fleet.unloaded_first_event(&target, prefill_tokens);
+        self.call.arrived.elapsed() + first_event <= self.call.pass.objective
+    }
+
     /// Makes the detector suspect a run whose server was found unreachable since the server was
     /// last known to be alive.
     fn check_suspicion(&self, run: &mut Run) {
--- a/components/gateway/src/stream/selection.rs
+++ b/components/gateway/src/stream/selection.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    fn request<'a>(&'a self, data_centre: &'a str, work: Work) -> Request<'a> {
+    pub(super) fn request<'a>(&'a self, data_centre: &'a str, work: Work) -> Request<'a> {
         Request {
             service: &self.call.service,
             data_centre,
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -19,6 +19,7 @@
     write_events, //
 };
 use gateway::Update;
+use rstest::rstest;
 use tokio::time::{
     Instant,
     timeout, //
@@ -382,6 +383,60 @@
     });
 }
 
+/// Guards against prompts that are processed again and again in a burst: each engine is slower than
+/// expected, and a run that moves to another one waits behind the prompts there.
+#[rstest]
+#[case::other_engine_is_idle(false, 2)]
+#[case::other_engine_has_prompts_to_process(true, 1)]
+fn a_slow_run_moves_only_to_a_faster_engine(#[case] is_busy: bool, #[case] sends: u32) {
+    common::run(async move {
+        let slow_sends = Rc::new(Cell::new(0));
+        let counter = slow_sends.clone();
+        let handler = move |message: Message, connection: Connection| {
+            let counter = counter.clone();
+            async move {
+                let id = message.header("id").unwrap_or_default().to_string();
+                if id == "slow" {
+                    counter.set(counter.get() + 1);
+                }
+                if id == "long" || id == "slow" && counter.get() == 1 {
+                    std::future::pending::<()>().await;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                connection.write(&stream_head(&id)).await;
+                write_events(&connection, 1, 2, EVENT_INTERVAL).await;
+                true
+            }
+        };
+        let one = Backend::start(handler.clone()).await;
+        let two = Backend::start(handler).await;
+        let mut document = document();
+        let route = document
+            .routes
+            .iter_mut()
+            .find(|route| route.name == "stream");
+        let pass = route.and_then(|route| route.pass.as_mut());
+        pass.expect("the route").objective = Duration::from_secs(2);
+        let harness = Harness::with_document(document);
+        harness.register("s1", "draft", "a", one.address);
+        // The gateway learns that a prompt token takes 0.1 ms.
+        let (_, response) = harness.request("r1", "/stream/x", "tokens: 1000\r\n").await;
+        assert_eq!(response.expect("a complete response").status(), 200);
+        harness.gateway.apply(Update::Deregistered("s1".into()));
+        harness.register("s2", "draft", "a", two.address);
+        let long = match is_busy {
+            true => Some(harness.send("long", "/stream/x", "tokens: 10000\r\n").await),
+            false => None,
+        };
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        harness.register("s1", "draft", "a", one.address);
+        let _slow = harness.send("slow", "/stream/x", "tokens: 1000\r\n").await;
+        tokio::time::sleep(Duration::from_millis(2100)).await;
+        assert_eq!(slow_sends.get(), sends);
+        drop(long);
+    });
+}
+
 /// A copy that is made by calls outlives its run at the holder. Guards against memory that stays
 /// occupied for seconds by copies of answers that are complete.
 #[test]
