gateway: the test of slow runs answers queries of the server's runs

With an objective of 2 s the gateway asks the stand-in which requests it runs; the stand-in's answer, a stream, said that it ran none, and the run was resumed.

--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -395,6 +395,12 @@
         let handler = move |message: Message, connection: Connection| {
             let counter = counter.clone();
             async move {
+                if message.start_line.starts_with("GET /runs") {
+                    connection
+                        .write("HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\nslow 0\nlong 0")
+                        .await;
+                    return true;
+                }
                 let id = message.header("id").unwrap_or_default().to_string();
                 if id == "slow" {
                     counter.set(counter.get() + 1);
