--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -20,9 +20,12 @@
 };
 use gateway::Update;
 use rstest::rstest;
-use tokio::time::{
-    Instant,
-    timeout, //
+use tokio::{
+    net::TcpStream,
+    time::{
+        Instant,
+        timeout, //
+    }, //
 };
 
 /// Time between two events of an engine.
@@ -321,65 +324,102 @@
     });
 }
 
+/// A stream whose engine makes another copy, as the first holder is gone.
+struct Recopied {
+    harness: Harness,
+    caller: TcpStream,
+    /// The engine that runs the request.
+    runner: Backend,
+    /// The engine that gets the new copy.
+    holder: Backend,
+}
+
+/// Starts a stream of `events` events at one of three engines in different data centres, and
+/// deregisters the one that holds the copy.
+async fn replace_holder(events: u64) -> Recopied {
+    let handler = move |message: Message, connection: Connection| async move {
+        let line = message.start_line.as_str();
+        if line.starts_with("POST /copy") || line.starts_with("DELETE /copy") {
+            connection
+                .write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh7")
+                .await;
+            return true;
+        }
+        connection
+            .write(&stream_head(message.header("id").unwrap_or_default()))
+            .await;
+        let after = after(&message);
+        let last = if after == 0 { events } else { after + 3 };
+        write_events(&connection, after + 1, last, EVENT_INTERVAL).await;
+        true
+    };
+    let harness = Harness::with_document(document());
+    let mut servers = Vec::new();
+    for name in ["s1", "s2", "s3"] {
+        let server = Backend::start(handler).await;
+        harness.register(name, "draft", name, server.address);
+        servers.push((name, server));
+    }
+    let caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
+    tokio::time::sleep(EVENT_INTERVAL * 3).await;
+    let runs = |(_, server): &(&str, Backend)| server.request_count() == 1;
+    let runner = servers.iter().position(runs);
+    let (_, runner) = servers.remove(runner.expect("one server runs the request"));
+    let first = runner.requests.borrow()[0].clone();
+    let holds = |(_, server): &(&str, Backend)| {
+        first.header("backup") == Some(server.address.to_string().as_str())
+    };
+    let lost = servers.iter().position(holds);
+    let (lost, _) = servers.remove(lost.expect("another server holds the copy"));
+    harness.gateway.apply(Update::Deregistered(lost.into()));
+    let (_, holder) = servers.remove(0);
+    Recopied {
+        harness,
+        caller,
+        runner,
+        holder,
+    }
+}
+
 /// Data centres fail one after another: the engine that holds the copy is lost before the one that
 /// runs the request. Without a new copy, the whole prompt is processed again after the second loss.
 #[test]
 fn a_lost_copy_is_replaced() {
     common::run(async {
-        let handler = |message: Message, connection: Connection| async move {
-            if message.start_line.starts_with("POST /copy") {
-                connection
-                    .write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh7")
-                    .await;
-                return true;
-            }
-            connection
-                .write(&stream_head(message.header("id").unwrap_or_default()))
-                .await;
-            let after = after(&message);
-            let last = if after == 0 { 100 } else { after + 3 };
-            write_events(&connection, after + 1, last, EVENT_INTERVAL).await;
-            true
-        };
-        let servers = [
-            Backend::start(handler).await,
-            Backend::start(handler).await,
-            Backend::start(handler).await,
-        ];
-        let harness = Harness::with_document(document());
-        let names = ["s1", "s2", "s3"];
-        for (name, server) in names.iter().zip(&servers) {
-            harness.register(name, "draft", name, server.address);
-        }
-        let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL * 3).await;
-        let runner = servers
-            .iter()
-            .position(|server| server.request_count() == 1);
-        let runner = runner.expect("one server runs the request");
-        let backup = servers[runner].requests.borrow()[0]
-            .header("backup")
-            .map(str::to_string);
-        let holder = servers
-            .iter()
-            .position(|s| Some(s.address.to_string()) == backup);
-        let holder = holder.expect("another server holds the copy");
-        harness
-            .gateway
-            .apply(Update::Deregistered(names[holder].into()));
+        let mut stream = replace_holder(100).await;
         tokio::time::sleep(EVENT_INTERVAL * 20).await;
-        let third = 3 - runner - holder;
-        let copy_request = servers[runner].requests.borrow()[1].clone();
-        let expected = servers[third].address.to_string();
+        let copy_request = stream.runner.requests.borrow()[1].clone();
+        let expected = stream.holder.address.to_string();
         assert_eq!(copy_request.header("holder"), Some(expected.as_str()));
-        servers[runner].kill();
-        let response = common::read_message(&mut caller)
+        stream.runner.kill();
+        let response = common::read_message(&mut stream.caller)
             .await
             .expect("a complete response");
         assert!(response.text().starts_with(&event_text(1, 3)));
-        let resumed = servers[third].requests.borrow()[0].clone();
-        let copy = format!("{}/h7", servers[runner].address);
+        let resumed = stream.holder.requests.borrow()[0].clone();
+        let copy = format!("{}/h7", stream.runner.address);
         assert_eq!(resumed.header("copy"), Some(copy.as_str()));
+        drop(stream.harness);
+    });
+}
+
+/// A copy that is made by calls outlives its run at the holder. Guards against memory that stays
+/// occupied for seconds by copies of answers that are complete.
+#[test]
+fn a_copy_is_released_at_the_end_of_its_run() {
+    common::run(async {
+        let mut stream = replace_holder(40).await;
+        let response = common::read_message(&mut stream.caller)
+            .await
+            .expect("a complete response");
+        assert!(response.text().ends_with("piece 40\n\n"));
+        tokio::time::sleep(EVENT_INTERVAL * 3).await;
+        let requests = stream.runner.requests.borrow();
+        let lines = requests.iter().map(|request| request.start_line.as_str());
+        let mut lines: Vec<&str> = lines.skip(1).collect();
+        lines.dedup();
+        assert_eq!(lines, ["POST /copy HTTP/1.1", "DELETE /copy/h7 HTTP/1.1"]);
+        drop(stream.harness);
     });
 }
 
@@ -443,66 +483,6 @@
     });
 }
 
-/// A copy that is made by calls outlives its run at the holder. Guards against memory that stays
-/// occupied for seconds by copies of answers that are complete.
-#[test]
-fn a_copy_is_released_at_the_end_of_its_run() {
-    common::run(async {
-        let handler = |message: Message, connection: Connection| async move {
-            if message.start_line.starts_with("POST /copy") {
-                connection
-                    .write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh7")
-                    .await;
-                return true;
-            }
-            if message.start_line.starts_with("DELETE /copy") {
-                connection
-                    .write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
-                    .await;
-                return true;
-            }
-            connection
-                .write(&stream_head(message.header("id").unwrap_or_default()))
-                .await;
-            write_events(&connection, 1, 40, EVENT_INTERVAL).await;
-            true
-        };
-        let servers = [
-            Backend::start(handler).await,
-            Backend::start(handler).await,
-            Backend::start(handler).await,
-        ];
-        let harness = Harness::with_document(document());
-        for (name, server) in ["s1", "s2", "s3"].iter().zip(&servers) {
-            harness.register(name, "draft", name, server.address);
-        }
-        let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL * 3).await;
-        let runner = servers
-            .iter()
-            .position(|server| server.request_count() == 1);
-        let runner = &servers[runner.expect("one server runs the request")];
-        let first = runner.requests.borrow()[0].clone();
-        let holder = servers
-            .iter()
-            .position(|server| first.header("backup") == Some(&server.address.to_string()));
-        let holder = holder.expect("another server holds the copy");
-        harness
-            .gateway
-            .apply(Update::Deregistered(["s1", "s2", "s3"][holder].into()));
-        let response = common::read_message(&mut caller)
-            .await
-            .expect("a complete response");
-        assert!(response.text().ends_with("piece 40\n\n"));
-        tokio::time::sleep(EVENT_INTERVAL * 3).await;
-        let requests = runner.requests.borrow();
-        let lines = requests.iter().map(|request| request.start_line.as_str());
-        let mut lines: Vec<&str> = lines.skip(1).collect();
-        lines.dedup();
-        assert_eq!(lines, ["POST /copy HTTP/1.1", "DELETE /copy/h7 HTTP/1.1"]);
-    });
-}
-
 /// A server finishes a request, but its response is lost and the connection stays open. Only a
 /// query of the server's runs reveals this; without it the caller waits until its timeout.
 #[test]
