--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -35,6 +35,9 @@
     /// The entry asked a server to release a copy of a run's KV cache that is no longer needed; the
     /// request may have failed.
     KV_COPY_RELEASED = 1015, Debug, "Copy of a run's cache released";
+    /// A run without an event stays at a server that is slower than expected, as no other one is
+    /// expected to send the first event in time.
+    STAYED = 1016, Debug, "Run stays at a slow server";
     /// A retry would exceed the retry budget shared by all processes.
     RETRY_BUDGET_SPENT = 1009, Info, "Retry budget of the service is spent";
 
--- a/components/gateway/src/stream/backup.rs
+++ b/components/gateway/src/stream/backup.rs
@@ -136,10 +136,16 @@
     pub(super) fn into_copy(self) -> Option<(Target, KvCopy)> {
         let copy = match self.kind {
             Kind::Continuous(copy) => copy,
-            Kind::OnRequest(replication) => match replication.state.replace(State::Taken) {
-                State::Made(copy) => copy,
-                State::Pending | State::Taken => return None,
-            },
+            Kind::OnRequest(replication) => {
+                // A copy that is still being made is released when it exists.
+                let mut state = replication.state.borrow_mut();
+                let State::Made(copy) = &*state else {
+                    return None;
+                };
+                let copy = copy.clone();
+                *state = State::Taken;
+                copy
+            }
         };
         Some((self.holder, copy))
     }
@@ -171,8 +177,7 @@
             };
             let _ = timeout(delay, stop.cancelled()).await;
         }
-        let state = state.replace(State::Taken);
-        if let State::Made(copy) = state {
+        if let State::Made(copy) = state.replace(State::Taken) {
             self.release(&copy).await;
         }
     }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -168,10 +168,18 @@
             let silence = run.last_received.elapsed();
             match run.silence.advise(silence) {
                 Advice::Lost => return Received::Lost(Loss::Silent),
-                Advice::Relocate if self.is_faster_elsewhere(run) => {
+                Advice::Relocate if self.is_in_time_elsewhere(run) => {
                     return Received::Lost(Loss::Slow);
                 }
-                Advice::Relocate => run.silence.stay(),
+                Advice::Relocate => {
+                    run.silence.stay();
+                    note!(
+                        forwarding::STAYED,
+                        id = self.call.request.metadata.id.as_str(),
+                        server = run.target.server.as_str(),
+                        silence_ms = silence.as_millis() as u64
+                    );
+                }
                 Advice::Wait(limit) => {
                     let until = (run.last_received + limit).min(self.call.until);
                     let until = until.min(Instant::now() + MAX_FILL_WAIT);
@@ -225,7 +233,7 @@
 
     /// Returns whether another server is expected to send the first event of a run within the
     /// objective, although it would process the prompt from the start.
-    fn is_faster_elsewhere(&self, run: &Run) -> bool {
+    fn is_in_time_elsewhere(&self, run: &Run) -> bool {
         let mut fleet = self.context.fleet.borrow_mut();
         let data_centre = self.context.settings.borrow().data_centre.clone();
         let request = Request {
