gateway tests wait for what a step relies on, not for a fixed time

The test killed the server that runs a request 40 ms after the caller sent it. On a starved processor the request had reached neither server by then, so the wrong one was killed and the run was complete after its third event: one request at the holder instead of two. Repeated on one processor beside 40 others: 55 of 300 runs failed, each with no request at either server at the time of the kill (trial with a print).

Ruled out: a fault of the gateway (the resume went where it should in all runs that were printed).

Change: tests of streams and of the queue wait until the server has the request or the caller has the event; the first run of that test stays open after its event instead of racing with the kill.

After: 704 runs of all gateway tests, 60 at once on one processor: none of these fails. Six tests that bound a time still fail there (60 processes on one processor); they are as they were.

--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -73,6 +73,9 @@
 /// Host that the document's routes match.
 pub const HOST: &str = "desk.example";
 
+/// Time after which a condition that didn't hold is checked again.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Protocol with unprefixed header names.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Plain;
@@ -267,6 +270,25 @@
     Ok(message)
 }
 
+/// Waits until a condition holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits until a caller has received `text`, and leaves it to be read.
+pub async fn until_received(caller: &TcpStream, text: &str) {
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let length = caller.peek(&mut buffer).await.expect("an open connection");
+        if String::from_utf8_lossy(&buffer[..length]).contains(text) {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Reads a chunk; `None` for the last one.
 pub async fn read_chunk(stream: &mut TcpStream) -> io::Result<Option<Vec<u8>>> {
     let mut line = Vec::new();
--- a/components/gateway/tests/queue.rs
+++ b/components/gateway/tests/queue.rs
@@ -93,7 +93,7 @@
         let harness = Harness::with_document(document());
         harness.register_slots("s1", "draft", "a", backend.address, 1);
         let _busy = harness.send("r1", "/stream/x", PROMPT_HEADERS).await;
-        sleep(EVENT_INTERVAL * 3).await;
+        common::until(|| backend.request_count() == 1).await;
         let started = Instant::now();
         let headers = "tokens: 100\r\ndeadline: 1000\r\n";
         let (_, response) = harness.request("r2", "/stream/x", headers).await;
@@ -158,7 +158,7 @@
         let harness = Harness::with_document(document());
         harness.register_slots("s1", "draft", "a", backend.address, 1);
         let _busy = harness.send("r1", "/stream/x", PROMPT_HEADERS).await;
-        sleep(EVENT_INTERVAL * 3).await;
+        common::until(|| backend.request_count() == 1).await;
         let stopping = async {
             sleep(EVENT_INTERVAL * 10).await;
             harness.stop.cancel();
@@ -187,7 +187,7 @@
         let harness = Harness::with_document(document());
         harness.register_slots("s1", "draft", "a", backend.address, 1);
         let _busy = harness.send("r1", "/stream/x", PROMPT_HEADERS).await;
-        sleep(EVENT_INTERVAL * 3).await;
+        common::until(|| backend.request_count() == 1).await;
         let disconnected = harness.send("r2", "/stream/x", PROMPT_HEADERS).await;
         sleep(EVENT_INTERVAL * 3).await;
         drop(disconnected);
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -91,7 +91,7 @@
         let harness = Harness::with_document(document());
         harness.register("s1", "draft", "a", crashing.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL / 2).await;
+        common::until_received(&caller, "piece 3").await;
         harness.register("s2", "draft", "b", other.address);
         let response = common::read_message(&mut caller)
             .await
@@ -202,7 +202,7 @@
         let harness = Harness::with_document(document());
         harness.register("s1", "draft", "a", resetting.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL / 2).await;
+        common::until_received(&caller, "piece 3").await;
         harness.register("s2", "draft", "b", other.address);
         let response = common::read_message(&mut caller)
             .await
@@ -240,7 +240,7 @@
         harness.register("s1", "draft", "a", one.address);
         harness.register("s2", "draft", "b", two.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL * 2).await;
+        common::until_received(&caller, "piece 1").await;
         let (first, second) = if one.request_count() == 1 {
             (one, two)
         } else {
@@ -286,10 +286,11 @@
                 connection
                     .write(&stream_head(message.header("id").unwrap_or_default()))
                     .await;
-                write_events(&connection, after + 1, after + 3, EVENT_INTERVAL).await;
                 if after == 0 {
+                    connection.write(&event_chunk(1)).await;
                     std::future::pending::<()>().await;
                 }
+                write_events(&connection, after + 1, after + 3, EVENT_INTERVAL).await;
                 true
             }
         };
@@ -299,7 +300,7 @@
         harness.register("s1", "draft", "a", one.address);
         harness.register("s2", "draft", "b", two.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL * 2).await;
+        common::until_received(&caller, "piece 1").await;
         let (first, second) = match one.request_count() {
             1 => (one, two),
             _ => (two, one),
@@ -361,7 +362,7 @@
         servers.push((name, server));
     }
     let caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-    tokio::time::sleep(EVENT_INTERVAL * 3).await;
+    common::until_received(&caller, "piece 1").await;
     let runs = |(_, server): &(&str, Backend)| server.request_count() == 1;
     let runner = servers.iter().position(runs);
     let (_, runner) = servers.remove(runner.expect("one server runs the request"));
@@ -387,7 +388,8 @@
 fn a_lost_copy_is_replaced() {
     common::run(async {
         let mut stream = replace_holder(100).await;
-        tokio::time::sleep(EVENT_INTERVAL * 20).await;
+        common::until(|| stream.runner.request_count() > 1).await;
+        common::until_received(&stream.caller, "piece 20").await;
         let copy_request = stream.runner.requests.borrow()[1].clone();
         let expected = stream.holder.address.to_string();
         assert_eq!(copy_request.header("holder"), Some(expected.as_str()));
@@ -512,7 +514,7 @@
         let harness = Harness::with_document(document());
         harness.register("s1", "draft", "a", silent.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL).await;
+        common::until(|| silent.request_count() == 1).await;
         harness.register("s2", "draft", "b", other.address);
         let started = Instant::now();
         let response = timeout(Duration::from_secs(19), common::read_message(&mut caller)).await;
@@ -545,7 +547,7 @@
         let harness = Harness::with_document(document());
         harness.register("s1", "draft", "a", restarted.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
-        tokio::time::sleep(EVENT_INTERVAL).await;
+        common::until(|| restarted.request_count() == 1).await;
         harness.register("s9", "draft", "a", restarted.address);
         let response = timeout(Duration::from_secs(1), common::read_message(&mut caller)).await;
         let response = response.expect("in time").expect("a complete response");
@@ -580,7 +582,7 @@
             let caller = harness
                 .send(&format!("a{round}"), "/stream/x", &parts)
                 .await;
-            tokio::time::sleep(EVENT_INTERVAL * 3).await;
+            common::until_received(&caller, "piece 2").await;
             let first = receiver(&servers, &format!("a{round}"));
             drop(caller);
             tokio::time::sleep(EVENT_INTERVAL).await;
@@ -588,7 +590,7 @@
             let caller = harness
                 .send(&format!("b{round}"), "/stream/x", &headers)
                 .await;
-            tokio::time::sleep(EVENT_INTERVAL * 2).await;
+            common::until_received(&caller, "piece 3").await;
             assert_eq!(receiver(&servers, &format!("b{round}")), first);
             drop(caller);
         }
@@ -651,7 +653,7 @@
         let _running = harness
             .send("long", "/stream/x", "tokens: 30000\r\nafter: 30\r\n")
             .await;
-        tokio::time::sleep(EVENT_INTERVAL).await;
+        common::until(|| backend.request_count() == 10).await;
         let started = Instant::now();
         let (_, response) = harness.request("late", "/stream/x", late).await;
         let response = response.expect("a response");
