Table of peers: beacon targets are counted without collecting them

Cause: the loop of the peers asks for the interval of beacons at each wake, and each time all addresses that beacons go to were collected.

Change: candidates hold no address of a peer or a seed, so that the number is a sum.

Kept as it is less code.

--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -113,7 +113,7 @@
     peers: HashMap<SocketAddr, Peer>,
     seeds: Vec<SocketAddr>,
     /// Addresses learned from peers or of removed peers, with the time when they were last
-    /// reported.
+    /// reported. None of them is a peer's or a seed.
     candidates: HashMap<SocketAddr, Clock>,
     rotation: usize,
     /// Whether there are candidates that no beacon has been sent to yet.
@@ -135,6 +135,7 @@
         for seed in seeds {
             if !self.seeds.contains(seed) {
                 self.seeds.push(*seed);
+                self.candidates.remove(seed);
             }
         }
     }
@@ -160,6 +161,7 @@
         } else if self.peers.len() >= MAX_PEERS {
             return Receipt::Ignored;
         }
+        self.candidates.remove(&from);
         self.peers.insert(
             from,
             Peer {
@@ -244,11 +246,11 @@
                 silent.push(peer.incarnation);
             }
         }
-        let candidates = &mut self.candidates;
+        let (candidates, seeds) = (&mut self.candidates, &self.seeds);
         self.peers.retain(|address, peer| {
             let after = MIN_REMOVAL_SILENCE.max(peer.interval * REMOVAL_INTERVALS);
             let kept = now.saturating_sub(peer.received_at) <= after;
-            if !kept {
+            if !kept && !seeds.contains(address) {
                 candidates.insert(*address, peer.received_at);
             }
             kept
@@ -272,15 +274,20 @@
     /// Returns the addresses that beacons are sent to: peers, seeds and candidates.
     pub fn targets(&self) -> Vec<SocketAddr> {
         let mut targets = self.peers();
-        let candidates = self
-            .candidates
-            .keys()
-            .filter(|address| !self.seeds.contains(address));
-        let unknown = self.seeds.iter().chain(candidates);
-        targets.extend(unknown.filter(|address| !self.contains(**address)));
+        targets.extend(self.unheard_seeds());
+        targets.extend(self.candidates.keys());
         targets
     }
 
+    /// Returns the number of [`Table::targets`].
+    fn target_count(&self) -> usize {
+        self.peers.len() + self.unheard_seeds().count() + self.candidates.len()
+    }
+
+    fn unheard_seeds(&self) -> impl Iterator<Item = &SocketAddr> {
+        self.seeds.iter().filter(|seed| !self.contains(**seed))
+    }
+
     /// Returns the addresses of some peers, a different part with each call.
     pub fn sample_addresses(&mut self) -> Vec<SocketAddr> {
         self.rotate(ADDRESSES_PER_BEACON)
@@ -386,7 +393,7 @@
         } else {
             IDLE_BEACON_INTERVAL
         };
-        let all = bytes * self.targets().len();
+        let all = bytes * self.target_count();
         usual.max(Duration::from_secs_f64(
             all as f64 / BEACON_BYTES_PER_SECOND,
         ))
