--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -45,7 +45,7 @@
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
     /// A document can't be decoded; the previous one stays in force.
     DOCUMENT_UNREADABLE = 1101, Error, "Document can't be read";
-    /// A backend server registered, or its registration changed.
+    /// A backend server registered, or its registration changed, after the initial read of the store.
     SERVER_REGISTERED = 1102, Info, "Backend server registered";
     /// A backend server's registration was removed or expired.
     SERVER_GONE = 1103, Info, "Backend server is gone";
@@ -63,4 +63,6 @@
     SETTINGS_CHANGED = 1109, Info, "Settings changed";
     /// Settings can't be read; the previous ones stay in force.
     SETTINGS_UNREADABLE = 1110, Error, "Settings can't be read";
+    /// The whole store was read: the number of registered servers and the time that it took.
+    STORE_READ = 1111, Info, "Store was read";
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -193,12 +193,16 @@
                 since,
             } => {
                 let registered = registration.clone();
-                if self
+                let changed = self
                     .context
                     .fleet
                     .borrow_mut()
-                    .register(registration, since)
-                {
+                    .register(registration, since);
+                if !changed {
+                    return;
+                }
+                // The initial read of the store finds thousands of servers.
+                if self.context.initial_sync.has_ended() {
                     note!(
                         forwarding::SERVER_REGISTERED,
                         server = registered.server.as_str(),
@@ -208,8 +212,8 @@
                         address = registered.address.to_string().as_str(),
                         leaving = registered.leaving
                     );
-                    cache_lookup::query_registered(&self.context, &registered);
                 }
+                cache_lookup::query_registered(&self.context, &registered);
             }
             Update::Rollout { service, order } => {
                 let exposure = self.context.settings.borrow().bounds.exposure;
