A request that arrives during the first reading of the store waits only for what it needs

Cause: a request that found no document, or no server of its service, waited for the end of the whole reading or for a second, although the page that it needed was applied before.

Change: waiting requests are woken after each page. The test fails without it.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -147,6 +147,11 @@
         &self.context.freshness
     }
 
+    /// Records that a part of the store was read and applied.
+    pub fn advance_initial_sync(&self) {
+        self.context.initial_sync.advance();
+    }
+
     /// Records that the initial read of the store has ended, or that a call failed.
     pub fn end_initial_sync(&self) {
         self.context.initial_sync.end();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -219,14 +219,14 @@
         provision.direct.as_ref()?.engine.as_ref()
     }
 
-    /// Lets a request wait for the initial read of the store, unless what it needs is `known`
-    /// already.
-    async fn wait_for_sync(&self, metadata: &Metadata, known: impl FnOnce() -> bool) {
+    /// Lets a request wait until what it needs is `known`, while the initial read of the store
+    /// lasts.
+    async fn wait_for_sync(&self, metadata: &Metadata, known: impl Fn() -> bool) {
         if self.initial_sync.has_ended() || known() {
             return;
         }
         let began = Instant::now();
-        self.initial_sync.wait(metadata.deadline).await;
+        self.initial_sync.wait(metadata.deadline, known).await;
         note!(
             forwarding::AWAITED_DOCUMENT,
             id = metadata.id.as_str(),
--- a/components/gateway/src/initial_sync.rs
+++ b/components/gateway/src/initial_sync.rs
@@ -4,11 +4,14 @@
 //! first call to the store returns, usually after some 20 ms, and in a large fleet it has no server
 //! of some services for longer. When all processes failed together, many callers whose answers were
 //! cut off reconnect in that time, and most of them retry only once, so a rejection would lose
-//! the request. Such requests wait for the read to complete.
+//! the request. Such requests wait until the document and a server of their service are known.
 
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::{
+    sync::Notify,
+    time::timeout, //
+};
 use tokio_util::sync::CancellationToken;
 
 /// Divisor of the caller's deadline that gives the longest wait of a request: seven eighths of the
@@ -23,9 +26,15 @@
 #[derive(Debug, Default)]
 pub struct InitialSync {
     ended: CancellationToken,
+    progress: Notify,
 }
 
 impl InitialSync {
+    /// Records that a part of the store was read.
+    pub fn advance(&self) {
+        self.progress.notify_waiters();
+    }
+
     /// Records that the store was read, or that a call to it failed.
     pub fn end(&self) {
         self.ended.cancel();
@@ -36,12 +45,25 @@
         self.ended.is_cancelled()
     }
 
-    /// Waits for the end of the initial read, for at most a share of the request's deadline.
-    pub async fn wait(&self, deadline: Option<Duration>) {
+    /// Waits until something is `known` or the initial read has ended, for at most a share of the
+    /// request's deadline.
+    pub async fn wait(&self, deadline: Option<Duration>, known: impl Fn() -> bool) {
         let max_wait = deadline.map_or(MAX_WAIT, |deadline| {
             MAX_WAIT.min(deadline / MAX_WAIT_DIVISOR)
         });
-        // The caller checks the document cache afterwards, so a timeout needs no handling here.
-        let _ = timeout(max_wait, self.ended.cancelled()).await;
+        let waiting = async {
+            loop {
+                let progress = self.progress.notified();
+                if self.has_ended() || known() {
+                    return;
+                }
+                tokio::select! {
+                    () = self.ended.cancelled() => {}
+                    () = progress => {}
+                }
+            }
+        };
+        // The caller checks what is known afterwards, so a timeout needs no handling here.
+        let _ = timeout(max_wait, waiting).await;
     }
 }
--- a/components/gateway/tests/callers.rs
+++ b/components/gateway/tests/callers.rs
@@ -318,6 +318,29 @@
     });
 }
 
+/// Hundreds of gateways start together, and the store needs seconds to send all pages to all of
+/// them. Guards against requests that wait although the first pages contain what they need: streams
+/// pause for longer than their callers accept.
+#[test]
+fn a_request_waits_only_for_what_it_needs() {
+    common::run(async {
+        let server = healthy_server().await;
+        let harness = Harness::start(common::settings());
+        let started = Instant::now();
+        let mut early = harness.send("r0", "/safe/x", "deadline: 25000\r\n").await;
+        sleep(Duration::from_millis(50)).await;
+        harness.put_document(1, document());
+        harness.gateway.advance_initial_sync();
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(server.request_count(), 0);
+        harness.register("s1", "ledger", "a", server.address);
+        harness.gateway.advance_initial_sync();
+        let response = common::read_message(&mut early).await.expect("a response");
+        assert_eq!((response.status(), server.request_count()), (200, 1));
+        assert!(started.elapsed() < Duration::from_millis(600));
+    });
+}
+
 /// The store is down while a gateway starts, and nothing can be served until it is back. Waiting
 /// requests are rejected as soon as the first call has failed, and later ones immediately.
 #[test]
