Prompts that were processed are told to the gateways of the data centre at once

Cause: in a fleet of 300 gateways beacons leave 5 to 10 s apart, and only they said which engine has processed which prompt.

Change: where the engines are partitioned, a processed prompt goes to the gateways of the data centre at once, in the message that tells found prompts (no change of the wire). The test fails without it.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -37,7 +37,8 @@
 use spread::beacon::{
     self,
     Id,
-    Incarnation, //
+    Incarnation,
+    Prompt, //
 };
 use tokio::sync::Notify;
 
@@ -89,6 +90,8 @@
     load_sequences: HashMap<Incarnation, u64>,
     /// Prompts that were processed for this gateway: last part, server and time.
     prompts: VecDeque<(Part, Server, Clock)>,
+    /// Prompts that were processed since the last message to peers of the data centre.
+    new_prompts: Vec<Prompt>,
     /// Servers whose address was taken by another one, oldest first.
     replaced: VecDeque<Server>,
     rng: SmallRng,
@@ -122,6 +125,7 @@
             loads_notify: Rc::default(),
             load_sequences: HashMap::new(),
             prompts: VecDeque::new(),
+            new_prompts: Vec::new(),
             replaced: VecDeque::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -312,6 +316,10 @@
             self.prompts.pop_front();
         }
         self.changed = true;
+        self.announce_prompt(Prompt {
+            hash: *last,
+            server: beacon::id(server),
+        });
     }
 
     /// Returns whether any server is expected to have a prompt part cached.
--- a/components/gateway/src/fleet/exchange.rs
+++ b/components/gateway/src/fleet/exchange.rs
@@ -83,6 +83,21 @@
         changed.iter().map(load).collect()
     }
 
+    /// Returns the prompts that were processed for this gateway since the last call, for the peers
+    /// of its data centre.
+    pub fn take_new_prompts(&mut self) -> Vec<Prompt> {
+        std::mem::take(&mut self.new_prompts)
+    }
+
+    /// Announces a processed prompt to the peers of the data centre. In a large fleet beacons are
+    /// many seconds apart, and the callers of a gateway that fails meanwhile reconnect to a peer.
+    pub(super) fn announce_prompt(&mut self, prompt: Prompt) {
+        if self.is_partitioned() {
+            self.new_prompts.push(prompt);
+            self.loads_notify.notify_one();
+        }
+    }
+
     /// Records that this gateway's work at a server changed. Peers are notified at once only when
     /// the gateways partition the engines.
     pub(super) fn mark_changed(&mut self, server: &Server) {
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -174,7 +174,10 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
-                () = loads_changed.notified() => self.send_loads(),
+                () = loads_changed.notified() => {
+                    self.send_loads();
+                    self.send_new_prompts();
+                }
                 outgoing = self.channels.outgoing.recv() => match outgoing {
                     None => {}
                     Some(Outgoing::Changes(changes, scope)) => self.send_changes(changes, scope),
@@ -309,6 +312,22 @@
         }
     }
 
+    /// Sends the prompts that were processed lately to the other gateways of the data centre.
+    fn send_new_prompts(&mut self) {
+        let prompts = self.shared.fleet.borrow_mut().take_new_prompts();
+        if prompts.is_empty() {
+            return;
+        }
+        let data_centre = self.shared.settings.borrow().data_centre.clone();
+        let targets = self.table.local_peers(&data_centre);
+        for prompts in prompts.chunks(MAX_PROMPTS_PER_MESSAGE) {
+            let message = Message::CachedPrompts(prompts.to_vec());
+            for target in &targets {
+                self.send_to(&message, *target);
+            }
+        }
+    }
+
     /// Sends a message to all live peers.
     fn broadcast(&self, message: &Message) {
         for target in self.table.peers() {
--- a/components/gateway/tests/prompt_lookup.rs
+++ b/components/gateway/tests/prompt_lookup.rs
@@ -35,6 +35,9 @@
 
 const ENGINE_COUNT: usize = 24;
 
+/// Time within which changes are announced, less than the shortest beacon interval of a large fleet.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(400);
+
 /// Identifier of the prompt part that callers look for.
 const PART_ID: u64 = 77;
 
@@ -259,6 +262,28 @@
     });
 }
 
+/// Guards against prompts that are processed again because a gateway failed before its next beacon,
+/// which in a large fleet takes seconds.
+#[test]
+fn processed_prompts_are_announced_to_the_data_centre_immediately() {
+    common::run(async {
+        let fleet = Fleet::start("").await;
+        let prompts = |message: &Message| matches!(message, Message::CachedPrompts(_));
+        let headers = "tokens: 5020\r\nparts: 1:20,78:5000\r\n";
+        let request = fleet.harness.request("r1", "/stream/x", headers);
+        let announced = timeout(ANNOUNCEMENT_TIME, receive(&fleet.peer, prompts));
+        let (announced, (_, response)) = tokio::join!(announced, request);
+        assert_eq!(response.expect("a complete response").status(), 200);
+        let server = fleet.queried()[0];
+        let expected = Prompt {
+            hash: 78,
+            server: beacon::id(&name(server)),
+        };
+        let expected = Message::CachedPrompts(vec![expected]);
+        assert_eq!(announced.expect("before a beacon"), expected);
+    });
+}
+
 /// Whether two loads have the same server, requests and unprocessed tokens.
 fn is_same(one: &Load, other: &Load) -> bool {
     (one.server, one.requests, one.prefill_tokens)
