A process that knows no server isn't ready before the store was read

Cause: found while reading the diff. As the configuration is read before the registry, a process whose store fails in between would have reported that it is ready, and refused all requests as not run, while others could serve them.

Change: readiness asks for a server, or for a complete reading.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -152,7 +152,12 @@
         self.context.initial_sync.advance();
     }
 
-    /// Records that the initial read of the store has ended, or that a call failed.
+    /// Records that the whole store was read.
+    pub fn complete_initial_sync(&self) {
+        self.context.initial_sync.complete();
+    }
+
+    /// Records that a call of the initial read failed: requests no longer wait for it.
     pub fn end_initial_sync(&self) {
         self.context.initial_sync.end();
     }
@@ -358,6 +363,11 @@
     if context.shutdown.has_begun() {
         return false;
     }
+    // The document is read before the registry. If the store fails in between, other processes can
+    // serve.
+    if !context.initial_sync.is_complete() && !context.fleet.borrow().has_servers() {
+        return false;
+    }
     let settings = context.settings.borrow().clone();
     matches!(context.state(&settings), State::Current(_))
 }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -84,7 +84,7 @@
     /// Servers whose work of this gateway changed since the last message to peers of the data
     /// centre.
     changed_servers: HashSet<Server>,
-    /// Wakes the task that sends load messages to those peers.
+    /// Wakes the task that sends loads and new prompts to those peers.
     loads_notify: Rc<Notify>,
     /// Highest sequence number of each peer's load messages.
     load_sequences: HashMap<Incarnation, u64>,
@@ -198,6 +198,11 @@
             .collect()
     }
 
+    /// Returns whether any server is known.
+    pub fn has_servers(&self) -> bool {
+        !self.addresses.is_empty()
+    }
+
     /// Returns whether any server of a service is known.
     pub fn serves(&self, service: &Service) -> bool {
         let mut servers = self.placement.servers();
--- a/components/gateway/src/fleet/exchange.rs
+++ b/components/gateway/src/fleet/exchange.rs
@@ -70,7 +70,8 @@
         self.placement.set_data_centre(data_centre);
     }
 
-    /// Returns the handle that is notified when this gateway's work changes.
+    /// Returns the handle that is notified when this gateway's work changes or a prompt of it was
+    /// processed.
     pub fn loads_notify(&self) -> Rc<Notify> {
         self.loads_notify.clone()
     }
--- a/components/gateway/src/initial_sync.rs
+++ b/components/gateway/src/initial_sync.rs
@@ -6,7 +6,10 @@
 //! cut off reconnect in that time, and most of them retry only once, so a rejection would lose
 //! the request. Such requests wait until the document and a server of their service are known.
 
-use std::time::Duration;
+use std::{
+    cell::Cell,
+    time::Duration, //
+};
 
 use tokio::{
     sync::Notify,
@@ -27,6 +30,7 @@
 pub struct InitialSync {
     ended: CancellationToken,
     progress: Notify,
+    complete: Cell<bool>,
 }
 
 impl InitialSync {
@@ -35,6 +39,17 @@
         self.progress.notify_waiters();
     }
 
+    /// Records that the whole store was read.
+    pub fn complete(&self) {
+        self.complete.set(true);
+        self.end();
+    }
+
+    /// Returns whether the whole store was read.
+    pub fn is_complete(&self) -> bool {
+        self.complete.get()
+    }
+
     /// Records that the store was read, or that a call to it failed.
     pub fn end(&self) {
         self.ended.cancel();
