--- a/components/answer/src/silence.rs
+++ b/components/answer/src/silence.rs
@@ -157,6 +157,12 @@
         self.suspected = false;
     }
 
+    /// Returns whether a first event is in time that another server is expected to send after
+    /// `expected`, for a request that has waited since its arrival.
+    pub fn is_in_time(&self, waited: Duration, expected: Duration) -> bool {
+        waited + expected <= self.objective
+    }
+
     /// Keeps the run at its server however slow it is, as no other one is expected to be faster.
     pub fn stay(&mut self) {
         self.relocate_at = None;
--- a/components/answer/tests/silence.rs
+++ b/components/answer/tests/silence.rs
@@ -49,3 +49,14 @@
     detector.suspect();
     assert_eq!(detector.advise(OBJECTIVE * 2), Advice::Lost);
 }
+
+/// Guards against a slow run that moves to a server where it is late as well, after its prompt was
+/// processed twice.
+#[test]
+fn a_first_event_is_in_time_up_to_the_objective() {
+    let detector = detector();
+    let waited = OBJECTIVE / 4;
+    assert!(detector.is_in_time(waited, OBJECTIVE - waited));
+    let late = OBJECTIVE - waited + Duration::from_millis(1);
+    assert!(!detector.is_in_time(waited, late));
+}
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -45,7 +45,8 @@
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
     /// A document can't be decoded; the previous one stays in force.
     DOCUMENT_UNREADABLE = 1101, Error, "Document can't be read";
-    /// A backend server registered, or its registration changed, after the initial read of the store.
+    /// A backend server registered, or its registration changed, after the initial read of the
+    /// store.
     SERVER_REGISTERED = 1102, Info, "Backend server registered";
     /// A backend server's registration was removed or expired.
     SERVER_GONE = 1103, Info, "Backend server is gone";
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -85,7 +85,7 @@
     /// centre.
     changed_servers: HashSet<Server>,
     /// Wakes the task that sends loads and new prompts to those peers.
-    loads_notify: Rc<Notify>,
+    announce_notify: Rc<Notify>,
     /// Highest sequence number of each peer's load messages.
     load_sequences: HashMap<Incarnation, u64>,
     /// Prompts that were processed for this gateway: last part, server and time.
@@ -122,7 +122,7 @@
             servers_by_id: HashMap::new(),
             changed: false,
             changed_servers: HashSet::new(),
-            loads_notify: Rc::default(),
+            announce_notify: Rc::default(),
             load_sequences: HashMap::new(),
             prompts: VecDeque::new(),
             new_prompts: Vec::new(),
--- a/components/gateway/src/fleet/exchange.rs
+++ b/components/gateway/src/fleet/exchange.rs
@@ -72,8 +72,8 @@
 
     /// Returns the handle that is notified when this gateway's work changes or a prompt of it was
     /// processed.
-    pub fn loads_notify(&self) -> Rc<Notify> {
-        self.loads_notify.clone()
+    pub fn announce_notify(&self) -> Rc<Notify> {
+        self.announce_notify.clone()
     }
 
     /// Returns this gateway's work at the servers where it changed since the last call, for the
@@ -95,7 +95,7 @@
     pub(super) fn announce_prompt(&mut self, prompt: Prompt) {
         if self.is_partitioned() {
             self.new_prompts.push(prompt);
-            self.loads_notify.notify_one();
+            self.announce_notify.notify_one();
         }
     }
 
@@ -107,7 +107,7 @@
             return;
         }
         self.changed_servers.insert(server.clone());
-        self.loads_notify.notify_one();
+        self.announce_notify.notify_one();
     }
 
     /// Applies the load message of a peer in the data centre; returns `false` if a newer one was
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -147,7 +147,7 @@
 
     /// Sends and receives messages until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
-        let loads_changed = self.shared.fleet.borrow().loads_notify();
+        let announced = self.shared.fleet.borrow().announce_notify();
         let mut sent = Instant::now();
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -174,7 +174,7 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = sleep_until(wake) => {}
-                () = loads_changed.notified() => {
+                () = announced.notified() => {
                     self.send_loads();
                     self.send_new_prompts();
                 }
@@ -183,9 +183,7 @@
                     Some(Outgoing::Changes(changes, scope)) => self.send_changes(changes, scope),
                     Some(Outgoing::Lookup(service)) => self.broadcast(&Message::Lookup(service)),
                     Some(Outgoing::Cached(prompts)) => {
-                        for prompts in prompts.chunks(MAX_PROMPTS_PER_MESSAGE) {
-                            self.broadcast(&Message::CachedPrompts(prompts.to_vec()));
-                        }
+                        self.send_prompts(&prompts, &self.table.peers());
                     }
                 },
                 received = self.socket.recv_from(&mut bytes) => self.receive(received, &bytes),
@@ -319,10 +317,14 @@
             return;
         }
         let data_centre = self.shared.settings.borrow().data_centre.clone();
-        let targets = self.table.local_peers(&data_centre);
+        self.send_prompts(&prompts, &self.table.local_peers(&data_centre));
+    }
+
+    /// Sends prompts that engines have cached, in as many datagrams as needed.
+    fn send_prompts(&self, prompts: &[Prompt], targets: &[SocketAddr]) {
         for prompts in prompts.chunks(MAX_PROMPTS_PER_MESSAGE) {
             let message = Message::CachedPrompts(prompts.to_vec());
-            for target in &targets {
+            for target in targets {
                 self.send_to(&message, *target);
             }
         }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -244,9 +244,10 @@
             return false;
         };
         let prefill_tokens = request.work.prefill_tokens;
-        let first_event = fleet.expected_first_event(&target)
+        let expected = fleet.expected_first_event(&target)
             + fleet.unloaded_first_event(&target, prefill_tokens);
-        self.call.arrived.elapsed() + first_event <= self.call.pass.objective
+        run.silence
+            .is_in_time(self.call.arrived.elapsed(), expected)
     }
 
     /// Makes the detector suspect a run whose server was found unreachable since the server was
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -136,7 +136,7 @@
     Loads(Loads),
     /// Request that each peer query its share of a service's engines for their cache content.
     Lookup(Id),
-    /// Cache content that engines reported.
+    /// Prompts that engines have cached: they reported them, or processed them for the sender.
     CachedPrompts(Vec<Prompt>),
 }
 
