Retry-After is rounded up

Traced: the header had two decimals, rounded to the nearest, so that it named a time up to 5 ms too early; a caller that comes back then is refused again. Which side it fell on depended on the milliseconds that the refusal took.

Change: rounded up. The test is unchanged.

Ruled out: a slow machine alone (the sum of the time that passed and the header was too short).

--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -163,7 +163,9 @@
             _ => DEFAULT_RETRY_AFTER,
         };
         if retryable {
-            let seconds = format!("{:.2}", retry_after.as_secs_f64());
+            // Rounded up, as a caller that returns too early is refused again.
+            let hundredths = retry_after.as_micros().div_ceil(10_000);
+            let seconds = format!("{:.2}", hundredths as f64 / 100.0);
             if let Ok(value) = HeaderValue::try_from(seconds) {
                 headers.insert(RETRY_AFTER, value);
             }
