Lines of lost answers name the request's fingerprint and how long the run had answered

Several attempts of one request have different ids, and a line of a lost answer didn't say whether the run had begun. MH1004 now has `fingerprint`, a hash of team, method, host, path and body, and for streams `answered_ms`. No decision changes.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -17,6 +17,10 @@
     Bytes,
     BytesMut, //
 };
+use contract::poison::{
+    self,
+    Fingerprint, //
+};
 use environment::{
     Index,
     document::{
@@ -156,6 +160,17 @@
         Some(expires_at.saturating_duration_since(Instant::now()))
     }
 
+    /// Returns the fingerprint of the request, which repeated attempts share although their ids
+    /// differ.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let parts = &self.request.parts;
+        let team = self.team.as_deref().unwrap_or_default();
+        let host = requested_host(parts).unwrap_or_default();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let target = format!("{} {host}{path}", parts.method);
+        poison::fingerprint(team, &target, &self.request.body)
+    }
+
     /// Logs a rejection and returns its response.
     pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
         refusal.respond(&self.request.metadata.id, self.arrived, &self.document)
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -329,7 +329,7 @@
         .await
     {
         Ok(reply) => reply,
-        Err(error) => return lost_attempt(id, server, &error.to_string()),
+        Err(error) => return lost_attempt(call, server, &error.to_string()),
     };
     let read = connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await;
     let status = head.status;
@@ -353,10 +353,10 @@
         return Attempt::without_response(Ending::Misdirected);
     }
     let Ok(collected) = read else {
-        return lost_attempt(id, server, "response cut off");
+        return lost_attempt(call, server, "response cut off");
     };
     if !reply.signed || reply.encoded {
-        return lost_attempt(id, server, "response not from the server");
+        return lost_attempt(call, server, "response not from the server");
     }
     context.fleet.borrow_mut().mark_alive(&target.server);
     let body = match collected {
@@ -414,8 +414,14 @@
     })
 }
 
-fn lost_attempt(id: &str, server: &str, reason: &str) -> Attempt {
-    note!(forwarding::LOST, id = id, server = server, reason = reason);
+fn lost_attempt(call: &Call, server: &str, reason: &str) -> Attempt {
+    note!(
+        forwarding::LOST,
+        id = call.request.metadata.id.as_str(),
+        server = server,
+        fingerprint = format!("{:032x}", call.fingerprint()).as_str(),
+        reason = reason
+    );
     Attempt::without_response(Ending::Lost)
 }
 
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -72,6 +72,8 @@
     silence: Detector,
     pub(super) began: Instant,
     last_received: Instant,
+    /// Time at which the head of the answer arrived.
+    answered: Option<Instant>,
     /// Time at which the server was last known to be alive.
     last_alive: Instant,
     /// Time at which the holder of the backup was last checked.
@@ -370,7 +372,9 @@
             server = server.as_str(),
             data_centre = run.target.data_centre.as_str(),
             reason = loss.name(),
+            fingerprint = format!("{:032x}", self.call.fingerprint()).as_str(),
             events = run.events,
+            answered_ms = run.answered.map(|at| at.elapsed().as_millis() as u64),
             copy = run
                 .backup
                 .as_ref()
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -133,6 +133,7 @@
             silence: Detector::new(pass.objective, pass.gap, Gaps::default(), expected),
             began,
             last_received: began,
+            answered: None,
             last_alive: began,
             backup_checked: began,
             events: 0,
@@ -255,6 +256,7 @@
         let usable = reply.signed && !reply.encoded;
         if usable && head.status.is_success() {
             meter::send("answered");
+            run.answered = Some(Instant::now());
             let headers = self
                 .context
                 .sender
