--- /dev/null
+++ b/components/gateway/tests/poison.rs
@@ -0,0 +1,214 @@
+//! Tests of requests that crash the backend servers that run them.
+
+mod common;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use common::{
+    Backend,
+    Harness,
+    Message,
+    document,
+    response,
+    settings,
+    stream_head,
+    write_events, //
+};
+use rstest::rstest;
+use tokio::{
+    sync::Notify,
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+/// Number of servers: more than a request may crash.
+const SERVER_COUNT: usize = 12;
+
+/// Number of crashes after which a request must not be sent to another server.
+const MAX_CRASHES: usize = 3;
+
+/// Time from the start of a run to the crash of its server.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
+
+/// Time within which all gateways know of a refused request.
+const PROPAGATION_TIME: Duration = Duration::from_millis(500);
+
+/// Time between two events of an engine.
+const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Safe,
+    Unsafe,
+    Stream,
+}
+
+impl Kind {
+    /// Returns the path of a request; those that contain `poison` crash their servers.
+    fn path(self, name: &str) -> String {
+        match self {
+            Kind::Safe => format!("/safe/{name}"),
+            Kind::Unsafe => format!("/unsafe/{name}"),
+            Kind::Stream => format!("/stream/{name}"),
+        }
+    }
+
+    fn headers(self) -> &'static str {
+        match self {
+            Kind::Safe | Kind::Unsafe => "",
+            Kind::Stream => "tokens: 10\r\n",
+        }
+    }
+
+    fn service(self) -> &'static str {
+        match self {
+            Kind::Safe | Kind::Unsafe => "ledger",
+            Kind::Stream => "draft",
+        }
+    }
+}
+
+/// Servers of one service, and the paths of the requests that they ran.
+struct Servers {
+    backends: Vec<Rc<Backend>>,
+    runs: Rc<RefCell<Vec<String>>>,
+}
+
+impl Servers {
+    async fn start(kind: Kind) -> Servers {
+        let runs: Rc<RefCell<Vec<String>>> = Rc::default();
+        let mut backends = Vec::new();
+        for _ in 0..SERVER_COUNT {
+            backends.push(start_server(kind, runs.clone()).await);
+        }
+        Servers { backends, runs }
+    }
+
+    fn register(&self, harness: &Harness, kind: Kind) {
+        for (index, backend) in self.backends.iter().enumerate() {
+            let server = format!("s{index}");
+            harness.register(&server, kind.service(), "a", backend.address);
+        }
+    }
+
+    /// Returns how many runs a request had.
+    fn run_count(&self, path: &str) -> usize {
+        let runs = self.runs.borrow();
+        runs.iter().filter(|run| run.as_str() == path).count()
+    }
+}
+
+/// Starts a server that crashes shortly after it began to run a request whose path contains
+/// `poison`, and loses the answer to one whose path contains `lost`.
+async fn start_server(kind: Kind, runs: Rc<RefCell<Vec<String>>>) -> Rc<Backend> {
+    let crash = Rc::new(Notify::new());
+    let crashed = crash.clone();
+    let handler = move |message: Message, connection: common::Connection| {
+        let (runs, crash) = (runs.clone(), crash.clone());
+        async move {
+            let path = message.start_line.split(' ').nth(1).unwrap_or_default();
+            runs.borrow_mut().push(path.to_string());
+            let id = message.header("id").unwrap_or_default();
+            if kind == Kind::Stream {
+                connection.write(&stream_head(id)).await;
+            }
+            if path.contains("poison") {
+                sleep(CRASH_DELAY).await;
+                crash.notify_one();
+                std::future::pending::<()>().await;
+            }
+            if path.contains("lost") {
+                connection.reset();
+                return false;
+            }
+            match kind {
+                Kind::Stream => {
+                    let after = message.header("after").and_then(|after| after.parse().ok());
+                    write_events(&connection, after.unwrap_or(0) + 1, 6, EVENT_INTERVAL).await;
+                }
+                Kind::Safe | Kind::Unsafe => {
+                    connection.write(&response(id, 200, "fine")).await;
+                }
+            }
+            true
+        }
+    };
+    let backend = Rc::new(Backend::start(handler).await);
+    let server = backend.clone();
+    spawn_local(async move {
+        crashed.notified().await;
+        server.kill();
+    });
+    backend
+}
+
+/// Starts a gateway, with another one as its peer if there is one.
+fn start_gateway(peer: Option<&Harness>) -> Harness {
+    let mut settings = settings();
+    settings.seeds.extend(peer.map(|peer| peer.peers));
+    let harness = Harness::start(settings);
+    harness.put_document(1, document());
+    harness
+}
+
+/// Returns the status of a response, or `None` if it isn't complete.
+async fn send(harness: &Harness, id: &str, kind: Kind, path: &str) -> Option<u16> {
+    let sent = harness.request(id, path, kind.headers());
+    let (_, response) = timeout(Duration::from_secs(10), sent).await.ok()?;
+    response.ok().map(|response| response.status())
+}
+
+/// Guards against a request that crashes one server after another because each attempt of its
+/// caller has a new id.
+#[rstest]
+fn a_request_that_crashes_servers_is_refused_under_any_id(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let servers = Servers::start(kind).await;
+        let harness = start_gateway(None);
+        servers.register(&harness, kind);
+        let poison = kind.path("poison");
+        for attempt in 0..6 {
+            let status = send(&harness, &format!("r{attempt}"), kind, &poison).await;
+            assert_ne!(status, Some(200));
+        }
+        assert_eq!(servers.run_count(&poison), MAX_CRASHES);
+        let status = send(&harness, "last", kind, &poison).await;
+        assert_eq!(status, Some(503));
+        let status = send(&harness, "other", kind, &kind.path("other")).await;
+        assert_eq!(status, Some(200));
+    });
+}
+
+/// Guards against a request that crashes servers at each gateway anew.
+#[rstest]
+fn a_request_that_crashes_servers_is_refused_at_every_gateway(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let servers = Servers::start(kind).await;
+        let first = start_gateway(None);
+        let second = start_gateway(Some(&first));
+        servers.register(&first, kind);
+        servers.register(&second, kind);
+        sleep(PROPAGATION_TIME).await;
+        let poison = kind.path("poison");
+        for (attempt, harness) in [&first, &second, &first, &second].iter().enumerate() {
+            send(harness, &format!("r{attempt}"), kind, &poison).await;
+            sleep(PROPAGATION_TIME).await;
+        }
+        assert_eq!(servers.run_count(&poison), MAX_CRASHES);
+        for harness in [&first, &second] {
+            assert_eq!(send(harness, "last", kind, &poison).await, Some(503));
+        }
+    });
+}
