A request that crashes its servers is refused everywhere after three crashes

Cause: nothing connected the attempts of one request. The gateway counts the sends of a call and the retries of a service, and both bounds were kept.

Change: a lost run whose server's port refuses a connection is a crash; it counts against the requests there whose runs hadn't survived a second (half, if unanswered). Three crashes without a rival that was at all of them convict a fingerprint of team, method, host, path and body; a run that survives voids them. Observations go to all peers at once, are repeated, and are told in full to peers that are new; verdicts follow from the set of observations in any order. A convicted request is refused with 503 (not run) before it is sent, and withdrawn where it still waits for its first token. contract::poison has the rule for sidecars, which see all requests of a server; it would convict innocents from the partial view of a gateway (docs/design/calls.md).

--- a/components/answer/src/loss.rs
+++ b/components/answer/src/loss.rs
@@ -74,6 +74,11 @@
         matches!(self, Loss::Closed | Loss::Reset) && events == 0 && age < MIN_PREFILL_AGE
     }
 
+    /// Returns whether the server broke off the answer, as it also does when it crashes.
+    pub fn is_broken_off(self) -> bool {
+        matches!(self, Loss::Closed | Loss::Reset | Loss::Truncated)
+    }
+
     /// Returns the name for logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/components/contract/src/poison.rs
+++ b/components/contract/src/poison.rs
@@ -11,6 +11,7 @@
 //! Every process derives the same verdicts from the same facts.
 
 mod detector;
+pub mod evidence;
 mod facts;
 
 pub use detector::{
--- /dev/null
+++ b/components/contract/tests/evidence.rs
@@ -0,0 +1,208 @@
+//! Tests of the evidence against requests that crash servers, where each process sees only a part of
+//! the requests on a server.
+
+use std::time::Duration;
+
+use contract::poison::{
+    Fingerprint, Verdict,
+    evidence::{
+        Evidence,
+        Observation,
+        Report,
+        ServerId,
+        Stage, //
+    },
+};
+use names::Clock;
+use rand::{
+    SeedableRng,
+    rngs::SmallRng,
+    seq::SliceRandom, //
+};
+use rstest::rstest;
+
+const POISON: Fingerprint = 1;
+const INNOCENT: Fingerprint = 2;
+const OTHER: Fingerprint = 3;
+
+/// Time at which the observations are made.
+const START: Clock = Duration::from_secs(1000);
+
+/// Evidence with a clock that advances by a second with each observation.
+struct Case {
+    evidence: Evidence,
+    now: Clock,
+}
+
+impl Case {
+    fn new() -> Case {
+        Case {
+            evidence: Evidence::default(),
+            now: START,
+        }
+    }
+
+    fn observe(&mut self, fingerprint: Fingerprint, observation: Observation) {
+        self.now += Duration::from_secs(1);
+        self.evidence
+            .record(self.now, self.now, fingerprint, observation);
+    }
+
+    fn crash(&mut self, server: ServerId, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            self.observe(*fingerprint, crashed(server, Stage::Started));
+        }
+    }
+
+    fn is_refused(&self, fingerprint: Fingerprint) -> bool {
+        is_refused(&self.evidence, self.now, fingerprint)
+    }
+}
+
+fn crashed(server: ServerId, stage: Stage) -> Observation {
+    Observation::Crashed { server, stage }
+}
+
+fn is_refused(evidence: &Evidence, now: Clock, fingerprint: Fingerprint) -> bool {
+    matches!(evidence.verdict(now, fingerprint), Verdict::Refused { .. })
+}
+
+/// Guards against a request that crashes more than three servers.
+#[test]
+fn three_crashes_convict_a_request() {
+    let mut case = Case::new();
+    for server in [10, 11] {
+        case.crash(server, &[POISON]);
+        assert!(!case.is_refused(POISON));
+    }
+    case.crash(12, &[POISON]);
+    assert!(case.is_refused(POISON));
+}
+
+/// Guards against a conviction by copies of a request that were at the same server.
+#[test]
+fn one_crash_counts_once() {
+    let mut case = Case::new();
+    case.crash(10, &[POISON, POISON, POISON]);
+    assert!(!case.is_refused(POISON));
+}
+
+/// Guards against the refusal of a request that was beside the one that crashes servers: at some of
+/// the crashes, or at all that are known so far.
+#[rstest]
+#[case::at_some(&[10, 11])]
+#[case::at_all_but_one(&[10, 11, 12])]
+fn a_request_beside_the_cause_is_not_refused(#[case] shared: &[ServerId]) {
+    let mut case = Case::new();
+    for server in shared {
+        case.crash(*server, &[POISON, INNOCENT]);
+    }
+    assert!(!case.is_refused(INNOCENT));
+    case.crash(20, &[POISON, OTHER]);
+    assert!(case.is_refused(POISON));
+    for fingerprint in [INNOCENT, OTHER] {
+        assert_eq!(case.evidence.verdict(case.now, fingerprint), Verdict::Clear);
+    }
+}
+
+/// Guards against the refusal of a request that survived between the crashes.
+#[test]
+fn a_run_that_survives_voids_earlier_crashes() {
+    let mut case = Case::new();
+    case.crash(10, &[INNOCENT]);
+    case.crash(11, &[INNOCENT]);
+    case.observe(INNOCENT, Observation::Survived);
+    case.crash(12, &[INNOCENT]);
+    case.crash(13, &[INNOCENT]);
+    assert!(!case.is_refused(INNOCENT));
+    case.crash(14, &[INNOCENT]);
+    assert!(case.is_refused(INNOCENT));
+    case.observe(INNOCENT, Observation::Survived);
+    assert_eq!(case.evidence.verdict(case.now, INNOCENT), Verdict::Clear);
+}
+
+/// Guards against the refusal of requests that wait at servers which end by themselves, and against
+/// a request that crashes servers before it is answered.
+#[test]
+fn crashes_before_the_start_of_a_run_count_half() {
+    let mut case = Case::new();
+    for server in 10..15 {
+        case.observe(POISON, crashed(server, Stage::Pending));
+        assert!(!case.is_refused(POISON));
+    }
+    case.observe(POISON, crashed(15, Stage::Pending));
+    assert!(case.is_refused(POISON));
+}
+
+/// Guards against a wrong verdict that stands after the reports of another process arrived late.
+#[test]
+fn a_late_report_corrects_a_verdict() {
+    let mut case = Case::new();
+    case.crash(10, &[INNOCENT]);
+    case.crash(11, &[INNOCENT]);
+    case.crash(12, &[INNOCENT]);
+    assert!(case.is_refused(INNOCENT));
+    for (server, age_ms) in [(10, 3000), (11, 2000), (12, 1000), (13, 500)] {
+        let report = Report {
+            fingerprint: POISON,
+            observation: crashed(server, Stage::Started),
+            age_ms,
+        };
+        case.evidence.apply(case.now, &report);
+    }
+    assert!(!case.is_refused(INNOCENT));
+    assert!(case.is_refused(POISON));
+}
+
+/// Guards against verdicts that differ between processes by the order in which reports arrive.
+#[test]
+fn the_order_of_reports_does_not_matter() {
+    let mut case = Case::new();
+    case.crash(10, &[POISON, INNOCENT]);
+    case.crash(11, &[POISON]);
+    case.crash(12, &[INNOCENT, OTHER]);
+    case.crash(13, &[POISON, INNOCENT]);
+    case.crash(14, &[INNOCENT]);
+    case.observe(OTHER, Observation::Survived);
+    case.crash(15, &[OTHER]);
+    let reports = case.evidence.reports(case.now);
+    for seed in 0..200 {
+        let mut shuffled = reports.clone();
+        // Each report arrives twice.
+        shuffled.extend(reports.clone());
+        shuffled.shuffle(&mut SmallRng::seed_from_u64(seed));
+        let mut other = Evidence::default();
+        for report in &shuffled {
+            other.apply(case.now, report);
+        }
+        for fingerprint in [POISON, INNOCENT, OTHER] {
+            assert_eq!(
+                is_refused(&other, case.now, fingerprint),
+                case.is_refused(fingerprint),
+                "seed {seed}"
+            );
+        }
+    }
+}
+
+/// Guards against a refusal that lasts for ever, and against memory that grows with the crashes.
+#[test]
+fn observations_expire_and_are_bounded() {
+    let mut case = Case::new();
+    for server in 0..3 {
+        case.crash(server, &[POISON]);
+    }
+    for server in 100..1100 {
+        let fingerprint = Fingerprint::from(server);
+        case.evidence.record(
+            case.now,
+            case.now,
+            fingerprint,
+            crashed(server, Stage::Started),
+        );
+    }
+    assert!(case.evidence.reports(case.now).len() <= 256);
+    assert!(case.is_refused(POISON));
+    let later = case.now + Duration::from_secs(601);
+    assert!(!is_refused(&case.evidence, later, POISON));
+}
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -41,6 +41,11 @@
     /// A retry would exceed the retry budget shared by all processes.
     RETRY_BUDGET_SPENT = 1009, Info, "Retry budget of the service is spent";
 
+    /// A backend server crashed before a run of the request survived its start.
+    SERVER_CRASHED = 1017, Warn, "Backend server crashed under a request";
+    /// A request is refused at every gateway, as servers crashed under it according to peers.
+    REQUEST_POISONOUS = 1018, Warn, "Request is refused as it crashes backend servers";
+
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
     /// A document can't be decoded; the previous one stays in force.
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -121,6 +121,7 @@
             cache_lookup: CacheLookup::new(outgoing.clone()),
             queue: Rc::new(Queue::default()),
             rollouts: Rc::default(),
+            suspects: Rc::default(),
             initial_sync: InitialSync::default(),
             forecast: RefCell::default(),
             shutdown: Rc::default(),
@@ -304,6 +305,7 @@
                 retry_budgets: context.retry_budgets.clone(),
                 queue: context.queue.clone(),
                 rollouts: context.rollouts.clone(),
+                suspects: context.suspects.clone(),
                 shutdown: context.shutdown.clone(),
                 settings: context.settings.clone(),
             };
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -19,7 +19,9 @@
 };
 use contract::poison::{
     self,
-    Fingerprint, //
+    Fingerprint,
+    Verdict,
+    evidence::Stage, //
 };
 use environment::{
     Index,
@@ -63,7 +65,10 @@
         DocumentCache,
         State, //
     },
-    fleet::Fleet,
+    fleet::{
+        Fleet,
+        Target, //
+    },
     initial_sync::InitialSync,
     plain,
     protocol::{
@@ -84,7 +89,8 @@
     },
     settings::Settings,
     shutdown::Shutdown,
-    stream, //
+    stream,
+    suspects::Suspects, //
 };
 
 /// Timeout of a request's body.
@@ -113,6 +119,8 @@
     pub queue: Rc<Queue>,
     /// Rollouts of new versions.
     pub rollouts: Rc<Rollouts>,
+    /// Requests that may crash servers.
+    pub suspects: Rc<Suspects>,
     /// Initial read of the store.
     pub initial_sync: InitialSync,
     /// Estimates of how long answers take.
@@ -228,6 +236,35 @@
         retry_budgets.take_retry(service, &bound, purpose)
     }
 
+    /// Returns whether a request must not be sent, as servers crashed under earlier attempts of it.
+    pub fn is_poisonous(&self, call: &Call) -> bool {
+        !self.suspects.is_empty()
+            && matches!(
+                self.suspects.verdict(call.fingerprint()),
+                Verdict::Refused { .. }
+            )
+    }
+
+    /// Records that a run of a request survived or was answered.
+    pub fn record_survival(&self, call: &Call) {
+        if !self.suspects.is_empty() {
+            self.suspects.record_survival(call.fingerprint());
+        }
+    }
+
+    /// Checks whether the server that broke off a run has crashed, and records it against the
+    /// request. A lost answer alone doesn't count.
+    pub async fn check_crash(&self, call: &Call, target: &Target, stage: Stage) {
+        if !self.sender.is_gone(target).await {
+            return;
+        }
+        // A request that is sent on a connection of the crashed process would look lost too.
+        self.sender.disconnect(target.address);
+        let id = &call.request.metadata.id;
+        self.suspects
+            .record_crash(id, call.fingerprint(), &target.server, stage);
+    }
+
     /// Returns the engine parameters of a service.
     fn engine<'a>(index: &'a Index, service: &Service) -> Option<&'a Engine> {
         let provision = index.document().service(service)?;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod settings;
 mod shutdown;
 mod stream;
+mod suspects;
 pub mod update;
 
 pub use daemon::Gateway;
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -30,6 +30,11 @@
     counter!("medlarhatch_losses_total", "reason" => reason).increment(1);
 }
 
+/// Counts a server that crashed before a run survived its start.
+pub fn server_crash() {
+    counter!("medlarhatch_server_crashes_total").increment(1);
+}
+
 /// Counts a stream that was resumed, and records the caller's wait for the next event.
 pub fn resumed(from: &'static str, gap: Duration) {
     counter!("medlarhatch_resumes_total", "from" => from).increment(1);
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -2,11 +2,13 @@
 
 use std::{
     cell::RefCell,
+    collections::HashSet,
     io,
     net::SocketAddr,
     rc::Rc, //
 };
 
+use contract::poison::evidence::Report;
 use events::{
     links,
     note, //
@@ -20,6 +22,7 @@
         Beacon,
         Changes,
         Id,
+        Incarnation,
         Loads,
         MAX_DATAGRAM_BYTES,
         Message,
@@ -50,7 +53,8 @@
     retry_budget::RetryBudgets,
     rollout::Rollouts,
     settings::Settings,
-    shutdown::Shutdown, //
+    shutdown::Shutdown,
+    suspects::Suspects, //
 };
 
 /// Bytes of a datagram that are reserved for the echo and the message's kind.
@@ -62,6 +66,9 @@
 /// Maximum number of cached prompts in a message, so that it fits a datagram.
 const MAX_PROMPTS_PER_MESSAGE: usize = 80;
 
+/// Maximum number of reports on crashes in a message, so that it fits a datagram.
+const MAX_REPORTS_PER_MESSAGE: usize = 40;
+
 /// Interval at which this process checks for changes to send in a beacon. It is four times as long
 /// while there are none.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
@@ -81,6 +88,8 @@
     load_sequence: u64,
     /// Size of the last beacon in bytes.
     beacon_bytes: usize,
+    /// Peers that were sent all reports on crashes.
+    informed: HashSet<Incarnation>,
     /// Whether addresses are known that no beacon has been sent to yet.
     new_addresses: bool,
 }
@@ -97,6 +106,8 @@
     pub queue: Rc<Queue>,
     /// Rollouts of new versions.
     pub rollouts: Rc<Rollouts>,
+    /// Requests that may crash servers.
+    pub suspects: Rc<Suspects>,
     /// State of the graceful shutdown.
     pub shutdown: Rc<Shutdown>,
     /// Settings of the process.
@@ -141,6 +152,7 @@
             sequence: 0,
             load_sequence: 0,
             beacon_bytes: 0,
+            informed: HashSet::new(),
             new_addresses: true,
         }
     }
@@ -148,6 +160,7 @@
     /// Sends and receives messages until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
         let announced = self.shared.fleet.borrow().announce_notify();
+        let observed = self.shared.suspects.announce_notify();
         let mut sent = Instant::now();
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -161,6 +174,7 @@
             if now >= next_send {
                 self.beacon_bytes = self.send_beacons().await;
                 sent = now;
+                self.send_crash_reports(false);
                 self.tick();
                 continue;
             }
@@ -178,6 +192,7 @@
                     self.send_loads();
                     self.send_new_prompts();
                 }
+                () = observed.notified() => self.send_crash_reports(true),
                 outgoing = self.channels.outgoing.recv() => match outgoing {
                     None => {}
                     Some(Outgoing::Changes(changes, scope)) => self.send_changes(changes, scope),
@@ -200,6 +215,7 @@
                 peer = silent,
                 alive = self.table.rank().1
             );
+            self.informed.remove(&silent);
             fleet.remove_peer(silent);
             self.shared.queue.remove_peer(silent);
             self.shared.retry_budgets.borrow_mut().remove_peer(silent);
@@ -330,6 +346,24 @@
         }
     }
 
+    /// Sends this gateway's own recent reports on crashes to all peers.
+    fn send_crash_reports(&self, is_new: bool) {
+        let reports = self.shared.suspects.due_reports(is_new);
+        if !reports.is_empty() {
+            self.send_reports(&reports, &self.table.peers());
+        }
+    }
+
+    /// Sends reports on crashes, in as many datagrams as needed.
+    fn send_reports(&self, reports: &[Report], targets: &[SocketAddr]) {
+        for reports in reports.chunks(MAX_REPORTS_PER_MESSAGE) {
+            let message = Message::Crashes(reports.to_vec());
+            for target in targets {
+                self.send_to(&message, *target);
+            }
+        }
+    }
+
     /// Sends a message to all live peers.
     fn broadcast(&self, message: &Message) {
         for target in self.table.peers() {
@@ -382,6 +416,12 @@
                 }
                 return;
             }
+            Ok(Message::Crashes(reports)) => {
+                if self.table.contains(from) {
+                    self.shared.suspects.apply(&reports);
+                }
+                return;
+            }
             Ok(Message::Introduction(addresses)) => {
                 self.table.add_introduced(clock::now(), from, &addresses);
                 return;
@@ -406,9 +446,18 @@
                 host = beacon.host.as_str(),
                 alive = self.table.rank().1
             );
+            self.informed.remove(&beacon.incarnation);
+        }
+        // A peer ignores messages from an address that it has no beacon of yet.
+        let is_known = beacon
+            .echo
+            .is_some_and(|echo| echo.incarnation == self.incarnation);
+        if is_known && self.informed.insert(beacon.incarnation) {
+            self.send_reports(&self.shared.suspects.all_reports(), &[from]);
         }
         let mut fleet = self.shared.fleet.borrow_mut();
         if let Some(ended) = ended {
+            self.informed.remove(&ended);
             fleet.remove_peer(ended);
             self.shared.queue.remove_peer(ended);
             self.shared.retry_budgets.borrow_mut().remove_peer(ended);
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use contract::{
     attempt::Class,
+    poison::evidence::Stage,
     sends::{
         Ending,
         Sends,
@@ -134,6 +135,11 @@
 impl<P: Protocol + 'static> PlainRequest<'_, P> {
     /// Sends the request until a response is final or no attempt is left.
     async fn run(mut self) -> Response<Body> {
+        if self.context.is_poisonous(&self.call) {
+            return self
+                .call
+                .refuse(&Refusal::Poisonous(self.call.fingerprint()));
+        }
         while let Some(target) = self.next() {
             let until = self.call.until;
             let Ok(results) = timeout_at(until, self.race(target)).await else {
@@ -155,6 +161,9 @@
 
     /// Chooses the next server, if there is one and the retry budget allows another send.
     fn next(&mut self) -> Option<Target> {
+        if self.context.is_poisonous(&self.call) {
+            return None;
+        }
         let data_centre = self.context.settings.borrow().data_centre.clone();
         let request = Request {
             service: &self.call.service,
@@ -329,7 +338,10 @@
         .await
     {
         Ok(reply) => reply,
-        Err(error) => return lost_attempt(call, server, &error.to_string()),
+        Err(error) => {
+            context.check_crash(call, target, Stage::Started).await;
+            return lost_attempt(call, server, &error.to_string());
+        }
     };
     let read = connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await;
     let status = head.status;
@@ -353,12 +365,14 @@
         return Attempt::without_response(Ending::Misdirected);
     }
     let Ok(collected) = read else {
+        context.check_crash(call, target, Stage::Started).await;
         return lost_attempt(call, server, "response cut off");
     };
     if !reply.signed || reply.encoded {
         return lost_attempt(call, server, "response not from the server");
     }
     context.fleet.borrow_mut().mark_alive(&target.server);
+    context.record_survival(call);
     let body = match collected {
         Collected::Complete(body) => {
             context.sender.release(connection);
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use contract::poison::Fingerprint;
 use events::{
     forwarding,
     note, //
@@ -64,6 +65,8 @@
     Overloaded(Rejection),
     /// Another attempt is needed, and the retry budget of the service is used up.
     RetriesSpent,
+    /// Servers crashed under earlier attempts of the request.
+    Poisonous(Fingerprint),
     /// The request was sent and got no response; it may have run.
     Lost,
     /// The request was sent and its deadline passed; it may have run.
@@ -85,7 +88,8 @@
             | Refusal::Expired
             | Refusal::TooLittleTime
             | Refusal::Overloaded(_)
-            | Refusal::RetriesSpent => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::RetriesSpent
+            | Refusal::Poisonous(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
             Refusal::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -106,6 +110,7 @@
             Refusal::TooLittleTime => "too_little_time",
             Refusal::Overloaded(_) => "too_many_requests",
             Refusal::RetriesSpent => "retries_spent",
+            Refusal::Poisonous(_) => "poisonous",
             Refusal::Lost => "lost",
             Refusal::DeadlineExceeded => "late",
         }
@@ -115,11 +120,16 @@
     fn log(&self, id: &str, arrived: Instant, document: &DocumentInfo) {
         meter::refused(self.reason());
         meter::outcome("refused", arrived.elapsed());
+        let fingerprint = match self {
+            Refusal::Poisonous(fingerprint) => Some(format!("{fingerprint:032x}")),
+            _ => None,
+        };
         note!(
             forwarding::REFUSED,
             id = id,
             reason = self.reason(),
             status = self.status().as_u16(),
+            fingerprint = fingerprint.as_deref(),
             document = document.version,
             document_age_ms = document.age.map(|age| age.as_millis() as u64),
             ms = arrived.elapsed().as_millis() as u64
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    io::ErrorKind,
     rc::Rc,
     time::Duration, //
 };
@@ -198,6 +199,19 @@
         }
     }
 
+    /// Returns whether a server's process is gone: its host refuses a connection. Silence proves
+    /// nothing, as the network may be interrupted.
+    pub async fn is_gone(&self, target: &Target) -> bool {
+        match Connection::open(target.address, PROBE_TIMEOUT).await {
+            Ok(connection) => {
+                self.release(connection);
+                false
+            }
+            Err(Error::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Returns a connection to the pool after its response was read to the end.
     pub fn release(&self, connection: Connection) {
         self.pool.borrow_mut().put(connection);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -146,6 +146,11 @@
     /// Starts runs until one answers, or no attempt is left.
     async fn start_first(&mut self) -> Result<StartedRun, Response<Body>> {
         self.look_up_prompt().await;
+        if self.context.is_poisonous(&self.call) {
+            return Err(self
+                .call
+                .refuse(&Refusal::Poisonous(self.call.fingerprint())));
+        }
         let work = self.remaining_work();
         match queue::admit(&self.context, &self.call, work).await {
             Ok(admission) => self.admission = Some(admission),
@@ -159,6 +164,9 @@
         let mut first = true;
         let mut retries_spent = false;
         while let Some((target, copy)) = self.choose(&mut resumption) {
+            if self.context.is_poisonous(&self.call) {
+                break;
+            }
             if self.ran_at.is_empty() && !self.worth_trying(&target) {
                 return Err(self.call.refuse(&Refusal::TooLittleTime));
             }
@@ -208,6 +216,10 @@
                     failure = Some(response);
                 }
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
+                Start::Poisonous => {
+                    self.record_ran(&target);
+                    break;
+                }
             }
             if self.timed_out() {
                 break;
@@ -217,6 +229,9 @@
         }
         Err(match failure {
             Some(response) => response,
+            None if self.ran_at.is_empty() && self.context.is_poisonous(&self.call) => self
+                .call
+                .refuse(&Refusal::Poisonous(self.call.fingerprint())),
             None if self.ran_at.is_empty() && retries_spent => {
                 self.call.refuse(&Refusal::RetriesSpent)
             }
@@ -285,6 +300,7 @@
                     Step::TimedOut => break "late",
                     Step::Lost(loss) => {
                         // The lost run is dropped before the next one begins.
+                        self.check_crash(&run, loss).await;
                         let lost = run.into_lost(loss);
                         match self.resume(lost).await {
                             Some(next) => run = next,
@@ -330,6 +346,7 @@
 
     /// Records the end of a complete answer.
     fn finish(&self, run: Run) {
+        self.context.record_survival(&self.call);
         note!(
             forwarding::ANSWERED,
             id = self.call.request.metadata.id.as_str(),
@@ -371,7 +388,7 @@
         let mut declined = 0;
         while !self.timed_out() {
             let (target, copy) = self.choose(&mut resumption)?;
-            if !self.may_send(false, Purpose::Resume) {
+            if self.context.is_poisonous(&self.call) || !self.may_send(false, Purpose::Resume) {
                 return None;
             }
             match self.start(&target, copy.as_ref()).await {
@@ -395,7 +412,7 @@
                     );
                     return Some(run);
                 }
-                Start::TimedOut => return None,
+                Start::TimedOut | Start::Poisonous => return None,
                 Start::Failed(_) => self.record_ran(&target),
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
                 Start::Unreachable => {
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -14,6 +14,10 @@
     Bytes,
     BytesMut, //
 };
+use contract::poison::evidence::{
+    PROBATION,
+    Stage, //
+};
 use events::{
     forwarding,
     note, //
@@ -79,6 +83,8 @@
     /// Time at which the holder of the backup was last checked.
     backup_checked: Instant,
     events: u64,
+    /// Whether the run was recorded as surviving its start.
+    survived: bool,
     complete: bool,
     /// Copy from which the run resumes; its server declines the request if the copy is missing.
     copy: Option<KvCopy>,
@@ -103,6 +109,8 @@
     End,
     Lost(Loss),
     TimedOut,
+    /// The request was found to crash servers, and this one may not have begun it.
+    Poisonous,
 }
 
 impl Run {
@@ -127,6 +135,11 @@
         self.complete.then_some(self.connection)
     }
 
+    /// Returns whether the run has lasted so long that it won't crash its server.
+    fn has_survived(&self) -> bool {
+        self.answered.is_some_and(|at| at.elapsed() >= PROBATION)
+    }
+
     /// Takes the next piece from the bytes that were received.
     fn take<P: Protocol>(
         &mut self,
@@ -163,6 +176,9 @@
             if self.timed_out() {
                 return Received::TimedOut;
             }
+            if head && self.context.is_poisonous(&self.call) {
+                return Received::Poisonous;
+            }
             if self.context.fleet.borrow().is_replaced(&run.target.server) {
                 return Received::Lost(Loss::Unreachable);
             }
@@ -272,6 +288,7 @@
     pub(super) async fn step(&mut self, run: &mut Run) -> Step {
         loop {
             self.maintain_backup(run);
+            self.record_survival(run);
             match self.take_events(run) {
                 Ok(out) if !out.is_empty() => return Step::Events(out),
                 Ok(_) => {}
@@ -286,13 +303,36 @@
                     run.complete = true;
                     return Step::End;
                 }
-                Received::Head(..) => return self.report_loss(run, Loss::Malformed),
+                Received::Head(..) | Received::Poisonous => {
+                    return self.report_loss(run, Loss::Malformed);
+                }
                 Received::TimedOut => return Step::TimedOut,
                 Received::Lost(loss) => return self.report_loss(run, loss),
             }
         }
     }
 
+    /// Records that a run survived its start, once.
+    fn record_survival(&self, run: &mut Run) {
+        if !run.survived && run.has_survived() {
+            run.survived = true;
+            self.context.record_survival(&self.call);
+        }
+    }
+
+    /// Checks whether the server of a lost run crashed before the run survived its start.
+    pub(super) async fn check_crash(&self, run: &Run, loss: Loss) {
+        if !loss.is_broken_off() || run.has_survived() {
+            return;
+        }
+        let stage = match run.answered {
+            Some(_) => Stage::Started,
+            None => Stage::Pending,
+        };
+        let context = &self.context;
+        context.check_crash(&self.call, &run.target, stage).await;
+    }
+
     /// Ensures that another server holds a copy of the run's KV cache.
     fn maintain_backup(&self, run: &mut Run) {
         if run.events == 0 || Instant::now() < run.backup_checked + BACKUP_CHECK_INTERVAL {
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -86,6 +86,8 @@
     Lost(Box<LostRun>),
     /// The deadline of the answer passed.
     TimedOut,
+    /// The request was found to crash servers before this one began to answer.
+    Poisonous,
 }
 
 impl<P: Protocol + 'static> Session<P> {
@@ -137,14 +139,16 @@
             last_alive: began,
             backup_checked: began,
             events: 0,
+            survived: false,
             complete: false,
             copy: copy.cloned(),
         };
         match self.receive(&mut run, true).await {
             Received::Head(head, reply) => self.handle_head(run, head, reply).await,
             Received::TimedOut => Start::TimedOut,
-            Received::Lost(loss) => self.lose(run, loss),
-            Received::Data(_) | Received::End => self.lose(run, Loss::Malformed),
+            Received::Poisonous => Start::Poisonous,
+            Received::Lost(loss) => self.lose(run, loss).await,
+            Received::Data(_) | Received::End => self.lose(run, Loss::Malformed).await,
         }
     }
 
@@ -209,8 +213,9 @@
     }
 
     /// Logs the loss of a run that had not begun to answer.
-    fn lose(&self, run: Run, loss: Loss) -> Start {
+    async fn lose(&self, run: Run, loss: Loss) -> Start {
         self.log_loss(&run, loss);
+        self.check_crash(&run, loss).await;
         Start::Lost(Box::new(run.into_lost(loss)))
     }
 
@@ -281,6 +286,7 @@
         let (Some(body), true) = (body, usable) else {
             return Start::Lost(Box::new(run.into_lost(Loss::Malformed)));
         };
+        self.context.record_survival(&self.call);
         self.context.sender.release(run.connection);
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -40,6 +40,9 @@
 /// Time within which all gateways know of a refused request.
 const PROPAGATION_TIME: Duration = Duration::from_millis(500);
 
+/// Time within which two gateways know each other and what each knows of requests: several beacons.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
+
 /// Time between two events of an engine.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -212,3 +215,64 @@
         }
     });
 }
+
+/// Guards against the refusal of a request that was in flight at servers that crashed under another
+/// one, each time before it began to be answered.
+#[rstest]
+fn a_request_that_waited_at_crashed_servers_is_served(
+    #[values(Kind::Safe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let servers = Servers::start(kind).await;
+        let harness = start_gateway(None);
+        servers.register(&harness, kind);
+        let poison = kind.path("poison");
+        let innocent = kind.path("innocent");
+        for attempt in 0..4 {
+            let ids = (format!("p{attempt}"), format!("i{attempt}"));
+            let (_, status) = tokio::join!(
+                send(&harness, &ids.0, kind, &poison),
+                send(&harness, &ids.1, kind, &innocent)
+            );
+            assert_eq!(status, Some(200));
+        }
+        assert_eq!(servers.run_count(&poison), MAX_CRASHES);
+    });
+}
+
+/// Guards against the refusal of a request whose answers are lost by servers that go on running.
+#[rstest]
+fn a_request_whose_answers_are_lost_is_not_refused(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let servers = Servers::start(kind).await;
+        let harness = start_gateway(None);
+        servers.register(&harness, kind);
+        let lost = kind.path("lost");
+        for attempt in 0..4 {
+            let before = servers.run_count(&lost);
+            send(&harness, &format!("r{attempt}"), kind, &lost).await;
+            assert!(servers.run_count(&lost) > before);
+        }
+    });
+}
+
+/// Guards against a gateway that learns nothing of refused requests because it started later.
+#[test]
+fn a_gateway_that_starts_later_refuses_what_its_peers_refuse() {
+    common::run(async move {
+        let kind = Kind::Stream;
+        let servers = Servers::start(kind).await;
+        let first = start_gateway(None);
+        servers.register(&first, kind);
+        let poison = kind.path("poison");
+        send(&first, "r1", kind, &poison).await;
+        assert_eq!(servers.run_count(&poison), MAX_CRASHES);
+        let second = start_gateway(Some(&first));
+        servers.register(&second, kind);
+        sleep(INTRODUCTION_TIME).await;
+        assert_eq!(send(&second, "r2", kind, &poison).await, Some(503));
+        assert_eq!(servers.run_count(&poison), MAX_CRASHES);
+    });
+}
--- a/components/report/src/explain/cause.rs
+++ b/components/report/src/explain/cause.rs
@@ -138,6 +138,11 @@
             "Refused with {status}, not run: it needed another retry, and the retry budget of its \
              service was used up across all processes."
         ),
+        "poisonous" => format!(
+            "Refused with {status}, not run: backend servers crashed under earlier attempts of it \
+             (fingerprint {}).",
+            text(line, "fingerprint"),
+        ),
         "leaving" => format!(
             "Refused with {status}, not run: the process was shutting down, and the request would \
              have outlasted it."
--- a/components/report/tests/explain.rs
+++ b/components/report/tests/explain.rs
@@ -98,3 +98,17 @@
 fn a_summary_of_no_lines_is_empty() {
     assert_eq!(summary(&[], Duration::from_secs(2)), Summary::default());
 }
+
+/// Guards against an explanation that doesn't name the fingerprint, by which the crashes are found.
+#[test]
+fn a_refusal_for_crashes_names_the_fingerprint() {
+    let lines = read(
+        r#"{"at":1785904809421,"up":73508228,"process":"a","run":6627560,"level":"warn","message":"Request refused","event":1000,"id":"r1","reason":"poisonous","status":503,"fingerprint":"00ab"}"#,
+    );
+    let explanation = explain(&lines, "r1").expect("a line names the request");
+    assert_eq!(
+        explanation.cause,
+        "Refused with 503, not run: backend servers crashed under earlier attempts of it \
+         (fingerprint 00ab)."
+    );
+}
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -9,6 +9,7 @@
     time::Duration, //
 };
 
+use contract::poison::evidence::Report;
 use moves::rollout::Progress;
 use names::{
     DataCentre,
@@ -138,6 +139,8 @@
     Lookup(Id),
     /// Prompts that engines have cached: they reported them, or processed them for the sender.
     CachedPrompts(Vec<Prompt>),
+    /// Observations of requests that may crash servers.
+    Crashes(Vec<Report>),
 }
 
 /// Work in progress at one server.
