The refusal of a request that crashes servers outlasts the loss of all gateways

What callers would see: after a loss of power of all hosts the crashes are forgotten with the processes, and the same request ends three servers and more again.

Change: two seconds after the last crash, when runs under way have survived or not and late reports have arrived, one process writes `poison/<fingerprint>` with a lease until the refusal ends; the others wait a second longer a rank. Every process has it from its first reading of the store, before it knows servers, or from the watch. A removed key ends the refusal. A store that is out delays the write.

Cost: a read and two writes for each convicted request.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -39,6 +39,10 @@
 /// wrong verdict doesn't last.
 const REPORT_TTL: Duration = Duration::from_secs(600);
 
+/// Time after the last crash before a conviction is stored: the runs that were under way have
+/// survived or not by then, and reports have arrived.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Total weight of the crashes that convict a request: three at which it had started.
 const CONVICTION_WEIGHT: u32 = 6;
 
@@ -130,6 +134,8 @@
     suspects: BTreeSet<Fingerprint>,
     /// Convicted requests with the end of their refusal. Follows from the observations.
     convicts: BTreeMap<Fingerprint, Clock>,
+    /// Requests that are refused according to the store, whatever is known of the crashes.
+    stored: BTreeSet<Fingerprint>,
 }
 
 impl Evidence {
@@ -190,6 +196,11 @@
                 remaining: until - now,
             };
         }
+        if self.stored.contains(&fingerprint) {
+            return Verdict::Refused {
+                remaining: REPORT_TTL,
+            };
+        }
         match self.suspects.contains(&fingerprint) {
             true => Verdict::Suspect,
             false => Verdict::Clear,
@@ -198,7 +209,29 @@
 
     /// Returns whether no request is suspected.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.suspects.is_empty() && self.stored.is_empty()
+    }
+
+    /// Sets whether the store has a refusal. It keeps refusals while all processes that know the
+    /// crashes are lost.
+    pub fn set_stored(&mut self, fingerprint: Fingerprint, stored: bool) {
+        match stored {
+            true => self.stored.insert(fingerprint),
+            false => self.stored.remove(&fingerprint),
+        };
+    }
+
+    /// Returns the convicted requests that the store should refuse but doesn't, each with the time
+    /// for which it should. Late reports may still correct a conviction that has just been made.
+    pub fn unstored(&self, now: Clock) -> Vec<(Fingerprint, Duration)> {
+        let mut unstored = Vec::new();
+        for (fingerprint, until) in &self.convicts {
+            let is_settled = *until + SETTLE_TIME <= now + REPORT_TTL;
+            if is_settled && *until > now && !self.stored.contains(fingerprint) {
+                unstored.push((*fingerprint, *until - now));
+            }
+        }
+        unstored
     }
 
     fn record_crash(
@@ -229,6 +262,7 @@
             return false;
         }
         self.survivors.insert(fingerprint, at);
+        self.stored.remove(&fingerprint);
         for crash in self.crashes.values_mut() {
             if crash.at <= at {
                 crash.runs.remove(&fingerprint);
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -206,3 +206,29 @@
     let later = case.now + Duration::from_secs(601);
     assert!(!is_refused(&case.evidence, later, POISON));
 }
+
+/// Guards against a wrong conviction that is stored before reports correct it.
+#[test]
+fn a_conviction_is_stored_once_it_is_settled() {
+    let mut case = Case::new();
+    for server in [10, 11, 12] {
+        case.crash(server, &[POISON]);
+    }
+    assert_eq!(case.evidence.unstored(case.now), []);
+    let settled = case.now + Duration::from_secs(2);
+    let unstored = case.evidence.unstored(settled);
+    assert_eq!(unstored, [(POISON, Duration::from_secs(598))]);
+    case.evidence.set_stored(POISON, true);
+    assert_eq!(case.evidence.unstored(settled), []);
+}
+
+/// Guards against requests that are not refused after the crashes were forgotten with the process.
+#[test]
+fn a_stored_refusal_holds_without_crashes() {
+    let mut case = Case::new();
+    case.evidence.set_stored(POISON, true);
+    assert!(case.is_refused(POISON));
+    assert!(!case.is_refused(INNOCENT));
+    case.evidence.set_stored(POISON, false);
+    assert!(!case.is_refused(POISON));
+}
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -46,6 +46,9 @@
     /// A request is refused at every gateway, as servers crashed under it according to peers.
     REQUEST_POISONOUS = 1018, Warn, "Request is refused as it crashes backend servers";
 
+    /// The refusal of a request could not be stored.
+    REFUSAL_NOT_STORED = 1019, Warn, "Refusal could not be stored";
+
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
     /// A document can't be decoded; the previous one stays in force.
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -11,6 +11,7 @@
     time::Duration, //
 };
 
+use contract::poison::Fingerprint;
 use events::{
     forwarding,
     note,
@@ -173,6 +174,12 @@
         self.context.rollouts.pending_reports()
     }
 
+    /// Returns the refusals of requests that crash servers that are due to be written to the store,
+    /// each with the time for which it holds.
+    pub fn pending_refusals(&self) -> Vec<(Fingerprint, Duration)> {
+        self.context.suspects.unstored()
+    }
+
     /// Returns the rank of this process among the live gateways, from 0.
     pub fn rank(&self) -> usize {
         self.context.rollouts.rank()
@@ -236,6 +243,10 @@
                 to,
                 state,
             } => self.context.rollouts.apply_state(&service, at, &to, state),
+            Update::Refusal {
+                fingerprint,
+                stored,
+            } => self.context.suspects.set_stored(fingerprint, stored),
             Update::Deregistered(server) => {
                 note!(forwarding::SERVER_GONE, server = server.as_str());
                 let address = self.context.fleet.borrow_mut().remove(&server);
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -123,6 +123,16 @@
         }
     }
 
+    /// Sets whether the store has a refusal of a request.
+    pub fn set_stored(&self, fingerprint: Fingerprint, stored: bool) {
+        self.evidence.borrow_mut().set_stored(fingerprint, stored);
+    }
+
+    /// Returns the refusals that are due to be stored, each with the time for which it holds.
+    pub fn unstored(&self) -> Vec<(Fingerprint, Duration)> {
+        self.evidence.borrow().unstored(clock::now())
+    }
+
     /// Returns the handle that is notified when there is a new own observation.
     pub fn announce_notify(&self) -> Rc<Notify> {
         self.notify.clone()
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use contract::poison::Fingerprint;
 use moves::rollout::{
     Order,
     State, //
@@ -49,6 +50,13 @@
         /// State that was written.
         state: State,
     },
+    /// A refusal of requests that crash servers was written to the store or removed from it.
+    Refusal {
+        /// Fingerprint of the requests.
+        fingerprint: Fingerprint,
+        /// Whether the store has it.
+        stored: bool,
+    },
 }
 
 /// A backend server as it registered itself.
