The gateway logs the limit on the request rate that a server names

The lines of second1 can't tell an entry that doesn't read the limit from one that keeps it for itself. Event 1020 names the server and its limit when an answer begins, changes or ends to name one. No decision changes: the limit is parsed in the adapter (Reply::rate_limit) and shown.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -48,6 +48,8 @@
 
     /// The refusal of a request could not be stored.
     REFUSAL_NOT_STORED = 1019, Warn, "Refusal could not be stored";
+    /// A server began, changed or ended to limit the request rate that it accepts.
+    RATE_LIMITED = 1020, Info, "Backend server limits its request rate";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -48,6 +48,7 @@
 use hyper::body::Incoming;
 use names::{
     Route,
+    Server,
     Service,
     Team, //
 };
@@ -74,7 +75,8 @@
     protocol::{
         Generation,
         Metadata,
-        Protocol, //
+        Protocol,
+        Reply, //
     },
     queue::Queue,
     refuse::{
@@ -252,6 +254,14 @@
         }
     }
 
+    /// Records the limit on the request rate that a server named, or that it names none.
+    pub fn record_rate_limit(&self, server: &Server, reply: &Reply) {
+        if reply.signed {
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.record_rate_limit(server, reply.rate_limit);
+        }
+    }
+
     /// Checks whether the server that broke off a run has crashed, and records it against the
     /// request. A lost answer alone doesn't count.
     pub async fn check_crash(&self, call: &Call, target: &Target, stage: Stage) {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -343,6 +343,7 @@
             return lost_attempt(call, server, &error.to_string());
         }
     };
+    context.record_rate_limit(&target.server, &reply);
     let read = connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await;
     let status = head.status;
     if reply.not_run {
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -84,7 +84,7 @@
 }
 
 /// Data from the head of a server's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// Id of the request that the response answers, if it is given.
     pub id: Option<String>,
@@ -99,6 +99,8 @@
     pub encoded: bool,
     /// Time to wait before a retry.
     pub retry_after: Option<Duration>,
+    /// Requests per second that the server accepts from all gateways together, if it limits them.
+    pub rate_limit: Option<f64>,
 }
 
 /// Requests in progress at a server, as reported by it.
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -224,6 +224,7 @@
         let id = self.call.request.metadata.id.as_str();
         let server = run.target.server.clone();
         let status = head.status.as_u16();
+        self.context.record_rate_limit(&server, &reply);
         if reply.not_run {
             meter::send("declined");
             run.in_flight.set_outcome(Outcome::Refused {
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -159,6 +159,7 @@
             misdirected: headers.contains_key("other"),
             encoded: headers.contains_key("content-encoding"),
             retry_after: None,
+            rate_limit: text(headers, "rate-limit").and_then(|rate| rate.parse().ok()),
         }
     }
 
