The limits that servers name on their request rate are kept by all gateways together

Cause: no process read the limit; servers were chosen by load alone.

Change: placement::rate_limit keeps the limit for every kind of send, as sends that fall due one after the other and lapse after a second; admission::Demand divides it by what each gateway last told of its requests in two seconds; limits are told to all gateways at once. Excess goes to other servers or is refused at once as not run.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod concurrency;
+mod demand;
 mod fair;
 mod forecast;
 mod gate;
@@ -18,6 +19,7 @@
 pub mod wait;
 
 pub use budget::Budget;
+pub use demand::Demand;
 pub use forecast::{
     Answer,
     Forecast, //
--- /dev/null
+++ b/components/gateway/src/demands.rs
@@ -0,0 +1,64 @@
+//! Demand for each service here and at the peers, by which gateways divide limits among them.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap, //
+};
+
+use admission::Demand;
+use names::Service;
+use spread::beacon::{
+    self,
+    Id,
+    Incarnation, //
+};
+
+use crate::clock;
+
+/// Demand for each service.
+#[derive(Debug, Default)]
+pub struct Demands {
+    services: RefCell<HashMap<Id, Demand>>,
+}
+
+impl Demands {
+    /// Counts a request, whether it can be sent or not.
+    pub fn count_request(&self, service: &Service) {
+        let mut services = self.services.borrow_mut();
+        let demand = services.entry(beacon::id(service)).or_default();
+        demand.request(clock::now());
+    }
+
+    /// Returns the counts that are reported to the peers now.
+    pub fn report(&self) -> Vec<(Id, u32)> {
+        let now = clock::now();
+        let mut services = self.services.borrow_mut();
+        let counts = services.iter_mut();
+        counts
+            .map(|(service, demand)| (*service, demand.report(now)))
+            .collect()
+    }
+
+    /// Records the counts that a peer reported.
+    pub fn apply_report(&self, peer: Incarnation, counts: &[(Id, u32)]) {
+        let mut services = self.services.borrow_mut();
+        for (service, count) in counts {
+            let demand = services.entry(*service).or_default();
+            demand.record_peer(peer, *count);
+        }
+    }
+
+    /// Removes a peer that ended or stopped sending.
+    pub fn remove_peer(&self, peer: Incarnation) {
+        for demand in self.services.borrow_mut().values_mut() {
+            demand.forget(peer);
+        }
+    }
+
+    /// Returns the part of this gateway, one of `gateways`, in the demand for a service.
+    pub fn share(&self, service: &Service, gateways: usize) -> f64 {
+        let services = self.services.borrow();
+        let demand = services.get(&beacon::id(service));
+        demand.cloned().unwrap_or_default().share(gateways)
+    }
+}
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -11,10 +11,6 @@
     time::Duration, //
 };
 
-use events::{
-    forwarding,
-    note, //
-};
 use names::{
     Clock,
     DataCentre,
@@ -47,12 +43,14 @@
 use tokio::sync::Notify;
 
 use crate::{
+    announcements::Announcements,
     clock,
     update::Registration, //
 };
 
 mod exchange;
 mod in_flight;
+mod rate_limit;
 
 pub use in_flight::InFlight;
 
@@ -96,8 +94,8 @@
     prompts: VecDeque<(Part, Server, Clock)>,
     /// Prompts that were processed since the last message to peers of the data centre.
     new_prompts: Vec<Prompt>,
-    /// Rates that servers named in their last answer here.
-    named_rates: HashMap<Server, f64>,
+    /// Limits that servers named or lifted in answers to this gateway.
+    rate_limit_news: Announcements<(Server, Option<f64>)>,
     /// Servers whose address was taken by another one, oldest first.
     replaced: VecDeque<Server>,
     rng: SmallRng,
@@ -132,7 +130,7 @@
             load_sequences: HashMap::new(),
             prompts: VecDeque::new(),
             new_prompts: Vec::new(),
-            named_rates: HashMap::new(),
+            rate_limit_news: Announcements::default(),
             replaced: VecDeque::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -188,7 +186,6 @@
     pub fn remove(&mut self, server: &Server) -> Option<SocketAddr> {
         self.placement.remove(server);
         self.servers_by_id.remove(&beacon::id(server));
-        self.named_rates.remove(server);
         let address = self.addresses.remove(server)?;
         self.servers_by_address.remove(&address);
         Some(address)
@@ -361,21 +358,6 @@
         Some(now.saturating_sub(at))
     }
 
-    /// Records the limit on the request rate that a server named in an answer, if any.
-    pub fn record_rate_limit(&mut self, server: &Server, per_second: Option<f64>) {
-        let before = match per_second {
-            Some(rate) => self.named_rates.insert(server.clone(), rate),
-            None => self.named_rates.remove(server),
-        };
-        if before != per_second {
-            note!(
-                forwarding::RATE_LIMITED,
-                server = server.as_str(),
-                per_second = per_second
-            );
-        }
-    }
-
     /// Records that a server answered.
     pub fn mark_alive(&mut self, server: &Server) {
         self.placement.mark_alive(clock::now(), server);
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -47,6 +47,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use names::{
+    Clock,
     Route,
     Server,
     Service,
@@ -62,6 +63,7 @@
     body::Body,
     cache_lookup::CacheLookup,
     clock,
+    demands::Demands,
     document_cache::{
         DocumentCache,
         State, //
@@ -121,6 +123,8 @@
     pub queue: Rc<Queue>,
     /// Rollouts of new versions.
     pub rollouts: Rc<Rollouts>,
+    /// Demand for each service.
+    pub demands: Rc<Demands>,
     /// Requests that may crash servers.
     pub suspects: Rc<Suspects>,
     /// Initial read of the store.
@@ -233,6 +237,7 @@
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         if first {
             retry_budgets.count_request(service, &bound);
+            self.demands.count_request(service);
             return true;
         }
         retry_budgets.take_retry(service, &bound, purpose)
@@ -255,10 +260,11 @@
     }
 
     /// Records the limit on the request rate that a server named, or that it names none.
-    pub fn record_rate_limit(&self, server: &Server, reply: &Reply) {
-        if reply.signed {
+    /// The request was sent at `sent_at`.
+    pub fn record_rate_limit(&self, server: &Server, reply: &Reply, sent_at: Clock) {
+        if reply.signed || reply.rate_limit.is_some() {
             let mut fleet = self.fleet.borrow_mut();
-            fleet.record_rate_limit(server, reply.rate_limit);
+            fleet.record_rate_limit(server, reply.rate_limit, sent_at);
         }
     }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,10 +9,12 @@
 
 mod accept;
 mod admin;
+mod announcements;
 mod body;
 mod cache_lookup;
 pub mod clock;
 pub mod daemon;
+mod demands;
 pub mod document_cache;
 mod fleet;
 mod handle;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -13,7 +13,10 @@
     links,
     note, //
 };
-use names::Clock;
+use names::{
+    Clock,
+    Service, //
+};
 use spread::{
     Freshness,
     beacon::{
@@ -21,12 +24,14 @@
         Age,
         Beacon,
         Changes,
+        Demand,
         Id,
         Incarnation,
         Loads,
         MAX_DATAGRAM_BYTES,
         Message,
         Prompt,
+        RateLimit,
         Reassembly,
         Receipt,
         Scope,
@@ -48,6 +53,7 @@
 
 use crate::{
     clock,
+    demands::Demands,
     fleet::Fleet,
     queue::Queue,
     retry_budget::RetryBudgets,
@@ -69,6 +75,15 @@
 /// Maximum number of reports on crashes in a message, so that it fits a datagram.
 const MAX_REPORTS_PER_MESSAGE: usize = 40;
 
+/// Maximum number of limits on request rates in a message, so that it fits a datagram.
+const MAX_RATE_LIMITS_PER_MESSAGE: usize = 64;
+
+/// Shortest interval between two reports of the demand.
+const MIN_DEMAND_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Shortest such interval for each peer: in a large fleet the interval grows instead of the traffic.
+const DEMAND_INTERVAL_PER_PEER: std::time::Duration = std::time::Duration::from_millis(10);
+
 /// Interval at which this process checks for changes to send in a beacon. It is four times as long
 /// while there are none.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
@@ -88,7 +103,9 @@
     load_sequence: u64,
     /// Size of the last beacon in bytes.
     beacon_bytes: usize,
-    /// Peers that were sent all reports on crashes.
+    /// Time at which the demand was last sent.
+    demand_sent: Option<Instant>,
+    /// Peers that were sent all reports on crashes and all limits.
     informed: HashSet<Incarnation>,
     /// Whether addresses are known that no beacon has been sent to yet.
     new_addresses: bool,
@@ -106,6 +123,8 @@
     pub queue: Rc<Queue>,
     /// Rollouts of new versions.
     pub rollouts: Rc<Rollouts>,
+    /// Demand for each service.
+    pub demands: Rc<Demands>,
     /// Requests that may crash servers.
     pub suspects: Rc<Suspects>,
     /// State of the graceful shutdown.
@@ -152,6 +171,7 @@
             sequence: 0,
             load_sequence: 0,
             beacon_bytes: 0,
+            demand_sent: None,
             informed: HashSet::new(),
             new_addresses: true,
         }
@@ -161,9 +181,11 @@
     pub async fn run(mut self, stop: CancellationToken) {
         let announced = self.shared.fleet.borrow().announce_notify();
         let observed = self.shared.suspects.announce_notify();
+        let limited = self.shared.fleet.borrow().rate_limit_notify();
         let mut sent = Instant::now();
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         loop {
+            self.report_demand();
             let now = Instant::now();
             let confirmed = self.shared.freshness.borrow().confirmed_at();
             self.new_addresses |= self.table.take_new_candidates();
@@ -175,6 +197,7 @@
                 self.beacon_bytes = self.send_beacons().await;
                 sent = now;
                 self.send_crash_reports(false);
+                self.send_rate_limits(false);
                 self.tick();
                 continue;
             }
@@ -193,6 +216,7 @@
                     self.send_new_prompts();
                 }
                 () = observed.notified() => self.send_crash_reports(true),
+                () = limited.notified() => self.send_rate_limits(true),
                 outgoing = self.channels.outgoing.recv() => match outgoing {
                     None => {}
                     Some(Outgoing::Changes(changes, scope)) => self.send_changes(changes, scope),
@@ -218,6 +242,7 @@
             self.informed.remove(&silent);
             fleet.remove_peer(silent);
             self.shared.queue.remove_peer(silent);
+            self.shared.demands.remove_peer(silent);
             self.shared.retry_budgets.borrow_mut().remove_peer(silent);
         }
         fleet.set_rank(self.table.rank());
@@ -354,6 +379,57 @@
         }
     }
 
+    /// Sends the demand at this gateway to all peers while servers limit their request rates, and
+    /// updates its part of the limits.
+    fn report_demand(&mut self) {
+        let now = Instant::now();
+        let interval = DEMAND_INTERVAL_PER_PEER * self.table.count() as u32;
+        let interval = interval.max(MIN_DEMAND_INTERVAL);
+        let is_due = |sent| now.duration_since(sent) >= interval;
+        if !self.demand_sent.is_none_or(is_due) {
+            return;
+        }
+        self.demand_sent = Some(now);
+        let services = self.shared.fleet.borrow().rate_limited_services();
+        if services.is_empty() {
+            return;
+        }
+        let demand = Demand {
+            incarnation: self.incarnation,
+            requests: self.shared.demands.report(),
+        };
+        let message = Message::Demand(demand);
+        self.broadcast(&message);
+        self.update_shares(&services);
+    }
+
+    /// Updates the part of this gateway in the limits on the request rates for services.
+    fn update_shares(&self, services: &[Service]) {
+        let mut fleet = self.shared.fleet.borrow_mut();
+        for service in services {
+            let share = self.shared.demands.share(service, self.table.rank().1);
+            fleet.set_demand_share(service, share);
+        }
+    }
+
+    /// Sends the news about limits on servers' request rates to all peers.
+    fn send_rate_limits(&self, is_new: bool) {
+        let limits = self.shared.fleet.borrow().due_rate_limits(is_new);
+        if !limits.is_empty() {
+            self.send_limits(&limits, &self.table.peers());
+        }
+    }
+
+    /// Sends limits on servers' request rates, in as many datagrams as needed.
+    fn send_limits(&self, limits: &[RateLimit], targets: &[SocketAddr]) {
+        for limits in limits.chunks(MAX_RATE_LIMITS_PER_MESSAGE) {
+            let message = Message::RateLimits(limits.to_vec());
+            for target in targets {
+                self.send_to(&message, *target);
+            }
+        }
+    }
+
     /// Sends reports on crashes, in as many datagrams as needed.
     fn send_reports(&self, reports: &[Report], targets: &[SocketAddr]) {
         for reports in reports.chunks(MAX_REPORTS_PER_MESSAGE) {
@@ -422,6 +498,22 @@
                 }
                 return;
             }
+            Ok(Message::Demand(demand)) => {
+                if self.table.contains(from) {
+                    self.shared
+                        .demands
+                        .apply_report(demand.incarnation, &demand.requests);
+                    let services = self.shared.fleet.borrow().rate_limited_services();
+                    self.update_shares(&services);
+                }
+                return;
+            }
+            Ok(Message::RateLimits(limits)) => {
+                if self.table.contains(from) {
+                    self.shared.fleet.borrow_mut().apply_rate_limits(&limits);
+                }
+                return;
+            }
             Ok(Message::Introduction(addresses)) => {
                 self.table.add_introduced(clock::now(), from, &addresses);
                 return;
@@ -454,12 +546,15 @@
             .is_some_and(|echo| echo.incarnation == self.incarnation);
         if is_known && self.informed.insert(beacon.incarnation) {
             self.send_reports(&self.shared.suspects.all_reports(), &[from]);
+            let limits = self.shared.fleet.borrow().all_rate_limits();
+            self.send_limits(&limits, &[from]);
         }
         let mut fleet = self.shared.fleet.borrow_mut();
         if let Some(ended) = ended {
             self.informed.remove(&ended);
             fleet.remove_peer(ended);
             self.shared.queue.remove_peer(ended);
+            self.shared.demands.remove_peer(ended);
             self.shared.retry_budgets.borrow_mut().remove_peer(ended);
         }
         fleet.apply_beacon(&beacon);
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -50,6 +50,7 @@
         Abort,
         Body, //
     },
+    clock,
     fleet::{
         InFlight,
         Target,
@@ -174,9 +175,14 @@
             avoid: &self.tried,
             avoid_data_centre: None,
         };
-        let target = self.context.fleet.borrow_mut().choose(&request)?;
+        let target = self.context.fleet.borrow_mut().choose(&request);
         let first = self.tried.is_empty();
         let service = &self.call.service;
+        if target.is_none() && first {
+            // Demand that the servers' limits exceed counts too.
+            self.context.may_send(service, first, Purpose::Unanswered);
+        }
+        let target = target?;
         // A send that can't have reached a server doesn't count.
         if self.uncounted_sends > 0 {
             self.uncounted_sends -= 1;
@@ -245,7 +251,13 @@
                 meter::outcome("answered", time);
                 response
             }
-            (Step::NotRun, _) => self.call.refuse(&Refusal::NoServer),
+            (Step::NotRun, _) => {
+                let mut fleet = self.context.fleet.borrow_mut();
+                let retry_after = fleet.rate_limited_retry_after(&self.call.service);
+                drop(fleet);
+                let refusal = retry_after.map_or(Refusal::NoServer, Refusal::RateLimited);
+                self.call.refuse(&refusal)
+            }
             _ => self.call.refuse(&Refusal::Lost),
         }
     }
@@ -314,6 +326,7 @@
         backup: None,
         copy: None,
     };
+    let sent_at = clock::now();
     let sent = context.sender.send(&call.request, target, &dispatch).await;
     let mut connection = match sent {
         Ok(connection) => connection,
@@ -343,7 +356,7 @@
             return lost_attempt(call, server, &error.to_string());
         }
     };
-    context.record_rate_limit(&target.server, &reply);
+    context.record_rate_limit(&target.server, &reply, sent_at);
     let read = connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await;
     let status = head.status;
     if reply.not_run {
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -63,6 +63,9 @@
     TooLittleTime,
     /// More requests wait than can be served in time.
     Overloaded(Rejection),
+    /// All servers that could take the request limit their request rates; one can be sent after
+    /// this time.
+    RateLimited(Duration),
     /// Another attempt is needed, and the retry budget of the service is used up.
     RetriesSpent,
     /// Servers crashed under earlier attempts of the request.
@@ -88,6 +91,7 @@
             | Refusal::Expired
             | Refusal::TooLittleTime
             | Refusal::Overloaded(_)
+            | Refusal::RateLimited(_)
             | Refusal::RetriesSpent
             | Refusal::Poisonous(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
@@ -109,6 +113,7 @@
             Refusal::Expired => "expired",
             Refusal::TooLittleTime => "too_little_time",
             Refusal::Overloaded(_) => "too_many_requests",
+            Refusal::RateLimited(_) => "rate_limited",
             Refusal::RetriesSpent => "retries_spent",
             Refusal::Poisonous(_) => "poisonous",
             Refusal::Lost => "lost",
@@ -165,11 +170,12 @@
                 | Refusal::NoServer
                 | Refusal::Expired
                 | Refusal::Overloaded(_)
+                | Refusal::RateLimited(_)
                 | Refusal::RetriesSpent
         );
         let retry_after = match self {
             Refusal::Overloaded(rejection) => rejection.retry_after,
-            Refusal::ShuttingDown(retry_after) => *retry_after,
+            Refusal::ShuttingDown(retry_after) | Refusal::RateLimited(retry_after) => *retry_after,
             _ => DEFAULT_RETRY_AFTER,
         };
         if retryable {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -40,7 +40,10 @@
         Context, //
     },
     meter,
-    protocol::Protocol,
+    protocol::{
+        KvCopy,
+        Protocol, //
+    },
     queue::{
         self,
         Admission, //
@@ -72,6 +75,9 @@
 /// waits before each further attempt. The state of the other servers is no better known then.
 const MAX_UNREACHABLE_SERVERS: u32 = 8;
 
+/// Longest wait for servers that limit their request rates before they are checked again.
+const MAX_RATE_LIMIT_WAIT: Duration = Duration::from_millis(200);
+
 /// Wait between attempts while servers are unreachable.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -163,7 +169,7 @@
         let mut resumption = None;
         let mut first = true;
         let mut retries_spent = false;
-        while let Some((target, copy)) = self.choose(&mut resumption) {
+        while let Some((target, copy)) = self.choose_allowed(&mut resumption).await {
             if self.context.is_poisonous(&self.call) {
                 break;
             }
@@ -238,11 +244,36 @@
             None if self.ran_at.is_empty() && self.timed_out() => {
                 self.call.refuse(&Refusal::Expired)
             }
-            None if self.ran_at.is_empty() => self.call.refuse(&Refusal::NoServer),
+            None if self.ran_at.is_empty() => {
+                let mut fleet = self.context.fleet.borrow_mut();
+                let retry_after = fleet.rate_limited_retry_after(&self.call.service);
+                drop(fleet);
+                let refusal = retry_after.map_or(Refusal::NoServer, Refusal::RateLimited);
+                self.call.refuse(&refusal)
+            }
             None => self.call.refuse(&Refusal::Lost),
         })
     }
 
+    /// Chooses a server like [`Session::choose`]. A request that has run waits while the limits on
+    /// the servers' request rates prevent its next run; others are refused and may return.
+    async fn choose_allowed(
+        &mut self,
+        resumption: &mut Option<Resumption>,
+    ) -> Option<(Target, Option<KvCopy>)> {
+        loop {
+            if let Some(choice) = self.choose(resumption) {
+                return Some(choice);
+            }
+            if self.ran_at.is_empty() || self.timed_out() {
+                return None;
+            }
+            let fleet = self.context.fleet.clone();
+            let wait = fleet.borrow().rate_limited_for(&self.call.service)?;
+            sleep(wait.min(MAX_RATE_LIMIT_WAIT)).await;
+        }
+    }
+
     fn timed_out(&self) -> bool {
         Instant::now() >= self.call.until
     }
@@ -387,7 +418,7 @@
         self.record_loss(&mut resumption, lost);
         let mut declined = 0;
         while !self.timed_out() {
-            let (target, copy) = self.choose(&mut resumption)?;
+            let (target, copy) = self.choose_allowed(&mut resumption).await?;
             if self.context.is_poisonous(&self.call) || !self.may_send(false, Purpose::Resume) {
                 return None;
             }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -22,6 +22,7 @@
     forwarding,
     note, //
 };
+use names::Clock;
 use routing::{
     Outcome,
     placement::Request, //
@@ -75,6 +76,8 @@
     splitter: Splitter,
     silence: Detector,
     pub(super) began: Instant,
+    /// [`clock::now`](crate::clock::now) when the request was sent.
+    sent_at: Clock,
     last_received: Instant,
     /// Time at which the head of the answer arrived.
     answered: Option<Instant>,
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -37,6 +37,7 @@
 };
 use crate::{
     body::Body,
+    clock,
     fleet::{
         InFlight,
         Suspicion,
@@ -134,6 +135,7 @@
             splitter: Splitter::default(),
             silence: Detector::new(pass.objective, pass.gap, Gaps::default(), expected),
             began,
+            sent_at: clock::now(),
             last_received: began,
             answered: None,
             last_alive: began,
@@ -224,7 +226,7 @@
         let id = self.call.request.metadata.id.as_str();
         let server = run.target.server.clone();
         let status = head.status.as_u16();
-        self.context.record_rate_limit(&server, &reply);
+        self.context.record_rate_limit(&server, &reply, run.sent_at);
         if reply.not_run {
             meter::send("declined");
             run.in_flight.set_outcome(Outcome::Refused {
--- a/components/gateway/src/stream/selection.rs
+++ b/components/gateway/src/stream/selection.rs
@@ -86,7 +86,8 @@
                     Some(_) => fleet.borrow().is_usable(&target.server),
                     None => fleet.borrow().accepts_work(&target.server),
                 };
-                if available && self.may_send_to(&target.server) {
+                let allowed = fleet.borrow().allows_request(&target.server);
+                if available && allowed && self.may_send_to(&target.server) {
                     self.record_tried(&target);
                     return Some((target, copy));
                 }
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::RefCell,
-    collections::VecDeque,
     rc::Rc,
     time::Duration, //
 };
@@ -28,27 +27,17 @@
 use tokio::sync::Notify;
 
 use crate::{
+    announcements::Announcements,
     clock,
     meter, //
 };
 
-/// Time for which an own observation is sent again, as datagrams may be lost.
-const REPEAT_TIME: Duration = Duration::from_secs(3);
-
-/// Interval between two sends of the own observations.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Maximum number of own observations that are sent again.
-const MAX_OWN_REPORTS: usize = 128;
-
 /// Evidence against requests, from this gateway and its peers.
 #[derive(Default)]
 pub struct Suspects {
     evidence: RefCell<Evidence>,
-    /// Recent observations of this gateway, oldest first.
-    own: RefCell<VecDeque<(Clock, Fingerprint, Observation)>>,
-    last_sent: RefCell<Clock>,
-    notify: Rc<Notify>,
+    /// Recent observations of this gateway.
+    own: Announcements<(Fingerprint, Observation)>,
 }
 
 impl Suspects {
@@ -97,12 +86,7 @@
         if !evidence.record(now, now, fingerprint, observation) {
             return false;
         }
-        let mut own = self.own.borrow_mut();
-        own.push_back((now, fingerprint, observation));
-        if own.len() > MAX_OWN_REPORTS {
-            own.pop_front();
-        }
-        self.notify.notify_one();
+        self.own.push(now, (fingerprint, observation));
         true
     }
 
@@ -135,24 +119,16 @@
 
     /// Returns the handle that is notified when there is a new own observation.
     pub fn announce_notify(&self) -> Rc<Notify> {
-        self.notify.clone()
+        self.own.notify()
     }
 
-    /// Returns the own observations that are due to be sent to all peers: all recent ones, once per
-    /// interval, or at once if `is_new`.
+    /// Returns the own observations that are due to be sent to all peers; see
+    /// [`Announcements::due`].
     pub fn due_reports(&self, is_new: bool) -> Vec<Report> {
         let now = clock::now();
-        let mut own = self.own.borrow_mut();
-        own.retain(|(at, _, _)| now.saturating_sub(*at) <= REPEAT_TIME);
-        let mut last_sent = self.last_sent.borrow_mut();
-        if own.is_empty() || !is_new && now.saturating_sub(*last_sent) < REPEAT_INTERVAL {
-            return Vec::new();
-        }
-        *last_sent = now;
-        let reports = own.iter().map(|(at, fingerprint, observation)| {
-            Report::new(now, *at, *fingerprint, *observation)
-        });
-        reports.collect()
+        let due = self.own.due(now, is_new).into_iter();
+        due.map(|(at, (fingerprint, observation))| Report::new(now, at, fingerprint, observation))
+            .collect()
     }
 
     /// Returns all reports, for a peer that may have none.
--- a/components/report/src/explain/cause.rs
+++ b/components/report/src/explain/cause.rs
@@ -138,6 +138,10 @@
             "Refused with {status}, not run: it needed another retry, and the retry budget of its \
              service was used up across all processes."
         ),
+        "rate_limited" => format!(
+            "Refused with {status}, not run: all backend servers of its service limit their request \
+             rates, and this process had used up its part."
+        ),
         "poisonous" => format!(
             "Refused with {status}, not run: backend servers crashed under earlier attempts of it \
              (fingerprint {}).",
--- a/components/report/tests/explain.rs
+++ b/components/report/tests/explain.rs
@@ -99,6 +99,20 @@
     assert_eq!(summary(&[], Duration::from_secs(2)), Summary::default());
 }
 
+/// Guards against a refusal for a rate limit that reads like a fault.
+#[test]
+fn a_refusal_for_a_rate_limit_is_explained() {
+    let lines = read(
+        r#"{"at":1785904809421,"up":73508228,"process":"a","run":6627560,"level":"warn","message":"Request refused","event":1000,"id":"r1","reason":"rate_limited","status":503}"#,
+    );
+    let explanation = explain(&lines, "r1").expect("a line names the request");
+    assert_eq!(
+        explanation.cause,
+        "Refused with 503, not run: all backend servers of its service limit their request rates, \
+         and this process had used up its part."
+    );
+}
+
 /// Guards against an explanation that doesn't name the fingerprint, by which the crashes are found.
 #[test]
 fn a_refusal_for_crashes_names_the_fingerprint() {
--- a/components/routing/src/placement/candidate.rs
+++ b/components/routing/src/placement/candidate.rs
@@ -15,6 +15,7 @@
     Spec,
     Suspicion,
     Work,
+    rate_limit::RateLimit,
     suspicion::Domain, //
 };
 use crate::member::Member;
@@ -67,6 +68,8 @@
     pub(super) own_work: Work,
     pub(super) peer_work: Work,
     pub(super) speed: Speed,
+    /// Limit that the server names on the rate of requests.
+    pub(super) rate_limit: RateLimit,
     suspended_until: Clock,
     suspicion: Suspicion,
     consecutive_suspensions: u32,
@@ -93,6 +96,7 @@
             own_work: Work::default(),
             peer_work: Work::default(),
             speed: Speed::default(),
+            rate_limit: RateLimit::default(),
             suspended_until: Clock::ZERO,
             suspicion: Suspicion::Refused,
             consecutive_suspensions: 0,
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -148,7 +148,9 @@
             {
                 continue;
             }
-            room = room.saturating_add(candidate.room(now, work, tokens));
+            let allowed = candidate.rate_limit.available(now);
+            let free = candidate.room(now, work, tokens);
+            room = room.saturating_add(free.min(allowed.unwrap_or(u32::MAX)));
         }
         room
     }
@@ -222,6 +224,10 @@
             MAX_JITTER
         };
         for (server, candidate) in eligible {
+            let is_limited = candidate.rate_limit.available(now) == Some(0);
+            if is_limited && request.work.requests > 0 {
+                continue;
+            }
             let penalties = self.penalties(now, server, candidate, request);
             if penalties > max_penalties || candidate.memory_use_with(request.work) > max_memory_use
             {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -141,6 +141,10 @@
     CachedPrompts(Vec<Prompt>),
     /// Observations of requests that may crash servers.
     Crashes(Vec<Report>),
+    /// Limits that servers named or lifted in answers to the sender.
+    RateLimits(Vec<RateLimit>),
+    /// Recent requests at the sender, by service, while servers limit their request rates.
+    Demand(Demand),
 }
 
 /// Work in progress at one server.
@@ -178,6 +182,27 @@
     pub server: Id,
 }
 
+/// Limit on the request rate that a server named in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateLimit {
+    /// Id of the server.
+    pub server: Id,
+    /// Requests per 1000 seconds that it accepts from all processes together; `None` if it named
+    /// no limit.
+    pub per_1000_seconds: Option<u64>,
+    /// Milliseconds since the answer.
+    pub age_ms: u32,
+}
+
+/// Recent requests at one process, whether they could be sent or not.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Run of the sender.
+    pub incarnation: Incarnation,
+    /// Number of requests by service.
+    pub requests: Vec<(Id, u32)>,
+}
+
 /// Requests that a process sent to a service within a window that all processes share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempts {
