--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{
         Cell,
+        OnceCell,
         RefCell, //
     },
     rc::Rc,
@@ -177,12 +178,14 @@
     /// Returns the fingerprint of the request, which repeated attempts share although their ids
     /// differ.
     pub fn fingerprint(&self) -> Fingerprint {
-        let parts = &self.request.parts;
-        let team = self.team.as_deref().unwrap_or_default();
-        let host = requested_host(parts).unwrap_or_default();
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let target = format!("{} {host}{path}", parts.method);
-        poison::fingerprint(team, &target, &self.request.body)
+        *self.request.fingerprint.get_or_init(|| {
+            let parts = &self.request.parts;
+            let team = self.team.as_deref().unwrap_or_default();
+            let host = requested_host(parts).unwrap_or_default();
+            let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+            let target = format!("{} {host}{path}", parts.method);
+            poison::fingerprint(team, &target, &self.request.body)
+        })
     }
 
     /// Logs a rejection and returns its response.
@@ -353,6 +356,7 @@
                 parts,
                 metadata,
                 body,
+                fingerprint: OnceCell::new(),
             }),
             pass,
             service,
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,15 +8,11 @@
     rc::Rc, //
 };
 
-use contract::poison::evidence::Report;
 use events::{
     links,
     note, //
 };
-use names::{
-    Clock,
-    Service, //
-};
+use names::Clock;
 use spread::{
     Freshness,
     beacon::{
@@ -24,14 +20,12 @@
         Age,
         Beacon,
         Changes,
-        Demand,
         Id,
         Incarnation,
         Loads,
         MAX_DATAGRAM_BYTES,
         Message,
         Prompt,
-        RateLimit,
         Reassembly,
         Receipt,
         Scope,
@@ -63,6 +57,8 @@
     suspects::Suspects, //
 };
 
+mod news;
+
 /// Bytes of a datagram that are reserved for the echo and the message's kind.
 const ECHO_BYTES: usize = 34;
 
@@ -72,18 +68,6 @@
 /// Maximum number of cached prompts in a message, so that it fits a datagram.
 const MAX_PROMPTS_PER_MESSAGE: usize = 80;
 
-/// Maximum number of reports on crashes in a message, so that it fits a datagram.
-const MAX_REPORTS_PER_MESSAGE: usize = 40;
-
-/// Maximum number of limits on request rates in a message, so that it fits a datagram.
-const MAX_RATE_LIMITS_PER_MESSAGE: usize = 64;
-
-/// Shortest interval between two reports of the demand.
-const MIN_DEMAND_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
-
-/// Shortest such interval for each peer: in a large fleet the interval grows instead of the traffic.
-const DEMAND_INTERVAL_PER_PEER: std::time::Duration = std::time::Duration::from_millis(10);
-
 /// Interval at which this process checks for changes to send in a beacon. It is four times as long
 /// while there are none.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
@@ -371,75 +355,6 @@
         }
     }
 
-    /// Sends this gateway's own recent reports on crashes to all peers.
-    fn send_crash_reports(&self, is_new: bool) {
-        let reports = self.shared.suspects.due_reports(is_new);
-        if !reports.is_empty() {
-            self.send_reports(&reports, &self.table.peers());
-        }
-    }
-
-    /// Sends the demand at this gateway to all peers while servers limit their request rates, and
-    /// updates its part of the limits.
-    fn report_demand(&mut self) {
-        let now = Instant::now();
-        let interval = DEMAND_INTERVAL_PER_PEER * self.table.count() as u32;
-        let interval = interval.max(MIN_DEMAND_INTERVAL);
-        let is_due = |sent| now.duration_since(sent) >= interval;
-        if !self.demand_sent.is_none_or(is_due) {
-            return;
-        }
-        self.demand_sent = Some(now);
-        let services = self.shared.fleet.borrow().rate_limited_services();
-        if services.is_empty() {
-            return;
-        }
-        let demand = Demand {
-            incarnation: self.incarnation,
-            requests: self.shared.demands.report(),
-        };
-        let message = Message::Demand(demand);
-        self.broadcast(&message);
-        self.update_shares(&services);
-    }
-
-    /// Updates the part of this gateway in the limits on the request rates for services.
-    fn update_shares(&self, services: &[Service]) {
-        let mut fleet = self.shared.fleet.borrow_mut();
-        for service in services {
-            let share = self.shared.demands.share(service, self.table.rank().1);
-            fleet.set_demand_share(service, share);
-        }
-    }
-
-    /// Sends the news about limits on servers' request rates to all peers.
-    fn send_rate_limits(&self, is_new: bool) {
-        let limits = self.shared.fleet.borrow().due_rate_limits(is_new);
-        if !limits.is_empty() {
-            self.send_limits(&limits, &self.table.peers());
-        }
-    }
-
-    /// Sends limits on servers' request rates, in as many datagrams as needed.
-    fn send_limits(&self, limits: &[RateLimit], targets: &[SocketAddr]) {
-        for limits in limits.chunks(MAX_RATE_LIMITS_PER_MESSAGE) {
-            let message = Message::RateLimits(limits.to_vec());
-            for target in targets {
-                self.send_to(&message, *target);
-            }
-        }
-    }
-
-    /// Sends reports on crashes, in as many datagrams as needed.
-    fn send_reports(&self, reports: &[Report], targets: &[SocketAddr]) {
-        for reports in reports.chunks(MAX_REPORTS_PER_MESSAGE) {
-            let message = Message::Crashes(reports.to_vec());
-            for target in targets {
-                self.send_to(&message, *target);
-            }
-        }
-    }
-
     /// Sends a message to all live peers.
     fn broadcast(&self, message: &Message) {
         for target in self.table.peers() {
@@ -492,25 +407,9 @@
                 }
                 return;
             }
-            Ok(Message::Crashes(reports)) => {
-                if self.table.contains(from) {
-                    self.shared.suspects.apply(&reports);
-                }
-                return;
-            }
-            Ok(Message::Demand(demand)) => {
+            Ok(message @ (Message::Crashes(_) | Message::Demand(_) | Message::RateLimits(_))) => {
                 if self.table.contains(from) {
-                    self.shared
-                        .demands
-                        .apply_report(demand.incarnation, &demand.requests);
-                    let services = self.shared.fleet.borrow().rate_limited_services();
-                    self.update_shares(&services);
-                }
-                return;
-            }
-            Ok(Message::RateLimits(limits)) => {
-                if self.table.contains(from) {
-                    self.shared.fleet.borrow_mut().apply_rate_limits(&limits);
+                    self.apply_news(message);
                 }
                 return;
             }
@@ -540,15 +439,7 @@
             );
             self.informed.remove(&beacon.incarnation);
         }
-        // A peer ignores messages from an address that it has no beacon of yet.
-        let is_known = beacon
-            .echo
-            .is_some_and(|echo| echo.incarnation == self.incarnation);
-        if is_known && self.informed.insert(beacon.incarnation) {
-            self.send_reports(&self.shared.suspects.all_reports(), &[from]);
-            let limits = self.shared.fleet.borrow().all_rate_limits();
-            self.send_limits(&limits, &[from]);
-        }
+        self.inform(from, &beacon);
         let mut fleet = self.shared.fleet.borrow_mut();
         if let Some(ended) = ended {
             self.informed.remove(&ended);
--- /dev/null
+++ b/components/gateway/src/peers/news.rs
@@ -0,0 +1,132 @@
+//! News for all peers: crashes under requests, and limits on servers' request rates with the demand
+//! by which gateways divide them.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use contract::poison::evidence::Report;
+use names::Service;
+use spread::beacon::{
+    Beacon,
+    Demand,
+    Message,
+    RateLimit, //
+};
+use tokio::time::Instant;
+
+use crate::peers::Peers;
+
+/// Maximum number of reports on crashes in a message, so that it fits a datagram.
+const MAX_REPORTS_PER_MESSAGE: usize = 40;
+
+/// Maximum number of limits on request rates in a message, so that it fits a datagram.
+const MAX_RATE_LIMITS_PER_MESSAGE: usize = 64;
+
+/// Shortest interval between two reports of the demand.
+const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Shortest such interval for each peer: in a large fleet the interval grows instead of the traffic.
+const DEMAND_INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
+
+impl Peers {
+    /// Applies news from a peer; does nothing with any other message.
+    pub(super) fn apply_news(&self, message: Message) {
+        match message {
+            Message::Crashes(reports) => self.shared.suspects.apply(&reports),
+            Message::RateLimits(limits) => {
+                self.shared.fleet.borrow_mut().apply_rate_limits(&limits);
+            }
+            Message::Demand(demand) => {
+                let demands = &self.shared.demands;
+                demands.apply_report(demand.incarnation, &demand.requests);
+                let services = self.shared.fleet.borrow().rate_limited_services();
+                self.update_shares(&services);
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends all that is known to a peer that is new or was silent, once it knows this gateway: it
+    /// ignores messages from an address that it has no beacon of.
+    pub(super) fn inform(&mut self, peer: SocketAddr, beacon: &Beacon) {
+        let is_known = beacon
+            .echo
+            .is_some_and(|echo| echo.incarnation == self.incarnation);
+        if is_known && self.informed.insert(beacon.incarnation) {
+            self.send_reports(&self.shared.suspects.all_reports(), &[peer]);
+            let limits = self.shared.fleet.borrow().all_rate_limits();
+            self.send_limits(&limits, &[peer]);
+        }
+    }
+
+    /// Sends the demand at this gateway to all peers while servers limit their request rates, and
+    /// updates its part of the limits.
+    pub(super) fn report_demand(&mut self) {
+        let now = Instant::now();
+        let interval = DEMAND_INTERVAL_PER_PEER * self.table.count() as u32;
+        let interval = interval.max(MIN_DEMAND_INTERVAL);
+        let is_due = |sent| now.duration_since(sent) >= interval;
+        if !self.demand_sent.is_none_or(is_due) {
+            return;
+        }
+        self.demand_sent = Some(now);
+        let services = self.shared.fleet.borrow().rate_limited_services();
+        if services.is_empty() {
+            return;
+        }
+        let demand = Demand {
+            incarnation: self.incarnation,
+            requests: self.shared.demands.report(),
+        };
+        let message = Message::Demand(demand);
+        self.broadcast(&message);
+        self.update_shares(&services);
+    }
+
+    /// Updates the part of this gateway in the limits on the request rates for services.
+    fn update_shares(&self, services: &[Service]) {
+        let mut fleet = self.shared.fleet.borrow_mut();
+        for service in services {
+            let share = self.shared.demands.share(service, self.table.rank().1);
+            fleet.set_demand_share(service, share);
+        }
+    }
+
+    /// Sends the news about limits on servers' request rates to all peers.
+    pub(super) fn send_rate_limits(&self, is_new: bool) {
+        let limits = self.shared.fleet.borrow().due_rate_limits(is_new);
+        if !limits.is_empty() {
+            self.send_limits(&limits, &self.table.peers());
+        }
+    }
+
+    /// Sends limits on servers' request rates, in as many datagrams as needed.
+    fn send_limits(&self, limits: &[RateLimit], targets: &[SocketAddr]) {
+        for limits in limits.chunks(MAX_RATE_LIMITS_PER_MESSAGE) {
+            let message = Message::RateLimits(limits.to_vec());
+            for target in targets {
+                self.send_to(&message, *target);
+            }
+        }
+    }
+
+    /// Sends reports on crashes, in as many datagrams as needed.
+    fn send_reports(&self, reports: &[Report], targets: &[SocketAddr]) {
+        for reports in reports.chunks(MAX_REPORTS_PER_MESSAGE) {
+            let message = Message::Crashes(reports.to_vec());
+            for target in targets {
+                self.send_to(&message, *target);
+            }
+        }
+    }
+
+    /// Sends this gateway's own recent reports on crashes to all peers.
+    pub(super) fn send_crash_reports(&self, is_new: bool) {
+        let reports = self.shared.suspects.due_reports(is_new);
+        if !reports.is_empty() {
+            self.send_reports(&reports, &self.table.peers());
+        }
+    }
+}
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -1,13 +1,17 @@
 //! Sends requests to backend servers and reads the heads of their responses.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        OnceCell,
+        RefCell, //
+    },
     io::ErrorKind,
     rc::Rc,
     time::Duration, //
 };
 
 use bytes::Bytes;
+use contract::poison::Fingerprint;
 use http::{
     Method,
     request::Parts, //
@@ -60,6 +64,8 @@
     pub metadata: Metadata,
     /// Complete body of the message.
     pub body: Bytes,
+    /// Fingerprint of the request, once it was needed.
+    pub fingerprint: OnceCell<Fingerprint>,
 }
 
 /// Reason for which a request wasn't sent.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -51,6 +51,7 @@
     refuse::Refusal,
     rollout::Selection,
     stream::{
+        abandon_guard::AbandonGuard,
         resumption::{
             LostRun,
             Resumption, //
@@ -63,6 +64,7 @@
     },
 };
 
+mod abandon_guard;
 mod backup;
 mod resumption;
 mod run;
@@ -484,34 +486,3 @@
         *resumption = Some(Resumption::new(lost, same_server));
     }
 }
-
-/// Records that the caller disconnected when the response is dropped before it is complete.
-struct AbandonGuard {
-    id: String,
-    arrived: Instant,
-    done: bool,
-}
-
-impl AbandonGuard {
-    fn new(call: &Call) -> AbandonGuard {
-        AbandonGuard {
-            id: call.request.metadata.id.clone(),
-            arrived: call.arrived,
-            done: false,
-        }
-    }
-}
-
-impl Drop for AbandonGuard {
-    fn drop(&mut self) {
-        if self.done {
-            return;
-        }
-        meter::outcome("abandoned", self.arrived.elapsed());
-        note!(
-            forwarding::ABANDONED,
-            id = self.id.as_str(),
-            ms = self.arrived.elapsed().as_millis() as u64
-        );
-    }
-}
--- /dev/null
+++ b/components/gateway/src/stream/abandon_guard.rs
@@ -0,0 +1,44 @@
+//! Detects callers that disconnect before their response ends.
+
+use events::{
+    forwarding,
+    note, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    handle::Call,
+    meter, //
+};
+
+/// Records that the caller disconnected when the response is dropped before it is complete.
+pub(super) struct AbandonGuard {
+    id: String,
+    arrived: Instant,
+    /// Whether the response ended, complete or not.
+    pub(super) done: bool,
+}
+
+impl AbandonGuard {
+    pub(super) fn new(call: &Call) -> AbandonGuard {
+        AbandonGuard {
+            id: call.request.metadata.id.clone(),
+            arrived: call.arrived,
+            done: false,
+        }
+    }
+}
+
+impl Drop for AbandonGuard {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        meter::outcome("abandoned", self.arrived.elapsed());
+        note!(
+            forwarding::ABANDONED,
+            id = self.id.as_str(),
+            ms = self.arrived.elapsed().as_millis() as u64
+        );
+    }
+}
