--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -193,6 +193,11 @@
         refusal.respond(&self.request.metadata.id, self.arrived, &self.document)
     }
 
+    /// Rejects a request that [`Context::is_poisonous`].
+    pub fn refuse_as_poisonous(&self) -> Response<Body> {
+        self.refuse(&Refusal::Poisonous(self.fingerprint()))
+    }
+
     /// Returns the size of the generation; `None` for a plain request.
     pub fn generation(&self) -> Option<&Generation> {
         self.request.metadata.generation.as_ref()
@@ -246,6 +251,14 @@
         retry_budgets.take_retry(service, &bound, purpose)
     }
 
+    /// Returns why no server could be chosen for a request: none takes it, or all that could limit
+    /// their request rates.
+    pub fn unplaced_refusal(&self, service: &Service) -> Refusal {
+        let mut fleet = self.fleet.borrow_mut();
+        let retry_after = fleet.rate_limited_retry_after(service);
+        retry_after.map_or(Refusal::NoServer, Refusal::RateLimited)
+    }
+
     /// Returns whether a request must not be sent, as servers crashed under earlier attempts of it.
     pub fn is_poisonous(&self, call: &Call) -> bool {
         !self.suspects.is_empty()
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -137,9 +137,7 @@
     /// Sends the request until a response is final or no attempt is left.
     async fn run(mut self) -> Response<Body> {
         if self.context.is_poisonous(&self.call) {
-            return self
-                .call
-                .refuse(&Refusal::Poisonous(self.call.fingerprint()));
+            return self.call.refuse_as_poisonous();
         }
         while let Some(target) = self.next() {
             let until = self.call.until;
@@ -252,10 +250,7 @@
                 response
             }
             (Step::NotRun, _) => {
-                let mut fleet = self.context.fleet.borrow_mut();
-                let retry_after = fleet.rate_limited_retry_after(&self.call.service);
-                drop(fleet);
-                let refusal = retry_after.map_or(Refusal::NoServer, Refusal::RateLimited);
+                let refusal = self.context.unplaced_refusal(&self.call.service);
                 self.call.refuse(&refusal)
             }
             _ => self.call.refuse(&Refusal::Lost),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -155,9 +155,7 @@
     async fn start_first(&mut self) -> Result<StartedRun, Response<Body>> {
         self.look_up_prompt().await;
         if self.context.is_poisonous(&self.call) {
-            return Err(self
-                .call
-                .refuse(&Refusal::Poisonous(self.call.fingerprint())));
+            return Err(self.call.refuse_as_poisonous());
         }
         let work = self.remaining_work();
         match queue::admit(&self.context, &self.call, work).await {
@@ -237,9 +235,9 @@
         }
         Err(match failure {
             Some(response) => response,
-            None if self.ran_at.is_empty() && self.context.is_poisonous(&self.call) => self
-                .call
-                .refuse(&Refusal::Poisonous(self.call.fingerprint())),
+            None if self.ran_at.is_empty() && self.context.is_poisonous(&self.call) => {
+                self.call.refuse_as_poisonous()
+            }
             None if self.ran_at.is_empty() && retries_spent => {
                 self.call.refuse(&Refusal::RetriesSpent)
             }
@@ -247,10 +245,7 @@
                 self.call.refuse(&Refusal::Expired)
             }
             None if self.ran_at.is_empty() => {
-                let mut fleet = self.context.fleet.borrow_mut();
-                let retry_after = fleet.rate_limited_retry_after(&self.call.service);
-                drop(fleet);
-                let refusal = retry_after.map_or(Refusal::NoServer, Refusal::RateLimited);
+                let refusal = self.context.unplaced_refusal(&self.call.service);
                 self.call.refuse(&refusal)
             }
             None => self.call.refuse(&Refusal::Lost),
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -21,7 +21,6 @@
         Direct,
         Document,
         Engine,
-        Kind,
         Limit,
         Passthrough,
         Provision,
@@ -521,8 +520,8 @@
     Provision {
         name: name.into(),
         kind: match engine {
-            Some(_) => Kind::Engine,
-            None => Kind::Plain,
+            Some(_) => environment::document::Kind::Engine,
+            None => environment::document::Kind::Plain,
         },
         model: String::new(),
         contract: Contract::default(),
@@ -571,6 +570,44 @@
     }
 }
 
+/// Kind of a request to the routes of [`document`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// Repeatable, to the service `ledger`.
+    Safe,
+    /// Runs at most once, at the service `ledger`.
+    Unsafe,
+    /// Stream of the service `draft`.
+    Stream,
+}
+
+impl Kind {
+    /// Returns the path of a request.
+    pub fn path(self, name: &str) -> String {
+        match self {
+            Kind::Safe => format!("/safe/{name}"),
+            Kind::Unsafe => format!("/unsafe/{name}"),
+            Kind::Stream => format!("/stream/{name}"),
+        }
+    }
+
+    /// Returns the headers of a request beside its id and key.
+    pub fn headers(self) -> &'static str {
+        match self {
+            Kind::Safe | Kind::Unsafe => "",
+            Kind::Stream => "tokens: 10\r\n",
+        }
+    }
+
+    /// Returns the service of the requests.
+    pub fn service(self) -> &'static str {
+        match self {
+            Kind::Safe | Kind::Unsafe => "ledger",
+            Kind::Stream => "draft",
+        }
+    }
+}
+
 impl Harness {
     /// Starts a gateway.
     pub fn start(settings: Settings) -> Harness {
--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -11,6 +11,7 @@
 use common::{
     Backend,
     Harness,
+    Kind,
     Message,
     document,
     response,
@@ -46,39 +47,6 @@
 /// Time between two events of an engine.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Kind of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Kind {
-    Safe,
-    Unsafe,
-    Stream,
-}
-
-impl Kind {
-    /// Returns the path of a request; those that contain `poison` crash their servers.
-    fn path(self, name: &str) -> String {
-        match self {
-            Kind::Safe => format!("/safe/{name}"),
-            Kind::Unsafe => format!("/unsafe/{name}"),
-            Kind::Stream => format!("/stream/{name}"),
-        }
-    }
-
-    fn headers(self) -> &'static str {
-        match self {
-            Kind::Safe | Kind::Unsafe => "",
-            Kind::Stream => "tokens: 10\r\n",
-        }
-    }
-
-    fn service(self) -> &'static str {
-        match self {
-            Kind::Safe | Kind::Unsafe => "ledger",
-            Kind::Stream => "draft",
-        }
-    }
-}
-
 /// Servers of one service, and the paths of the requests that they ran.
 struct Servers {
     backends: Vec<Rc<Backend>>,
--- a/components/gateway/tests/rate_limit.rs
+++ b/components/gateway/tests/rate_limit.rs
@@ -14,6 +14,7 @@
 use common::{
     Backend,
     Harness,
+    Kind,
     Message,
     document,
     response,
@@ -49,38 +50,6 @@
 /// Time within which a request that can't be served is refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
 
-/// Kind of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Kind {
-    Safe,
-    Unsafe,
-    Stream,
-}
-
-impl Kind {
-    fn path(self) -> &'static str {
-        match self {
-            Kind::Safe => "/safe/1",
-            Kind::Unsafe => "/unsafe/1",
-            Kind::Stream => "/stream/1",
-        }
-    }
-
-    fn headers(self) -> &'static str {
-        match self {
-            Kind::Safe | Kind::Unsafe => "",
-            Kind::Stream => "tokens: 10\r\n",
-        }
-    }
-
-    fn service(self) -> &'static str {
-        match self {
-            Kind::Safe | Kind::Unsafe => "ledger",
-            Kind::Stream => "draft",
-        }
-    }
-}
-
 /// A server, the limit that it names now, and its arrivals.
 struct Server {
     backend: Backend,
@@ -170,7 +139,7 @@
     let began = Instant::now();
     let exchange = async {
         let mut stream = tokio::net::TcpStream::connect(callers).await.ok()?;
-        let request = common::format_request(&id, kind.path(), kind.headers());
+        let request = common::format_request(&id, &kind.path("1"), kind.headers());
         tokio::io::AsyncWriteExt::write_all(&mut stream, request.as_bytes())
             .await
             .ok()?;
