--- a/components/gateway/tests/deadline.rs
+++ b/components/gateway/tests/deadline.rs
@@ -26,7 +26,8 @@
     task::spawn_local,
     time::{
         Instant,
-        sleep, //
+        sleep,
+        timeout, //
     },
 };
 
@@ -123,7 +124,9 @@
         harness.register("s1", service, "a", server.address);
         let began = Instant::now();
         let headers = format!("deadline: {DEADLINE_MS}\r\n{headers}");
-        let (_, response) = harness.request("r1", path, &headers).await;
+        let request = harness.request("r1", path, &headers);
+        let answered = timeout(ROUTE_TIMEOUT * 5, request).await;
+        let (_, response) = answered.expect("an answer");
         let status = response.expect("a response").status();
         assert!(matches!(status, 502 | 504), "{status}");
         assert!(
