The parts of a prompt stand in the lines of sends and lost answers; prompt-part: timeline and hypotheses

What callers saw: on krog engines end one after the other under streams that are all different (docs/incidents/prompt-part.md). Evidence: the lines name a fingerprint for each crash, and the last part of the prompt. 21 fingerprints at 29 engines don't tell whether the requests share a part or are single ones that are repeated. Change: `parts` in events 1001 and 1004, for streams and for plain requests with a prompt. No logic is changed.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -202,6 +202,19 @@
     pub fn generation(&self) -> Option<&Generation> {
         self.request.metadata.generation.as_ref()
     }
+
+    /// Returns the parts of the prompt in order, with their tokens.
+    pub fn parts(&self) -> &[(u64, u32)] {
+        self.generation()
+            .map_or(&[], |generation| &generation.parts)
+    }
+
+    /// Returns the ids of the prompt's parts for a log line, if there are any.
+    pub fn part_ids(&self) -> Option<String> {
+        let ids = self.parts().iter().map(|(part, _)| part.to_string());
+        let ids: Vec<_> = ids.collect();
+        (!ids.is_empty()).then(|| ids.join(","))
+    }
 }
 
 impl<P: Protocol + 'static> Context<P> {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -443,6 +443,7 @@
         id = call.request.metadata.id.as_str(),
         server = server,
         fingerprint = format!("{:032x}", call.fingerprint()).as_str(),
+        parts = call.part_ids().as_deref(),
         reason = reason
     );
     Attempt::without_response(Ending::Lost)
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -416,6 +416,7 @@
             data_centre = run.target.data_centre.as_str(),
             reason = loss.name(),
             fingerprint = format!("{:032x}", self.call.fingerprint()).as_str(),
+            parts = self.call.part_ids().as_deref(),
             events = run.events,
             answered_ms = run.answered.map(|at| at.elapsed().as_millis() as u64),
             copy = run
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -193,6 +193,7 @@
             among = target.score.candidates,
             document = self.call.document.version,
             prompt = self.parts().last().map(|(part, _)| *part),
+            parts = self.call.part_ids().as_deref(),
             attempt = self.ran_at.len() + 1,
             after = dispatch.after,
             left_ms = dispatch.remaining.map(|left| left.as_millis() as u64),
--- a/components/gateway/src/stream/selection.rs
+++ b/components/gateway/src/stream/selection.rs
@@ -35,9 +35,7 @@
 impl<P: Protocol + 'static> Session<P> {
     /// Returns the hashes and tokens of the prompt's parts.
     pub(super) fn parts(&self) -> &[(u64, u32)] {
-        self.call
-            .generation()
-            .map_or(&[], |generation| &generation.parts)
+        self.call.parts()
     }
 
     /// Returns the work of the rest of the stream.
