--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -87,6 +87,19 @@
     assert!(!case.is_refused(POISON));
 }
 
+/// Guards against a request that crashes the same servers again and again, as they restart under
+/// the ids that they had.
+#[test]
+fn crashes_of_a_restarted_server_count() {
+    let mut case = Case::new();
+    for _ in 0..3 {
+        assert!(!case.is_refused(POISON));
+        case.now += Duration::from_secs(5);
+        case.crash(10, &[POISON]);
+    }
+    assert!(case.is_refused(POISON));
+}
+
 /// Guards against the refusal of a request that was beside the one that crashes servers: at some of
 /// the crashes, or at all that are known so far.
 #[rstest]
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -339,7 +339,19 @@
     where
         F: Future<Output = bool> + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let free = "127.0.0.1:0".parse().expect("an address");
+        Backend::start_at(free, handler).await
+    }
+
+    /// Starts a server like [`Backend::start`] at an address, which may be that of an earlier one.
+    pub async fn start_at<F>(
+        address: SocketAddr,
+        handler: impl Fn(Message, Connection) -> F + 'static,
+    ) -> Backend
+    where
+        F: Future<Output = bool> + 'static,
+    {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         let requests: Rc<RefCell<Vec<Message>>> = Rc::default();
         let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
@@ -395,6 +407,16 @@
         self.stop.cancel();
     }
 
+    /// Returns the token whose cancellation stops the server.
+    pub fn stop_token(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
+    /// Waits until the server is stopped.
+    pub async fn stopped(&self) {
+        self.stop.cancelled().await;
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> usize {
         self.requests.borrow().len()
