--- a/components/contract/src/poison.rs
+++ b/components/contract/src/poison.rs
@@ -42,6 +42,12 @@
     hash.digest128()
 }
 
+/// Computes the fingerprint of a part of the prompts that a service gets, which requests of any team
+/// may have.
+pub fn part_fingerprint(service: &str, part: u64) -> Fingerprint {
+    fingerprint("", service, &part.to_le_bytes())
+}
+
 /// Computes the fingerprint of a generation from everything that its engine receives except ids,
 /// seeds and priorities.
 pub fn generation_fingerprint(team: &str, service: &str, model: &str, prompt: &str) -> Fingerprint {
--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -1,11 +1,14 @@
 //! Evidence against requests that crash servers, from processes that each see a part of the requests
 //! on a server.
 //!
+//! What crashes servers is either a request, which comes again under other ids, or a part of a
+//! prompt, which comes in requests that are otherwise all different. Both are causes: each request
+//! has itself and the parts of its prompt as possible causes, from the most specific to the least.
+//!
 //! Without sidecars no process sees all that was in flight at a crash, and news from the others may
 //! be late or lost. So each process reports which of its own requests had not yet survived there,
-//! and one crash convicts nobody. A request is refused when several crashes are attributed to it
-//! and no other request was in flight at all of them. Every run that survives voids the earlier
-//! crashes of its request.
+//! and one crash convicts nobody. A cause is refused when several crashes are attributed to it; see
+//! [`attribution`]. Every run that survives voids the earlier crashes of its causes.
 //!
 //! Reports are merged by union, and the verdicts follow from the merged reports alone. A late report
 //! therefore also corrects an earlier verdict.
@@ -13,7 +16,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
     time::Duration, //
 };
@@ -29,12 +33,25 @@
     Verdict, //
 };
 
-/// Numeric id of one start of a server.
+use self::attribution::candidates;
+
+mod attribution;
+
+/// Numeric id of a server. It is the same after a restart.
 pub type ServerId = u32;
 
+/// Start of a server's process; 0 when it is unknown.
+pub type ServerIncarnation = u32;
+
+/// Numeric id of a service.
+pub type ServiceId = u32;
+
 /// Time after the start of its run within which a request that crashes servers does so.
 pub const PROBATION: Duration = Duration::from_secs(1);
 
+/// Age of a run that has outlived a request that crashes its server at once.
+pub const LIFE_SIGN: Duration = Duration::from_millis(250);
+
 /// Time for which reports count: longer than callers repeat a request, and short enough that a
 /// wrong verdict doesn't last.
 const REPORT_TTL: Duration = Duration::from_secs(600);
@@ -43,18 +60,57 @@
 /// survived or not by then, and reports have arrived.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Total weight of the crashes that convict a request: three at which it had started.
-const CONVICTION_WEIGHT: u32 = 6;
+/// Time within which all processes notice the same crash of a server. Unless its new start is known,
+/// a server that restarts and crashes again within it counts once.
+const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
 /// Maximum number of stored crashes.
 const MAX_CRASHES: usize = 256;
 
-/// Maximum number of stored requests of one crash.
-const MAX_RUNS_PER_CRASH: usize = 32;
+/// Maximum number of stored runs of one crash that had started, and of others.
+const MAX_RUNS_PER_CRASH: usize = 16;
 
-/// Maximum number of stored requests that survived.
+/// Maximum number of stored causes that survived.
 const MAX_SURVIVORS: usize = 512;
 
+/// Maximum number of stored times at which runs of a service lived.
+const MAX_SERVICE_LIVES: usize = 256;
+
+/// Maximum number of prompt parts that count as causes.
+const MAX_PARTS: usize = 8;
+
+/// What a request has that may crash servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Subject {
+    /// Service of the request.
+    pub service: ServiceId,
+    /// Fingerprint of the whole request.
+    pub request: Fingerprint,
+    /// Fingerprints of the parts of its prompt, in order.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl Subject {
+    /// Creates a subject. Parts beyond the maximum number are left out.
+    pub fn new(
+        service: ServiceId,
+        request: Fingerprint,
+        parts: impl IntoIterator<Item = Fingerprint>,
+    ) -> Subject {
+        Subject {
+            service,
+            request,
+            parts: parts.into_iter().take(MAX_PARTS).collect(),
+        }
+    }
+
+    /// Returns the possible causes, from the most specific to the least.
+    pub fn causes(&self) -> impl Iterator<Item = Fingerprint> {
+        let parts = self.parts.iter().rev().copied();
+        std::iter::once(self.request).chain(parts)
+    }
+}
+
 /// How far a run had come when its server crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Stage {
@@ -62,13 +118,15 @@
     Pending,
     /// The server had begun to run the request.
     Started,
+    /// The server had answered for [`LIFE_SIGN`].
+    Lived,
 }
 
 impl Stage {
     fn weight(self) -> u32 {
         match self {
             Stage::Pending => 1,
-            Stage::Started => 2,
+            Stage::Started | Stage::Lived => 2,
         }
     }
 }
@@ -80,18 +138,22 @@
     Crashed {
         /// The server.
         server: ServerId,
+        /// Start of its process, as far as the observer knows.
+        incarnation: ServerIncarnation,
         /// How far the run had come.
         stage: Stage,
     },
-    /// A run survived the probation period, or ended with a response.
+    /// A run was answered for [`LIFE_SIGN`].
+    Lived,
+    /// A run survived the probation period, or ended with a complete answer.
     Survived,
 }
 
 /// Observation as sent to other processes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Report {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// The request, or those of its causes that the observation is about.
+    pub subject: Subject,
     /// What was observed.
     pub observation: Observation,
     /// Milliseconds since the observation. Clocks of hosts differ, so no time of day is sent.
@@ -100,41 +162,111 @@
 
 impl Report {
     /// Creates a report on an observation from the time `at`.
-    pub fn new(
-        now: Clock,
-        at: Clock,
-        fingerprint: Fingerprint,
-        observation: Observation,
-    ) -> Report {
+    pub fn new(now: Clock, at: Clock, subject: Subject, observation: Observation) -> Report {
         // Rounded up: a crash may look older than it is, never newer than a later survival.
         let age_ms = now.saturating_sub(at).as_millis() + 1;
         Report {
-            fingerprint,
+            subject,
             observation,
             age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
         }
     }
 }
 
-/// Crash of one server.
+/// Run that had not survived when its server crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Crash {
+struct Run {
+    /// Time of the crash.
     at: Clock,
-    /// Requests in flight that had not survived.
-    runs: BTreeMap<Fingerprint, Stage>,
+    incarnation: ServerIncarnation,
+    stage: Stage,
+    subject: Subject,
+}
+
+impl Run {
+    /// Returns whether two runs at a server were in flight at the same crash.
+    fn is_at_crash_of(&self, other: &Run) -> bool {
+        let is_same_process = self.incarnation == other.incarnation
+            || self.incarnation == 0
+            || other.incarnation == 0;
+        is_same_process && self.at.abs_diff(other.at) <= CRASH_WINDOW
+    }
+}
+
+/// When runs lived.
+#[derive(Clone, Debug, Default)]
+struct Lives {
+    /// Last time for each cause, and its service.
+    causes: BTreeMap<Fingerprint, (ServiceId, Clock)>,
+    /// All times for each service.
+    services: attribution::Lives,
+}
+
+impl Lives {
+    /// Records a time; returns whether it changed anything.
+    fn record(&mut self, at: Clock, subject: &Subject) -> bool {
+        let times = self.services.entry(subject.service).or_default();
+        let mut changed = times.insert(at);
+        if times.len() > MAX_SERVICE_LIVES {
+            times.pop_first();
+        }
+        for cause in subject.causes() {
+            if !self.has_since(cause, at) {
+                changed = true;
+                self.causes.insert(cause, (subject.service, at));
+            }
+        }
+        changed
+    }
+
+    /// Returns whether a run with a cause lived at a time or later.
+    fn has_since(&self, cause: Fingerprint, at: Clock) -> bool {
+        let last = self.causes.get(&cause);
+        last.is_some_and(|(_, last)| *last >= at)
+    }
+
+    /// Removes expired times, then the oldest ones beyond the limit.
+    fn prune(&mut self, now: Clock) {
+        let is_current = |at: &Clock| *at + REPORT_TTL > now;
+        self.causes.retain(|_, (_, at)| is_current(at));
+        for times in self.services.values_mut() {
+            times.retain(is_current);
+        }
+        self.services.retain(|_, times| !times.is_empty());
+        while self.causes.len() > MAX_SURVIVORS {
+            let oldest = self.causes.iter().min_by_key(|(_, (_, at))| *at);
+            let Some(cause) = oldest.map(|(cause, _)| *cause) else {
+                return;
+            };
+            self.causes.remove(&cause);
+        }
+    }
+
+    /// Returns reports on all causes.
+    fn reports(&self, now: Clock, observation: Observation) -> impl Iterator<Item = Report> {
+        self.causes.iter().map(move |(cause, (service, at))| {
+            let subject = Subject::new(*service, *cause, []);
+            Report::new(now, *at, subject, observation)
+        })
+    }
 }
 
 /// Observations of all processes, and the verdicts that follow from them.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    crashes: BTreeMap<ServerId, Crash>,
-    /// Last time at which a run of a request survived.
-    survivors: BTreeMap<Fingerprint, Clock>,
-    /// Requests to which crashes are attributed. Follows from the observations.
+    /// Runs in flight at crashes of each server, in order of time.
+    runs: BTreeMap<ServerId, Vec<Run>>,
+    /// Runs that survived.
+    survived: Lives,
+    /// Runs that survived, or gave a sign of life before.
+    lived: Lives,
+    /// Causes to which crashes are attributed. Follows from the observations.
     suspects: BTreeSet<Fingerprint>,
-    /// Convicted requests with the end of their refusal. Follows from the observations.
+    /// Convicted causes with the end of their refusal. Follows from the observations.
     convicts: BTreeMap<Fingerprint, Clock>,
-    /// Requests that are refused according to the store, whatever is known of the crashes.
+    /// Services with crashes since their last run lived. Follows from the observations.
+    awaiting: attribution::Awaiting,
+    /// Causes that are refused according to the store, whatever is known of the crashes.
     stored: BTreeSet<Fingerprint>,
 }
 
@@ -144,18 +276,10 @@
         &mut self,
         now: Clock,
         at: Clock,
-        fingerprint: Fingerprint,
+        subject: &Subject,
         observation: Observation,
     ) -> bool {
-        if at + REPORT_TTL <= now {
-            return false;
-        }
-        let changed = match observation {
-            Observation::Crashed { server, stage } => {
-                self.record_crash(at, fingerprint, server, stage)
-            }
-            Observation::Survived => self.record_survival(at, fingerprint),
-        };
+        let changed = self.store(now, at, subject, observation);
         if changed {
             self.prune(now);
             self.update();
@@ -163,202 +287,322 @@
         changed
     }
 
-    /// Records the report of another process; returns whether it was new.
-    pub fn apply(&mut self, now: Clock, report: &Report) -> bool {
-        let age = Duration::from_millis(report.age_ms.into());
-        let at = now.saturating_sub(age);
-        self.record(now, at, report.fingerprint, report.observation)
+    /// Records reports of another process.
+    pub fn apply(&mut self, now: Clock, reports: &[Report]) {
+        let mut changed = false;
+        for report in reports {
+            let age = Duration::from_millis(report.age_ms.into());
+            let at = now.saturating_sub(age);
+            changed |= self.store(now, at, &report.subject, report.observation);
+        }
+        if changed {
+            self.prune(now);
+            self.update();
+        }
+    }
+
+    /// Stores an observation; returns whether it was new.
+    fn store(
+        &mut self,
+        now: Clock,
+        at: Clock,
+        subject: &Subject,
+        observation: Observation,
+    ) -> bool {
+        if at + REPORT_TTL <= now {
+            return false;
+        }
+        match observation {
+            Observation::Crashed {
+                server,
+                incarnation,
+                stage,
+            } => {
+                let run = Run {
+                    at,
+                    incarnation,
+                    stage,
+                    subject: subject.clone(),
+                };
+                self.record_crash(server, run)
+            }
+            Observation::Lived => self.lived.record(at, subject),
+            Observation::Survived => self.record_survival(at, subject),
+        }
     }
 
     /// Returns all observations, for a process that may have none.
     pub fn reports(&self, now: Clock) -> Vec<Report> {
         let mut reports = Vec::new();
-        for (server, crash) in &self.crashes {
-            for (fingerprint, stage) in &crash.runs {
+        for (server, runs) in &self.runs {
+            for run in runs {
                 let observation = Observation::Crashed {
                     server: *server,
-                    stage: *stage,
+                    incarnation: run.incarnation,
+                    stage: run.stage,
                 };
-                reports.push(Report::new(now, crash.at, *fingerprint, observation));
+                reports.push(Report::new(now, run.at, run.subject.clone(), observation));
             }
         }
-        for (fingerprint, at) in &self.survivors {
-            reports.push(Report::new(now, *at, *fingerprint, Observation::Survived));
-        }
+        reports.extend(self.lived.reports(now, Observation::Lived));
+        reports.extend(self.survived.reports(now, Observation::Survived));
         reports
     }
 
-    /// Returns the verdict on a request.
-    pub fn verdict(&self, now: Clock, fingerprint: Fingerprint) -> Verdict {
-        let until = self.convicts.get(&fingerprint).copied();
+    /// Returns the verdict on a cause.
+    pub fn verdict(&self, now: Clock, cause: Fingerprint) -> Verdict {
+        let until = self.convicts.get(&cause).copied();
         if let Some(until) = until.filter(|until| *until > now) {
             return Verdict::Refused {
                 remaining: until - now,
             };
         }
-        if self.stored.contains(&fingerprint) {
+        if self.stored.contains(&cause) {
             return Verdict::Refused {
                 remaining: REPORT_TTL,
             };
         }
-        match self.suspects.contains(&fingerprint) {
+        match self.suspects.contains(&cause) {
             true => Verdict::Suspect,
             false => Verdict::Clear,
         }
     }
 
-    /// Returns whether no request is suspected.
+    /// Returns the cause for which a request is refused, if it is.
+    pub fn refused_cause(&self, now: Clock, subject: &Subject) -> Option<Fingerprint> {
+        let is_refused =
+            |cause: &Fingerprint| matches!(self.verdict(now, *cause), Verdict::Refused { .. });
+        subject.causes().find(is_refused)
+    }
+
+    /// Returns what a sign of life or the survival of a request changes: the request with those of
+    /// its parts that are suspected. `None` if it changes nothing.
+    pub fn relevant_to(&self, subject: &Subject, observation: Observation) -> Option<Subject> {
+        let is_suspect =
+            |cause: &Fingerprint| self.suspects.contains(cause) || self.stored.contains(cause);
+        let mut relevant = subject.clone();
+        relevant.parts.retain(is_suspect);
+        let awaited = match observation {
+            Observation::Lived => &self.awaiting.lives,
+            _ => &self.awaiting.survivals,
+        };
+        let changes = !relevant.parts.is_empty()
+            || is_suspect(&subject.request)
+            || awaited.contains(&subject.service);
+        changes.then_some(relevant)
+    }
+
+    /// Returns whether nothing is suspected.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty() && self.stored.is_empty()
     }
 
     /// Sets whether the store has a refusal. It keeps refusals while all processes that know the
     /// crashes are lost.
-    pub fn set_stored(&mut self, fingerprint: Fingerprint, stored: bool) {
-        match stored {
-            true => self.stored.insert(fingerprint),
-            false => self.stored.remove(&fingerprint),
+    pub fn set_stored(&mut self, cause: Fingerprint, stored: bool) {
+        // The refusal is older than a survival that is known here.
+        let is_cleared =
+            self.survived.causes.contains_key(&cause) && !self.suspects.contains(&cause);
+        match stored && !is_cleared {
+            true => self.stored.insert(cause),
+            false => self.stored.remove(&cause),
         };
     }
 
-    /// Returns the convicted requests that the store should refuse but doesn't, each with the time
+    /// Returns the convicted causes that the store should refuse but doesn't, each with the time
     /// for which it should. Late reports may still correct a conviction that has just been made.
     pub fn unstored(&self, now: Clock) -> Vec<(Fingerprint, Duration)> {
         let mut unstored = Vec::new();
-        for (fingerprint, until) in &self.convicts {
+        for (cause, until) in &self.convicts {
             let is_settled = *until + SETTLE_TIME <= now + REPORT_TTL;
-            if is_settled && *until > now && !self.stored.contains(fingerprint) {
-                unstored.push((*fingerprint, *until - now));
+            if is_settled && *until > now && !self.stored.contains(cause) {
+                unstored.push((*cause, *until - now));
             }
         }
         unstored
     }
 
-    fn record_crash(
-        &mut self,
-        at: Clock,
-        fingerprint: Fingerprint,
-        server: ServerId,
-        stage: Stage,
-    ) -> bool {
-        if self.has_survived_since(fingerprint, at) {
+    fn record_crash(&mut self, server: ServerId, run: Run) -> bool {
+        if !self.has_live_cause(&run) {
             return false;
         }
-        let crash = self.crashes.entry(server).or_insert_with(|| Crash {
-            at,
-            runs: BTreeMap::new(),
-        });
-        let known = crash.runs.get(&fingerprint);
-        let is_new = known.is_none_or(|known| *known < stage);
-        let has_room = known.is_some() || crash.runs.len() < MAX_RUNS_PER_CRASH;
-        if is_new && has_room {
-            crash.runs.insert(fingerprint, stage);
+        let runs = self.runs.entry(server).or_default();
+        let is_copy = |other: &&mut Run| {
+            other.subject.request == run.subject.request && other.is_at_crash_of(&run)
+        };
+        if let Some(known) = runs.iter_mut().find(is_copy) {
+            let is_new = known.stage < run.stage;
+            known.stage = known.stage.max(run.stage);
+            return is_new;
+        }
+        // Runs that had started say more, and are limited apart.
+        let is_pending = run.stage == Stage::Pending;
+        let is_alike = |other: &&Run| {
+            (other.stage == Stage::Pending) == is_pending && other.is_at_crash_of(&run)
+        };
+        if runs.iter().filter(is_alike).count() >= MAX_RUNS_PER_CRASH {
+            return false;
         }
-        is_new && has_room
+        let index = runs.partition_point(|other| other.at <= run.at);
+        runs.insert(index, run);
+        true
     }
 
-    fn record_survival(&mut self, at: Clock, fingerprint: Fingerprint) -> bool {
-        if self.has_survived_since(fingerprint, at) {
+    fn record_survival(&mut self, at: Clock, subject: &Subject) -> bool {
+        self.lived.record(at, subject);
+        if !self.survived.record(at, subject) {
             return false;
         }
-        self.survivors.insert(fingerprint, at);
-        self.stored.remove(&fingerprint);
-        for crash in self.crashes.values_mut() {
-            if crash.at <= at {
-                crash.runs.remove(&fingerprint);
-            }
+        for cause in subject.causes() {
+            self.stored.remove(&cause);
         }
         true
     }
 
-    fn has_survived_since(&self, fingerprint: Fingerprint, at: Clock) -> bool {
-        self.survivors
-            .get(&fingerprint)
-            .is_some_and(|survived| *survived >= at)
+    fn has_live_cause(&self, run: &Run) -> bool {
+        let mut causes = run.subject.causes();
+        causes.any(|cause| !self.survived.has_since(cause, run.at))
     }
 
-    /// Removes expired observations, then the oldest ones beyond the limits. Crashes that convict a
-    /// request are kept.
+    /// Removes expired and voided observations, then the oldest ones beyond the limits. Runs that
+    /// convict a cause are kept.
     fn prune(&mut self, now: Clock) {
-        self.crashes
-            .retain(|_, crash| !crash.runs.is_empty() && crash.at + REPORT_TTL > now);
-        self.survivors.retain(|_, at| *at + REPORT_TTL > now);
-        while self.crashes.len() > MAX_CRASHES {
-            let convicts = &self.convicts;
-            let convicting =
-                |crash: &Crash| crash.runs.keys().any(|run| convicts.contains_key(run));
-            let crashes = self.crashes.iter();
-            let oldest = crashes.min_by_key(|(_, crash)| (convicting(crash), crash.at));
-            let Some(server) = oldest.map(|(server, _)| *server) else {
-                return;
-            };
-            self.crashes.remove(&server);
+        let mut all = std::mem::take(&mut self.runs);
+        for runs in all.values_mut() {
+            runs.retain(|run| run.at + REPORT_TTL > now && self.has_live_cause(run));
         }
-        while self.survivors.len() > MAX_SURVIVORS {
-            let oldest = self.survivors.iter().min_by_key(|(_, at)| **at);
-            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
-                return;
+        all.retain(|_, runs| !runs.is_empty());
+        self.runs = all;
+        self.lived.prune(now);
+        self.survived.prune(now);
+        self.remove_oldest_crashes();
+    }
+
+    /// Removes the oldest crashes beyond the limit, those that convict a cause last.
+    fn remove_oldest_crashes(&mut self) {
+        let convicts = &self.convicts;
+        let is_convicting = |run: &Run| {
+            run.subject
+                .causes()
+                .any(|cause| convicts.contains_key(&cause))
+        };
+        let mut crashes = Vec::new();
+        for (server, runs) in &self.runs {
+            for crash in by_crash(runs) {
+                let key = (crash.iter().any(is_convicting), crash[0].at);
+                crashes.push((key, *server, crash.len()));
+            }
+        }
+        crashes.sort_unstable();
+        let excess = crashes.len().saturating_sub(MAX_CRASHES);
+        for ((_, at), server, count) in crashes.into_iter().take(excess) {
+            let Some(runs) = self.runs.get_mut(&server) else {
+                continue;
             };
-            self.survivors.remove(&fingerprint);
+            let first = runs.partition_point(|run| run.at < at);
+            runs.drain(first..(first + count).min(runs.len()));
         }
+        self.runs.retain(|_, runs| !runs.is_empty());
     }
 
     /// Derives the verdicts from the observations.
     fn update(&mut self) {
-        self.convicts.clear();
-        let mut unexplained: BTreeSet<ServerId> = self.crashes.keys().copied().collect();
-        loop {
-            let crashes = self.crashes_by_request(&unexplained);
-            let convict = crashes
-                .iter()
-                .find(|(fingerprint, servers)| self.is_convicted(**fingerprint, servers));
-            let Some((fingerprint, servers)) = convict else {
-                self.suspects = crashes.into_keys().collect();
-                break;
+        let crashes = self.crashes();
+        let (lived, survived) = (&self.lived.services, &self.survived.services);
+        let attribution = attribution::attribute(crashes, lived, survived);
+        self.suspects = attribution.suspects;
+        self.awaiting = attribution.awaiting;
+        let convicts = attribution.convicts.into_iter();
+        self.convicts = convicts
+            .map(|(cause, last)| (cause, last + REPORT_TTL))
+            .collect();
+    }
+
+    /// Groups the runs by crash, in order of time, with the causes that were not cleared since.
+    fn crashes(&self) -> Vec<attribution::Crash> {
+        let tallies = self.tallies();
+        let is_cleared = |cause: Fingerprint, at: Clock| {
+            if self.survived.has_since(cause, at) {
+                return true;
+            }
+            let tally = tallies.get(&cause);
+            tally.is_some_and(|tally| tally.strikes_early() && tally.lived >= Some(at))
+        };
+        let mut crashes = Vec::new();
+        for runs in self.runs.values().flat_map(|runs| by_crash(runs)) {
+            let mut crash = attribution::Crash {
+                at: runs[0].at,
+                runs: Vec::with_capacity(runs.len()),
             };
-            let last = servers.iter().map(|server| self.crashes[server].at).max();
-            let until = last.unwrap_or_default() + REPORT_TTL;
-            self.convicts.insert(*fingerprint, until);
-            // The other requests at these crashes are no longer suspected for them.
-            unexplained.retain(|server| !servers.contains(server));
+            for run in runs {
+                let causes = candidates(&run.subject).filter_map(|mut cause| {
+                    let tally = tallies.get(&cause.fingerprint);
+                    cause.strikes_early = tally.is_some_and(Tally::strikes_early);
+                    (!is_cleared(cause.fingerprint, run.at)).then_some(cause)
+                });
+                crash.runs.push(attribution::Run {
+                    stage: run.stage,
+                    service: run.subject.service,
+                    request: run.subject.request,
+                    causes: causes.collect(),
+                });
+            }
+            crashes.push(crash);
         }
-        self.suspects.extend(self.convicts.keys());
+        crashes.sort_by_key(|crash| crash.at);
+        crashes
     }
 
-    fn crashes_by_request(
-        &self,
-        servers: &BTreeSet<ServerId>,
-    ) -> BTreeMap<Fingerprint, BTreeSet<ServerId>> {
-        let mut crashes: BTreeMap<Fingerprint, BTreeSet<ServerId>> = BTreeMap::new();
-        for server in servers {
-            for fingerprint in self.crashes[server].runs.keys() {
-                crashes.entry(*fingerprint).or_default().insert(*server);
+    /// Sums up how far the runs with each cause had come.
+    fn tallies(&self) -> HashMap<Fingerprint, Tally> {
+        let mut tallies: HashMap<Fingerprint, Tally> = HashMap::new();
+        for run in self.runs.values().flatten() {
+            for cause in run.subject.causes() {
+                let tally = tallies.entry(cause).or_insert_with(|| Tally {
+                    lived: self.lived.causes.get(&cause).map(|(_, at)| *at),
+                    ..Tally::default()
+                });
+                match run.stage {
+                    Stage::Lived => {
+                        tally.lived_count += 1;
+                        tally.lived = tally.lived.max(Some(run.at));
+                    }
+                    Stage::Started => tally.started_count += 1,
+                    Stage::Pending => tally.pending_count += 1,
+                }
             }
         }
-        crashes
+        tallies
     }
+}
+
+/// How far the runs with a cause had come at crashes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    pending_count: usize,
+    started_count: usize,
+    lived_count: usize,
+    /// Last time at which a run with the cause gave a sign of life.
+    lived: Option<Clock>,
+}
 
-    fn weight(&self, fingerprint: Fingerprint, servers: &BTreeSet<ServerId>) -> u32 {
-        let stages = servers
-            .iter()
-            .filter_map(|server| self.crashes[server].runs.get(&fingerprint));
-        stages.map(|stage| stage.weight()).sum()
+impl Tally {
+    /// Returns whether the cause crashes servers before a sign of life, if it crashes them.
+    fn strikes_early(&self) -> bool {
+        let begun_count = self.started_count + self.lived_count;
+        self.started_count > 2 * self.lived_count || self.pending_count > 2 * begun_count
     }
+}
 
-    /// Returns whether enough crashes are attributed to a request, and no other one was in flight at
-    /// all of them.
-    fn is_convicted(&self, fingerprint: Fingerprint, servers: &BTreeSet<ServerId>) -> bool {
-        if self.weight(fingerprint, servers) < CONVICTION_WEIGHT {
-            return false;
-        }
-        let mut crashes = servers.iter().map(|server| &self.crashes[server].runs);
-        let Some(first) = crashes.next() else {
-            return false;
-        };
-        let mut rivals: BTreeSet<Fingerprint> = first.keys().copied().collect();
-        for runs in crashes {
-            rivals.retain(|rival| runs.contains_key(rival));
-        }
-        rivals.len() == 1
+/// Splits the runs at a server, in order of time, by crash; no part is empty.
+fn by_crash(mut runs: &[Run]) -> Vec<&[Run]> {
+    let mut crashes = Vec::new();
+    while let Some(first) = runs.first() {
+        let same = runs.iter().take_while(|run| run.is_at_crash_of(first));
+        let count = same.count();
+        let (crash, rest) = runs.split_at(count);
+        crashes.push(crash);
+        runs = rest;
     }
+    crashes
 }
--- /dev/null
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -0,0 +1,359 @@
+//! Attributes crashes to their causes.
+//!
+//! A request is convicted by three crashes, as each of them is a run of its own. A prompt part may be
+//! in many requests at once, so that servers which fail together crash under it together. It is
+//! convicted by three crashes under different requests, between which runs of the service outlived
+//! the time after which it crashes servers; or if it accounts for nearly all crashes of the service,
+//! see [`coverage`]. Nothing is convicted while another cause was in flight beside it at all of its
+//! crashes, and a crash doesn't count that came together with others without the cause.
+//!
+//! Causes that always come together can't be told apart by crashes. The one that the fewest requests
+//! have is convicted: others that crash servers too are found by the crashes that remain.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap,
+        HashSet, //
+    },
+    ops::Bound,
+    time::Duration, //
+};
+
+use names::Clock;
+
+use super::{
+    Fingerprint,
+    ServiceId,
+    Stage,
+    Subject, //
+};
+
+mod coverage;
+
+/// Total weight of the crashes that convict a cause: three at which its run had started.
+const CONVICTION_WEIGHT: u32 = 6;
+
+/// The same for a prompt part whose runs had come to different stages, as those of requests beside
+/// the cause do: five such crashes.
+const LATE_CONVICTION_WEIGHT: u32 = 10;
+
+/// Share of the crashes under a cause from which a more specific one accounts for them as well.
+const MIN_PART_OF_WIDEST: f64 = 0.75;
+
+/// Minimum number of crashes that convict a cause.
+const MIN_CRASHES: usize = 3;
+
+/// Time within which servers that fail together crash.
+const OUTAGE_WINDOW: Duration = Duration::from_millis(250);
+
+/// Number of other servers that crash at the same time under runs without a cause, from which a
+/// crash says nothing about it.
+const OUTAGE_CRASHES: usize = 2;
+
+/// Crash of one server.
+#[derive(Clone, Debug)]
+pub(super) struct Crash {
+    pub(super) at: Clock,
+    /// Runs in flight that had not survived.
+    pub(super) runs: Vec<Run>,
+}
+
+/// Run in flight at a crash.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub(super) stage: Stage,
+    pub(super) service: ServiceId,
+    pub(super) request: Fingerprint,
+    /// Causes that have not survived since, from the most specific to the least.
+    pub(super) causes: Vec<Candidate>,
+}
+
+/// Possible cause of a crash.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) fingerprint: Fingerprint,
+    /// Distance of a prompt part from the end of the prompt; `None` for a whole request. The nearer
+    /// a part is to the end, the fewer requests have it.
+    distance: Option<usize>,
+    /// Whether it crashes servers before a sign of life, if it crashes them.
+    pub(super) strikes_early: bool,
+}
+
+/// Returns the possible causes of crashes under a request, from the most specific to the least.
+pub(super) fn candidates(subject: &Subject) -> impl Iterator<Item = Candidate> {
+    let causes = subject.causes().enumerate();
+    causes.map(|(index, fingerprint)| Candidate {
+        fingerprint,
+        distance: index.checked_sub(1),
+        strikes_early: false,
+    })
+}
+
+/// Result of the attribution.
+#[derive(Debug, Default)]
+pub(super) struct Attribution {
+    /// Convicted causes with their last crashes.
+    pub(super) convicts: BTreeMap<Fingerprint, Clock>,
+    /// Causes that may have crashed a server.
+    pub(super) suspects: BTreeSet<Fingerprint>,
+    pub(super) awaiting: Awaiting,
+}
+
+/// Services with crashes under a prompt part after the last time that one of their runs lived.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Awaiting {
+    /// Services without a sign of life since.
+    pub(super) lives: BTreeSet<ServiceId>,
+    /// Services without a survival since.
+    pub(super) survivals: BTreeSet<ServiceId>,
+}
+
+/// Times at which runs of each service lived.
+pub(super) type Lives = BTreeMap<ServiceId, BTreeSet<Clock>>;
+
+/// Attributes crashes, given in order of time. `lived` are the times of signs of life, `survived`
+/// those of survivals.
+pub(super) fn attribute(mut crashes: Vec<Crash>, lived: &Lives, survived: &Lives) -> Attribution {
+    let mut attribution = Attribution {
+        awaiting: Awaiting {
+            lives: awaiting_services(&crashes, lived),
+            survivals: awaiting_services(&crashes, survived),
+        },
+        ..Attribution::default()
+    };
+    while let Some(part) =
+        find_part(&crashes, lived, survived).or_else(|| coverage::find_part(&crashes))
+    {
+        attribution.convict(&crashes, part);
+        crashes.retain(|crash| !crash.has(part));
+    }
+    // A request that crashes servers for a part of its prompt is refused with the part.
+    while let Some(request) = find_request(&crashes, &attribution.convicts) {
+        attribution.convict(&crashes, request);
+        for crash in crashes.iter_mut().filter(|crash| crash.has(request)) {
+            crash.runs.retain(|run| run.has(request));
+        }
+    }
+    let runs = crashes.iter().flat_map(|crash| &crash.runs);
+    attribution
+        .suspects
+        .extend(runs.flat_map(Run::fingerprints));
+    attribution
+}
+
+impl Attribution {
+    /// Records the conviction of a cause by its crashes.
+    fn convict(&mut self, crashes: &[Crash], cause: Fingerprint) {
+        let with_cause = crashes.iter().filter(|crash| crash.has(cause));
+        let last = with_cause.map(|crash| crash.at).max();
+        self.convicts.insert(cause, last.unwrap_or_default());
+        self.suspects.insert(cause);
+    }
+}
+
+impl Crash {
+    fn has(&self, cause: Fingerprint) -> bool {
+        self.runs.iter().any(|run| run.has(cause))
+    }
+}
+
+impl Run {
+    fn has(&self, cause: Fingerprint) -> bool {
+        let mut causes = self.causes.iter();
+        causes.any(|candidate| candidate.fingerprint == cause)
+    }
+
+    fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.causes.iter().map(|candidate| candidate.fingerprint)
+    }
+}
+
+/// A candidate and the crashes under it.
+#[derive(Debug)]
+struct Case<'a> {
+    candidate: Candidate,
+    crashes: Vec<&'a Crash>,
+    /// Requests at these crashes that have it.
+    requests: HashSet<Fingerprint>,
+}
+
+impl Case<'_> {
+    /// Returns the order among cases with the same crashes: the most specific first.
+    fn order(&self) -> (usize, Option<usize>, Fingerprint) {
+        let candidate = &self.candidate;
+        (
+            self.requests.len(),
+            candidate.distance,
+            candidate.fingerprint,
+        )
+    }
+
+    /// Returns whether each run with this cause has another cause too.
+    fn is_within(&self, other: Fingerprint) -> bool {
+        let cause = self.candidate.fingerprint;
+        let runs = self.crashes.iter().flat_map(|crash| &crash.runs);
+        let mut runs = runs.filter(|run| run.has(cause));
+        runs.all(|run| run.has(other))
+    }
+}
+
+/// Returns the case that accounts for the most crashes, or one within it that accounts for nearly as
+/// many.
+fn select<'a>(cases: Vec<Case<'a>>) -> Option<Case<'a>> {
+    let order = |case: &Case<'_>| (std::cmp::Reverse(case.crashes.len()), case.order());
+    let widest = cases.iter().min_by_key(|case| order(case))?;
+    let cause = widest.candidate.fingerprint;
+    let least = widest.crashes.len() as f64 * MIN_PART_OF_WIDEST;
+    let mut within = cases;
+    within.retain(|case| case.crashes.len() as f64 >= least && case.is_within(cause));
+    within.into_iter().min_by_key(Case::order)
+}
+
+/// Keeps the crashes under a cause that didn't come together with others without it.
+fn retain_single<'a>(case: &Case<'a>, crashes: &[Crash]) -> Vec<&'a Crash> {
+    let cause = case.candidate.fingerprint;
+    let is_single = |crash: &&&Crash| {
+        let first = crash.at.saturating_sub(OUTAGE_WINDOW);
+        let begin = crashes.partition_point(|other| other.at < first);
+        let beside = crashes[begin..].iter();
+        let beside = beside.take_while(|other| other.at <= crash.at + OUTAGE_WINDOW);
+        beside.filter(|other| !other.has(cause)).count() < OUTAGE_CRASHES
+    };
+    case.crashes.iter().filter(is_single).copied().collect()
+}
+
+/// Returns the cases of all causes.
+fn cases(crashes: &[Crash]) -> Vec<Case<'_>> {
+    let mut cases: HashMap<Fingerprint, Case<'_>> = HashMap::new();
+    for crash in crashes {
+        let mut seen = HashSet::new();
+        for run in &crash.runs {
+            for candidate in &run.causes {
+                let cause = candidate.fingerprint;
+                let case = cases.entry(cause).or_insert_with(|| Case {
+                    candidate: *candidate,
+                    crashes: Vec::new(),
+                    requests: HashSet::new(),
+                });
+                case.candidate.distance = case.candidate.distance.min(candidate.distance);
+                case.requests.insert(run.request);
+                if seen.insert(cause) {
+                    case.crashes.push(crash);
+                }
+            }
+        }
+    }
+    cases.into_values().collect()
+}
+
+/// Returns the most specific part that is convicted by crashes between which runs lived.
+fn find_part(crashes: &[Crash], lived: &Lives, survived: &Lives) -> Option<Fingerprint> {
+    let is_convicted = |case: &Case<'_>| {
+        let cause = case.candidate.fingerprint;
+        let (lives, weight) = match case.candidate.strikes_early {
+            true => (lived, CONVICTION_WEIGHT),
+            false => (survived, LATE_CONVICTION_WEIGHT),
+        };
+        case.candidate.distance.is_some()
+            && case.crashes.len() >= MIN_CRASHES
+            && part_weight(cause, &retain_single(case, crashes), lives) >= weight
+            && !has_rival(case, crashes)
+    };
+    let convicted = cases(crashes).into_iter().filter(is_convicted);
+    let convict = select(convicted.collect())?;
+    Some(convict.candidate.fingerprint)
+}
+
+/// Returns a request that is convicted by the crashes of its runs.
+fn find_request(crashes: &[Crash], convicts: &BTreeMap<Fingerprint, Clock>) -> Option<Fingerprint> {
+    let is_convicted = |case: &Case<'_>| {
+        let cause = case.candidate.fingerprint;
+        case.candidate.distance.is_none()
+            && !convicts.contains_key(&cause)
+            && case.crashes.len() >= MIN_CRASHES
+            && request_weight(cause, &retain_single(case, crashes)) >= CONVICTION_WEIGHT
+            && !has_rival(case, crashes)
+    };
+    let convicted = cases(crashes).into_iter().filter(is_convicted);
+    let convict = select(convicted.collect())?;
+    Some(convict.candidate.fingerprint)
+}
+
+fn request_weight(request: Fingerprint, crashes: &[&Crash]) -> u32 {
+    let runs = crashes.iter().flat_map(|crash| &crash.runs);
+    let own = runs.filter(|run| run.has(request));
+    own.map(|run| run.stage.weight()).sum()
+}
+
+/// Returns the weight of the crashes under a part. A crash counts if it comes under another request
+/// than those before it, and if a run of the service lived since the one before it.
+fn part_weight(part: Fingerprint, crashes: &[&Crash], lives: &Lives) -> u32 {
+    let mut weight = 0;
+    let mut last: Option<Clock> = None;
+    let mut requests = HashSet::new();
+    for crash in crashes {
+        let runs = crash.runs.iter().filter(|run| run.has(part));
+        let runs: Vec<&Run> = runs.collect();
+        let Some(service) = runs.first().map(|run| run.service) else {
+            continue;
+        };
+        let lived_since = |last: Clock| {
+            let between = (Bound::Excluded(last), Bound::Included(crash.at));
+            let times = lives.get(&service);
+            last < crash.at && times.is_some_and(|times| times.range(between).next().is_some())
+        };
+        if !last.is_none_or(lived_since) {
+            continue;
+        }
+        let others = runs.iter().filter(|run| !requests.contains(&run.request));
+        let Some(stage) = others.map(|run| run.stage).max() else {
+            continue;
+        };
+        weight += stage.weight();
+        last = Some(crash.at);
+        requests.extend(runs.iter().map(|run| run.request));
+    }
+    weight
+}
+
+/// Returns whether another cause was in flight at all crashes under one: in runs without it, or at
+/// further crashes too and not only as a part of the same requests.
+fn has_rival(case: &Case<'_>, crashes: &[Crash]) -> bool {
+    let cause = case.candidate.fingerprint;
+    let count = |rival: Fingerprint| crashes.iter().filter(|crash| crash.has(rival)).count();
+    let is_beside = |rival: Fingerprint| {
+        let mut crashes = case.crashes.iter();
+        crashes.all(|crash| {
+            let mut others = crash.runs.iter().filter(|run| !run.has(cause));
+            others.any(|run| run.has(rival))
+        })
+    };
+    let Some(first) = case.crashes.first() else {
+        return false;
+    };
+    let mut rivals: HashSet<Fingerprint> = first.runs.iter().flat_map(Run::fingerprints).collect();
+    rivals.remove(&cause);
+    for crash in &case.crashes[1..] {
+        rivals.retain(|rival| crash.has(*rival));
+    }
+    rivals.into_iter().any(|rival| {
+        is_beside(rival) || (!case.is_within(rival) && count(rival) > case.crashes.len())
+    })
+}
+
+/// Returns the services with a crash under a prompt part after the last of their `lives`.
+fn awaiting_services(crashes: &[Crash], lives: &Lives) -> BTreeSet<ServiceId> {
+    let mut services = BTreeSet::new();
+    for crash in crashes {
+        for run in &crash.runs {
+            let has_part = run.causes.iter().any(|cause| cause.distance.is_some());
+            let last = lives.get(&run.service).and_then(BTreeSet::last);
+            if has_part && last.is_none_or(|last| *last <= crash.at) {
+                services.insert(run.service);
+            }
+        }
+    }
+    services
+}
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -10,7 +10,9 @@
         Observation,
         Report,
         ServerId,
-        Stage, //
+        ServiceId,
+        Stage,
+        Subject, //
     },
 };
 use names::Clock;
@@ -21,6 +23,8 @@
 };
 use rstest::rstest;
 
+const SERVICE: ServiceId = 5;
+
 const POISON: Fingerprint = 1;
 const INNOCENT: Fingerprint = 2;
 const OTHER: Fingerprint = 3;
@@ -44,8 +48,9 @@
 
     fn observe(&mut self, fingerprint: Fingerprint, observation: Observation) {
         self.now += Duration::from_secs(1);
+        let subject = request(fingerprint);
         self.evidence
-            .record(self.now, self.now, fingerprint, observation);
+            .record(self.now, self.now, &subject, observation);
     }
 
     fn crash(&mut self, server: ServerId, fingerprints: &[Fingerprint]) {
@@ -59,8 +64,17 @@
     }
 }
 
+/// Returns a request without a prompt.
+fn request(fingerprint: Fingerprint) -> Subject {
+    Subject::new(SERVICE, fingerprint, [])
+}
+
 fn crashed(server: ServerId, stage: Stage) -> Observation {
-    Observation::Crashed { server, stage }
+    Observation::Crashed {
+        server,
+        incarnation: 0,
+        stage,
+    }
 }
 
 fn is_refused(evidence: &Evidence, now: Clock, fingerprint: Fingerprint) -> bool {
@@ -157,11 +171,11 @@
     assert!(case.is_refused(INNOCENT));
     for (server, age_ms) in [(10, 3000), (11, 2000), (12, 1000), (13, 500)] {
         let report = Report {
-            fingerprint: POISON,
+            subject: request(POISON),
             observation: crashed(server, Stage::Started),
             age_ms,
         };
-        case.evidence.apply(case.now, &report);
+        case.evidence.apply(case.now, &[report]);
     }
     assert!(!case.is_refused(INNOCENT));
     assert!(case.is_refused(POISON));
@@ -186,7 +200,7 @@
         shuffled.shuffle(&mut SmallRng::seed_from_u64(seed));
         let mut other = Evidence::default();
         for report in &shuffled {
-            other.apply(case.now, report);
+            other.apply(case.now, std::slice::from_ref(report));
         }
         for fingerprint in [POISON, INNOCENT, OTHER] {
             assert_eq!(
@@ -205,14 +219,13 @@
     for server in 0..3 {
         case.crash(server, &[POISON]);
     }
+    // Servers that crash at the same moment would say nothing about the third crash.
+    case.now += Duration::from_secs(1);
     for server in 100..1100 {
-        let fingerprint = Fingerprint::from(server);
-        case.evidence.record(
-            case.now,
-            case.now,
-            fingerprint,
-            crashed(server, Stage::Started),
-        );
+        let subject = request(Fingerprint::from(server));
+        let observation = crashed(server, Stage::Started);
+        case.evidence
+            .record(case.now, case.now, &subject, observation);
     }
     assert!(case.evidence.reports(case.now).len() <= 256);
     assert!(case.is_refused(POISON));
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -11,6 +11,7 @@
     time::Duration, //
 };
 
+use contract::poison::evidence::ServerIncarnation;
 use names::{
     Clock,
     DataCentre,
@@ -79,6 +80,8 @@
     addresses: HashMap<Server, SocketAddr>,
     /// Reverse index of `addresses`.
     servers_by_address: HashMap<SocketAddr, Server>,
+    /// Start times of the servers' processes, where they state them.
+    started_ms: HashMap<Server, u64>,
     /// Servers by their ids in beacons.
     servers_by_id: HashMap<Id, Server>,
     /// Whether work changed since the last beacon.
@@ -114,6 +117,8 @@
     pub data_centre: DataCentre,
     /// Score by which it was chosen.
     pub score: Score,
+    /// Start of its process that was known when it was chosen; 0 when it is unknown.
+    pub incarnation: ServerIncarnation,
 }
 
 impl Fleet {
@@ -123,6 +128,7 @@
             placement: Placement::default(),
             addresses: HashMap::new(),
             servers_by_address: HashMap::new(),
+            started_ms: HashMap::new(),
             servers_by_id: HashMap::new(),
             changed: false,
             changed_servers: HashSet::new(),
@@ -144,7 +150,11 @@
             address,
             spec,
             leaving,
+            started_ms,
         } = registration;
+        if let Some(started_ms) = started_ms {
+            self.started_ms.insert(server.clone(), started_ms);
+        }
         let unchanged = self.addresses.get(&server) == Some(&address)
             && self.placement.spec(&server) == Some(&spec)
             && self.placement.accepts_work(&server) != leaving;
@@ -185,6 +195,7 @@
     /// Removes a server and returns its address.
     pub fn remove(&mut self, server: &Server) -> Option<SocketAddr> {
         self.placement.remove(server);
+        self.started_ms.remove(server);
         self.servers_by_id.remove(&beacon::id(server));
         let address = self.addresses.remove(server)?;
         self.servers_by_address.remove(&address);
@@ -279,12 +290,21 @@
         Some(Target {
             version: spec.version.clone(),
             data_centre: spec.data_centre.clone(),
+            incarnation: self.incarnation(&server),
             server,
             address,
             score,
         })
     }
 
+    /// Returns the start of a server's process, as far as its registration states it.
+    fn incarnation(&self, server: &Server) -> ServerIncarnation {
+        // Starts of one server are told apart by the low bits, which repeat after weeks.
+        self.started_ms
+            .get(server)
+            .map_or(0, |started_ms| *started_ms as ServerIncarnation)
+    }
+
     /// Returns the mean time of a plain request of a service; 0 when there are no samples.
     pub fn mean_time(&self, service: &Service) -> Duration {
         self.placement.mean_time(service).unwrap_or_default()
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -21,8 +21,11 @@
 use contract::poison::{
     self,
     Fingerprint,
-    Verdict,
-    evidence::Stage, //
+    evidence::{
+        Observation,
+        Stage,
+        Subject, //
+    }, //
 };
 use environment::{
     Index,
@@ -54,7 +57,10 @@
     Service,
     Team, //
 };
-use spread::Freshness;
+use spread::{
+    Freshness,
+    beacon, //
+};
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -178,26 +184,35 @@
     /// Returns the fingerprint of the request, which repeated attempts share although their ids
     /// differ.
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.request.fingerprint.get_or_init(|| {
+        self.subject().request
+    }
+
+    /// Returns what the request has that may crash servers.
+    pub fn subject(&self) -> &Subject {
+        self.request.subject.get_or_init(|| {
             let parts = &self.request.parts;
             let team = self.team.as_deref().unwrap_or_default();
             let host = requested_host(parts).unwrap_or_default();
             let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
             let target = format!("{} {host}{path}", parts.method);
-            poison::fingerprint(team, &target, &self.request.body)
+            let request = poison::fingerprint(team, &target, &self.request.body);
+            let part = |(part, _): &(u64, u32)| poison::part_fingerprint(&self.service, *part);
+            let prompt = self.parts().iter().map(part);
+            Subject::new(beacon::id(&self.service), request, prompt)
         })
     }
 
+    /// Returns the id of the prompt part with a fingerprint, if the request has it.
+    pub fn part_of(&self, fingerprint: Fingerprint) -> Option<u64> {
+        let mut ids = self.parts().iter().map(|(part, _)| *part);
+        ids.find(|part| poison::part_fingerprint(&self.service, *part) == fingerprint)
+    }
+
     /// Logs a rejection and returns its response.
     pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
         refusal.respond(&self.request.metadata.id, self.arrived, &self.document)
     }
 
-    /// Rejects a request that [`Context::is_poisonous`].
-    pub fn refuse_as_poisonous(&self) -> Response<Body> {
-        self.refuse(&Refusal::Poisonous(self.fingerprint()))
-    }
-
     /// Returns the size of the generation; `None` for a plain request.
     pub fn generation(&self) -> Option<&Generation> {
         self.request.metadata.generation.as_ref()
@@ -272,19 +287,29 @@
         retry_after.map_or(Refusal::NoServer, Refusal::RateLimited)
     }
 
-    /// Returns whether a request must not be sent, as servers crashed under earlier attempts of it.
+    /// Returns whether a request must not be sent, as servers crashed under it or under a part of its
+    /// prompt.
     pub fn is_poisonous(&self, call: &Call) -> bool {
-        !self.suspects.is_empty()
-            && matches!(
-                self.suspects.verdict(call.fingerprint()),
-                Verdict::Refused { .. }
-            )
+        self.refused_cause(call).is_some()
+    }
+
+    /// Rejects a request that must not be sent; see [`Context::is_poisonous`].
+    pub fn refuse_poisonous(&self, call: &Call) -> Option<Response<Body>> {
+        let cause = self.refused_cause(call)?;
+        Some(call.refuse(&Refusal::Poisonous(cause)))
+    }
+
+    fn refused_cause(&self, call: &Call) -> Option<Fingerprint> {
+        if self.suspects.is_empty() {
+            return None;
+        }
+        self.suspects.refused_cause(call.subject())
     }
 
-    /// Records that a run of a request survived or was answered.
-    pub fn record_survival(&self, call: &Call) {
+    /// Records that a run of a request lived or survived.
+    pub fn record_life(&self, call: &Call, observation: Observation) {
         if !self.suspects.is_empty() {
-            self.suspects.record_survival(call.fingerprint());
+            self.suspects.record_life(call.subject(), observation);
         }
     }
 
@@ -305,9 +330,7 @@
         }
         // A request that is sent on a connection of the crashed process would look lost too.
         self.sender.disconnect(target.address);
-        let id = &call.request.metadata.id;
-        self.suspects
-            .record_crash(id, call.fingerprint(), &target.server, stage);
+        self.suspects.record_crash(call, target, stage);
     }
 
     /// Returns the engine parameters of a service.
@@ -382,7 +405,7 @@
                 parts,
                 metadata,
                 body,
-                fingerprint: OnceCell::new(),
+                subject: OnceCell::new(),
             }),
             pass,
             service,
--- a/components/gateway/src/peers/news.rs
+++ b/components/gateway/src/peers/news.rs
@@ -11,6 +11,7 @@
 use spread::beacon::{
     Beacon,
     Demand,
+    MAX_DATAGRAM_BYTES,
     Message,
     RateLimit, //
 };
@@ -18,8 +19,8 @@
 
 use crate::peers::Peers;
 
-/// Maximum number of reports on crashes in a message, so that it fits a datagram.
-const MAX_REPORTS_PER_MESSAGE: usize = 40;
+/// Bytes of a datagram that are reserved for the kind and length of a message.
+const MESSAGE_OVERHEAD_BYTES: usize = 8;
 
 /// Maximum number of limits on request rates in a message, so that it fits a datagram.
 const MAX_RATE_LIMITS_PER_MESSAGE: usize = 64;
@@ -114,8 +115,8 @@
 
     /// Sends reports on crashes, in as many datagrams as needed.
     fn send_reports(&self, reports: &[Report], targets: &[SocketAddr]) {
-        for reports in reports.chunks(MAX_REPORTS_PER_MESSAGE) {
-            let message = Message::Crashes(reports.to_vec());
+        for reports in chunks_by_size(reports) {
+            let message = Message::Crashes(reports);
             for target in targets {
                 self.send_to(&message, *target);
             }
@@ -130,3 +131,23 @@
         }
     }
 }
+
+/// Splits reports so that each chunk fits a datagram.
+fn chunks_by_size(reports: &[Report]) -> Vec<Vec<Report>> {
+    let mut chunks: Vec<Vec<Report>> = Vec::new();
+    let mut room = 0;
+    for report in reports {
+        let size = postcard::to_stdvec(report).map_or(0, |bytes| bytes.len());
+        match chunks.last_mut() {
+            Some(chunk) if size <= room => {
+                chunk.push(report.clone());
+                room -= size;
+            }
+            _ => {
+                chunks.push(vec![report.clone()]);
+                room = (MAX_DATAGRAM_BYTES - MESSAGE_OVERHEAD_BYTES).saturating_sub(size);
+            }
+        }
+    }
+    chunks
+}
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -10,7 +10,10 @@
 use bytes::Bytes;
 use contract::{
     attempt::Class,
-    poison::evidence::Stage,
+    poison::evidence::{
+        Observation,
+        Stage, //
+    },
     sends::{
         Ending,
         Sends,
@@ -136,8 +139,8 @@
 impl<P: Protocol + 'static> PlainRequest<'_, P> {
     /// Sends the request until a response is final or no attempt is left.
     async fn run(mut self) -> Response<Body> {
-        if self.context.is_poisonous(&self.call) {
-            return self.call.refuse_as_poisonous();
+        if let Some(response) = self.context.refuse_poisonous(&self.call) {
+            return response;
         }
         while let Some(target) = self.next() {
             let until = self.call.until;
@@ -381,7 +384,9 @@
         return lost_attempt(call, server, "response not from the server");
     }
     context.fleet.borrow_mut().mark_alive(&target.server);
-    context.record_survival(call);
+    if status.is_success() && head.is_delimited() {
+        context.record_life(call, Observation::Survived);
+    }
     let body = match collected {
         Collected::Complete(body) => {
             context.sender.release(connection);
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use contract::poison::Fingerprint;
+use contract::poison::evidence::Subject;
 use http::{
     Method,
     request::Parts, //
@@ -64,8 +64,8 @@
     pub metadata: Metadata,
     /// Complete body of the message.
     pub body: Bytes,
-    /// Fingerprint of the request, once it was needed.
-    pub fingerprint: OnceCell<Fingerprint>,
+    /// What the request has that may crash servers, once it was needed.
+    pub subject: OnceCell<Subject>,
 }
 
 /// Reason for which a request wasn't sent.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use answer::events::Sequence;
 use async_stream::stream;
 use bytes::Bytes;
+use contract::poison::evidence::Observation;
 use environment::document::Repeats;
 use events::{
     forwarding,
@@ -154,8 +155,8 @@
     /// Starts runs until one answers, or no attempt is left.
     async fn start_first(&mut self) -> Result<StartedRun, Response<Body>> {
         self.look_up_prompt().await;
-        if self.context.is_poisonous(&self.call) {
-            return Err(self.call.refuse_as_poisonous());
+        if let Some(response) = self.context.refuse_poisonous(&self.call) {
+            return Err(response);
         }
         let work = self.remaining_work();
         match queue::admit(&self.context, &self.call, work).await {
@@ -233,11 +234,14 @@
             // The rollout may have ended since, which changes the allowed versions.
             self.selection = self.context.rollouts.select_resumed(&self.call.service);
         }
+        if failure.is_none()
+            && self.ran_at.is_empty()
+            && let Some(response) = self.context.refuse_poisonous(&self.call)
+        {
+            return Err(response);
+        }
         Err(match failure {
             Some(response) => response,
-            None if self.ran_at.is_empty() && self.context.is_poisonous(&self.call) => {
-                self.call.refuse_as_poisonous()
-            }
             None if self.ran_at.is_empty() && retries_spent => {
                 self.call.refuse(&Refusal::RetriesSpent)
             }
@@ -374,7 +378,10 @@
 
     /// Records the end of a complete answer.
     fn finish(&self, run: Run) {
-        self.context.record_survival(&self.call);
+        if run.is_certainly_complete() {
+            let survived = Observation::Survived;
+            self.context.record_life(&self.call, survived);
+        }
         note!(
             forwarding::ANSWERED,
             id = self.call.request.metadata.id.as_str(),
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -15,6 +15,8 @@
     BytesMut, //
 };
 use contract::poison::evidence::{
+    LIFE_SIGN,
+    Observation,
     PROBATION,
     Stage, //
 };
@@ -86,8 +88,10 @@
     /// Time at which the holder of the backup was last checked.
     backup_checked: Instant,
     events: u64,
-    /// Whether the run was recorded as surviving its start.
-    survived: bool,
+    /// Whether a sign of life of the run was recorded, and its survival.
+    recorded: (bool, bool),
+    /// Whether the end of the answer can be told from a connection that is closed early.
+    is_delimited: bool,
     complete: bool,
     /// Copy from which the run resumes; its server declines the request if the copy is missing.
     copy: Option<KvCopy>,
@@ -130,6 +134,11 @@
         }
     }
 
+    /// Returns whether the answer is certainly complete.
+    pub(super) fn is_certainly_complete(&self) -> bool {
+        self.complete && (self.is_delimited || self.has_survived())
+    }
+
     /// Ends the run after its complete answer; returns the connection if it can be reused.
     pub(super) fn finish(mut self) -> Option<Connection> {
         self.in_flight.set_outcome(Outcome::Served {
@@ -138,9 +147,15 @@
         self.complete.then_some(self.connection)
     }
 
-    /// Returns whether the run has lasted so long that it won't crash its server.
+    /// Returns the time from the head of the answer to the last event.
+    fn lived_for(&self) -> Duration {
+        let since = |answered| self.last_received.saturating_duration_since(answered);
+        self.answered.map(since).unwrap_or_default()
+    }
+
+    /// Returns whether the run lived so long that it won't crash its server.
     fn has_survived(&self) -> bool {
-        self.answered.is_some_and(|at| at.elapsed() >= PROBATION)
+        self.lived_for() >= PROBATION
     }
 
     /// Takes the next piece from the bytes that were received.
@@ -291,7 +306,7 @@
     pub(super) async fn step(&mut self, run: &mut Run) -> Step {
         loop {
             self.maintain_backup(run);
-            self.record_survival(run);
+            self.record_life(run);
             match self.take_events(run) {
                 Ok(out) if !out.is_empty() => return Step::Events(out),
                 Ok(_) => {}
@@ -315,11 +330,16 @@
         }
     }
 
-    /// Records that a run survived its start, once.
-    fn record_survival(&self, run: &mut Run) {
-        if !run.survived && run.has_survived() {
-            run.survived = true;
-            self.context.record_survival(&self.call);
+    /// Records that a run lived, and that it survived, once each.
+    fn record_life(&self, run: &mut Run) {
+        let lived_for = run.lived_for();
+        let (lived, survived) = run.recorded;
+        if !survived && lived_for >= PROBATION {
+            run.recorded = (true, true);
+            self.context.record_life(&self.call, Observation::Survived);
+        } else if !lived && lived_for >= LIFE_SIGN {
+            run.recorded.0 = true;
+            self.context.record_life(&self.call, Observation::Lived);
         }
     }
 
@@ -329,6 +349,7 @@
             return;
         }
         let stage = match run.answered {
+            Some(_) if run.lived_for() >= LIFE_SIGN => Stage::Lived,
             Some(_) => Stage::Started,
             None => Stage::Pending,
         };
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -141,7 +141,8 @@
             last_alive: began,
             backup_checked: began,
             events: 0,
-            survived: false,
+            recorded: (false, false),
+            is_delimited: true,
             complete: false,
             copy: copy.cloned(),
         };
@@ -266,6 +267,7 @@
         if usable && head.status.is_success() {
             meter::send("answered");
             run.answered = Some(Instant::now());
+            run.is_delimited = head.is_delimited();
             let headers = self
                 .context
                 .sender
@@ -290,7 +292,6 @@
         let (Some(body), true) = (body, usable) else {
             return Start::Lost(Box::new(run.into_lost(Loss::Malformed)));
         };
-        self.context.record_survival(&self.call);
         self.context.sender.release(run.connection);
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -2,33 +2,33 @@
 
 use std::{
     cell::RefCell,
+    collections::HashSet,
     rc::Rc,
     time::Duration, //
 };
 
 use contract::poison::{
-    Fingerprint, Verdict,
+    Fingerprint,
     evidence::{
         Evidence,
         Observation,
         Report,
-        Stage, //
-    },
+        Stage,
+        Subject, //
+    }, //
 };
 use events::{
     forwarding,
     note, //
 };
-use names::{
-    Clock,
-    Server, //
-};
 use spread::beacon;
 use tokio::sync::Notify;
 
 use crate::{
     announcements::Announcements,
     clock,
+    fleet::Target,
+    handle::Call,
     meter, //
 };
 
@@ -37,7 +37,7 @@
 pub struct Suspects {
     evidence: RefCell<Evidence>,
     /// Recent observations of this gateway.
-    own: Announcements<(Fingerprint, Observation)>,
+    own: Announcements<(Subject, Observation)>,
 }
 
 impl Suspects {
@@ -46,47 +46,53 @@
         self.evidence.borrow().is_empty()
     }
 
-    /// Returns the verdict on a request.
-    pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
-        self.evidence.borrow().verdict(clock::now(), fingerprint)
+    /// Returns the cause for which a request is refused, if it is.
+    pub fn refused_cause(&self, subject: &Subject) -> Option<Fingerprint> {
+        let evidence = self.evidence.borrow();
+        evidence.refused_cause(clock::now(), subject)
     }
 
     /// Records that a server crashed before a run of the request survived.
-    pub fn record_crash(&self, id: &str, fingerprint: Fingerprint, server: &Server, stage: Stage) {
+    pub fn record_crash(&self, call: &Call, target: &Target, stage: Stage) {
         let observation = Observation::Crashed {
-            server: beacon::id(server),
+            server: beacon::id(&target.server),
+            incarnation: target.incarnation,
             stage,
         };
-        if !self.record_own(fingerprint, observation) {
+        let subject = call.subject();
+        if !self.record_own(subject, observation) {
             return;
         }
         meter::server_crash();
-        let refused = matches!(self.verdict(fingerprint), Verdict::Refused { .. });
+        let cause = self.refused_cause(subject);
         note!(
             forwarding::SERVER_CRASHED,
-            id = id,
-            server = server.as_str(),
-            fingerprint = format!("{fingerprint:032x}").as_str(),
-            started = stage == Stage::Started,
-            refused = refused
+            id = call.request.metadata.id.as_str(),
+            server = target.server.as_str(),
+            fingerprint = format!("{:032x}", subject.request).as_str(),
+            started = stage != Stage::Pending,
+            refused = cause.is_some(),
+            cause = cause.map(|cause| format!("{cause:032x}")).as_deref(),
+            part = cause.and_then(|cause| call.part_of(cause))
         );
     }
 
-    /// Records that a run of the request survived or was answered.
-    pub fn record_survival(&self, fingerprint: Fingerprint) {
-        if self.verdict(fingerprint) != Verdict::Clear {
-            self.record_own(fingerprint, Observation::Survived);
+    /// Records that a run of the request lived or survived, if that changes anything.
+    pub fn record_life(&self, subject: &Subject, observation: Observation) {
+        let relevant = self.evidence.borrow().relevant_to(subject, observation);
+        if let Some(relevant) = relevant {
+            self.record_own(&relevant, observation);
         }
     }
 
     /// Records an observation of this gateway; returns whether it was new.
-    fn record_own(&self, fingerprint: Fingerprint, observation: Observation) -> bool {
+    fn record_own(&self, subject: &Subject, observation: Observation) -> bool {
         let now = clock::now();
         let mut evidence = self.evidence.borrow_mut();
-        if !evidence.record(now, now, fingerprint, observation) {
+        if !evidence.record(now, now, subject, observation) {
             return false;
         }
-        self.own.push(now, (fingerprint, observation));
+        self.own.push(now, (subject.clone(), observation));
         true
     }
 
@@ -94,16 +100,18 @@
     pub fn apply(&self, reports: &[Report]) {
         let now = clock::now();
         let mut evidence = self.evidence.borrow_mut();
-        for report in reports {
-            let was_refused = is_refused(&evidence, now, report.fingerprint);
-            evidence.apply(now, report);
-            if !was_refused && is_refused(&evidence, now, report.fingerprint) {
-                note!(
-                    forwarding::REQUEST_POISONOUS,
-                    fingerprint = format!("{:032x}", report.fingerprint).as_str(),
-                    age_ms = report.age_ms
-                );
-            }
+        let refused = |evidence: &Evidence| -> HashSet<Fingerprint> {
+            let causes = reports.iter();
+            let causes = causes.filter_map(|report| evidence.refused_cause(now, &report.subject));
+            causes.collect()
+        };
+        let before = refused(&evidence);
+        evidence.apply(now, reports);
+        for cause in refused(&evidence).difference(&before) {
+            note!(
+                forwarding::REQUEST_POISONOUS,
+                fingerprint = format!("{cause:032x}").as_str()
+            );
         }
     }
 
@@ -127,7 +135,7 @@
     pub fn due_reports(&self, is_new: bool) -> Vec<Report> {
         let now = clock::now();
         let due = self.own.due(now, is_new).into_iter();
-        due.map(|(at, (fingerprint, observation))| Report::new(now, at, fingerprint, observation))
+        due.map(|(at, (subject, observation))| Report::new(now, at, subject, observation))
             .collect()
     }
 
@@ -136,7 +144,3 @@
         self.evidence.borrow().reports(clock::now())
     }
 }
-
-fn is_refused(evidence: &Evidence, now: Clock, fingerprint: Fingerprint) -> bool {
-    matches!(evidence.verdict(now, fingerprint), Verdict::Refused { .. })
-}
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -70,4 +70,7 @@
     pub spec: Spec,
     /// Whether the server is draining and accepts no new work.
     pub leaving: bool,
+    /// Time of the start of its process in Unix milliseconds, if it states it. It tells a server that
+    /// restarted under its name from the one before.
+    pub started_ms: Option<u64>,
 }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -691,6 +691,19 @@
         data_centre: &str,
         address: SocketAddr,
         slots: u32,
+    ) {
+        self.register_started(server, service, data_centre, address, slots, None);
+    }
+
+    /// Registers a backend server that states when it started.
+    pub fn register_started(
+        &self,
+        server: &str,
+        service: &str,
+        data_centre: &str,
+        address: SocketAddr,
+        slots: u32,
+        started_ms: Option<u64>,
     ) {
         let spec = Spec {
             service: service.into(),
@@ -705,6 +718,7 @@
                 address,
                 spec,
                 leaving: false,
+                started_ms,
             },
             since: clock::now(),
         });
--- a/components/gateway/tests/prompt_part.rs
+++ b/components/gateway/tests/prompt_part.rs
@@ -32,6 +32,9 @@
 
 const SERVER_COUNT: usize = 12;
 
+/// Requests that a server runs at once.
+const SLOTS: u32 = 8;
+
 /// Crashes after which all gateways must refuse requests with the part.
 const CRASH_BOUND: usize = 5;
 
@@ -75,9 +78,18 @@
     sound: RefCell<Vec<(Instant, bool)>>,
 }
 
-/// Keeps a server running: restarts it after each crash.
-async fn keep_running(kind: Kind, mut backend: Backend, world: Rc<World>) {
-    loop {
+/// Keeps a server running: restarts it after each crash, and registers it again.
+async fn keep_running(
+    kind: Kind,
+    (server, mut backend): (String, Backend),
+    gateways: Vec<Rc<Harness>>,
+    world: Rc<World>,
+) {
+    for start in 1.. {
+        for gateway in &gateways {
+            let (service, address) = (kind.service(), backend.address);
+            gateway.register_started(&server, service, "a", address, SLOTS, Some(start));
+        }
         backend.stopped().await;
         sleep(RESTART_TIME).await;
         backend = start_server(kind, Some(backend.address), world.clone()).await;
@@ -190,11 +202,8 @@
         }
         for index in 0..SERVER_COUNT {
             let backend = start_server(kind, None, world.clone()).await;
-            for gateway in &gateways {
-                let server = format!("s{index}");
-                gateway.register(&server, kind.service(), "a", backend.address);
-            }
-            spawn_local(keep_running(kind, backend, world.clone()));
+            let server = (format!("s{index}"), backend);
+            spawn_local(keep_running(kind, server, gateways.clone(), world.clone()));
         }
         sleep(Duration::from_millis(500)).await;
         run_traffic(kind, &gateways, is_first, &world).await;
--- a/components/gateway/tests/unreachable.rs
+++ b/components/gateway/tests/unreachable.rs
@@ -76,6 +76,7 @@
             address,
             spec,
             leaving: false,
+            started_ms: None,
         },
         since: Clock::ZERO,
     });
--- a/components/upstream/src/head.rs
+++ b/components/upstream/src/head.rs
@@ -51,6 +51,11 @@
         parse(&mut BytesMut::from(bytes), &Method::GET)
     }
 
+    /// Returns whether the end of the body can be told from a connection that is closed early.
+    pub fn is_delimited(&self) -> bool {
+        self.framing != Framing::UntilClose
+    }
+
     /// Returns the length of the body in bytes, where the head states it.
     pub fn body_length(&self) -> Option<u64> {
         match self.framing {
