A rollout counts answers that are overdue, also those that nobody waits for any more

Cause: a version was judged by its first events and responses. Its streams were given up as slow or silent after 2.6 to 5.4 seconds and went on at the old version, so that no answer of the new one arrived: with 20 to 24 samples sent, none spoke against it. The sample was cut off where the fault lies. Evidence: 30 sends to the new version in the logs until the switch at 18 s, 17 of them ended as slow or silent, no answer; `against` 2.3 at the end. Change: `rollout::Trial` reports a request's result once: answered, failed, or overdue (2.5 times the route's median, or its objective while that is unknown) as soon as it is, or when the request is given up for any reason: hedged, timed out, left by its caller. It counts for both versions alike, for streams, repeated and single plain requests. Result: `a_version_whose_answers_are_not_waited_for_is_taken_back` failed for all three kinds (6 to 66 requests more at the new version after the time of the move) and passes. A version whose events come slower only after the first one isn't judged by this.

--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -73,7 +73,10 @@
         DEFAULT_RETRY_AFTER,
         Refusal, //
     },
-    rollout::Selection,
+    rollout::{
+        Selection,
+        Trial, //
+    },
     sender::Failure, //
 };
 
@@ -280,7 +283,20 @@
         document = call.document.version
     );
     let began = Instant::now();
-    let result = send_and_read(context, call, target).await;
+    let mut trial = Trial::begin(&context.rollouts, call, target);
+    let result = {
+        let mut result = std::pin::pin!(send_and_read(context, call, target));
+        match trial.overdue_at() {
+            None => result.await,
+            Some(at) => match timeout_at(at, result.as_mut()).await {
+                Ok(result) => result,
+                Err(_) => {
+                    trial.check();
+                    result.await
+                }
+            },
+        }
+    };
     meter::send(match result.ending {
         Ending::Answered => "answered",
         Ending::Failed => "failed",
@@ -288,14 +304,11 @@
         Ending::Unsent => "unsent",
         Ending::Lost => "lost",
     });
-    let time = match result.ending {
-        Ending::Answered => Some(Some(began.elapsed())),
-        Ending::Failed => Some(None),
-        _ => None,
-    };
-    if let Some(time) = time {
-        let rollouts = &context.rollouts;
-        rollouts.record_result(&call.service, &call.route, &target.version, time);
+    match result.ending {
+        Ending::Answered => trial.answered(),
+        Ending::Failed => trial.failed(),
+        Ending::Declined | Ending::Misdirected | Ending::Unsent => trial.cancel(),
+        Ending::Lost => {}
     }
     in_flight.set_outcome(match result.ending {
         Ending::Answered => Outcome::Served {
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -39,6 +39,10 @@
 
 use crate::clock;
 
+mod trial;
+
+pub use trial::Trial;
+
 /// Time after this gateway's rank is first set before a new version gets traffic: until then the
 /// number of gateways that share the exposure limit is unknown.
 const NEW_VERSION_DELAY: Duration = Duration::from_secs(2);
@@ -176,7 +180,7 @@
 
     /// Records the result of a request at a version: the time to its first event or to its
     /// response, or `None` when it failed.
-    pub fn record_result(
+    fn record_result(
         &self,
         service: &Service,
         route: &Route,
@@ -206,15 +210,22 @@
 
     /// Returns whether a time is several times the route's median.
     fn is_slow(&self, route: &Route, time: Duration) -> bool {
+        self.slow_limit(route).is_some_and(|limit| time > limit)
+    }
+
+    /// Returns the time above which an answer of a route counts as slow, if its usual time is known.
+    fn slow_limit(&self, route: &Route) -> Option<Duration> {
         let durations = self.durations.borrow();
-        let Some(histogram) = durations
-            .get(route)
-            .filter(|histogram| histogram.count() >= MIN_SAMPLES)
-        else {
-            return false;
-        };
-        let median = histogram.quantile(0.5).unwrap_or(Duration::MAX);
-        time.as_secs_f64() > median.as_secs_f64() * SLOW_FACTOR
+        let histogram = durations.get(route)?;
+        if histogram.count() < MIN_SAMPLES {
+            return None;
+        }
+        Some(histogram.quantile(0.5)?.mul_f64(SLOW_FACTOR))
+    }
+
+    /// Returns whether a service has a rollout.
+    fn has_order(&self, service: &Service) -> bool {
+        self.rollouts.borrow().contains_key(service)
     }
 
     /// Adds a time to the route's histogram.
--- /dev/null
+++ b/components/gateway/src/rollout/trial.rs
@@ -0,0 +1,97 @@
+//! Result of one request at a version, for the rollout of its service.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use names::{
+    Route,
+    Service,
+    Version, //
+};
+use tokio::time::Instant;
+
+use super::Rollouts;
+use crate::{
+    fleet::Target,
+    handle::Call, //
+};
+
+/// A request whose result at a version is reported once: when it is answered, when it fails, or when
+/// its answer is overdue, whether or not it is still waited for. If only the answers that arrive
+/// counted, nothing would speak against a version that answers too late.
+pub struct Trial {
+    rollouts: Rc<Rollouts>,
+    service: Service,
+    route: Route,
+    version: Version,
+    began: Instant,
+    /// Time after which an answer is overdue while the usual time of the route is unknown.
+    objective: Duration,
+    reported: bool,
+}
+
+impl Trial {
+    /// Creates the trial of a request that is being sent to a server.
+    pub fn begin(rollouts: &Rc<Rollouts>, call: &Call, target: &Target) -> Trial {
+        Trial {
+            rollouts: rollouts.clone(),
+            service: call.service.clone(),
+            route: call.route.clone(),
+            version: target.version.clone(),
+            began: Instant::now(),
+            objective: call.pass.objective,
+            reported: false,
+        }
+    }
+
+    /// Returns the time at which the answer is overdue; `None` if the service has no rollout.
+    pub fn overdue_at(&self) -> Option<Instant> {
+        if !self.rollouts.has_order(&self.service) {
+            return None;
+        }
+        let limit = self.rollouts.slow_limit(&self.route);
+        Some(self.began + limit.unwrap_or(self.objective))
+    }
+
+    /// Reports the answer as overdue if it is.
+    pub fn check(&mut self) {
+        if self.reported || self.overdue_at().is_none_or(|at| Instant::now() < at) {
+            return;
+        }
+        self.reported = true;
+        self.report(None);
+    }
+
+    /// Reports that the first event or the response arrived.
+    pub fn answered(&mut self) {
+        let time = self.began.elapsed();
+        if !std::mem::replace(&mut self.reported, true) {
+            self.report(Some(time));
+        }
+    }
+
+    /// Reports that the server failed.
+    pub fn failed(&mut self) {
+        if !std::mem::replace(&mut self.reported, true) {
+            self.report(None);
+        }
+    }
+
+    /// Ends the trial without a result, as the server didn't run the request.
+    pub fn cancel(&mut self) {
+        self.reported = true;
+    }
+
+    fn report(&self, time: Option<Duration>) {
+        self.rollouts
+            .record_result(&self.service, &self.route, &self.version, time);
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.check();
+    }
+}
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -218,7 +218,6 @@
                     }
                 }
                 Start::Failed(response) => {
-                    self.report_result(&target, None);
                     self.record_ran(&target);
                     failure = Some(response);
                 }
@@ -321,7 +320,7 @@
             let reason = loop {
                 match self.step(&mut run).await {
                     Step::Events(bytes) => {
-                        self.record_delivery(&run);
+                        self.record_delivery(&mut run);
                         yield Ok(bytes);
                     }
                     Step::End => {
@@ -356,15 +355,14 @@
     }
 
     /// Updates the timing when events are sent to the caller.
-    fn record_delivery(&mut self, run: &Run) {
+    fn record_delivery(&mut self, run: &mut Run) {
         let now = Instant::now();
         match self.time_to_first {
             None => {
                 let first = now - self.call.arrived;
                 meter::first_event(first);
-                // The first event of a resumed stream is no sample of the time to process a prompt.
-                if self.call.request.metadata.after.is_none() {
-                    self.report_result(&run.target, Some(run.began.elapsed()));
+                if let Some(trial) = &mut run.trial {
+                    trial.answered();
                 }
                 self.time_to_first = Some(first);
                 if let Some(admission) = &self.admission {
@@ -466,14 +464,6 @@
         None
     }
 
-    /// Reports the result of the request at a version to its rollout.
-    fn report_result(&self, target: &Target, time: Option<Duration>) {
-        let (service, route) = (&self.call.service, &self.call.route);
-        self.context
-            .rollouts
-            .record_result(service, route, &target.version, time);
-    }
-
     /// Records a loss and determines the candidates for the next run. After a second loss in a row
     /// at the same server, the remaining candidates of the first one stay valid: a run that was
     /// lost before its first event has no copy of its own.
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -52,6 +52,7 @@
         Protocol,
         Reply, //
     },
+    rollout::Trial,
     stream::{
         LostRun,
         Session,
@@ -93,6 +94,9 @@
     /// Whether the end of the answer can be told from a connection that is closed early.
     is_delimited: bool,
     complete: bool,
+    /// Result for the rollout; `None` if the run resumes a stream, as its first event is no sample of
+    /// the time to process a prompt.
+    pub(super) trial: Option<Trial>,
     /// Copy from which the run resumes; its server declines the request if the copy is missing.
     copy: Option<KvCopy>,
 }
@@ -201,6 +205,9 @@
                 return Received::Lost(Loss::Unreachable);
             }
             self.check_suspicion(run);
+            if let Some(trial) = &mut run.trial {
+                trial.check();
+            }
             let silence = run.last_received.elapsed();
             match run.silence.advise(silence) {
                 Advice::Lost => return Received::Lost(Loss::Silent),
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -53,6 +53,7 @@
         Reply, //
     },
     refuse::DEFAULT_RETRY_AFTER,
+    rollout::Trial,
     sender::Failure,
     stream::{
         LostRun,
@@ -144,6 +145,7 @@
             recorded: (false, false),
             is_delimited: true,
             complete: false,
+            trial: self.begin_trial(target),
             copy: copy.cloned(),
         };
         match self.receive(&mut run, true).await {
@@ -155,6 +157,12 @@
         }
     }
 
+    /// Begins the trial of the version of a server, unless the caller has events already.
+    fn begin_trial(&self, target: &Target) -> Option<Trial> {
+        let is_first = self.sequence.last().is_none();
+        is_first.then(|| Trial::begin(&self.context.rollouts, &self.call, target))
+    }
+
     /// Returns the work that the rest of the stream is for a server, without the part of the prompt
     /// that it has in its cache or in a copy.
     fn work_at(&self, target: &Target, copy: Option<&KvCopy>) -> Work {
@@ -230,6 +238,9 @@
         let status = head.status.as_u16();
         self.context.record_rate_limit(&server, &reply, run.sent_at);
         if reply.not_run {
+            if let Some(trial) = &mut run.trial {
+                trial.cancel();
+            }
             meter::send("declined");
             run.in_flight.set_outcome(Outcome::Refused {
                 retry_after: reply.retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
@@ -279,6 +290,9 @@
                 headers,
             };
         }
+        if let Some(trial) = &mut run.trial {
+            trial.failed();
+        }
         meter::send("failed");
         run.in_flight.set_outcome(Outcome::Failed);
         note!(
--- /dev/null
+++ b/components/gateway/tests/rollout.rs
@@ -0,0 +1,156 @@
+//! Tests of gradual rollouts at a gateway with real connections.
+
+mod common;
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use common::{
+    Backend,
+    Harness,
+    Kind,
+    Message,
+    document,
+    response,
+    settings,
+    stream_head,
+    write_events, //
+};
+use gateway::{
+    Update,
+    clock,
+    update::Registration, //
+};
+use moves::rollout::Order;
+use routing::placement::Spec;
+use rstest::rstest;
+use tokio::{
+    task::spawn_local,
+    time::{
+        Instant,
+        sleep, //
+    },
+};
+
+const SERVERS_PER_VERSION: usize = 3;
+
+/// Time within which the traffic must move.
+const ROLLOUT_TIME: Duration = Duration::from_secs(6);
+
+/// Time of the traffic before the rollout: gateways let new versions wait until they know one
+/// another.
+const WARM_UP_TIME: Duration = Duration::from_secs(3);
+
+const REQUEST_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time from a request to the answer of the old version, and of a new one that is slow: longer than
+/// callers wait.
+const ANSWER_DELAYS: [Duration; 2] = [Duration::from_millis(40), Duration::from_secs(30)];
+
+/// Time for which callers wait.
+const DEADLINE_MS: u64 = 2500;
+
+/// Starts a server of a version, which counts its requests.
+async fn start_server(kind: Kind, delay: Duration, requests: Rc<Cell<usize>>) -> Backend {
+    Backend::start(move |message: Message, connection| {
+        let requests = requests.clone();
+        async move {
+            requests.set(requests.get() + 1);
+            let id = message.header("id").unwrap_or_default();
+            sleep(delay).await;
+            if kind == Kind::Stream {
+                connection.write(&stream_head(id)).await;
+                write_events(&connection, 1, 3, Duration::from_millis(5)).await;
+            } else {
+                connection.write(&response(id, 200, "fine")).await;
+            }
+            true
+        }
+    })
+    .await
+}
+
+/// Starts and registers the servers of a version.
+async fn start_version(
+    harness: &Harness,
+    kind: Kind,
+    version: &str,
+    delay: Duration,
+    requests: Rc<Cell<usize>>,
+) -> Vec<Backend> {
+    let mut backends = Vec::new();
+    for number in 0..SERVERS_PER_VERSION {
+        let backend = start_server(kind, delay, requests.clone()).await;
+        let spec = Spec {
+            service: kind.service().into(),
+            version: version.into(),
+            data_centre: "a".into(),
+            slots: 8,
+            memory: if kind == Kind::Stream { 50_000 } else { 0 },
+        };
+        harness.gateway.apply(Update::Server {
+            registration: Registration {
+                server: format!("{version}-{number}"),
+                address: backend.address,
+                spec,
+                leaving: false,
+                started_ms: None,
+            },
+            since: clock::now(),
+        });
+        backends.push(backend);
+    }
+    backends
+}
+
+/// Sends requests for a time.
+async fn run_traffic(harness: &Rc<Harness>, kind: Kind, time: Duration, prefix: &str) {
+    let began = Instant::now();
+    for number in 0.. {
+        if began.elapsed() >= time {
+            return;
+        }
+        let harness = harness.clone();
+        let id = format!("{prefix}{number}");
+        let path = kind.path(&id);
+        let headers = format!("deadline: {DEADLINE_MS}\r\n{}", kind.headers());
+        spawn_local(async move {
+            let _ = harness.request(&id, &path, &headers).await;
+        });
+        sleep(REQUEST_INTERVAL).await;
+    }
+}
+
+/// Guards against a rollout to a version that answers so late that none of its answers is waited
+/// for: if only the answers that arrive are judged, nothing speaks against it.
+#[rstest]
+fn a_version_whose_answers_are_not_waited_for_is_taken_back(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let harness = Harness::start(settings());
+        harness.put_document(1, document());
+        let harness = Rc::new(harness);
+        let [old_delay, new_delay] = ANSWER_DELAYS;
+        let _old = start_version(&harness, kind, "v1", old_delay, Rc::default()).await;
+        run_traffic(&harness, kind, WARM_UP_TIME, "before").await;
+        let requests: Rc<Cell<usize>> = Rc::default();
+        let _new = start_version(&harness, kind, "v2", new_delay, requests.clone()).await;
+        harness.gateway.apply(Update::Rollout {
+            service: kind.service().into(),
+            order: Some(Order {
+                revision: 7,
+                to: "v2".into(),
+                within: ROLLOUT_TIME,
+            }),
+        });
+        run_traffic(&harness, kind, ROLLOUT_TIME, "during").await;
+        let during = requests.get();
+        run_traffic(&harness, kind, Duration::from_secs(2), "after").await;
+        assert!(during > 0, "the new version got no sample");
+        assert_eq!(requests.get(), during, "the new version is still used");
+    });
+}
