Test: a stream without a length or chunks ends with its connection

Guards the answers that end with their connection: closed after an event is complete; closed inside one, or reset, goes on elsewhere without a lost or repeated event.

--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -105,6 +105,58 @@
     });
 }
 
+/// How a stream without a length or chunks ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ending {
+    /// The connection is closed after the last event.
+    Complete,
+    /// The connection is closed inside an event.
+    InsideEvent,
+    /// The connection is reset between two events.
+    Reset,
+}
+
+/// Guards against a stream without a length or chunks that is taken for complete although it was
+/// broken off, or for broken off although it is complete.
+#[rstest]
+fn a_stream_without_a_length_ends_with_its_connection(
+    #[values(Ending::Complete, Ending::InsideEvent, Ending::Reset)] ending: Ending,
+) {
+    common::run(async move {
+        let first = Backend::start(move |message, connection| async move {
+            let id = message.header("id").unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\n\r\n");
+            connection.write(&head).await;
+            connection.write(&event_text(1, 3)).await;
+            if ending == Ending::InsideEvent {
+                connection.write("id: 4\ndata: pie").await;
+            }
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            if ending == Ending::Reset {
+                connection.reset();
+            }
+            false
+        })
+        .await;
+        let other = Backend::start(|message, connection| async move {
+            let id = message.header("id").unwrap_or_default();
+            connection.write(&stream_head(id)).await;
+            write_events(&connection, after(&message) + 1, 6, EVENT_INTERVAL).await;
+            true
+        })
+        .await;
+        let harness = Harness::with_document(document());
+        harness.register("s1", "draft", "a", first.address);
+        let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
+        common::until_received(&caller, "piece 3").await;
+        harness.register("s2", "draft", "b", other.address);
+        let response = common::read_message(&mut caller).await;
+        let last = if ending == Ending::Complete { 3 } else { 6 };
+        let response = response.expect("a complete response");
+        assert_eq!(response.text(), event_text(1, last));
+    });
+}
+
 /// The gateway stops while the load balancer still sends connections. A stream that was accepted
 /// now would be cut off at the end of the grace time. Refused immediately as not run, it can
 /// complete at another gateway.
