News about crashes and rate limits is sent once at once, and all of it again each half second

What operators would see: each new fact sent all facts of the last three seconds again to every peer, up to 128 of them; reports on crashes are larger since they name the parts of prompts, and come several a second while servers crash. Now a new fact goes alone; what datagrams lose comes with the repeats as before. The tests of crashes and limits at several gateways pass as before; the bytes were reckoned, not measured.

--- a/components/gateway/src/announcements.rs
+++ b/components/gateway/src/announcements.rs
@@ -26,6 +26,8 @@
 pub struct Announcements<T> {
     /// Facts with their times, oldest first.
     recent: RefCell<VecDeque<(Clock, T)>>,
+    /// Number of the last facts that have not been sent yet.
+    unsent: Cell<usize>,
     last_sent: Cell<Clock>,
     notify: Rc<Notify>,
 }
@@ -34,6 +36,7 @@
     fn default() -> Announcements<T> {
         Announcements {
             recent: RefCell::default(),
+            unsent: Cell::default(),
             last_sent: Cell::default(),
             notify: Rc::default(),
         }
@@ -48,6 +51,7 @@
         if recent.len() > MAX_RECENT {
             recent.pop_front();
         }
+        self.unsent.set((self.unsent.get() + 1).min(recent.len()));
         self.notify.notify_one();
     }
 
@@ -56,16 +60,21 @@
         self.notify.clone()
     }
 
-    /// Returns the facts that are due to be sent, with their times: all recent ones, once per
-    /// interval, or at once if `is_new`.
+    /// Returns the facts that are due to be sent, with their times: all recent ones once per
+    /// interval, and in between those that have not been sent if `is_new`.
     pub fn due(&self, now: Clock, is_new: bool) -> Vec<(Clock, T)> {
         let mut recent = self.recent.borrow_mut();
         recent.retain(|(at, _)| now.saturating_sub(*at) <= REPEAT_TIME);
-        let is_due = is_new || now.saturating_sub(self.last_sent.get()) >= REPEAT_INTERVAL;
-        if recent.is_empty() || !is_due {
+        let unsent = self.unsent.get().min(recent.len());
+        if now.saturating_sub(self.last_sent.get()) >= REPEAT_INTERVAL {
+            self.last_sent.set(now);
+            self.unsent.set(0);
+            return recent.iter().cloned().collect();
+        }
+        if !is_new {
             return Vec::new();
         }
-        self.last_sent.set(now);
-        recent.iter().cloned().collect()
+        self.unsent.set(0);
+        recent.range(recent.len() - unsent..).cloned().collect()
     }
 }
