--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -8,7 +8,7 @@
 //! Without sidecars no process sees all that was in flight at a crash, and news from the others may
 //! be late or lost. So each process reports which of its own requests had not yet survived there,
 //! and one crash convicts nobody. A cause is refused when several crashes are attributed to it; see
-//! [`attribution`]. Every run that survives voids the earlier crashes of its causes.
+//! the module `attribution`. Every run that survives voids the earlier crashes of its causes.
 //!
 //! Reports are merged by union, and the verdicts follow from the merged reports alone. A late report
 //! therefore also corrects an earlier verdict.
@@ -480,6 +480,10 @@
 
     /// Removes the oldest crashes beyond the limit, those that convict a cause last.
     fn remove_oldest_crashes(&mut self) {
+        let count: usize = self.runs.values().map(|runs| by_crash(runs).len()).sum();
+        if count <= MAX_CRASHES {
+            return;
+        }
         let convicts = &self.convicts;
         let is_convicting = |run: &Run| {
             run.subject
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -239,14 +239,33 @@
     beside.filter(|other| !other.has(cause)).count() < OUTAGE_CRASHES
 }
 
-/// Returns the cases of all causes.
+/// Returns the number of crashes under each cause.
+fn count_crashes(crashes: &[Crash]) -> HashMap<Fingerprint, usize> {
+    let mut counts: HashMap<Fingerprint, (usize, usize)> = HashMap::new();
+    for (index, crash) in crashes.iter().enumerate() {
+        for cause in crash.runs.iter().flat_map(Run::fingerprints) {
+            let (count, last) = counts.entry(cause).or_insert((1, index));
+            if *last != index {
+                (*count, *last) = (*count + 1, index);
+            }
+        }
+    }
+    let counts = counts.into_iter();
+    counts.map(|(cause, (count, _))| (cause, count)).collect()
+}
+
+/// Returns the cases of all causes with enough crashes; most causes have a single one.
 fn cases(crashes: &[Crash]) -> Vec<Case<'_>> {
+    let counts = count_crashes(crashes);
     let mut cases: HashMap<Fingerprint, Case<'_>> = HashMap::new();
     for crash in crashes {
         let mut seen = HashSet::new();
         for run in &crash.runs {
             for candidate in &run.causes {
                 let cause = candidate.fingerprint;
+                if counts[&cause] < MIN_CRASHES {
+                    continue;
+                }
                 let case = cases.entry(cause).or_insert_with(|| Case {
                     candidate: *candidate,
                     crashes: Vec::new(),
