A refusal by coverage doesn't lapse with the next crash for another reason

Cause: the part had to account for nearly all crashes of the five seconds before the last crash; a crash under something else ended that, and with it the refusal. Change: the five seconds before any crash count, one window for each second with crashes.

--- a/components/contract/src/poison/evidence/attribution/coverage.rs
+++ b/components/contract/src/poison/evidence/attribution/coverage.rs
@@ -6,12 +6,15 @@
 
 use std::{
     collections::{
+        BTreeMap,
         HashMap,
         HashSet, //
     },
     time::Duration, //
 };
 
+use names::Clock;
+
 use super::{
     Case,
     Crash,
@@ -23,7 +26,7 @@
     select, //
 };
 
-/// Time before the last crash from which crashes are considered.
+/// Time within which crashes are considered together.
 const WINDOW: Duration = Duration::from_secs(5);
 
 /// Minimum number of crashes of a service, and of those under each part.
@@ -62,9 +65,16 @@
 pub(super) fn find_parts(crashes: &[Crash]) -> Vec<Fingerprint> {
     let services: HashSet<ServiceId> = crashes.iter().filter_map(Crash::service).collect();
     for service in services {
-        let parts = cover(recent(crashes, service));
-        if !parts.is_empty() {
-            return parts;
+        // Later crashes for another reason don't lift a conviction.
+        let ends: BTreeMap<u64, Clock> = crashes
+            .iter()
+            .map(|crash| (crash.at.as_secs(), crash.at))
+            .collect();
+        for end in ends.into_values() {
+            let parts = cover(within_window(crashes, service, end));
+            if !parts.is_empty() {
+                return parts;
+            }
         }
     }
     Vec::new()
@@ -76,22 +86,22 @@
     }
 }
 
-/// Returns the recent crashes of a service under runs that had started, without those of servers
-/// that failed together.
-fn recent(crashes: &[Crash], service: ServiceId) -> Vec<Crash> {
+/// Returns the crashes of a service until a time under runs that had started, without those of
+/// servers that failed together.
+fn within_window(crashes: &[Crash], service: ServiceId, end: Clock) -> Vec<Crash> {
+    let begin = crashes.partition_point(|crash| crash.at + WINDOW <= end);
+    let count = crashes[begin..].partition_point(|crash| crash.at <= end);
+    let crashes = &crashes[begin..begin + count];
     let is_outage = |crash: &Crash| {
         let others = crashes.iter();
         let others = others.filter(|other| other.at.abs_diff(crash.at) <= OUTAGE_WINDOW);
         others.count() >= MIN_OUTAGE_CRASHES
     };
-    let of_service = |crash: &&Crash| crash.service() == Some(service) && !is_outage(crash);
-    let mut recent: Vec<Crash> = crashes.iter().filter(of_service).cloned().collect();
-    let last = recent.iter().map(|crash| crash.at).max();
-    recent.retain(|crash| {
-        let has_started = crash.runs.iter().any(|run| run.stage != Stage::Pending);
-        has_started && Some(crash.at + WINDOW) > last
-    });
-    recent
+    let has_started = |crash: &Crash| crash.runs.iter().any(|run| run.stage != Stage::Pending);
+    let of_service = |crash: &&Crash| crash.service() == Some(service);
+    let in_window = crashes.iter().filter(of_service);
+    let in_window = in_window.filter(|crash| has_started(crash) && !is_outage(crash));
+    in_window.cloned().collect()
 }
 
 /// Requests at crashes, and those of them that have each part.
