gateway: the log says which requests an exit cuts off, and on what they were admitted

Change: requests in progress have a stage (receiving, waiting, sent, answering). 1039 names each request that is cut off, with its stage, server and time since the stop; 1040 says on what a request was admitted during the drain; 105 ends each drain. A gauge counts requests by stage. No decision is changed.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -76,6 +76,11 @@
     /// The store sent more than a bound allows.
     STORE_EXCESS = 1038, Warn, "Store sent too much; its connection was closed";
 
+    /// A request was still in progress when the process exited.
+    CUT_OFF = 1039, Error, "Request cut off at the exit";
+    /// A request was admitted while the process drains.
+    ADMITTED_DRAINING = 1040, Debug, "Request admitted during the drain";
+
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
     /// A document can't be decoded; the previous one stays in force.
--- a/components/events/src/process.rs
+++ b/components/events/src/process.rs
@@ -11,4 +11,6 @@
     ABORTED = 103, Error, "Work in progress aborted at the end of the drain time";
     /// The process became ready for traffic.
     READY = 104, Info, "Process is ready";
+    /// The drain has ended; the process exits.
+    DRAINED = 105, Info, "Drain has ended";
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -68,6 +68,7 @@
     },
     protocol::Protocol,
     queue::Queue,
+    requests::Stage,
     rollout::Report,
     sender::Sender,
     settings::Settings,
@@ -128,7 +129,7 @@
             forecast: RefCell::default(),
             shutdown: Rc::default(),
             started: Instant::now(),
-            running: Cell::new(0),
+            requests: Rc::default(),
             connections: Cell::new(0),
         };
         let channels = Channels {
@@ -338,11 +339,38 @@
         self.drain(&stopped, &close).await;
     }
 
+    /// Logs how the drain ended, and each request that it cuts off.
+    fn log_drained(&self) {
+        let context = &self.context;
+        let running = context.requests.count();
+        note!(
+            process::DRAINED,
+            running = running,
+            connections = context.connections.get(),
+            ms = context.shutdown.elapsed().as_millis() as u64
+        );
+        if running > 0 {
+            note!(process::ABORTED, running = running);
+        }
+        for request in context.requests.all() {
+            let admitted = context.shutdown.elapsed_until(request.arrived);
+            note!(
+                forwarding::CUT_OFF,
+                id = request.id().as_str(),
+                route = request.route().as_deref(),
+                stage = request.stage().name(),
+                server = request.server().as_deref(),
+                stopping_ms = admitted.map(|time| time.as_millis() as u64),
+                ms = request.arrived.elapsed().as_millis() as u64
+            );
+        }
+    }
+
     /// Begins the shutdown, and waits until all connections are closed or the grace time is over.
     async fn drain(&self, stopped: &CancellationToken, close: &CancellationToken) {
         let context = &self.context;
         context.shutdown.begin(Instant::now());
-        note!(process::STOPPING, running = context.running.get());
+        note!(process::STOPPING, running = context.requests.count());
         let grace = context.settings.borrow().bounds.grace;
         if let Some(at) = context.shutdown.idle_close_at() {
             sleep_until(at).await;
@@ -352,9 +380,7 @@
         while context.connections.get() > 0 && Instant::now() < exit_at {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        if context.running.get() > 0 {
-            note!(process::ABORTED, running = context.running.get());
-        }
+        self.log_drained();
         stopped.cancel();
     }
 }
@@ -365,7 +391,8 @@
     let confirmed = context.freshness.borrow().confirmed_at();
     Gauges {
         connections: context.connections.get(),
-        running: context.running.get(),
+        running: context.requests.count(),
+        by_stage: Stage::ALL.map(|stage| (stage.name(), context.requests.count_at(stage))),
         document: document_cache
             .snapshot()
             .map_or(0, |snapshot| snapshot.version),
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -96,6 +96,10 @@
         DocumentInfo,
         Refusal, //
     },
+    requests::{
+        Progress,
+        Requests, //
+    },
     retry_budget::RetryBudgets,
     rollout::Rollouts,
     sender::{
@@ -146,8 +150,8 @@
     pub shutdown: Rc<Shutdown>,
     /// Time at which the process started.
     pub started: Instant,
-    /// Number of requests in progress.
-    pub running: Cell<usize>,
+    /// Requests in progress.
+    pub requests: Rc<Requests>,
     /// Number of open connections of callers.
     pub connections: Cell<usize>,
 }
@@ -169,6 +173,8 @@
     pub standing: Option<Standing>,
     /// Document on which the admission is based.
     pub document: DocumentInfo,
+    /// How far the request is.
+    pub progress: Rc<Progress>,
     /// Time at which the request arrived.
     pub arrived: Instant,
     /// Time by which the caller gets a final response, if only an error.
@@ -241,13 +247,13 @@
 impl<P: Protocol + 'static> Context<P> {
     /// Handles a request.
     pub async fn serve(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
-        self.running.set(self.running.get() + 1);
-        let running = RunningGuard(self.clone());
-        let mut response = match self.admit(request).await {
+        let running = self.requests.begin();
+        let mut response = match self.admit(request, &running.progress).await {
             Ok(call) if call.pass.stream => stream::run(self, call).await,
             Ok(call) => plain::run(self, call).await,
             Err(response) => response,
         };
+        running.progress.answering();
         response.body_mut().hold(running);
         response
     }
@@ -362,8 +368,12 @@
     }
 
     /// Parses a request and decides whether it is admitted; an error is the response to the caller.
-    async fn admit(&self, request: Request<Incoming>) -> Result<Call, Response<Body>> {
-        let arrived = Instant::now();
+    async fn admit(
+        &self,
+        request: Request<Incoming>,
+        progress: &Rc<Progress>,
+    ) -> Result<Call, Response<Body>> {
+        let arrived = progress.arrived;
         let (parts, body) = request.into_parts();
         let metadata = self
             .sender
@@ -372,6 +382,7 @@
             .map_err(|error| {
                 Refusal::InvalidHeader(error).respond("", arrived, &DocumentInfo::default())
             })?;
+        progress.set_id(&metadata.id);
         let has_document = || self.document_cache.borrow().snapshot().is_some();
         self.wait_for_sync(&metadata, has_document).await;
         let document = self.document_info();
@@ -401,10 +412,22 @@
         {
             return Err(refuse(Refusal::ShuttingDown(self.shutdown.retry_after())));
         }
+        if let Some(remaining) = self.shutdown.remaining(now, grace) {
+            let estimate = self.shutdown.duration_estimate(&route);
+            note!(
+                forwarding::ADMITTED_DRAINING,
+                id = metadata.id.as_str(),
+                route = route.as_str(),
+                remaining_ms = remaining.as_millis() as u64,
+                limit_ms = limit.as_millis() as u64,
+                estimate_ms = estimate.map(|estimate| estimate.as_millis() as u64)
+            );
+        }
         let caller_limits = index.document().callers.as_ref();
         let body = read_body(&parts, body, caller_limits, arrived)
             .await
             .map_err(refuse)?;
+        progress.received(&route);
         let engine = Self::engine(index, &service);
         Ok(Call {
             backups: engine.is_some_and(|engine| engine.backups),
@@ -421,21 +444,13 @@
             pass,
             service,
             team,
+            progress: progress.clone(),
             arrived,
             until: arrived + limit,
         })
     }
 }
 
-/// Counts a request as in progress until it is dropped.
-struct RunningGuard<P: 'static>(Rc<Context<P>>);
-
-impl<P> Drop for RunningGuard<P> {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
-
 /// Finds the route of a request, and authenticates its team.
 fn match_route(
     index: &Index,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod protocol;
 mod queue;
 mod refuse;
+pub mod requests;
 mod retry_budget;
 pub mod rollout;
 mod sender;
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -101,6 +101,8 @@
     pub connections: usize,
     /// Requests in progress.
     pub running: usize,
+    /// Requests in progress by the name of their stage.
+    pub by_stage: [(&'static str, usize); 4],
     /// Version of the current document.
     pub document: u64,
     /// Time since the document was last confirmed.
@@ -112,6 +114,9 @@
     pub fn set(&self) {
         gauge!("medlarhatch_connections").set(self.connections as f64);
         gauge!("medlarhatch_running").set(self.running as f64);
+        for (stage, count) in self.by_stage {
+            gauge!("medlarhatch_requests_in_progress", "stage" => stage).set(count as f64);
+        }
         gauge!("medlarhatch_document_version").set(self.document as f64);
         let age = self.age.map_or(f64::INFINITY, |age| age.as_secs_f64());
         gauge!("medlarhatch_document_age_seconds").set(age);
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -366,6 +366,7 @@
         among = target.score.candidates,
         document = call.document.version
     );
+    call.progress.sent(&target.server);
     let began = Instant::now();
     let mut trial = Trial::begin(&context.rollouts, call, target);
     let result = {
--- /dev/null
+++ b/components/gateway/src/requests.rs
@@ -0,0 +1,165 @@
+//! Requests in progress, and how far each of them is.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    rc::Rc, //
+};
+
+use names::{
+    Route,
+    Server, //
+};
+use tokio::time::Instant;
+
+/// How far a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its body may be incomplete.
+    Receiving,
+    /// It waits to be sent to a server.
+    Waiting,
+    /// It was sent to a server, and may have run.
+    Sent,
+    /// The head of its response was returned.
+    Answering,
+}
+
+impl Stage {
+    /// All stages.
+    pub const ALL: [Stage; 4] = [
+        Stage::Receiving,
+        Stage::Waiting,
+        Stage::Sent,
+        Stage::Answering,
+    ];
+
+    /// Returns the name of the stage, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Stage::Receiving => "receiving",
+            Stage::Waiting => "waiting",
+            Stage::Sent => "sent",
+            Stage::Answering => "answering",
+        }
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub struct Progress {
+    /// Time at which the head of the request arrived.
+    pub arrived: Instant,
+    id: RefCell<String>,
+    route: RefCell<Option<Route>>,
+    stage: Cell<Stage>,
+    server: RefCell<Option<Server>>,
+}
+
+impl Progress {
+    /// Sets the id of the request, once its head is parsed.
+    pub fn set_id(&self, id: &str) {
+        *self.id.borrow_mut() = id.to_string();
+    }
+
+    /// Records that the request is complete and matched a route.
+    pub fn received(&self, route: &Route) {
+        *self.route.borrow_mut() = Some(route.clone());
+        self.stage.set(Stage::Waiting);
+    }
+
+    /// Records that the request is being sent to a server.
+    pub fn sent(&self, server: &Server) {
+        *self.server.borrow_mut() = Some(server.clone());
+        self.stage.set(Stage::Sent);
+    }
+
+    /// Records that the head of the response was returned.
+    pub fn answering(&self) {
+        self.stage.set(Stage::Answering);
+    }
+
+    /// Returns how far the request is.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Returns the id of the request; empty while it isn't known.
+    pub fn id(&self) -> String {
+        self.id.borrow().clone()
+    }
+
+    /// Returns the route, if the request is complete.
+    pub fn route(&self) -> Option<Route> {
+        self.route.borrow().clone()
+    }
+
+    /// Returns the server to which the request was last sent.
+    pub fn server(&self) -> Option<Server> {
+        self.server.borrow().clone()
+    }
+}
+
+/// The requests in progress, in the order in which they arrived.
+#[derive(Debug, Default)]
+pub struct Requests {
+    by_number: RefCell<BTreeMap<u64, Rc<Progress>>>,
+    last_number: Cell<u64>,
+}
+
+impl Requests {
+    /// Adds a request, which is in progress until the guard is dropped.
+    pub fn begin(self: &Rc<Self>) -> Guard {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let progress = Rc::new(Progress {
+            arrived: Instant::now(),
+            id: RefCell::default(),
+            route: RefCell::default(),
+            stage: Cell::new(Stage::Receiving),
+            server: RefCell::default(),
+        });
+        self.by_number.borrow_mut().insert(number, progress.clone());
+        Guard {
+            requests: self.clone(),
+            number,
+            progress,
+        }
+    }
+
+    /// Returns the requests in progress.
+    pub fn all(&self) -> Vec<Rc<Progress>> {
+        self.by_number.borrow().values().cloned().collect()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn count(&self) -> usize {
+        self.by_number.borrow().len()
+    }
+
+    /// Returns the number of requests in progress that are at a stage.
+    pub fn count_at(&self, stage: Stage) -> usize {
+        let requests = self.by_number.borrow();
+        requests
+            .values()
+            .filter(|request| request.stage() == stage)
+            .count()
+    }
+}
+
+/// Keeps a request in progress until it is dropped.
+pub struct Guard {
+    requests: Rc<Requests>,
+    number: u64,
+    /// The request.
+    pub progress: Rc<Progress>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.requests.by_number.borrow_mut().remove(&self.number);
+    }
+}
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -72,6 +72,16 @@
         self.began.get().is_some()
     }
 
+    /// Returns the time since the shutdown began; zero before.
+    pub fn elapsed(&self) -> Duration {
+        self.elapsed_until(Instant::now()).unwrap_or_default()
+    }
+
+    /// Returns the time from the beginning of the shutdown to `at`; `None` if it began later.
+    pub fn elapsed_until(&self, at: Instant) -> Option<Duration> {
+        at.checked_duration_since(self.began.get()?)
+    }
+
     /// Sets the number of other gateways of the data centre that accept new work.
     pub fn set_local_peers(&self, local_peers: usize) {
         self.local_peers.set(local_peers);
@@ -100,6 +110,12 @@
             .map(|began| began + grace.saturating_sub(EXIT_MARGIN))
     }
 
+    /// Returns the time from `now` until the process exits; `None` before the shutdown.
+    pub fn remaining(&self, now: Instant, grace: Duration) -> Option<Duration> {
+        let exit_at = self.exit_at(grace)?;
+        Some(exit_at.saturating_duration_since(now))
+    }
+
     /// Returns an upper estimate of the duration of a route's requests.
     pub fn duration_estimate(&self, route: &Route) -> Option<Duration> {
         let routes = self.averages.borrow();
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -117,6 +117,7 @@
             urgency: self.call.standing.as_ref().map(queue::urgency),
         };
         self.log_sent(target, &dispatch, backup.as_ref());
+        self.call.progress.sent(&target.server);
         let sent = self
             .context
             .sender
