gateway: a request in progress gets its final response before the process exits

What callers saw: bookings, lookups and streams that a stopping gateway had taken, and that reached a server, ended with a closed connection. Cause: admission during the drain is an estimate, and nothing bounds the request after it: at the end of the drain the process exits, whatever is in progress. The same holds for a request that came before the signal and takes long, waits for a server, or whose body arrives slowly. Class of fault: a promise that is made on an expectation and that nothing keeps when the expectation fails. Change: 150 ms before the exit each request without a response gets its final one: 503 as not run (with when to come back) while it wasn't handed to a server, else 504 with the reason cut_off. A stream that has begun goes on until the exit, as no response can complete it. Conclusion: plain requests and streams that have not begun can't be cut any more; which requests are taken comes next.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -377,7 +377,11 @@
         }
         close.cancel();
         let exit_at = context.shutdown.exit_at(grace).unwrap_or_else(Instant::now);
+        let cutoff_at = context.shutdown.cutoff_at(grace).unwrap_or(exit_at);
         while context.connections.get() > 0 && Instant::now() < exit_at {
+            if Instant::now() >= cutoff_at {
+                context.shutdown.cutoff().cancel();
+            }
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.log_drained();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -97,6 +97,7 @@
         Refusal, //
     },
     requests::{
+        self,
         Progress,
         Requests, //
     },
@@ -248,16 +249,39 @@
     /// Handles a request.
     pub async fn serve(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let running = self.requests.begin();
-        let mut response = match self.admit(request, &running.progress).await {
-            Ok(call) if call.pass.stream => stream::run(self, call).await,
-            Ok(call) => plain::run(self, call).await,
-            Err(response) => response,
+        let progress = running.progress.clone();
+        let handled = async {
+            match self.admit(request, &progress).await {
+                Ok(call) if call.pass.stream => stream::run(self, call).await,
+                Ok(call) => plain::run(self, call).await,
+                Err(response) => response,
+            }
+        };
+        let cut_off = async {
+            self.shutdown.cutoff().cancelled().await;
+            progress.cut_off();
+        };
+        let mut response = tokio::select! {
+            biased;
+            response = handled => response,
+            () = cut_off => self.final_response(&progress),
         };
         running.progress.answering();
         response.body_mut().hold(running);
         response
     }
 
+    /// Returns the response of a request that can't be awaited until the process exits.
+    fn final_response(&self, progress: &Progress) -> Response<Body> {
+        let refusal = match progress.stage() {
+            requests::Stage::Receiving | requests::Stage::Waiting => {
+                Refusal::ShuttingDown(self.shutdown.retry_after())
+            }
+            requests::Stage::Sent | requests::Stage::Answering => Refusal::CutOff,
+        };
+        refusal.respond(&progress.id(), progress.arrived, &self.document_info())
+    }
+
     /// Returns the document on which decisions are based now, for logs.
     fn document_info(&self) -> DocumentInfo {
         let document_cache = self.document_cache.borrow();
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -74,6 +74,8 @@
     Lost,
     /// The request was sent and its deadline passed; it may have run.
     DeadlineExceeded,
+    /// The request was sent, and the process exits before its response; it may have run.
+    CutOff,
 }
 
 impl Refusal {
@@ -95,7 +97,7 @@
             | Refusal::RetriesSpent
             | Refusal::Poisonous(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
-            Refusal::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::DeadlineExceeded | Refusal::CutOff => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -118,6 +120,7 @@
             Refusal::Poisonous(_) => "poisonous",
             Refusal::Lost => "lost",
             Refusal::DeadlineExceeded => "late",
+            Refusal::CutOff => "cut_off",
         }
     }
 
@@ -151,7 +154,7 @@
     /// sense.
     fn response(&self) -> Response<Body> {
         let outcome = match self {
-            Refusal::Lost | Refusal::DeadlineExceeded => "unknown",
+            Refusal::Lost | Refusal::DeadlineExceeded | Refusal::CutOff => "unknown",
             _ => "not_run",
         };
         let mut body = serde_json::json!({ "outcome": outcome, "reason": self.reason() });
--- a/components/gateway/src/requests.rs
+++ b/components/gateway/src/requests.rs
@@ -57,6 +57,7 @@
     route: RefCell<Option<Route>>,
     stage: Cell<Stage>,
     server: RefCell<Option<Server>>,
+    is_cut_off: Cell<bool>,
 }
 
 impl Progress {
@@ -82,6 +83,16 @@
         self.stage.set(Stage::Answering);
     }
 
+    /// Records that the request gets its final response because the process exits.
+    pub fn cut_off(&self) {
+        self.is_cut_off.set(true);
+    }
+
+    /// Returns whether the request gets its final response because the process exits.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off.get()
+    }
+
     /// Returns how far the request is.
     pub fn stage(&self) -> Stage {
         self.stage.get()
@@ -121,6 +132,7 @@
             route: RefCell::default(),
             stage: Cell::new(Stage::Receiving),
             server: RefCell::default(),
+            is_cut_off: Cell::new(false),
         });
         self.by_number.borrow_mut().insert(number, progress.clone());
         Guard {
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -16,6 +16,7 @@
 
 use names::Route;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::refuse::DEFAULT_RETRY_AFTER;
 
@@ -26,6 +27,9 @@
 /// Part of the grace time that is reserved for the exit after the last request.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time before the exit by which each request gets its final response.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+
 /// Weight of a new sample in the average duration of a route's requests.
 const EWMA_WEIGHT: f64 = 0.1;
 
@@ -56,6 +60,8 @@
 #[derive(Debug, Default)]
 pub struct Shutdown {
     began: Cell<Option<Instant>>,
+    /// Cancelled when requests in progress get their final responses.
+    cutoff: CancellationToken,
     /// Number of other gateways of the data centre that accept new work.
     local_peers: Cell<usize>,
     averages: RefCell<HashMap<Route, Average>>,
@@ -110,6 +116,16 @@
             .map(|began| began + grace.saturating_sub(EXIT_MARGIN))
     }
 
+    /// Returns the time by which each request must have its final response.
+    pub fn cutoff_at(&self, grace: Duration) -> Option<Instant> {
+        self.exit_at(grace).map(|at| at - RESPONSE_MARGIN)
+    }
+
+    /// Returns the token that is cancelled when requests in progress get their final responses.
+    pub fn cutoff(&self) -> &CancellationToken {
+        &self.cutoff
+    }
+
     /// Returns the time from `now` until the process exits; `None` before the shutdown.
     pub fn remaining(&self, now: Instant, grace: Duration) -> Option<Duration> {
         let exit_at = self.exit_at(grace)?;
--- a/components/gateway/src/stream/abandon_guard.rs
+++ b/components/gateway/src/stream/abandon_guard.rs
@@ -1,5 +1,7 @@
 //! Detects callers that disconnect before their response ends.
 
+use std::rc::Rc;
+
 use events::{
     forwarding,
     note, //
@@ -8,13 +10,15 @@
 
 use crate::{
     handle::Call,
-    meter, //
+    meter,
+    requests::Progress, //
 };
 
 /// Records that the caller disconnected when the response is dropped before it is complete.
 pub(super) struct AbandonGuard {
     id: String,
     arrived: Instant,
+    progress: Rc<Progress>,
     /// Whether the response ended, complete or not.
     pub(super) done: bool,
 }
@@ -24,6 +28,7 @@
         AbandonGuard {
             id: call.request.metadata.id.clone(),
             arrived: call.arrived,
+            progress: call.progress.clone(),
             done: false,
         }
     }
@@ -31,7 +36,7 @@
 
 impl Drop for AbandonGuard {
     fn drop(&mut self) {
-        if self.done {
+        if self.done || self.progress.is_cut_off() {
             return;
         }
         meter::outcome("abandoned", self.arrived.elapsed());
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -6,7 +6,9 @@
 
 use common::{
     Backend,
+    HOST,
     Harness,
+    Kind,
     Message,
     document,
     read_message,
@@ -19,9 +21,13 @@
     shutdown::Shutdown, //
 };
 use rstest::rstest;
-use tokio::time::{
-    Instant,
-    sleep, //
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{
+        Instant,
+        sleep, //
+    }, //
 };
 
 /// Time within which the load balancer removes a stopping gateway.
@@ -196,3 +202,51 @@
         assert_eq!(running.expect("a complete response").status(), 200);
     });
 }
+
+/// Grace time that ends soon after the load balancer has removed the gateway.
+const SHORT_GRACE: Duration = Duration::from_millis(3300);
+
+/// Guards against requests in progress that are cut off when the process exits.
+#[rstest]
+fn a_request_without_a_response_at_the_exit_gets_a_final_one(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let (_, harness) = start_with_grace(SHORT_GRACE);
+        let backend = Backend::start(|_, _| std::future::pending()).await;
+        harness.register("s1", kind.service(), "a", backend.address);
+        let mut request = harness.send("r1", &kind.path("x"), kind.headers()).await;
+        common::until(|| backend.request_count() > 0).await;
+        harness.stop.cancel();
+        let response = read_message(&mut request).await.expect("a response");
+        assert_eq!(response.status(), 504, "{}", response.text());
+        assert!(response.text().contains("unknown"), "{}", response.text());
+        assert!(!harness.stopped.is_cancelled());
+    });
+}
+
+/// Guards against requests whose bodies still arrive and that are cut off when the process exits.
+#[test]
+fn a_request_that_is_incomplete_at_the_exit_is_refused_as_not_run() {
+    common::run(async {
+        let (_, harness) = start_with_grace(SHORT_GRACE);
+        let backend = Backend::start(|_, _| std::future::pending()).await;
+        harness.register("s1", "ledger", "a", backend.address);
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("connected");
+        let head = format!(
+            "POST /unsafe/x HTTP/1.1\r\nhost: {HOST}\r\nid: r1\r\nkey: k\r\n\
+             content-length: 100\r\n\r\nbegin"
+        );
+        caller.write_all(head.as_bytes()).await.expect("written");
+        sleep(Duration::from_millis(20)).await;
+        harness.stop.cancel();
+        let response = read_message(&mut caller).await.expect("a response");
+        assert_eq!(response.status(), 503, "{}", response.text());
+        assert!(retry_after(&response) > Duration::ZERO);
+        assert!(!harness.stopped.is_cancelled());
+        harness.stopped.cancelled().await;
+        assert_eq!(backend.request_count(), 0);
+    });
+}
--- a/components/report/src/explain/cause.rs
+++ b/components/report/src/explain/cause.rs
@@ -129,6 +129,11 @@
                 None => format!("Failed with {status}: the deadline passed after {ms} ms."),
             }
         }
+        "cut_off" => format!(
+            "Failed with {status} after {} ms: sent to a backend server that had not responded when \
+             the process had to exit; it may have run.",
+            number(line, "ms"),
+        ),
         "expired" => format!(
             "Refused with {status}, not run: the deadline passed after {} ms, before a backend \
              server ran it.",
