gateway: late requests are admitted by their limit, no longer on an estimate

What callers saw: streams that came 3.0 to 3.9 s after SIGTERM, and plain requests in the last 1.5 s before the exit, were taken and cut. Cause: after the balancer has removed a stopping gateway (2.6 s), it still took requests that recent ones of their route suggested would fit. The durations of answered requests say little about the next one when a server stalls, and those that their limit ended weren't counted. By then callers reach another gateway at once, so that the risk buys nothing. Change: after 2.6 s a request is taken only if its own limit ends before final responses are due; before, as it was, by an estimate or by its limit. Waiting streams are held to the same rule. The longest recent duration is needed no more.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -221,6 +221,14 @@
         ids.find(|part| poison::part_fingerprint(&self.service, *part) == fingerprint)
     }
 
+    /// Returns whether the request may be sent to a server now, although the process may be
+    /// shutting down.
+    pub fn is_admitted(&self, shutdown: &Shutdown, grace: Duration) -> bool {
+        let now = Instant::now();
+        let limit = self.until.saturating_duration_since(now);
+        shutdown.admits(now, &self.route, self.pass.objective, limit, grace)
+    }
+
     /// Logs a rejection and returns its response.
     pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
         refusal.respond(&self.request.metadata.id, self.arrived, &self.document)
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -227,7 +227,7 @@
                         context.queue.record_wait(&call.service);
                     }
                     let grace = context.settings.borrow().bounds.grace;
-                    if !context.shutdown.fits_before_exit(&call.route, call.pass.objective, grace) {
+                    if !call.is_admitted(&context.shutdown, grace) {
                         return Err(Refusal::ShuttingDown(context.shutdown.retry_after()));
                     }
                 }
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -1,9 +1,9 @@
 //! Graceful shutdown: which requests are still admitted, and when the process exits.
 //!
 //! The balancer keeps sending connections for some seconds after the process receives SIGTERM, and
-//! callers keep using their open ones. A stream that would outlast the grace time is rejected at
+//! callers keep using their open ones. A request that would outlast the grace time is rejected at
 //! once, so that its caller gets a complete answer from another gateway. If it were admitted, it
-//! would be cut off.
+//! would be cut off. An estimate decides only while callers can't reach another gateway.
 
 use std::{
     cell::{
@@ -40,9 +40,6 @@
 /// another one at once.
 const MAX_DEVIATIONS_LAST_GATEWAY: f64 = 1.0;
 
-/// Share by which a route's longest duration approaches the average with each shorter sample.
-const LONGEST_DECAY: f64 = 0.01;
-
 /// Multiple of the latency objective that a request is expected to take on a route without samples.
 const UNSAMPLED_FACTOR: f64 = 2.0;
 
@@ -52,8 +49,6 @@
     mean: f64,
     /// Mean deviation.
     deviation: f64,
-    /// Longest recent duration.
-    longest: f64,
 }
 
 /// State of the shutdown, and request durations by route.
@@ -148,7 +143,6 @@
             let average = Average {
                 mean: time,
                 deviation,
-                longest: time,
             };
             routes.insert(route.clone(), average);
             return;
@@ -156,15 +150,15 @@
         let error = (time - average.mean).abs();
         average.mean += EWMA_WEIGHT * (time - average.mean);
         average.deviation += EWMA_WEIGHT * (error - average.deviation);
-        let decayed = average.longest - LONGEST_DECAY * (average.longest - average.mean);
-        average.longest = decayed.max(time);
     }
 
-    /// Returns whether a new request is admitted: it must be expected to end before the process
-    /// exits. The last gateway of a data centre allows fewer deviations, as its callers can't reach
-    /// another one at once. After the balancer has removed this gateway, callers can, and a request
-    /// must fit the longest recent duration. `objective` is used to estimate the duration on a
-    /// route without samples, and `limit` is the time after which the request ends in any case.
+    /// Returns whether a request that hasn't been sent to a server is admitted. `limit` is the time
+    /// after which it ends in any case, and `objective` its latency objective, which replaces the
+    /// estimate of its duration on a route without samples.
+    ///
+    /// While the balancer still sends connections, a request must be expected to end before the
+    /// process exits; the last gateway of a data centre allows fewer deviations, as its callers
+    /// can't reach another one at once. After that they can, and a request must end by its limit.
     pub fn admits(
         &self,
         now: Instant,
@@ -173,63 +167,25 @@
         limit: Duration,
         grace: Duration,
     ) -> bool {
-        if self.idle_close_at().is_some_and(|at| at <= now) {
-            return self.surely_ends_within(now, route, limit, grace);
-        }
-        let deviations = match self.local_peers.get() {
-            0 => MAX_DEVIATIONS_LAST_GATEWAY,
-            _ => MAX_DEVIATIONS,
-        };
-        self.ends_within(now, route, objective, grace, deviations)
-    }
-
-    /// Returns whether a queued request is expected to end before the process exits.
-    pub fn fits_before_exit(&self, route: &Route, objective: Duration, grace: Duration) -> bool {
-        self.ends_within(Instant::now(), route, objective, grace, MAX_DEVIATIONS)
-    }
-
-    /// Returns whether a request ends before the process exits unless it takes longer than all
-    /// recent ones of its route.
-    fn surely_ends_within(
-        &self,
-        now: Instant,
-        route: &Route,
-        limit: Duration,
-        grace: Duration,
-    ) -> bool {
-        let Some(exit_at) = self.exit_at(grace) else {
+        let Some(cutoff_at) = self.cutoff_at(grace) else {
             return true;
         };
-        let remaining = exit_at.saturating_duration_since(now);
+        let remaining = cutoff_at.saturating_duration_since(now);
         if limit < remaining {
             return true;
         }
-        let routes = self.averages.borrow();
-        routes.get(route).is_some_and(|average| {
-            let estimate = average.mean + MAX_DEVIATIONS * average.deviation;
-            estimate.max(average.longest) < remaining.as_secs_f64()
-        })
-    }
-
-    /// Returns whether a request is expected to end before the process exits, within `deviations`
-    /// of the average duration.
-    fn ends_within(
-        &self,
-        now: Instant,
-        route: &Route,
-        objective: Duration,
-        grace: Duration,
-        deviations: f64,
-    ) -> bool {
-        let Some(exit_at) = self.exit_at(grace) else {
-            return true;
+        if self.idle_close_at().is_some_and(|at| at <= now) {
+            return false;
+        }
+        let deviations = match self.local_peers.get() {
+            0 => MAX_DEVIATIONS_LAST_GATEWAY,
+            _ => MAX_DEVIATIONS,
         };
-        let remaining = exit_at.saturating_duration_since(now).as_secs_f64();
-        let routes = self.averages.borrow();
-        let time = match routes.get(route) {
+        let averages = self.averages.borrow();
+        let time = match averages.get(route) {
             Some(average) => average.mean + deviations * average.deviation,
             None => objective.as_secs_f64() * UNSAMPLED_FACTOR,
         };
-        time < remaining
+        time < remaining.as_secs_f64()
     }
 }
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -120,17 +120,17 @@
     });
 }
 
-/// Guards against streams that are cut at the exit: the last gateway of a data centre takes them
-/// after the balancer has removed it, and they take longer than usual.
+/// Guards against streams that are cut off at the exit: they are admitted because streams of their
+/// route usually end in time, although their callers can reach another gateway.
 #[rstest]
-#[case::may_outlast_the_exit(Duration::from_millis(4700), 503)]
-#[case::surely_fits(Duration::from_millis(8000), 200)]
-fn the_last_gateway_refuses_late_streams_that_may_be_cut(
-    #[case] grace: Duration,
+#[case::expected_to_end_in_time("", 503)]
+#[case::ends_by_its_deadline("deadline: 4000\r\n", 200)]
+fn a_late_stream_is_admitted_only_if_it_ends_by_its_limit(
+    #[case] headers: &str,
     #[case] status: u16,
 ) {
     common::run(async move {
-        let (_, harness) = start_with_grace(grace);
+        let (_, harness) = start_with_grace(Duration::from_millis(8000));
         let backend = engine().await;
         harness.register("s1", "draft", "a", backend.address);
         let (_, first) = harness.request("r1", "/stream/x", "tokens: 10\r\n").await;
@@ -139,9 +139,8 @@
         sleep(Duration::from_millis(20)).await;
         harness.stop.cancel();
         sleep(BALANCER_REMOVAL_DELAY + Duration::from_millis(100)).await;
-        let (_, response) = harness
-            .request("slower", "/stream/x", "tokens: 10\r\n")
-            .await;
+        let headers = format!("tokens: 10\r\n{headers}");
+        let (_, response) = harness.request("slower", "/stream/x", &headers).await;
         let response = response.expect("a complete response");
         assert_eq!(response.status(), status);
         let running = read_message(&mut running).await;
@@ -153,13 +152,16 @@
     });
 }
 
-/// Guards against a late request that takes as long as a rare one of its route and is cut, and
-/// against refusing one whose own limit ends before the exit.
+/// Guards against late requests that take longer than usual and are cut off at the exit, and against
+/// refusing one whose own limit ends before.
 #[rstest]
-#[case::average_fits_but_the_longest_does_not(Duration::from_secs(20), 5000, false)]
-#[case::longest_fits(Duration::from_secs(20), 2650, true)]
+#[case::longest_does_not_fit(Duration::from_secs(20), 5000, false)]
+#[case::longest_fits(Duration::from_secs(20), 2650, false)]
+#[case::usual_one_in_the_last_second(Duration::from_millis(1500), 7000, false)]
 #[case::limit_ends_before_the_exit(Duration::from_secs(2), 5000, true)]
-fn a_late_request_must_fit_the_longest_of_its_route(
+#[case::limit_ends_just_before_the_exit(Duration::from_millis(4700), 2650, true)]
+#[case::expected_to_end_while_callers_come(Duration::from_secs(20), 2500, true)]
+fn a_late_request_must_end_by_its_limit(
     #[case] limit: Duration,
     #[case] after_ms: u64,
     #[case] admitted: bool,
