gateway: while all gateways leave, callers are told when the first one is back

Plain requests were refused in the last 1.5 s although nobody else took them. Cause: a refusal assumes that another gateway takes the caller; the processes know of each other that they leave, and made no use of it. Change: a refusal while all others leave says when the first of them must be back (the first to leave, plus the grace time and a restart), spread over half a second. In that case plain requests are still taken on an estimate, as they get a final response in any case. A gateway that knows of no other goes by the balancer, as before.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -108,7 +108,10 @@
         Sender, //
     },
     settings::Settings,
-    shutdown::Shutdown,
+    shutdown::{
+        self,
+        Shutdown, //
+    },
     stream,
     suspects::Suspects, //
 };
@@ -225,8 +228,13 @@
     /// shutting down.
     pub fn is_admitted(&self, shutdown: &Shutdown, grace: Duration) -> bool {
         let now = Instant::now();
-        let limit = self.until.saturating_duration_since(now);
-        shutdown.admits(now, &self.route, self.pass.objective, limit, grace)
+        let request = shutdown::Request {
+            route: &self.route,
+            objective: self.pass.objective,
+            limit: self.until.saturating_duration_since(now),
+            stream: self.pass.stream,
+        };
+        shutdown.admits(now, &request, grace)
     }
 
     /// Logs a rejection and returns its response.
@@ -283,7 +291,8 @@
     fn final_response(&self, progress: &Progress) -> Response<Body> {
         let refusal = match progress.stage() {
             requests::Stage::Receiving | requests::Stage::Waiting => {
-                Refusal::ShuttingDown(self.shutdown.retry_after())
+                let grace = self.settings.borrow().bounds.grace;
+                Refusal::ShuttingDown(self.shutdown.retry_after(grace))
             }
             requests::Stage::Sent | requests::Stage::Answering => Refusal::CutOff,
         };
@@ -438,11 +447,15 @@
             .map_or(limit, |deadline| deadline.min(limit));
         let grace = settings.bounds.grace;
         let now = Instant::now();
-        if !self
-            .shutdown
-            .admits(now, &route, pass.objective, limit, grace)
-        {
-            return Err(refuse(Refusal::ShuttingDown(self.shutdown.retry_after())));
+        let draining = shutdown::Request {
+            route: &route,
+            objective: pass.objective,
+            limit,
+            stream: pass.stream,
+        };
+        if !self.shutdown.admits(now, &draining, grace) {
+            let retry_after = self.shutdown.retry_after(grace);
+            return Err(refuse(Refusal::ShuttingDown(retry_after)));
         }
         if let Some(remaining) = self.shutdown.remaining(now, grace) {
             let estimate = self.shutdown.duration_estimate(&route);
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -53,7 +53,10 @@
     retry_budget::RetryBudgets,
     rollout::Rollouts,
     settings::Settings,
-    shutdown::Shutdown,
+    shutdown::{
+        self,
+        Shutdown, //
+    },
     suspects::Suspects, //
 };
 
@@ -250,8 +253,14 @@
             .freshness
             .borrow_mut()
             .set_rank(self.table.rank(), local_rank);
-        let local_peers = self.table.local_count(&settings.data_centre);
-        self.shared.shutdown.set_local_peers(local_peers);
+        let return_time = shutdown::Peers::return_time(settings.bounds.grace);
+        let returns = self.table.leaving_since();
+        let remaining = returns.filter_map(|since| (since + return_time).checked_sub(clock::now()));
+        self.shared.shutdown.set_peers(shutdown::Peers {
+            accepting: self.table.rank().1 - 1,
+            local: self.table.local_count(&settings.data_centre),
+            next_return: remaining.min().map(|remaining| Instant::now() + remaining),
+        });
         self.table.add_seeds(&settings.seeds);
     }
 
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -228,7 +228,7 @@
                     }
                     let grace = context.settings.borrow().bounds.grace;
                     if !call.is_admitted(&context.shutdown, grace) {
-                        return Err(Refusal::ShuttingDown(context.shutdown.retry_after()));
+                        return Err(Refusal::ShuttingDown(context.shutdown.retry_after(grace)));
                     }
                 }
             }
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -30,6 +30,12 @@
 /// Time before the exit by which each request gets its final response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Time from the exit of a process until its next run accepts connections.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time over which callers that wait for the return of a gateway are spread.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 /// Weight of a new sample in the average duration of a route's requests.
 const EWMA_WEIGHT: f64 = 0.1;
 
@@ -51,14 +57,44 @@
     deviation: f64,
 }
 
+/// What is known of the other gateways.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Peers {
+    /// Number of those that accept new work.
+    pub accepting: usize,
+    /// Number of those that accept new work in the data centre.
+    pub local: usize,
+    /// When the first one of those that are leaving must be back.
+    pub next_return: Option<Instant>,
+}
+
+impl Peers {
+    /// Returns how long after the start of its shutdown a gateway is back.
+    pub fn return_time(grace: Duration) -> Duration {
+        grace.saturating_sub(EXIT_MARGIN) + RESTART_TIME
+    }
+}
+
+/// A request that hasn't been sent to a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Route that it matched.
+    pub route: &'a Route,
+    /// Latency objective, from which its duration is estimated on a route without samples.
+    pub objective: Duration,
+    /// Time after which it ends in any case.
+    pub limit: Duration,
+    /// Whether its response is a stream, which nothing can complete once it has begun.
+    pub stream: bool,
+}
+
 /// State of the shutdown, and request durations by route.
 #[derive(Debug, Default)]
 pub struct Shutdown {
     began: Cell<Option<Instant>>,
     /// Cancelled when requests in progress get their final responses.
     cutoff: CancellationToken,
-    /// Number of other gateways of the data centre that accept new work.
-    local_peers: Cell<usize>,
+    peers: Cell<Peers>,
     averages: RefCell<HashMap<Route, Average>>,
 }
 
@@ -83,19 +119,31 @@
         at.checked_duration_since(self.began.get()?)
     }
 
-    /// Sets the number of other gateways of the data centre that accept new work.
-    pub fn set_local_peers(&self, local_peers: usize) {
-        self.local_peers.set(local_peers);
+    /// Sets what is known of the other gateways.
+    pub fn set_peers(&self, peers: Peers) {
+        self.peers.set(peers);
     }
 
-    /// Returns the time after which a rejected caller can reach another gateway. The balancer keeps
-    /// to the caller's data centre while it believes that a gateway runs there, and this one may be
-    /// the last.
-    pub fn retry_after(&self) -> Duration {
-        let (Some(close_at), 0) = (self.idle_close_at(), self.local_peers.get()) else {
+    /// Returns the time after which a rejected caller can reach a gateway that accepts work. The
+    /// balancer keeps to the caller's data centre while it believes that a gateway runs there, and
+    /// this one may be the last. While all others are leaving too, it is the return of the first one.
+    pub fn retry_after(&self, grace: Duration) -> Duration {
+        let Some(began) = self.began.get() else {
             return DEFAULT_RETRY_AFTER;
         };
-        let remaining = close_at.saturating_duration_since(Instant::now());
+        let reachable_at = match self.peers.get() {
+            Peers {
+                accepting: 0,
+                next_return: Some(next_return),
+                ..
+            } => {
+                let spread = MAX_RETURN_SPREAD.mul_f64(rand::random());
+                next_return.min(began + Peers::return_time(grace)) + spread
+            }
+            Peers { local: 0, .. } => began + BALANCER_DELAY,
+            _ => return DEFAULT_RETRY_AFTER,
+        };
+        let remaining = reachable_at.saturating_duration_since(Instant::now());
         remaining.max(DEFAULT_RETRY_AFTER)
     }
 
@@ -152,39 +200,33 @@
         average.deviation += EWMA_WEIGHT * (error - average.deviation);
     }
 
-    /// Returns whether a request that hasn't been sent to a server is admitted. `limit` is the time
-    /// after which it ends in any case, and `objective` its latency objective, which replaces the
-    /// estimate of its duration on a route without samples.
+    /// Returns whether a request that hasn't been sent to a server is admitted.
     ///
-    /// While the balancer still sends connections, a request must be expected to end before the
-    /// process exits; the last gateway of a data centre allows fewer deviations, as its callers
-    /// can't reach another one at once. After that they can, and a request must end by its limit.
-    pub fn admits(
-        &self,
-        now: Instant,
-        route: &Route,
-        objective: Duration,
-        limit: Duration,
-        grace: Duration,
-    ) -> bool {
+    /// One that ends by its limit always is. While the balancer still sends connections, others must
+    /// be expected to end in time; the last gateway of a data centre allows fewer deviations, as its
+    /// callers can't reach another one at once. After that they can, so that an estimate isn't
+    /// enough, unless no other gateway accepts work and a request that is cut off still gets a
+    /// response.
+    pub fn admits(&self, now: Instant, request: &Request<'_>, grace: Duration) -> bool {
         let Some(cutoff_at) = self.cutoff_at(grace) else {
             return true;
         };
         let remaining = cutoff_at.saturating_duration_since(now);
-        if limit < remaining {
+        if request.limit < remaining {
             return true;
         }
-        if self.idle_close_at().is_some_and(|at| at <= now) {
+        let removed = self.idle_close_at().is_some_and(|at| at <= now);
+        if removed && (request.stream || self.peers.get().accepting > 0) {
             return false;
         }
-        let deviations = match self.local_peers.get() {
-            0 => MAX_DEVIATIONS_LAST_GATEWAY,
+        let deviations = match self.peers.get().local {
+            0 if !removed => MAX_DEVIATIONS_LAST_GATEWAY,
             _ => MAX_DEVIATIONS,
         };
         let averages = self.averages.borrow();
-        let time = match averages.get(route) {
+        let time = match averages.get(request.route) {
             Some(average) => average.mean + deviations * average.deviation,
-            None => objective.as_secs_f64() * UNSAMPLED_FACTOR,
+            None => request.objective.as_secs_f64() * UNSAMPLED_FACTOR,
         };
         time < remaining.as_secs_f64()
     }
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -18,8 +18,13 @@
 };
 use gateway::{
     settings::Settings,
-    shutdown::Shutdown, //
+    shutdown::{
+        Peers,
+        Request,
+        Shutdown, //
+    },
 };
+use names::Route;
 use rstest::rstest;
 use tokio::{
     io::AsyncWriteExt,
@@ -152,6 +157,16 @@
     });
 }
 
+/// Returns the state 50 requests after one that took 4.5 s; the others took 1 s.
+fn after_a_long_request(route: &Route) -> Shutdown {
+    let shutdown = Shutdown::default();
+    shutdown.record_duration(route, Duration::from_millis(4500));
+    for _ in 0..50 {
+        shutdown.record_duration(route, Duration::from_millis(1000));
+    }
+    shutdown
+}
+
 /// Guards against late requests that take longer than usual and are cut off at the exit, and against
 /// refusing one whose own limit ends before.
 #[rstest]
@@ -165,22 +180,51 @@
     #[case] limit: Duration,
     #[case] after_ms: u64,
     #[case] admitted: bool,
+    #[values(true, false)] stream: bool,
 ) {
     let route = "chat".to_string();
+    let shutdown = after_a_long_request(&route);
+    shutdown.set_peers(Peers {
+        accepting: 1,
+        ..Peers::default()
+    });
+    let began = Instant::now();
+    shutdown.begin(began);
+    let now = began + Duration::from_millis(after_ms);
+    let request = Request {
+        route: &route,
+        objective: Duration::from_secs(1),
+        limit,
+        stream,
+    };
     let grace = Duration::from_secs(8);
-    let shutdown = Shutdown::default();
-    shutdown.record_duration(&route, Duration::from_millis(4500));
-    for _ in 0..50 {
-        shutdown.record_duration(&route, Duration::from_millis(1000));
-    }
+    assert_eq!(shutdown.admits(now, &request, grace), admitted);
+}
+
+/// Guards against refusing plain requests in the last seconds when no other gateway accepts any, and
+/// against streams that are cut off then.
+#[rstest]
+#[case::plain_that_is_expected_to_end(false, 5000, true)]
+#[case::plain_that_is_not(false, 6900, false)]
+#[case::stream(true, 5000, false)]
+fn the_last_gateway_admits_plain_requests_on_an_estimate(
+    #[case] stream: bool,
+    #[case] after_ms: u64,
+    #[case] admitted: bool,
+) {
+    let route = "chat".to_string();
+    let shutdown = after_a_long_request(&route);
     let began = Instant::now();
     shutdown.begin(began);
+    let request = Request {
+        route: &route,
+        objective: Duration::from_secs(1),
+        limit: Duration::from_secs(20),
+        stream,
+    };
     let now = began + Duration::from_millis(after_ms);
-    let objective = Duration::from_secs(1);
-    assert_eq!(
-        shutdown.admits(now, &route, objective, limit, grace),
-        admitted
-    );
+    let grace = Duration::from_secs(8);
+    assert_eq!(shutdown.admits(now, &request, grace), admitted);
 }
 
 /// Guards against connections that are closed without a response: they were accepted after the
@@ -252,3 +296,25 @@
         assert_eq!(backend.request_count(), 0);
     });
 }
+
+/// Guards against callers that use up their attempts while all gateways are leaving.
+#[rstest]
+#[case::this_one_returns_first(Some(20_000), 8100)]
+#[case::another_one_returns_first(Some(3000), 3000)]
+#[case::no_other_is_known(None, 2600)]
+fn retry_after_lasts_until_the_first_gateway_returns(
+    #[case] next_return_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    let shutdown = Shutdown::default();
+    let began = Instant::now();
+    shutdown.begin(began);
+    shutdown.set_peers(Peers {
+        next_return: next_return_ms.map(|ms| began + Duration::from_millis(ms)),
+        ..Peers::default()
+    });
+    let expected = Duration::from_millis(expected_ms);
+    let delay = shutdown.retry_after(Duration::from_secs(8)) + began.elapsed();
+    let latest = expected + Duration::from_millis(550);
+    assert!(delay >= expected && delay <= latest, "{delay:?}");
+}
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -83,7 +83,8 @@
     sequence: u64,
     received_at: Clock,
     interval: Duration,
-    leaving: bool,
+    /// When its first beacon arrived that has it as leaving, if it is.
+    leaving_since: Option<Clock>,
     silent: bool,
     data_centre: DataCentre,
     timestamp: u64,
@@ -148,6 +149,7 @@
         let mut ended = None;
         let mut returned = true;
         let mut introduced_at = None;
+        let mut leaving_since = None;
         if let Some(peer) = self.peers.get(&from) {
             let same = peer.incarnation == beacon.incarnation;
             if same && peer.sequence >= beacon.sequence {
@@ -158,6 +160,7 @@
             }
             returned = !same || peer.silent;
             introduced_at = peer.introduced_at.filter(|_| same);
+            leaving_since = peer.leaving_since.filter(|_| same);
         } else if self.peers.len() >= MAX_PEERS {
             return Receipt::Ignored;
         }
@@ -170,7 +173,7 @@
                 sequence: beacon.sequence,
                 received_at: now,
                 interval: Duration::from_millis(u64::from(beacon.interval_ms)),
-                leaving: beacon.leaving,
+                leaving_since: beacon.leaving.then(|| leaving_since.unwrap_or(now)),
                 silent: false,
                 data_centre: beacon.data_centre.clone(),
                 timestamp: beacon.timestamp,
@@ -310,7 +313,7 @@
         let alive = self
             .peers
             .values()
-            .filter(|peer| !peer.silent && !peer.leaving);
+            .filter(|peer| !peer.silent && peer.leaving_since.is_none());
         let mut rank = 0;
         let mut count = 1;
         for peer in alive {
@@ -331,9 +334,15 @@
         self.local(data_centre).count()
     }
 
+    /// Returns since when peers are leaving, those included that have since fallen silent.
+    pub fn leaving_since(&self) -> impl Iterator<Item = Clock> {
+        self.peers.values().filter_map(|peer| peer.leaving_since)
+    }
+
     fn local(&self, data_centre: &str) -> impl Iterator<Item = &Peer> {
-        let local =
-            move |peer: &&Peer| !peer.silent && !peer.leaving && peer.data_centre == data_centre;
+        let local = move |peer: &&Peer| {
+            !peer.silent && peer.leaving_since.is_none() && peer.data_centre == data_centre
+        };
         self.peers.values().filter(local)
     }
 
@@ -353,7 +362,7 @@
                 recipients.push(*address);
                 continue;
             }
-            if peer.silent || peer.leaving || scope == Scope::Local {
+            if peer.silent || peer.leaving_since.is_some() || scope == Scope::Local {
                 continue;
             }
             let one = (peer.incarnation, *address);
