gateway: a request whose body arrived slowly is admitted again before it is sent

Cause: the second hypothesis: admission is decided when the head arrives, and the body may take ten seconds. Change: the rule for requests during the drain is asked again when the request is complete. Evidence: a_request_is_admitted_again_when_its_body_is_complete failed for safe and unsafe requests and streams (504 instead of 503).

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -268,6 +268,10 @@
         let progress = running.progress.clone();
         let handled = async {
             match self.admit(request, &progress).await {
+                Ok(call) if !self.may_begin(&call) => {
+                    let grace = self.settings.borrow().bounds.grace;
+                    call.refuse(&Refusal::ShuttingDown(self.shutdown.retry_after(grace)))
+                }
                 Ok(call) if call.pass.stream => stream::run(self, call).await,
                 Ok(call) => plain::run(self, call).await,
                 Err(response) => response,
@@ -287,6 +291,13 @@
         response
     }
 
+    /// Returns whether a complete request may be sent to a server now. Its body may have arrived long
+    /// after its head.
+    fn may_begin(&self, call: &Call) -> bool {
+        let grace = self.settings.borrow().bounds.grace;
+        call.is_admitted(&self.shutdown, grace)
+    }
+
     /// Returns the response of a request that can't be awaited until the process exits.
     fn final_response(&self, progress: &Progress) -> Response<Body> {
         let refusal = match progress.stage() {
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -157,6 +157,35 @@
     });
 }
 
+/// Guards against requests that are sent to a server just before the exit, as their bodies arrive
+/// long after they were admitted.
+#[rstest]
+fn a_request_is_admitted_again_when_its_body_is_complete(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let (_, harness) = start_with_grace(Duration::from_secs(5));
+        let backend = Backend::start(|_, _| std::future::pending()).await;
+        harness.register("s1", kind.service(), "a", backend.address);
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("connected");
+        let (path, headers) = (kind.path("x"), kind.headers());
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nid: r1\r\nkey: k\r\n\
+             deadline: 6000\r\n{headers}content-length: 10\r\n\r\nbegin"
+        );
+        caller.write_all(head.as_bytes()).await.expect("written");
+        sleep(Duration::from_millis(20)).await;
+        harness.stop.cancel();
+        sleep(BALANCER_REMOVAL_DELAY + Duration::from_millis(800)).await;
+        caller.write_all(b"ended").await.expect("written");
+        let response = read_message(&mut caller).await.expect("a response");
+        assert_eq!(response.status(), 503, "{}", response.text());
+        assert_eq!(backend.request_count(), 0);
+    });
+}
+
 /// Returns the state 50 requests after one that took 4.5 s; the others took 1 s.
 fn after_a_long_request(route: &Route) -> Shutdown {
     let shutdown = Shutdown::default();
