gateway: the rest of a body is read after an early response

What callers saw: a refusal that came before their body was sent whole (a stopping gateway, no route, no key) ended with a reset connection, with which the refusal can be lost; the caller can't know that its request hasn't run. Change: the rest of the body is read and dropped for up to 2 s and 1 MiB; the response isn't delayed. Evidence: a_caller_whose_body_still_arrives_receives_its_refusal failed for both refusals (broken pipe).

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -14,11 +14,14 @@
     time::Duration, //
 };
 
+use bytes::Bytes;
 use http::{
     HeaderValue,
     Request,
     header::CONNECTION, //
 };
+use http_body::Body;
+use http_body_util::BodyExt;
 use hyper::{
     body::Incoming,
     rt::{
@@ -42,7 +45,8 @@
     task::spawn_local,
     time::{
         Instant,
-        sleep_until, //
+        sleep_until,
+        timeout, //
     },
 };
 use tokio_util::sync::CancellationToken;
@@ -61,6 +65,12 @@
 /// Maximum size of a request's head while no document is known, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
+/// Time for the rest of the body of a request that has its response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum length of that rest, in bytes.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
 /// Accepts connections until `stop` is cancelled. Once `close` is cancelled, each open connection
 /// is closed after the request in progress, and each new one after its first request.
 pub async fn run<P: Protocol + 'static>(
@@ -160,8 +170,12 @@
             let progress = progress.clone();
             let context = context.clone();
             async move {
-                let active = ActiveGuard::new(progress);
-                let mut response = context.serve(request).await;
+                let active = Rc::new(ActiveGuard::new(progress));
+                let (parts, mut body) = request.into_parts();
+                let mut response = context.serve(parts, &mut body).await;
+                if !body.is_end_stream() {
+                    spawn_local(discard(body, active.clone()));
+                }
                 if context.shutdown.has_begun() {
                     let value = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, value);
@@ -204,6 +218,22 @@
     }
 }
 
+/// Reads the rest of the body of a request that has its response. If the connection were closed with
+/// unread bytes, it would be reset, and the caller could lose the response.
+async fn discard(mut body: Incoming, _active: Rc<ActiveGuard>) {
+    let reading = async {
+        let mut length = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    // The connection is closed if the body doesn't end.
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
+
 /// Returns the idle timeout, the header timeout and the maximum size of a request's head.
 fn limits<P>(context: &Context<P>) -> (Duration, Duration, usize) {
     let document_cache = context.document_cache.borrow();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -41,7 +41,6 @@
     note, //
 };
 use http::{
-    Request,
     Response,
     header::{
         CONTENT_LENGTH,
@@ -262,12 +261,12 @@
 }
 
 impl<P: Protocol + 'static> Context<P> {
-    /// Handles a request.
-    pub async fn serve(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+    /// Handles a request. The response may come before the whole body was read.
+    pub async fn serve(self: &Rc<Self>, parts: Parts, body: &mut Incoming) -> Response<Body> {
         let running = self.requests.begin();
         let progress = running.progress.clone();
         let handled = async {
-            match self.admit(request, &progress).await {
+            match self.admit(parts, body, &progress).await {
                 Ok(call) if !self.may_begin(&call) => {
                     let grace = self.settings.borrow().bounds.grace;
                     call.refuse(&Refusal::ShuttingDown(self.shutdown.retry_after(grace)))
@@ -422,11 +421,11 @@
     /// Parses a request and decides whether it is admitted; an error is the response to the caller.
     async fn admit(
         &self,
-        request: Request<Incoming>,
+        parts: Parts,
+        body: &mut Incoming,
         progress: &Rc<Progress>,
     ) -> Result<Call, Response<Body>> {
         let arrived = progress.arrived;
-        let (parts, body) = request.into_parts();
         let metadata = self
             .sender
             .protocol()
@@ -568,7 +567,7 @@
 /// Reads the whole body of a request.
 async fn read_body(
     parts: &Parts,
-    mut body: Incoming,
+    body: &mut Incoming,
     caller_limits: Option<&Bounds>,
     arrived: Instant,
 ) -> Result<Bytes, Refusal> {
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -347,3 +347,39 @@
     let latest = expected + Duration::from_millis(550);
     assert!(delay >= expected && delay <= latest, "{delay:?}");
 }
+
+/// Guards against refusals that are lost: the connection is reset because the rest of the request's
+/// body arrives after the refusal.
+#[rstest]
+#[case::shutting_down(true, 503)]
+#[case::no_route(false, 404)]
+fn a_caller_whose_body_still_arrives_receives_its_refusal(#[case] stop: bool, #[case] status: u16) {
+    common::run(async move {
+        let (_, harness) = start_with_grace(Duration::from_secs(5));
+        let backend = Backend::start(|_, _| std::future::pending()).await;
+        harness.register("s1", "ledger", "a", backend.address);
+        // Keeps the process until the end of the grace time.
+        let _running = harness.send("running", "/unsafe/x", "").await;
+        if stop {
+            common::until(|| backend.request_count() > 0).await;
+            harness.stop.cancel();
+            sleep(BALANCER_REMOVAL_DELAY + Duration::from_millis(50)).await;
+        }
+        let path = if stop { "/unsafe/x" } else { "/nowhere/x" };
+        let mut caller = TcpStream::connect(harness.callers)
+            .await
+            .expect("connected");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nid: r1\r\nkey: k\r\n\
+             content-length: 60000\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.expect("written");
+        for _ in 0..3 {
+            sleep(Duration::from_millis(30)).await;
+            let written = caller.write_all(&[b'x'; 20_000]).await;
+            written.expect("the gateway takes the body");
+        }
+        let response = read_message(&mut caller).await.expect("a response");
+        assert_eq!(response.status(), status, "{}", response.text());
+    });
+}
