entry: a request without a response gets its final one at the end of the drain time

What callers saw: an answer or a call in progress when the drain time of an entry ended was cut off without a response. Cause: the same as at the gateway: nothing bounds a request that was admitted before. Change: 150 ms before the end of the drain time, requests whose handler hasn't returned get a response that says that their outcome is unknown. A stream that has begun ends with the process, as before. The sidecar needs nothing: its entry takes the loss of its link for an unknown outcome, or resumes the stream. Evidence: an_answer_that_outlasts_the_drain_ends_with_a_response failed before (connection closed before the message was complete).

--- a/components/daemon/src/drain.rs
+++ b/components/daemon/src/drain.rs
@@ -11,14 +11,24 @@
 /// Interval between two checks of the work in progress.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Waits until no work is in progress or `limit` has passed; logs work that is cut off.
-pub async fn drain(in_progress: impl Fn() -> usize, limit: Duration) {
+/// Waits until no work is in progress or `limit` has passed; logs work that is cut off. Returns
+/// whether all work has ended.
+pub async fn drain(in_progress: impl Fn() -> usize, limit: Duration) -> bool {
+    let ended = wait(&in_progress, limit).await;
+    if !ended {
+        events::emit!(process::ABORTED, "in_progress={}", in_progress());
+    }
+    ended
+}
+
+/// Waits until no work is in progress or `limit` has passed; returns whether all work has ended.
+pub async fn wait(in_progress: impl Fn() -> usize, limit: Duration) -> bool {
     let end = Instant::now() + limit;
     while in_progress() > 0 {
         if Instant::now() >= end {
-            events::emit!(process::ABORTED, "in_progress={}", in_progress());
-            return;
+            return false;
         }
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
+    true
 }
--- a/components/entry/src/callers/mod.rs
+++ b/components/entry/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod completions;
+mod cutoff;
 mod openai;
 mod request;
 mod router;
--- a/components/entry/src/callers/router.rs
+++ b/components/entry/src/callers/router.rs
@@ -13,6 +13,7 @@
 
 use super::{
     completions::Completions,
+    cutoff::Cutoff,
     openai::Kind,
     service::Service,
     status::Status, //
@@ -37,7 +38,11 @@
     let status = Status {
         state: state.clone(),
     };
+    let cutoff = Cutoff {
+        state: state.clone(),
+    };
     Router::new()
+        .hoop(cutoff)
         .push(Router::with_path("v1/completions").post(completions(Kind::Completion)))
         .push(Router::with_path("v1/chat/completions").post(completions(Kind::Chat)))
         .push(Router::with_path("v1/calls/{key}").get(status))
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use daemon::{
@@ -65,6 +66,9 @@
     },
 };
 
+/// Time before the end of the drain time by which requests get their final responses.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+
 /// A running entry.
 pub struct Entry {
     /// Address of the interface for callers.
@@ -202,6 +206,7 @@
         requests: Requests::default(),
         origin,
         stopping,
+        cutoff: CancellationToken::new(),
         stopped: CancellationToken::new(),
         settings,
     })
@@ -248,5 +253,10 @@
     state
         .heartbeat
         .send_modify(|heartbeat| heartbeat.leaving = true);
-    drain::drain(|| state.requests.count(), state.settings.times.drain).await;
+    let limit = state.settings.times.drain;
+    let in_progress = || state.requests.count();
+    if !drain::drain(in_progress, limit.saturating_sub(RESPONSE_MARGIN)).await {
+        state.cutoff.cancel();
+        drain::wait(in_progress, RESPONSE_MARGIN).await;
+    }
 }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -86,6 +86,8 @@
     pub(crate) origin: Instant,
     /// Cancelled when the entry begins to shut down.
     pub(crate) stopping: CancellationToken,
+    /// Cancelled when requests in progress get their final responses.
+    pub(crate) cutoff: CancellationToken,
     /// Cancelled when the requests in progress have drained.
     pub(crate) stopped: CancellationToken,
 }
--- a/components/trial/tests/shutdown.rs
+++ b/components/trial/tests/shutdown.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use reqwest::StatusCode;
 use rstest::rstest;
 use serde_json::{
@@ -10,8 +12,13 @@
 };
 use support::{
     expected_tokens,
+    start_draining_within,
     start_single_entry, //
 };
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 use trial::{
     Trial,
     stream::Stream, //
@@ -95,3 +102,22 @@
     let body: Value = refused.json().await.expect("the refusal is JSON");
     assert_eq!(body["error"]["run"], "not_run");
 }
+
+/// Guards against answers without an event that are cut off at the end of an entry's drain time.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_outlasts_the_drain_ends_with_a_response() {
+    let drain = Duration::from_millis(300);
+    let trial = start_draining_within(1, Some(drain)).await;
+    let body = json!({"model": "m", "prompt": PROMPT, "max_tokens": 20_000, "seed": SEED});
+    let address = format!("{}/v1/completions", trial.callers_url(0));
+    let request = trial.client.post(address).json(&body).send();
+    let request = tokio::spawn(request);
+    while trial.engines[0].runs().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    stop(&trial, Stopped::Entry);
+    let response = timeout(Duration::from_secs(5), request).await;
+    let response = response.expect("a response in time").expect("no panic");
+    let status = response.expect("a whole response").status();
+    assert!(status.is_server_error(), "{status}");
+}
--- a/components/trial/tests/support/mod.rs
+++ b/components/trial/tests/support/mod.rs
@@ -11,7 +11,10 @@
     self,
     Settings, //
 };
-use trial::Trial;
+use trial::{
+    Trial,
+    trial::entry_settings, //
+};
 
 /// Document with one model and one ledger.
 pub const DOCUMENT: &str = "\
@@ -80,7 +83,14 @@
 
 /// Starts a system of one entry and engines that take 2 ms per token, and waits until it is ready.
 pub async fn start_single_entry(engines: usize) -> Trial {
+    start_draining_within(engines, None).await
+}
+
+/// Starts a system like [`start_single_entry`] whose entry has another drain time, if one is given.
+pub async fn start_draining_within(engines: usize, drain: Option<Duration>) -> Trial {
     let mut trial = Trial::start().await.expect("the platform starts");
+    let mut entry = entry_settings("entry-0", "dc1", trial.platform.address());
+    entry.times.drain = drain.unwrap_or(entry.times.drain);
     for number in 0..engines {
         let settings = Settings {
             token_interval: Duration::from_millis(2),
@@ -95,7 +105,7 @@
             .expect("the engine starts");
     }
     trial
-        .start_entry("entry-0", "dc1")
+        .start_entry_with(entry)
         .await
         .expect("the entry starts");
     let revision = trial
