A refusal of a request that may crash servers waits until the runs at the last crash are reported

A harmful stream and the sound ones beside it had gone on together from server to server, three of which crashed within 130 ms. At the third crash a sound run was reported 16 ms before the harmful one; for that time a prompt part of sound streams was the only cause that was at all three crashes, and a request that came then was refused for it. Cause: the verdict follows from the reports so far, and a crash is reported run by run, within tens of milliseconds. Class of fault: a decision on a set of observations that isn't complete yet. Change: until 100 ms after the last crash a refusal isn't certain: a request that it concerns waits, up to 400 ms, and is then refused or sent. It isn't sent meanwhile, so that a harmful request crashes no more servers than before. Runs that wait for their head are given up only for a certain refusal.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -56,6 +56,9 @@
 /// wrong verdict doesn't last.
 const REPORT_TTL: Duration = Duration::from_secs(600);
 
+/// Time within which the processes notice a crash and tell each other of their runs at it.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
 /// Time after the last crash before a conviction is stored: the runs that were under way have
 /// survived or not by then, and reports have arrived.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -375,6 +378,17 @@
         subject.causes().find(is_refused)
     }
 
+    /// Returns how long the refusal of a cause may still be wrong, as runs in flight at its last crash
+    /// may not have been reported yet; zero once all have been.
+    pub fn unsettled_for(&self, now: Clock, cause: Fingerprint) -> Duration {
+        if self.stored.contains(&cause) {
+            return Duration::ZERO;
+        }
+        let until = self.convicts.get(&cause);
+        let crashed_at = until.map(|until| until.saturating_sub(REPORT_TTL));
+        crashed_at.map_or(Duration::ZERO, |at| (at + REPORT_TIME).saturating_sub(now))
+    }
+
     /// Returns what a sign of life or the survival of a request changes: the request with those of
     /// its parts that are suspected. `None` if it changes nothing.
     pub fn relevant_to(&self, subject: &Subject, observation: Observation) -> Option<Subject> {
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -181,6 +181,29 @@
     assert!(case.is_refused(POISON));
 }
 
+/// Guards against the refusal of a request that was beside the one that crashes servers, and whose
+/// runs at the last crash are reported first.
+#[test]
+fn a_refusal_is_not_certain_until_all_runs_at_the_last_crash_are_reported() {
+    let mut case = Case::new();
+    case.crash(10, &[POISON, INNOCENT]);
+    case.crash(11, &[POISON, INNOCENT]);
+    case.crash(12, &[INNOCENT]);
+    let crashed_at = case.now;
+    assert!(case.is_refused(INNOCENT));
+    let unsettled_for = |case: &Case, after_ms| {
+        let now = crashed_at + Duration::from_millis(after_ms);
+        case.evidence.unsettled_for(now, INNOCENT)
+    };
+    assert!(unsettled_for(&case, 0) > Duration::ZERO);
+    assert!(unsettled_for(&case, 16) > Duration::ZERO);
+    assert_eq!(unsettled_for(&case, 100), Duration::ZERO);
+    let now = crashed_at + Duration::from_millis(16);
+    case.evidence
+        .record(now, now, &request(POISON), crashed(12, Stage::Started));
+    assert!(!is_refused(&case.evidence, now, INNOCENT));
+}
+
 /// Guards against verdicts that differ between processes by the order in which reports arrive.
 #[test]
 fn the_order_of_reports_does_not_matter() {
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -63,6 +63,7 @@
 };
 use tokio::time::{
     Instant,
+    sleep,
     timeout_at, //
 };
 
@@ -118,6 +119,9 @@
 /// Timeout of a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest wait until it is certain whether a request crashes servers. Each crash renews the doubt.
+const MAX_SETTLE_WAIT: Duration = Duration::from_millis(400);
+
 /// Timeout of requests whose route and caller set none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3600);
 
@@ -350,15 +354,30 @@
         retry_after.map_or(Refusal::NoServer, Refusal::RateLimited)
     }
 
-    /// Returns whether a request must not be sent, as servers crashed under it or under a part of its
-    /// prompt.
+    /// Returns whether it is certain that a request must not run, as servers crashed under it or under
+    /// a part of its prompt.
     pub fn is_poisonous(&self, call: &Call) -> bool {
-        self.refused_cause(call).is_some()
+        let cause = self.refused_cause(call);
+        cause.is_some_and(|cause| self.suspects.unsettled_for(cause).is_zero())
+    }
+
+    /// Returns the cause for which a request must not be sent, if there is one. While that may still
+    /// turn out to be wrong, it waits.
+    pub async fn poisonous_cause(&self, call: &Call) -> Option<Fingerprint> {
+        let latest = Instant::now() + MAX_SETTLE_WAIT;
+        loop {
+            let cause = self.refused_cause(call)?;
+            let unsettled_for = self.suspects.unsettled_for(cause);
+            if unsettled_for.is_zero() || Instant::now() >= latest {
+                return Some(cause);
+            }
+            sleep(unsettled_for).await;
+        }
     }
 
-    /// Rejects a request that must not be sent; see [`Context::is_poisonous`].
-    pub fn refuse_poisonous(&self, call: &Call) -> Option<Response<Body>> {
-        let cause = self.refused_cause(call)?;
+    /// Rejects a request that must not be sent; see [`Context::poisonous_cause`].
+    pub async fn refuse_poisonous(&self, call: &Call) -> Option<Response<Body>> {
+        let cause = self.poisonous_cause(call).await?;
         Some(call.refuse(&Refusal::Poisonous(cause)))
     }
 
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -161,13 +161,13 @@
 impl<P: Protocol + 'static> PlainRequest<'_, P> {
     /// Sends the request until a response is final or no attempt is left.
     async fn run(mut self) -> Response<Body> {
-        if let Some(response) = self.context.refuse_poisonous(&self.call) {
+        if let Some(response) = self.context.refuse_poisonous(&self.call).await {
             return response;
         }
         if let Err(refusal) = self.wait_for_room().await {
             return self.call.refuse(&refusal);
         }
-        while let Some(target) = self.next() {
+        while let Some(target) = self.next().await {
             let until = self.call.until;
             let Ok(results) = timeout_at(until, self.race(target)).await else {
                 return self.timed_out();
@@ -207,8 +207,8 @@
     }
 
     /// Chooses the next server, if there is one and the retry budget allows another send.
-    fn next(&mut self) -> Option<Target> {
-        if self.context.is_poisonous(&self.call) {
+    async fn next(&mut self) -> Option<Target> {
+        if self.context.poisonous_cause(&self.call).await.is_some() {
             return None;
         }
         let first = self.tried.is_empty();
@@ -275,7 +275,7 @@
         if let Either::Left((result, _)) = select(first.as_mut(), std::pin::pin!(hedge)).await {
             return vec![result];
         }
-        let Some(target) = self.next() else {
+        let Some(target) = self.next().await else {
             return vec![first.await];
         };
         let second = attempt(&context, &call, &target);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -155,7 +155,7 @@
     /// Starts runs until one answers, or no attempt is left.
     async fn start_first(&mut self) -> Result<StartedRun, Response<Body>> {
         self.look_up_prompt().await;
-        if let Some(response) = self.context.refuse_poisonous(&self.call) {
+        if let Some(response) = self.context.refuse_poisonous(&self.call).await {
             return Err(response);
         }
         let work = self.remaining_work();
@@ -171,7 +171,7 @@
         let mut first = true;
         let mut retries_spent = false;
         while let Some((target, copy)) = self.choose_allowed(&mut resumption).await {
-            if self.context.is_poisonous(&self.call) {
+            if self.context.poisonous_cause(&self.call).await.is_some() {
                 break;
             }
             if self.ran_at.is_empty() && !self.worth_trying(&target) {
@@ -235,7 +235,7 @@
         }
         if failure.is_none()
             && self.ran_at.is_empty()
-            && let Some(response) = self.context.refuse_poisonous(&self.call)
+            && let Some(response) = self.context.refuse_poisonous(&self.call).await
         {
             return Err(response);
         }
@@ -421,7 +421,8 @@
         let mut declined = 0;
         while !self.timed_out() {
             let (target, copy) = self.choose_allowed(&mut resumption).await?;
-            if self.context.is_poisonous(&self.call) || !self.may_send(false, Purpose::Resume) {
+            let cause = self.context.poisonous_cause(&self.call).await;
+            if cause.is_some() || !self.may_send(false, Purpose::Resume) {
                 return None;
             }
             match self.start(&target, copy.as_ref()).await {
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -52,6 +52,11 @@
         evidence.refused_cause(clock::now(), subject)
     }
 
+    /// Returns how long the refusal of a cause may still be wrong; see [`Evidence::unsettled_for`].
+    pub fn unsettled_for(&self, cause: Fingerprint) -> Duration {
+        self.evidence.borrow().unsettled_for(clock::now(), cause)
+    }
+
     /// Records that a server crashed before a run of the request survived.
     pub fn record_crash(&self, call: &Call, target: &Target, stage: Stage) {
         let observation = Observation::Crashed {
