gateway: a grace time shorter than the balancer's delay is kept

Cause: the drain waited 2.6 s for the balancer whatever the grace time; with a shorter one the process was killed as it waited. Found on reading the drain again. Change: the wait ends with the time for final responses. One function makes the refusal of a stopping process. Evidence: a_short_grace_time_ends_with_final_responses failed before (no response in the grace time).

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -372,12 +372,12 @@
         context.shutdown.begin(Instant::now());
         note!(process::STOPPING, running = context.requests.count());
         let grace = context.settings.borrow().bounds.grace;
+        let exit_at = context.shutdown.exit_at(grace).unwrap_or_else(Instant::now);
+        let cutoff_at = context.shutdown.cutoff_at(grace).unwrap_or(exit_at);
         if let Some(at) = context.shutdown.idle_close_at() {
-            sleep_until(at).await;
+            sleep_until(at.min(cutoff_at)).await;
         }
         close.cancel();
-        let exit_at = context.shutdown.exit_at(grace).unwrap_or_else(Instant::now);
-        let cutoff_at = context.shutdown.cutoff_at(grace).unwrap_or(exit_at);
         while context.connections.get() > 0 && Instant::now() < exit_at {
             if Instant::now() >= cutoff_at {
                 context.shutdown.cutoff().cancel();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -271,10 +271,7 @@
         let progress = running.progress.clone();
         let handled = async {
             match self.admit(parts, body, &progress).await {
-                Ok(call) if !self.may_begin(&call) => {
-                    let grace = self.settings.borrow().bounds.grace;
-                    call.refuse(&Refusal::ShuttingDown(self.shutdown.retry_after(grace)))
-                }
+                Ok(call) if !self.may_begin(&call) => call.refuse(&self.shutting_down()),
                 Ok(call) if call.pass.stream => stream::run(self, call).await,
                 Ok(call) => plain::run(self, call).await,
                 Err(response) => response,
@@ -301,13 +298,16 @@
         call.is_admitted(&self.shutdown, grace)
     }
 
+    /// Returns the refusal of a request that this process can't complete before it exits.
+    fn shutting_down(&self) -> Refusal {
+        let grace = self.settings.borrow().bounds.grace;
+        Refusal::ShuttingDown(self.shutdown.retry_after(grace))
+    }
+
     /// Returns the response of a request that can't be awaited until the process exits.
     fn final_response(&self, progress: &Progress) -> Response<Body> {
         let refusal = match progress.stage() {
-            requests::Stage::Receiving | requests::Stage::Waiting => {
-                let grace = self.settings.borrow().bounds.grace;
-                Refusal::ShuttingDown(self.shutdown.retry_after(grace))
-            }
+            requests::Stage::Receiving | requests::Stage::Waiting => self.shutting_down(),
             requests::Stage::Sent | requests::Stage::Answering => Refusal::CutOff,
         };
         refusal.respond(&progress.id(), progress.arrived, &self.document_info())
@@ -483,8 +483,7 @@
             stream: pass.stream,
         };
         if !self.shutdown.admits(now, &draining, grace) {
-            let retry_after = self.shutdown.retry_after(grace);
-            return Err(refuse(Refusal::ShuttingDown(retry_after)));
+            return Err(refuse(self.shutting_down()));
         }
         if let Some(remaining) = self.shutdown.remaining(now, grace) {
             let estimate = self.shutdown.duration_estimate(&route);
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -300,6 +300,24 @@
     });
 }
 
+/// Guards against a process that is killed as it waits for the load balancer beyond its grace time.
+#[test]
+fn a_short_grace_time_ends_with_final_responses() {
+    common::run(async {
+        let (_, harness) = start_with_grace(Duration::from_millis(1500));
+        let backend = Backend::start(|_, _| std::future::pending()).await;
+        harness.register("s1", "ledger", "a", backend.address);
+        let mut request = harness.send("r1", "/unsafe/x", "").await;
+        common::until(|| backend.request_count() > 0).await;
+        harness.stop.cancel();
+        let stopped_at = Instant::now();
+        let response = read_message(&mut request).await.expect("a response");
+        assert_eq!(response.status(), 504, "{}", response.text());
+        harness.stopped.cancelled().await;
+        assert!(stopped_at.elapsed() < Duration::from_millis(1500));
+    });
+}
+
 /// Guards against requests whose bodies still arrive and that are cut off when the process exits.
 #[test]
 fn a_request_that_is_incomplete_at_the_exit_is_refused_as_not_run() {
