--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -204,6 +204,30 @@
     assert!(!is_refused(&case.evidence, now, INNOCENT));
 }
 
+/// Guards against the refusal of a prompt part that many requests have, as it was beside several
+/// requests that crash servers.
+#[test]
+fn a_part_beside_several_causes_is_not_refused() {
+    const PART: Fingerprint = 50;
+    let mut case = Case::new();
+    for number in 0..12 {
+        let server = 10 + number as ServerId;
+        case.crash(server, &[POISON + 100 * (number / 4)]);
+        // Each of them also crashes a server without the part.
+        if number % 4 > 0 {
+            let sound = Subject::new(SERVICE, 1000 + number, [PART]);
+            let observation = crashed(server, Stage::Started);
+            case.evidence
+                .record(case.now, case.now, &sound, observation);
+        }
+        case.observe(2000 + number, Observation::Survived);
+    }
+    for poison in [POISON, POISON + 100, POISON + 200] {
+        assert!(case.is_refused(poison));
+    }
+    assert!(!case.is_refused(PART));
+}
+
 /// Guards against verdicts that differ between processes by the order in which reports arrive.
 #[test]
 fn the_order_of_reports_does_not_matter() {
