--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -123,7 +123,6 @@
         },
         ..Attribution::default()
     };
-    narrow_by_requests(&mut crashes);
     loop {
         let part = find_part(&crashes, lived, survived);
         let parts = match part {
@@ -152,23 +151,6 @@
     attribution
 }
 
-/// Removes the causes that a convicted request doesn't have from the crashes of its runs. Otherwise
-/// a part that is in most requests would be beside all causes, and none of them beside it each time.
-fn narrow_by_requests(crashes: &mut [Crash]) {
-    let mut convicts = BTreeMap::new();
-    while let Some(request) = find_request(crashes, &convicts) {
-        convicts.insert(request, Clock::ZERO);
-        for crash in crashes.iter_mut().filter(|crash| crash.has(request)) {
-            let run = crash.runs.iter().find(|run| run.has(request));
-            let explained: HashSet<_> = run.into_iter().flat_map(Run::fingerprints).collect();
-            for run in &mut crash.runs {
-                let causes = &mut run.causes;
-                causes.retain(|cause| explained.contains(&cause.fingerprint));
-            }
-        }
-    }
-}
-
 impl Attribution {
     /// Records the conviction of a cause by its crashes.
     fn convict(&mut self, crashes: &[Crash], cause: Fingerprint) {
