gateway: a process with a short grace time refuses callers until it exits

Change: the process stays until its exit or until the balancer has removed it. The test sends the late stream 300 ms after the stop instead of when the other one has ended, which is at the exit itself; all its assertions stay.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -374,11 +374,12 @@
         let grace = context.settings.borrow().bounds.grace;
         let exit_at = context.shutdown.exit_at(grace).unwrap_or_else(Instant::now);
         let cutoff_at = context.shutdown.cutoff_at(grace).unwrap_or(exit_at);
-        if let Some(at) = context.shutdown.idle_close_at() {
-            sleep_until(at.min(cutoff_at)).await;
-        }
+        // Until then the balancer may send connections, which get a refusal rather than none.
+        let removed_at = context.shutdown.idle_close_at().unwrap_or(exit_at);
+        sleep_until(removed_at.min(cutoff_at)).await;
         close.cancel();
-        while context.connections.get() > 0 && Instant::now() < exit_at {
+        let is_needed = || context.connections.get() > 0 || Instant::now() < removed_at;
+        while is_needed() && Instant::now() < exit_at {
             if Instant::now() >= cutoff_at {
                 context.shutdown.cutoff().cancel();
             }
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -31,6 +31,10 @@
 /// Time between two events of an engine.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time from the stop of a gateway with a grace time of a second after which another stream doesn't
+/// fit, and before which the process hasn't exited.
+const LATE_ARRIVAL: Duration = Duration::from_millis(300);
+
 /// Guards against a stream cut off by the idle timeout of its connection. The timeout must not run
 /// from the moment the response head is written, as the stream may last longer.
 #[test]
@@ -178,15 +182,16 @@
         harness.register("s1", "draft", "a", backend.address);
         let (_, response) = harness.request("r1", "/stream/x", "tokens: 10\r\n").await;
         assert_eq!(response.expect("a complete response").status(), 200);
-        let ((), running) = tokio::join!(
+        let ((_, late), running) = tokio::join!(
             async {
                 tokio::time::sleep(EVENT_INTERVAL).await;
                 harness.stop.cancel();
+                tokio::time::sleep(LATE_ARRIVAL).await;
+                harness.request("r3", "/stream/x", "tokens: 10\r\n").await
             },
             harness.request("r2", "/stream/x", "tokens: 10\r\n")
         );
         assert_eq!(running.1.expect("finished within the grace").status(), 200);
-        let (_, late) = harness.request("r3", "/stream/x", "tokens: 10\r\n").await;
         let late = late.expect("a response");
         assert_eq!(late.status(), 503);
         assert!(late.header("retry-after").is_some());
