--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -98,8 +98,8 @@
     },
     requests::{
         self,
-        Progress,
         Requests, //
+        Running,
     },
     retry_budget::RetryBudgets,
     rollout::Rollouts,
@@ -119,7 +119,7 @@
 /// Timeout of a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Longest wait until it is certain whether a request crashes servers. Each crash renews the doubt.
+/// Longest wait until the refusal of a request is certain, which further crashes delay.
 const MAX_SETTLE_WAIT: Duration = Duration::from_millis(400);
 
 /// Timeout of requests whose route and caller set none.
@@ -181,7 +181,7 @@
     /// Document on which the admission is based.
     pub document: DocumentInfo,
     /// How far the request is.
-    pub progress: Rc<Progress>,
+    pub progress: Rc<Running>,
     /// Time at which the request arrived.
     pub arrived: Instant,
     /// Time by which the caller gets a final response, if only an error.
@@ -305,7 +305,7 @@
     }
 
     /// Returns the response of a request that can't be awaited until the process exits.
-    fn final_response(&self, progress: &Progress) -> Response<Body> {
+    fn final_response(&self, progress: &Running) -> Response<Body> {
         let refusal = match progress.stage() {
             requests::Stage::Receiving | requests::Stage::Waiting => self.shutting_down(),
             requests::Stage::Sent | requests::Stage::Answering => Refusal::CutOff,
@@ -442,7 +442,7 @@
         &self,
         parts: Parts,
         body: &mut Incoming,
-        progress: &Rc<Progress>,
+        progress: &Rc<Running>,
     ) -> Result<Call, Response<Body>> {
         let arrived = progress.arrived;
         let metadata = self
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -253,14 +253,16 @@
             .freshness
             .borrow_mut()
             .set_rank(self.table.rank(), local_rank);
-        let return_time = shutdown::Peers::return_time(settings.bounds.grace);
+        let return_time = shutdown::Availability::return_time(settings.bounds.grace);
         let returns = self.table.leaving_since();
         let remaining = returns.filter_map(|since| (since + return_time).checked_sub(clock::now()));
-        self.shared.shutdown.set_peers(shutdown::Peers {
-            accepting: self.table.rank().1 - 1,
-            local: self.table.local_count(&settings.data_centre),
-            next_return: remaining.min().map(|remaining| Instant::now() + remaining),
-        });
+        self.shared
+            .shutdown
+            .set_availability(shutdown::Availability {
+                accepting: self.table.rank().1 - 1,
+                local: self.table.local_count(&settings.data_centre),
+                next_return: remaining.min().map(|remaining| Instant::now() + remaining),
+            });
         self.table.add_seeds(&settings.seeds);
     }
 
--- a/components/gateway/src/requests.rs
+++ b/components/gateway/src/requests.rs
@@ -50,7 +50,7 @@
 
 /// A request in progress.
 #[derive(Debug)]
-pub struct Progress {
+pub struct Running {
     /// Time at which the head of the request arrived.
     pub arrived: Instant,
     id: RefCell<String>,
@@ -60,7 +60,7 @@
     is_cut_off: Cell<bool>,
 }
 
-impl Progress {
+impl Running {
     /// Sets the id of the request, once its head is parsed.
     pub fn set_id(&self, id: &str) {
         *self.id.borrow_mut() = id.to_string();
@@ -117,7 +117,7 @@
 /// The requests in progress, in the order in which they arrived.
 #[derive(Debug, Default)]
 pub struct Requests {
-    by_number: RefCell<BTreeMap<u64, Rc<Progress>>>,
+    by_number: RefCell<BTreeMap<u64, Rc<Running>>>,
     last_number: Cell<u64>,
 }
 
@@ -126,7 +126,7 @@
     pub fn begin(self: &Rc<Self>) -> Guard {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let progress = Rc::new(Progress {
+        let progress = Rc::new(Running {
             arrived: Instant::now(),
             id: RefCell::default(),
             route: RefCell::default(),
@@ -143,7 +143,7 @@
     }
 
     /// Returns the requests in progress.
-    pub fn all(&self) -> Vec<Rc<Progress>> {
+    pub fn all(&self) -> Vec<Rc<Running>> {
         self.by_number.borrow().values().cloned().collect()
     }
 
@@ -167,7 +167,7 @@
     requests: Rc<Requests>,
     number: u64,
     /// The request.
-    pub progress: Rc<Progress>,
+    pub progress: Rc<Running>,
 }
 
 impl Drop for Guard {
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -57,9 +57,9 @@
     deviation: f64,
 }
 
-/// What is known of the other gateways.
+/// Which other gateways accept work.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Peers {
+pub struct Availability {
     /// Number of those that accept new work.
     pub accepting: usize,
     /// Number of those that accept new work in the data centre.
@@ -68,7 +68,7 @@
     pub next_return: Option<Instant>,
 }
 
-impl Peers {
+impl Availability {
     /// Returns how long after the start of its shutdown a gateway is back.
     pub fn return_time(grace: Duration) -> Duration {
         grace.saturating_sub(EXIT_MARGIN) + RESTART_TIME
@@ -94,7 +94,7 @@
     began: Cell<Option<Instant>>,
     /// Cancelled when requests in progress get their final responses.
     cutoff: CancellationToken,
-    peers: Cell<Peers>,
+    availability: Cell<Availability>,
     averages: RefCell<HashMap<Route, Average>>,
 }
 
@@ -119,9 +119,9 @@
         at.checked_duration_since(self.began.get()?)
     }
 
-    /// Sets what is known of the other gateways.
-    pub fn set_peers(&self, peers: Peers) {
-        self.peers.set(peers);
+    /// Sets which other gateways accept work.
+    pub fn set_availability(&self, availability: Availability) {
+        self.availability.set(availability);
     }
 
     /// Returns the time after which a rejected caller can reach a gateway that accepts work. The
@@ -131,16 +131,16 @@
         let Some(began) = self.began.get() else {
             return DEFAULT_RETRY_AFTER;
         };
-        let reachable_at = match self.peers.get() {
-            Peers {
+        let reachable_at = match self.availability.get() {
+            Availability {
                 accepting: 0,
                 next_return: Some(next_return),
                 ..
             } => {
                 let spread = MAX_RETURN_SPREAD.mul_f64(rand::random());
-                next_return.min(began + Peers::return_time(grace)) + spread
+                next_return.min(began + Availability::return_time(grace)) + spread
             }
-            Peers { local: 0, .. } => began + BALANCER_DELAY,
+            Availability { local: 0, .. } => began + BALANCER_DELAY,
             _ => return DEFAULT_RETRY_AFTER,
         };
         let remaining = reachable_at.saturating_duration_since(Instant::now());
@@ -216,10 +216,10 @@
             return true;
         }
         let removed = self.idle_close_at().is_some_and(|at| at <= now);
-        if removed && (request.stream || self.peers.get().accepting > 0) {
+        if removed && (request.stream || self.availability.get().accepting > 0) {
             return false;
         }
-        let deviations = match self.peers.get().local {
+        let deviations = match self.availability.get().local {
             0 if !removed => MAX_DEVIATIONS_LAST_GATEWAY,
             _ => MAX_DEVIATIONS,
         };
--- a/components/gateway/src/stream/abandon_guard.rs
+++ b/components/gateway/src/stream/abandon_guard.rs
@@ -11,14 +11,14 @@
 use crate::{
     handle::Call,
     meter,
-    requests::Progress, //
+    requests::Running, //
 };
 
 /// Records that the caller disconnected when the response is dropped before it is complete.
 pub(super) struct AbandonGuard {
     id: String,
     arrived: Instant,
-    progress: Rc<Progress>,
+    progress: Rc<Running>,
     /// Whether the response ended, complete or not.
     pub(super) done: bool,
 }
--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -19,7 +19,7 @@
 use gateway::{
     settings::Settings,
     shutdown::{
-        Peers,
+        Availability,
         Request,
         Shutdown, //
     },
@@ -213,9 +213,9 @@
 ) {
     let route = "chat".to_string();
     let shutdown = after_a_long_request(&route);
-    shutdown.set_peers(Peers {
+    shutdown.set_availability(Availability {
         accepting: 1,
-        ..Peers::default()
+        ..Availability::default()
     });
     let began = Instant::now();
     shutdown.begin(began);
@@ -356,9 +356,9 @@
     let shutdown = Shutdown::default();
     let began = Instant::now();
     shutdown.begin(began);
-    shutdown.set_peers(Peers {
+    shutdown.set_availability(Availability {
         next_return: next_return_ms.map(|ms| began + Duration::from_millis(ms)),
-        ..Peers::default()
+        ..Availability::default()
     });
     let expected = Duration::from_millis(expected_ms);
     let delay = shutdown.retry_after(Duration::from_secs(8)) + began.elapsed();
--- a/components/spread/tests/beacon.rs
+++ b/components/spread/tests/beacon.rs
@@ -78,6 +78,28 @@
     assert!(!table.contains(address(1)));
 }
 
+/// Guards against a wrong time of return of a leaving peer: each of its beacons renews it, or the next
+/// run at its address inherits it.
+#[test]
+fn a_peer_is_leaving_from_its_first_beacon_that_says_so_until_its_next_run() {
+    let mut table = Table::new(0, Vec::new());
+    let interval = Duration::from_secs(4);
+    let leaving = |number, sequence| Beacon {
+        leaving: true,
+        ..beacon(number, sequence, interval)
+    };
+    let leaving_since = |table: &Table| table.leaving_since().collect::<Vec<_>>();
+    table.receive(Clock::ZERO, address(1), &beacon(1, 1, interval));
+    assert!(leaving_since(&table).is_empty());
+    table.receive(interval, address(1), &leaving(1, 2));
+    table.receive(interval * 2, address(1), &leaving(1, 3));
+    assert_eq!(leaving_since(&table), [interval]);
+    assert_eq!(table.expire(interval * 6), [1]);
+    assert_eq!(leaving_since(&table), [interval]);
+    table.receive(interval * 6, address(1), &beacon(2, 1, interval));
+    assert!(leaving_since(&table).is_empty());
+}
+
 /// In a large fleet hundreds of servers come and go. Guards against every watching process sending
 /// the changes to every other one, which was most of the traffic between processes.
 #[test]
