gateway: a response that is ready doesn't wait until it is certain that its request is refused

Cause: before the second send of a plain request (the hedge) it is asked whether the request must be refused. Since a refusal waits for the reports on the last crash, that took up to 400 ms, in which the first send wasn't polled: its response lay there. Found by reading. Class of fault: a wait inside of a race that must poll all its parts. Change: no second send while its request may be refused; the wait stands before the sends only, and ends at the request's own limit. Evidence: by reading; the tests of poisonous and plain requests pass. No test of its own: the doubt lasts 100 ms from a crash, and a hedge that falls into it couldn't be brought about reliably.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -98,8 +98,8 @@
     },
     requests::{
         self,
-        Requests, //
-        Running,
+        Requests,
+        Running, //
     },
     retry_budget::RetryBudgets,
     rollout::Rollouts,
@@ -364,7 +364,7 @@
     /// Returns the cause for which a request must not be sent, if there is one. While that may still
     /// turn out to be wrong, it waits.
     pub async fn poisonous_cause(&self, call: &Call) -> Option<Fingerprint> {
-        let latest = Instant::now() + MAX_SETTLE_WAIT;
+        let latest = call.until.min(Instant::now() + MAX_SETTLE_WAIT);
         loop {
             let cause = self.refused_cause(call)?;
             let unsettled_for = self.suspects.unsettled_for(cause);
@@ -381,7 +381,8 @@
         Some(call.refuse(&Refusal::Poisonous(cause)))
     }
 
-    fn refused_cause(&self, call: &Call) -> Option<Fingerprint> {
+    /// Returns the cause for which a request is refused, although that may still turn out to be wrong.
+    pub fn refused_cause(&self, call: &Call) -> Option<Fingerprint> {
         if self.suspects.is_empty() {
             return None;
         }
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -167,7 +167,10 @@
         if let Err(refusal) = self.wait_for_room().await {
             return self.call.refuse(&refusal);
         }
-        while let Some(target) = self.next().await {
+        while self.context.poisonous_cause(&self.call).await.is_none() {
+            let Some(target) = self.next() else {
+                break;
+            };
             let until = self.call.until;
             let Ok(results) = timeout_at(until, self.race(target)).await else {
                 return self.timed_out();
@@ -207,10 +210,7 @@
     }
 
     /// Chooses the next server, if there is one and the retry budget allows another send.
-    async fn next(&mut self) -> Option<Target> {
-        if self.context.poisonous_cause(&self.call).await.is_some() {
-            return None;
-        }
+    fn next(&mut self) -> Option<Target> {
         let first = self.tried.is_empty();
         let overloads = &self.context.demands.overloads;
         // A send that reached no server took no capacity.
@@ -275,7 +275,11 @@
         if let Either::Left((result, _)) = select(first.as_mut(), std::pin::pin!(hedge)).await {
             return vec![result];
         }
-        let Some(target) = self.next().await else {
+        // The first response must not wait until it is certain that the request is refused.
+        if self.context.refused_cause(&self.call).is_some() {
+            return vec![first.await];
+        }
+        let Some(target) = self.next() else {
             return vec![first.await];
         };
         let second = attempt(&context, &call, &target);
