Runs are separated while servers crash one after the other and no cause is known

Cause: where a harmful part comes more often than engines come back, each engine that is back gets all that waits at once, a request with the part among it, and crashes before another one lived for 250 ms. Each crash then has runs with the part that all prompts have, and mostly with each of the frequent ones, so that the rule 'nothing is refused while another cause was beside it at all of its crashes' holds forever. Class of fault: evidence that is only collected, from a system that is in a state in which it can't come up. Change: from four crashes in a row on that no cause explains, each gateway has one run with a prompt at a server until it lives, until 250 ms after the last crash, and until a run lived since, at most 5 s. Streams and plain requests with prompts wait meanwhile. The choice of a server asks first whether the request may be sent, so that no server is held over a wait. Conclusion: half of all requests harmful at three engines is still not found in time (docs/design/calls.md).

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -63,6 +63,12 @@
 /// survived or not by then, and reports have arrived.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Number of unexplained crashes in a series from which runs are separated.
+const MIN_SERIES_CRASHES: usize = 4;
+
+/// Maximum time after the last of them for which runs are separated, if none lives.
+const MAX_SEPARATION_TIME: Duration = Duration::from_secs(5);
+
 /// Time within which all processes notice the same crash of a server. Unless its new start is known,
 /// a server that restarts and crashes again within it counts once.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
@@ -269,6 +275,8 @@
     convicts: BTreeMap<Fingerprint, Clock>,
     /// Services with crashes since their last run lived. Follows from the observations.
     awaiting: attribution::Awaiting,
+    /// Last crashes of each service that nothing explains. Follows from the observations.
+    unexplained: BTreeMap<ServiceId, attribution::Series>,
     /// Causes that are refused according to the store, whatever is known of the crashes.
     stored: BTreeSet<Fingerprint>,
 }
@@ -389,6 +397,21 @@
         crashed_at.map_or(Duration::ZERO, |at| (at + REPORT_TIME).saturating_sub(now))
     }
 
+    /// Returns whether the runs of a service must be separated: its servers crash one after the other,
+    /// and no cause is known. Causes that are together at each crash can't be told apart, so each
+    /// process has one run at a time at a server until it lives.
+    pub fn separates(&self, now: Clock, service: ServiceId) -> bool {
+        let Some(series) = self.unexplained.get(&service) else {
+            return false;
+        };
+        // A run that began after the last crash has lived by then.
+        let time = match series.has_lived {
+            true => LIFE_SIGN,
+            false => MAX_SEPARATION_TIME,
+        };
+        series.count >= MIN_SERIES_CRASHES && now < series.last + time
+    }
+
     /// Returns what a sign of life or the survival of a request changes: the request with those of
     /// its parts that are suspected. `None` if it changes nothing.
     pub fn relevant_to(&self, subject: &Subject, observation: Observation) -> Option<Subject> {
@@ -530,6 +553,7 @@
         let attribution = attribution::attribute(crashes, lived, survived);
         self.suspects = attribution.suspects;
         self.awaiting = attribution.awaiting;
+        self.unexplained = attribution.unexplained;
         let convicts = attribution.convicts.into_iter();
         self.convicts = convicts
             .map(|(cause, last)| (cause, last + REPORT_TTL))
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -45,6 +45,9 @@
 /// Minimum number of crashes that convict a cause.
 const MIN_CRASHES: usize = 3;
 
+/// Time without a crash that ends a series.
+const SERIES_GAP: Duration = Duration::from_secs(2);
+
 /// Time within which servers that fail together crash.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(250);
 
@@ -99,6 +102,18 @@
     /// Causes that may have crashed a server.
     pub(super) suspects: BTreeSet<Fingerprint>,
     pub(super) awaiting: Awaiting,
+    /// Last series of crashes of each service.
+    pub(super) unexplained: BTreeMap<ServiceId, Series>,
+}
+
+/// Crashes of a service one after the other that no convicted cause explains.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Series {
+    pub(super) count: usize,
+    /// Time of the last one.
+    pub(super) last: Clock,
+    /// Whether a run of the service lived since.
+    pub(super) has_lived: bool,
 }
 
 /// Services with crashes under a prompt part after the last time that one of their runs lived.
@@ -144,6 +159,7 @@
             crash.runs.retain(|run| run.has(request));
         }
     }
+    attribution.unexplained = find_series(&crashes, lived);
     let runs = crashes.iter().flat_map(|crash| &crash.runs);
     attribution
         .suspects
@@ -391,3 +407,23 @@
     }
     services
 }
+
+/// Returns the last series of crashes of each service.
+fn find_series(crashes: &[Crash], lives: &Lives) -> BTreeMap<ServiceId, Series> {
+    let mut all: BTreeMap<ServiceId, Series> = BTreeMap::new();
+    for crash in crashes {
+        let Some(service) = crash.runs.first().map(|run| run.service) else {
+            continue;
+        };
+        let last_life = lives.get(&service).and_then(BTreeSet::last);
+        let before = all.get(&service);
+        let before = before.filter(|series| crash.at <= series.last + SERIES_GAP);
+        let series = Series {
+            count: before.map_or(0, |series| series.count) + 1,
+            last: crash.at,
+            has_lived: last_life.is_some_and(|life| *life > crash.at),
+        };
+        all.insert(service, series);
+    }
+    all
+}
--- a/components/contract/tests/evidence_fleet.rs
+++ b/components/contract/tests/evidence_fleet.rs
@@ -345,6 +345,15 @@
         evidence.refused_cause(self.now, &request.subject).is_some()
     }
 
+    /// Returns whether a process has a run at a server that hasn't lived yet.
+    fn is_occupied(&self, server: usize, process: usize) -> bool {
+        let mut runs = self.servers[server].runs.iter();
+        runs.any(|run| {
+            let has_lived = lived(run, self.now).is_some_and(|lived| lived >= LIFE_SIGN);
+            run.request.process == process && !has_lived
+        })
+    }
+
     /// Sends a request to a server, or refuses it.
     fn send(&mut self, mut request: Request) {
         if request.attempts == 0 || self.is_refused(&request) {
@@ -354,6 +363,9 @@
             let server = &self.servers[*server];
             server.down_until <= self.now
         });
+        let evidence = &self.processes[request.process];
+        let is_separated = evidence.separates(self.now, SERVICE);
+        let up = up.filter(|server| !is_separated || !self.is_occupied(*server, request.process));
         let up: Vec<usize> = up.collect();
         if up.is_empty() {
             if matches!(self.plan.restart, Restart::NewId { .. }) {
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -80,6 +80,8 @@
     CUT_OFF = 1039, Error, "Request cut off at the exit";
     /// A request was admitted while the process drains.
     ADMITTED_DRAINING = 1040, Debug, "Request admitted during the drain";
+    /// A stream waits, as each server has one that must live first.
+    SEPARATED = 1041, Info, "Stream waits until others live";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -240,6 +240,12 @@
         shutdown.admits(now, &request, grace)
     }
 
+    /// Logs that the request waits until runs at the `occupied` servers live.
+    pub fn log_separated(&self, occupied: &[Server]) {
+        let id = self.request.metadata.id.as_str();
+        note!(forwarding::SEPARATED, id = id, servers = occupied.len());
+    }
+
     /// Logs a rejection and returns its response.
     pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
         refusal.respond(&self.request.metadata.id, self.arrived, &self.document)
@@ -381,6 +387,15 @@
         Some(call.refuse(&Refusal::Poisonous(cause)))
     }
 
+    /// Returns the servers that take no further run of a request with a prompt until one lives there.
+    /// Requests without one are told apart by their crashes.
+    pub fn occupied_servers(&self, call: &Call) -> Vec<Server> {
+        if self.suspects.is_empty() || call.parts().is_empty() {
+            return Vec::new();
+        }
+        self.suspects.occupied_servers(call.subject().service)
+    }
+
     /// Returns the cause for which a request is refused, although that may still turn out to be wrong.
     pub fn refused_cause(&self, call: &Call) -> Option<Fingerprint> {
         if self.suspects.is_empty() {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod overload;
 mod peers;
 mod plain;
+mod probation;
 pub mod protocol;
 mod queue;
 mod refuse;
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -77,6 +77,10 @@
         Sent,
         Turn, //
     },
+    probation::{
+        self,
+        Unplaced, //
+    },
     protocol::{
         Dispatch,
         Protocol, //
@@ -167,10 +171,7 @@
         if let Err(refusal) = self.wait_for_room().await {
             return self.call.refuse(&refusal);
         }
-        while self.context.poisonous_cause(&self.call).await.is_none() {
-            let Some(target) = self.next() else {
-                break;
-            };
+        while let Some(target) = self.next_allowed().await {
             let until = self.call.until;
             let Ok(results) = timeout_at(until, self.race(target)).await else {
                 return self.timed_out();
@@ -209,8 +210,31 @@
         }
     }
 
-    /// Chooses the next server, if there is one and the retry budget allows another send.
-    fn next(&mut self) -> Option<Target> {
+    /// Chooses a server like [`PlainRequest::next`]. A request that must not be sent gets none; it
+    /// waits while that isn't certain, and while runs are separated and each server has one.
+    async fn next_allowed(&mut self) -> Option<Target> {
+        let mut is_separated = false;
+        loop {
+            if self.context.poisonous_cause(&self.call).await.is_some() {
+                return None;
+            }
+            let occupied = self.context.occupied_servers(&self.call);
+            match self.next(&occupied) {
+                Ok(target) => return Some(target),
+                Err(Unplaced::Occupied) if Instant::now() < self.call.until => {}
+                Err(_) => return None,
+            }
+            if !is_separated {
+                is_separated = true;
+                self.call.log_separated(&occupied);
+            }
+            sleep(probation::POLL_INTERVAL).await;
+        }
+    }
+
+    /// Chooses the next server, if there is one and the retry budget allows another send. `occupied`
+    /// servers take no further run now.
+    fn next(&mut self, occupied: &[Server]) -> Result<Target, Unplaced> {
         let first = self.tried.is_empty();
         let overloads = &self.context.demands.overloads;
         // A send that reached no server took no capacity.
@@ -218,23 +242,24 @@
         if is_repeat && !overloads.may_repeat(&self.call.service) {
             let id = self.call.request.metadata.id.as_str();
             note!(forwarding::REPEAT_GAVE_WAY, id = id);
-            return None;
+            return Err(Unplaced::NoServer);
         }
         let data_centre = self.context.settings.borrow().data_centre.clone();
+        let unwanted: Vec<Server> = self.tried.iter().chain(occupied).cloned().collect();
         let request = Request {
             service: &self.call.service,
             data_centre: &data_centre,
             work: PLAIN_WORK,
             parts: &[],
             versions: self.selection.versions(),
-            avoid: &self.tried,
+            avoid: &unwanted,
             avoid_data_centre: None,
             within: None,
         };
         let mut target = self.context.fleet.borrow_mut().choose(&request);
         let mut avoid = overloads.full_servers(&self.call.service);
         if !avoid.is_empty() {
-            avoid.extend_from_slice(&self.tried);
+            avoid.extend_from_slice(&unwanted);
             let request = Request {
                 avoid: &avoid,
                 ..request
@@ -251,15 +276,18 @@
             // Demand that the servers' limits exceed counts too.
             self.context.may_send(service, first, Purpose::Unanswered);
         }
-        let target = target?;
+        let target = target.ok_or(Unplaced::NoServer)?;
+        if occupied.contains(&target.server) {
+            return Err(Unplaced::Occupied);
+        }
         // A send that can't have reached a server doesn't count.
         if self.uncounted_sends > 0 {
             self.uncounted_sends -= 1;
         } else if !self.context.may_send(service, first, Purpose::Unanswered) {
-            return None;
+            return Err(Unplaced::NoServer);
         }
         self.tried.push(target.server.clone());
-        Some(target)
+        Ok(target)
     }
 
     /// Sends the request to a server, and to a second one too when it is repeatable and the first
@@ -279,7 +307,8 @@
         if self.context.refused_cause(&self.call).is_some() {
             return vec![first.await];
         }
-        let Some(target) = self.next() else {
+        let occupied = self.context.occupied_servers(&self.call);
+        let Ok(target) = self.next(&occupied) else {
             return vec![first.await];
         };
         let second = attempt(&context, &call, &target);
@@ -356,6 +385,7 @@
     target: &Target,
 ) -> Attempt {
     let mut in_flight = InFlight::new(&context.fleet, &target.server, PLAIN_WORK);
+    let _probation = context.suspects.probation.begin(&target.server);
     let overloads = &context.demands.overloads;
     let objective = call.pass.objective;
     let mut sent = Sent::new(overloads, &call.service, &target.server, objective);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -41,6 +41,10 @@
         Context, //
     },
     meter,
+    probation::{
+        self,
+        Unplaced, //
+    },
     protocol::{
         KvCopy,
         Protocol, //
@@ -171,9 +175,6 @@
         let mut first = true;
         let mut retries_spent = false;
         while let Some((target, copy)) = self.choose_allowed(&mut resumption).await {
-            if self.context.poisonous_cause(&self.call).await.is_some() {
-                break;
-            }
             if self.ran_at.is_empty() && !self.worth_trying(&target) {
                 return Err(self.call.refuse(&Refusal::TooLittleTime));
             }
@@ -255,22 +256,41 @@
         })
     }
 
-    /// Chooses a server like [`Session::choose`]. A request that has run waits while the limits on
-    /// the servers' request rates prevent its next run; others are refused and may return.
+    /// Chooses a server like [`Session::choose`]. A request that must not be sent gets none; it waits
+    /// while that isn't certain, and while runs are separated and each server has one. A request that has run also waits while the limits on the servers' request rates
+    /// prevent its next run; others are refused and may return.
     async fn choose_allowed(
         &mut self,
         resumption: &mut Option<Resumption>,
     ) -> Option<(Target, Option<KvCopy>)> {
+        let mut is_separated = false;
         loop {
-            if let Some(choice) = self.choose(resumption) {
-                return Some(choice);
+            if self.context.poisonous_cause(&self.call).await.is_some() {
+                return None;
             }
-            if self.ran_at.is_empty() || self.timed_out() {
+            let occupied = self.context.occupied_servers(&self.call);
+            let unplaced = match self.choose(resumption, &occupied) {
+                Ok(choice) => return Some(choice),
+                Err(unplaced) => unplaced,
+            };
+            if self.timed_out() {
                 return None;
             }
-            let fleet = self.context.fleet.clone();
-            let wait = fleet.borrow().rate_limited_for(&self.call.service)?;
-            sleep(wait.min(MAX_RATE_LIMIT_WAIT)).await;
+            match unplaced {
+                Unplaced::NoServer if self.ran_at.is_empty() => return None,
+                Unplaced::NoServer => {
+                    let fleet = self.context.fleet.clone();
+                    let wait = fleet.borrow().rate_limited_for(&self.call.service)?;
+                    sleep(wait.min(MAX_RATE_LIMIT_WAIT)).await;
+                }
+                Unplaced::Occupied => {
+                    if !is_separated {
+                        is_separated = true;
+                        self.call.log_separated(&occupied);
+                    }
+                    sleep(probation::POLL_INTERVAL).await;
+                }
+            }
         }
     }
 
@@ -421,8 +441,7 @@
         let mut declined = 0;
         while !self.timed_out() {
             let (target, copy) = self.choose_allowed(&mut resumption).await?;
-            let cause = self.context.poisonous_cause(&self.call).await;
-            if cause.is_some() || !self.may_send(false, Purpose::Resume) {
+            if !self.may_send(false, Purpose::Resume) {
                 return None;
             }
             match self.start(&target, copy.as_ref()).await {
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -37,7 +37,7 @@
         Suspicion,
         Target, //
     },
-    meter,
+    meter, probation,
     protocol::{
         KvCopy,
         Protocol, //
@@ -86,6 +86,8 @@
     events: u64,
     /// Whether a sign of life of the run was recorded, and its survival.
     recorded: (bool, bool),
+    /// Held until the run lives.
+    probation: Option<probation::Guard>,
     /// Whether the end of the answer can be told from a connection that is closed early.
     is_delimited: bool,
     complete: bool,
@@ -214,9 +216,11 @@
         let (lived, survived) = run.recorded;
         if !survived && lived_for >= PROBATION {
             run.recorded = (true, true);
+            run.probation = None;
             self.context.record_life(&self.call, Observation::Survived);
         } else if !lived && lived_for >= LIFE_SIGN {
             run.recorded.0 = true;
+            run.probation = None;
             self.context.record_life(&self.call, Observation::Lived);
         }
     }
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -107,6 +107,7 @@
             Backup::continuous(holder, in_flight, &self.call.request.metadata.id)
         });
         let mut in_flight = InFlight::new(&self.context.fleet, &target.server, work);
+        let probation = self.context.suspects.probation.begin(&target.server);
         let dispatch = Dispatch {
             server: &target.server,
             remaining: self.call.time_left(),
@@ -150,6 +151,7 @@
             backup_checked: began,
             events: 0,
             recorded: (false, false),
+            probation: Some(probation),
             is_delimited: true,
             complete: false,
             trial: self.begin_trial(target),
--- a/components/gateway/src/stream/selection.rs
+++ b/components/gateway/src/stream/selection.rs
@@ -4,6 +4,7 @@
 
 use answer::loss::Candidate;
 use environment::document::Repeats;
+use names::Server;
 use routing::placement::{
     Request,
     Versions,
@@ -17,6 +18,7 @@
         InFlight,
         Target, //
     },
+    probation::Unplaced,
     protocol::{
         KvCopy,
         Protocol, //
@@ -60,12 +62,12 @@
     }
 
     /// Chooses a server and the copy from which the run resumes: a remaining candidate after a
-    /// loss, or else the best server. Returns `None` when there is none, or the request may not be
-    /// sent again.
+    /// loss, or else the best server. `occupied` servers take no further run now.
     pub(super) fn choose(
         &mut self,
         resumption: &mut Option<Resumption>,
-    ) -> Option<(Target, Option<KvCopy>)> {
+        occupied: &[Server],
+    ) -> Result<(Target, Option<KvCopy>), Unplaced> {
         let fleet = self.context.fleet.clone();
         if let Some(resumption) = resumption {
             while let Some(candidate) = resumption.take() {
@@ -82,26 +84,34 @@
                 };
                 // The server is tried even though it lost the run: the loss may affect only that
                 // run.
-                let available = match copy {
+                let usable = match copy {
                     Some(_) => fleet.borrow().is_usable(&target.server),
                     None => fleet.borrow().accepts_work(&target.server),
                 };
+                let available = usable && !occupied.contains(&target.server);
                 let allowed = fleet.borrow().allows_request(&target.server);
                 if available && allowed && self.may_send_to(&target.server) {
                     self.record_tried(&target);
-                    return Some((target, copy));
+                    return Ok((target, copy));
                 }
             }
         }
         let data_centre = self.context.settings.borrow().data_centre.clone();
-        let target = fleet
-            .borrow_mut()
-            .choose(&self.request(&data_centre, self.remaining_work()))?;
+        let avoid: Vec<Server> = self.tried.iter().chain(occupied).cloned().collect();
+        let request = Request {
+            avoid: &avoid,
+            ..self.request(&data_centre, self.remaining_work())
+        };
+        let target = fleet.borrow_mut().choose(&request);
+        let target = target.ok_or(Unplaced::NoServer)?;
         if !self.may_send_to(&target.server) {
-            return None;
+            return Err(Unplaced::NoServer);
+        }
+        if occupied.contains(&target.server) {
+            return Err(Unplaced::Occupied);
         }
         self.record_tried(&target);
-        Some((target, None))
+        Ok((target, None))
     }
 
     fn record_tried(&mut self, target: &Target) {
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -13,6 +13,7 @@
         Evidence,
         Observation,
         Report,
+        ServiceId,
         Stage,
         Subject, //
     }, //
@@ -21,6 +22,7 @@
     forwarding,
     note, //
 };
+use names::Server;
 use spread::beacon;
 use tokio::sync::Notify;
 
@@ -29,7 +31,8 @@
     clock,
     fleet::Target,
     handle::Call,
-    meter, //
+    meter,
+    probation::Probation, //
 };
 
 /// Evidence against requests, from this gateway and its peers.
@@ -38,6 +41,8 @@
     evidence: RefCell<Evidence>,
     /// Recent observations of this gateway.
     own: Announcements<(Subject, Observation)>,
+    /// Runs of this gateway that haven't lived yet.
+    pub probation: Rc<Probation>,
 }
 
 impl Suspects {
@@ -57,6 +62,15 @@
         self.evidence.borrow().unsettled_for(clock::now(), cause)
     }
 
+    /// Returns the servers that take no further run of a service until one lives there; see
+    /// [`Evidence::separates`].
+    pub fn occupied_servers(&self, service: ServiceId) -> Vec<Server> {
+        match self.evidence.borrow().separates(clock::now(), service) {
+            true => self.probation.servers(),
+            false => Vec::new(),
+        }
+    }
+
     /// Records that a server crashed before a run of the request survived.
     pub fn record_crash(&self, call: &Call, target: &Target, stage: Stage) {
         let observation = Observation::Crashed {
