A prompt part that was beside several requests which crash servers is not refused in their place

What callers saw (soak-innocent): sound streams with a part that a sixth of all streams have were refused as ones that crash servers. Cause: 'nothing is refused while another cause was beside it at all of its crashes' asks for one other cause. A part of many streams is beside several, none of them each time, and collects the crashes of all. Class of fault: a rule for one cause where there are several at once. Change: a part isn't convicted if at each of its crashes a request without it was in flight that the crashes of its runs would convict, and that also crashed a server where the part was not. Conclusion: one of three causes of soak-innocent.

--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -139,10 +139,11 @@
         ..Attribution::default()
     };
     loop {
-        let part = find_part(&crashes, lived, survived);
+        let requests = convictable_requests(&crashes);
+        let part = find_part(&crashes, &requests, lived, survived);
         let parts = match part {
             Some(part) => vec![part],
-            None => coverage::find_parts(&crashes),
+            None => coverage::find_parts(&crashes, &requests),
         };
         if parts.is_empty() {
             break;
@@ -299,7 +300,12 @@
 }
 
 /// Returns the most specific part that is convicted by crashes between which runs lived.
-fn find_part(crashes: &[Crash], lived: &Lives, survived: &Lives) -> Option<Fingerprint> {
+fn find_part(
+    crashes: &[Crash],
+    requests: &[Fingerprint],
+    lived: &Lives,
+    survived: &Lives,
+) -> Option<Fingerprint> {
     let is_convicted = |case: &Case<'_>| {
         let cause = case.candidate.fingerprint;
         let (lives, weight) = match case.candidate.strikes_early {
@@ -310,6 +316,7 @@
             && case.crashes.len() >= MIN_CRASHES
             && part_weight(cause, &case.crashes, lives) >= weight
             && !has_rival(case, crashes)
+            && !is_beside_requests(case, requests, crashes)
     };
     let convicted = single_cases(crashes).filter(is_convicted);
     let convict = select(convicted.collect())?;
@@ -318,17 +325,42 @@
 
 /// Returns a request that is convicted by the crashes of its runs.
 fn find_request(crashes: &[Crash], convicts: &BTreeMap<Fingerprint, Clock>) -> Option<Fingerprint> {
+    let mut convicted = request_cases(crashes);
+    convicted.retain(|case| !convicts.contains_key(&case.candidate.fingerprint));
+    let convict = select(convicted)?;
+    Some(convict.candidate.fingerprint)
+}
+
+/// Returns the requests that the crashes of their runs would convict.
+fn convictable_requests(crashes: &[Crash]) -> Vec<Fingerprint> {
+    let cases = request_cases(crashes).into_iter();
+    cases.map(|case| case.candidate.fingerprint).collect()
+}
+
+fn request_cases(crashes: &[Crash]) -> Vec<Case<'_>> {
     let is_convicted = |case: &Case<'_>| {
-        let cause = case.candidate.fingerprint;
         case.candidate.distance.is_none()
-            && !convicts.contains_key(&cause)
             && case.crashes.len() >= MIN_CRASHES
-            && request_weight(cause, &case.crashes) >= CONVICTION_WEIGHT
+            && request_weight(case.candidate.fingerprint, &case.crashes) >= CONVICTION_WEIGHT
             && !has_rival(case, crashes)
     };
-    let convicted = single_cases(crashes).filter(is_convicted);
-    let convict = select(convicted.collect())?;
-    Some(convict.candidate.fingerprint)
+    single_cases(crashes).filter(is_convicted).collect()
+}
+
+/// Returns whether a convictable request that also crashed a server without a part was in flight at
+/// each crash under the part. A part that many requests have is beside several causes, none of which
+/// is beside it each time.
+fn is_beside_requests(case: &Case<'_>, requests: &[Fingerprint], crashes: &[Crash]) -> bool {
+    let part = case.candidate.fingerprint;
+    let is_apart = |request: &&Fingerprint| {
+        let mut with_request = crashes.iter().filter(|crash| crash.has(**request));
+        with_request.any(|crash| !crash.has(part))
+    };
+    let apart: Vec<&Fingerprint> = requests.iter().filter(is_apart).collect();
+    case.crashes.iter().all(|crash| {
+        let mut others = crash.runs.iter().filter(|run| !run.has(part));
+        others.any(|run| apart.contains(&&run.request))
+    })
 }
 
 fn request_weight(request: Fingerprint, crashes: &[&Crash]) -> u32 {
--- a/components/contract/src/poison/evidence/attribution/coverage.rs
+++ b/components/contract/src/poison/evidence/attribution/coverage.rs
@@ -23,6 +23,7 @@
     Stage,
     cases,
     has_rival,
+    is_beside_requests,
     select, //
 };
 
@@ -61,8 +62,13 @@
 const MAX_UNEXPLAINED_SHARE: f64 = 0.125;
 
 /// Returns the parts that together account for the recent crashes of a service; empty if there are
-/// none.
-pub(super) fn find_parts(crashes: &[Crash]) -> Vec<Fingerprint> {
+/// none. `convictable` requests explain the crashes under a part that was beside them.
+pub(super) fn find_parts(crashes: &[Crash], convictable: &[Fingerprint]) -> Vec<Fingerprint> {
+    let is_beside_requests = |part: &Fingerprint| {
+        let mut cases = cases(crashes).into_iter();
+        let case = cases.find(|case| case.candidate.fingerprint == *part);
+        case.is_some_and(|case| is_beside_requests(&case, convictable, crashes))
+    };
     let services: HashSet<ServiceId> = crashes.iter().filter_map(Crash::service).collect();
     for service in services {
         // Later crashes for another reason don't lift a conviction.
@@ -72,7 +78,7 @@
             .collect();
         for end in ends.into_values() {
             let parts = cover(within_window(crashes, service, end));
-            if !parts.is_empty() {
+            if !parts.is_empty() && !parts.iter().any(is_beside_requests) {
                 return parts;
             }
         }
