gateway: a request that waited for a server is admitted again before it is sent

What callers would see: a stream that waits while runs are separated, or until its refusal is certain, and is sent just before the process exits, is cut off. Change: plain requests and streams that have not run ask again right before their first send; else they are refused as not run. Evidence: requests_that_waited_too_long_are_refused_by_a_stopping_gateway failed before (two streams were sent 550 ms before the exit and got a response that the exit may cut off), passes three times.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -297,15 +297,15 @@
         response
     }
 
-    /// Returns whether a complete request may be sent to a server now. Its body may have arrived long
-    /// after its head.
-    fn may_begin(&self, call: &Call) -> bool {
+    /// Returns whether a complete request may be sent to a server now, which may be long after its head
+    /// arrived.
+    pub fn may_begin(&self, call: &Call) -> bool {
         let grace = self.settings.borrow().bounds.grace;
         call.is_admitted(&self.shutdown, grace)
     }
 
     /// Returns the refusal of a request that this process can't complete before it exits.
-    fn shutting_down(&self) -> Refusal {
+    pub fn shutting_down(&self) -> Refusal {
         let grace = self.settings.borrow().bounds.grace;
         Refusal::ShuttingDown(self.shutdown.retry_after(grace))
     }
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -172,6 +172,9 @@
             return self.call.refuse(&refusal);
         }
         while let Some(target) = self.next_allowed().await {
+            if self.tried.len() == 1 && !self.context.may_begin(&self.call) {
+                return self.call.refuse(&self.context.shutting_down());
+            }
             let until = self.call.until;
             let Ok(results) = timeout_at(until, self.race(target)).await else {
                 return self.timed_out();
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -175,6 +175,9 @@
         let mut first = true;
         let mut retries_spent = false;
         while let Some((target, copy)) = self.choose_allowed(&mut resumption).await {
+            if self.ran_at.is_empty() && !self.context.may_begin(&self.call) {
+                return Err(self.call.refuse(&self.context.shutting_down()));
+            }
             if self.ran_at.is_empty() && !self.worth_trying(&target) {
                 return Err(self.call.refuse(&Refusal::TooLittleTime));
             }
