A prompt part that survived crashes which another cause explains isn't refused for them

Cause: survivals clear a cause of its earlier crashes, but a process records and tells only those of causes that are suspected, and a cause whose crashes a convicted one explains is no longer suspected. So its old crashes stayed. With the first crashes for another reason it had more of them than the convicted part, was taken in its place, and no rival was beside it each time. Class of fault: evidence that is dropped as irrelevant under a conclusion, and counted again when the conclusion is drawn anew. Change: what survives is recorded for all causes that were at crashes, explained or not. It is told once for each cause and crash.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -269,6 +269,9 @@
     survived: Lives,
     /// Runs that survived, or gave a sign of life before.
     lived: Lives,
+    /// Causes that were in flight at crashes and haven't survived since, whatever explains these.
+    /// Follows from the observations.
+    involved: BTreeSet<Fingerprint>,
     /// Causes to which crashes are attributed. Follows from the observations.
     suspects: BTreeSet<Fingerprint>,
     /// Convicted causes with the end of their refusal. Follows from the observations.
@@ -413,18 +416,19 @@
     }
 
     /// Returns what a sign of life or the survival of a request changes: the request with those of
-    /// its parts that are suspected. `None` if it changes nothing.
+    /// its parts that were at crashes. `None` if it changes nothing.
     pub fn relevant_to(&self, subject: &Subject, observation: Observation) -> Option<Subject> {
-        let is_suspect =
-            |cause: &Fingerprint| self.suspects.contains(cause) || self.stored.contains(cause);
+        // Crashes that are explained now would count again beside later ones for another reason.
+        let is_involved =
+            |cause: &Fingerprint| self.involved.contains(cause) || self.stored.contains(cause);
         let mut relevant = subject.clone();
-        relevant.parts.retain(is_suspect);
+        relevant.parts.retain(is_involved);
         let awaited = match observation {
             Observation::Lived => &self.awaiting.lives,
             _ => &self.awaiting.survivals,
         };
         let changes = !relevant.parts.is_empty()
-            || is_suspect(&subject.request)
+            || is_involved(&subject.request)
             || awaited.contains(&subject.service);
         changes.then_some(relevant)
     }
@@ -549,6 +553,8 @@
     /// Derives the verdicts from the observations.
     fn update(&mut self) {
         let crashes = self.crashes();
+        let runs = crashes.iter().flat_map(|crash| &crash.runs);
+        self.involved = runs.flat_map(attribution::Run::fingerprints).collect();
         let (lived, survived) = (&self.lived.services, &self.survived.services);
         let attribution = attribution::attribute(crashes, lived, survived);
         self.suspects = attribution.suspects;
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -190,7 +190,7 @@
         causes.any(|candidate| candidate.fingerprint == cause)
     }
 
-    fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+    pub(super) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
         self.causes.iter().map(|candidate| candidate.fingerprint)
     }
 }
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -228,6 +228,50 @@
     assert!(!case.is_refused(PART));
 }
 
+/// Guards against the refusal of a prompt part for crashes that another one explains, after which it
+/// survived, as soon as it is beside a further cause.
+#[test]
+fn a_part_that_survived_explained_crashes_is_not_refused_for_them() {
+    const HARMFUL: Fingerprint = 40;
+    const SOUND: Fingerprint = 50;
+    let mut case = Case::new();
+    let mut request_number = 1000;
+    let mut subject = |part| {
+        request_number += 1;
+        Subject::new(SERVICE, request_number, [part])
+    };
+    for server in 10..14 {
+        for part in [HARMFUL, SOUND] {
+            let crashed = crashed(server, Stage::Started);
+            case.evidence
+                .record(case.now, case.now, &subject(part), crashed);
+        }
+        case.now += Duration::from_secs(1);
+        for observation in [Observation::Lived, Observation::Survived] {
+            let sound = subject(SOUND);
+            // As a process does: what changes nothing isn't recorded.
+            if let Some(relevant) = case.evidence.relevant_to(&sound, observation) {
+                case.evidence
+                    .record(case.now, case.now, &relevant, observation);
+            }
+        }
+        case.now += Duration::from_secs(1);
+    }
+    assert!(case.is_refused(HARMFUL));
+    for server in 20..23 {
+        let crashed = crashed(server, Stage::Started);
+        for run in [request(POISON), subject(SOUND)] {
+            case.evidence.record(case.now, case.now, &run, crashed);
+        }
+        case.observe(OTHER, Observation::Survived);
+        assert!(!case.is_refused(SOUND));
+    }
+    case.crash(23, &[POISON]);
+    assert!(case.is_refused(POISON));
+    assert!(case.is_refused(HARMFUL));
+    assert!(!case.is_refused(SOUND));
+}
+
 /// Guards against verdicts that differ between processes by the order in which reports arrive.
 #[test]
 fn the_order_of_reports_does_not_matter() {
