--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -260,8 +260,9 @@
     }
 
     /// Chooses a server like [`Session::choose`]. A request that must not be sent gets none; it waits
-    /// while that isn't certain, and while runs are separated and each server has one. A request that has run also waits while the limits on the servers' request rates
-    /// prevent its next run; others are refused and may return.
+    /// while that isn't certain, and while runs are separated and each server has one. A request that
+    /// has run also waits while the limits on the servers' request rates prevent its next run; others
+    /// are refused and may return.
     async fn choose_allowed(
         &mut self,
         resumption: &mut Option<Resumption>,
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -37,7 +37,10 @@
         Suspicion,
         Target, //
     },
-    meter, probation,
+    meter,
+    probation::{
+        self, //
+    },
     protocol::{
         KvCopy,
         Protocol, //
