Test: a request that goes on to crash few servers that return together

The users' record shows requests of a plain service that meet the same three servers again after each return. Three don't, and a request isn't recorded at all where over sixteen runs were in flight at a crash.

--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -325,6 +325,27 @@
 }
 
 /// Guards against a wrong conviction that is stored before reports correct it.
+/// Guards against a harmful request that isn't recorded at crashes under many runs.
+#[test]
+fn a_crash_under_many_runs_counts_against_all_of_them() {
+    const RUN_COUNT: u128 = 30;
+    let mut case = Case::new();
+    let mut crash = |server: ServerId| {
+        let beside = (0..RUN_COUNT).map(|run| 1000 * (u128::from(server) + 1) + run);
+        for fingerprint in beside.chain([POISON]) {
+            let at = case.now;
+            let observation = crashed(server, Stage::Started);
+            case.evidence
+                .record(at, at, &request(fingerprint), observation);
+        }
+        case.now += Duration::from_secs(1);
+    };
+    for server in [10, 11, 12] {
+        crash(server);
+    }
+    assert!(is_refused(&case.evidence, case.now, POISON));
+}
+
 #[test]
 fn a_conviction_is_stored_once_it_is_settled() {
     let mut case = Case::new();
