poison: a crash under many runs counts against all of them

Cause: of the runs at a crash that had started 16 were recorded. A plain request counts as started from its send, and a server of six slots queues 24 more, so that the harmful one could be the seventeenth and its crash counted against others only. Change: 64 runs that had started are kept; of those that hadn't 16, as before. The number of crashes stays bounded. The test's comment line stands at its test again. Conclusion: the class is a bound on memory that drops evidence by its order of arrival.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -76,8 +76,12 @@
 /// Maximum number of stored crashes.
 const MAX_CRASHES: usize = 256;
 
-/// Maximum number of stored runs of one crash that had started, and of others.
-const MAX_RUNS_PER_CRASH: usize = 16;
+/// Maximum number of stored runs of one crash that had started: more than a server of the larger
+/// services runs at once, or runs and queues of a plain one, whose runs all count as started.
+const MAX_STARTED_RUNS_PER_CRASH: usize = 64;
+
+/// Maximum number of stored runs of one crash that had not started.
+const MAX_PENDING_RUNS_PER_CRASH: usize = 16;
 
 /// Maximum number of stored causes that survived.
 const MAX_SURVIVORS: usize = 512;
@@ -478,10 +482,14 @@
         }
         // Runs that had started say more, and are limited apart.
         let is_pending = run.stage == Stage::Pending;
+        let max_runs = match is_pending {
+            true => MAX_PENDING_RUNS_PER_CRASH,
+            false => MAX_STARTED_RUNS_PER_CRASH,
+        };
         let is_alike = |other: &&Run| {
             (other.stage == Stage::Pending) == is_pending && other.is_at_crash_of(&run)
         };
-        if runs.iter().filter(is_alike).count() >= MAX_RUNS_PER_CRASH {
+        if runs.iter().filter(is_alike).count() >= max_runs {
             return false;
         }
         let index = runs.partition_point(|other| other.at <= run.at);
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -324,7 +324,6 @@
     assert!(!is_refused(&case.evidence, later, POISON));
 }
 
-/// Guards against a wrong conviction that is stored before reports correct it.
 /// Guards against a harmful request that isn't recorded at crashes under many runs.
 #[test]
 fn a_crash_under_many_runs_counts_against_all_of_them() {
@@ -346,6 +345,7 @@
     assert!(is_refused(&case.evidence, case.now, POISON));
 }
 
+/// Guards against a wrong conviction that is stored before reports correct it.
 #[test]
 fn a_conviction_is_stored_once_it_is_settled() {
     let mut case = Case::new();
