gateway: plain requests that were at a crash are sent one at a time, and to one server

Sound look-ups that are resent beside a harmful one meet it again at each of few servers, and nothing is refused while two requests are at the same crashes. Cause: runs are separated while crashes are unexplained, but only those with a prompt. Conclusion: what is together at each crash is separated for one process. Several processes can still run two of them at once.

--- a/components/contract/tests/evidence_requests.rs
+++ b/components/contract/tests/evidence_requests.rs
@@ -7,9 +7,10 @@
 };
 
 use contract::poison::{
-    Fingerprint,
+    Fingerprint, Verdict,
     evidence::{
         Evidence,
+        LIFE_SIGN,
         Observation,
         Report,
         ServerId,
@@ -40,6 +41,10 @@
 const MAX_REFUSED_SHARE: f64 = 0.001;
 
 const SEED_COUNT: u64 = 8;
+
+/// Interval at which a request that waits for others is tried again.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 const STEP: Duration = Duration::from_millis(2);
 
 /// Time from the start of a run that crashes its server to the crash, in milliseconds.
@@ -203,7 +208,7 @@
             .map(|(_, request)| request)
             .collect();
         for request in due {
-            self.arrive(request);
+            self.send(request, None);
         }
         if self.rng.random_bool(self.plan.rate * STEP.as_secs_f64()) {
             let request = self.request();
@@ -259,11 +264,31 @@
         self.send(request, None);
     }
 
-    /// Sends a request to the least loaded server but one, or refuses it.
+    fn is_suspect(&self, request: &Request) -> bool {
+        let evidence = &self.processes[request.process];
+        evidence.verdict(self.now, request.fingerprint) == Verdict::Suspect
+    }
+
+    /// Returns whether a request waits for another one of its process that may have crashed servers.
+    fn must_wait(&self, request: &Request) -> bool {
+        let is_beside = |run: &Run| {
+            run.request.process == request.process
+                && run.sent + LIFE_SIGN > self.now
+                && self.is_suspect(&run.request)
+        };
+        let mut runs = self.servers.iter().flat_map(|server| &server.runs);
+        self.is_suspect(request) && runs.any(is_beside)
+    }
+
+    /// Sends a request to the least loaded server but one, keeps it waiting or refuses it.
     fn send(&mut self, mut request: Request, but: Option<usize>) -> bool {
         if request.sends_left == 0 || self.is_refused(&request) {
             return false;
         }
+        if self.must_wait(&request) {
+            self.returning.push((self.now + POLL_INTERVAL, request));
+            return true;
+        }
         let is_up = |server: &usize| self.servers[*server].down_until <= self.now;
         let up = (0..self.servers.len()).filter(|server| is_up(server) && Some(*server) != but);
         let least = up.min_by_key(|server| self.servers[*server].runs.len());
@@ -321,6 +346,11 @@
                 continue;
             }
             run.hedged = true;
+            let request = run.request.clone();
+            if self.is_suspect(&request) {
+                continue;
+            }
+            let run = &mut self.servers[server].runs[index];
             let mut request = run.request.clone();
             run.request.sends_left -= 1;
             request.sends_left = 1;
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -82,6 +82,7 @@
     },
     initial_sync::InitialSync,
     plain,
+    probation::PlainGuard,
     protocol::{
         Generation,
         Metadata,
@@ -404,6 +405,26 @@
         self.suspects.refused_cause(call.subject())
     }
 
+    /// Returns whether a request may have crashed servers, or is refused as it did.
+    pub fn is_suspect(&self, call: &Call) -> bool {
+        self.refused_cause(call).is_some()
+            || !self.suspects.is_empty() && self.suspects.is_suspect(call.fingerprint())
+    }
+
+    /// Returns whether a plain request has to wait for another one; see [`Suspects::must_wait`].
+    pub fn must_wait(&self, call: &Call) -> bool {
+        !self.suspects.is_empty()
+            && call.parts().is_empty()
+            && self.suspects.must_wait(call.subject())
+    }
+
+    /// Records that a run of a plain request begins, while any request is suspected.
+    pub fn begin_plain(&self, call: &Call) -> Option<PlainGuard> {
+        let subject = (!self.suspects.is_empty()).then(|| call.subject())?;
+        let probation = &self.suspects.probation;
+        Some(probation.begin_plain(subject.service, subject.request))
+    }
+
     /// Records that a run of a request lived or survived.
     pub fn record_life(&self, call: &Call, observation: Observation) {
         if !self.suspects.is_empty() {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -214,7 +214,8 @@
     }
 
     /// Chooses a server like [`PlainRequest::next`]. A request that must not be sent gets none; it
-    /// waits while that isn't certain, and while runs are separated and each server has one.
+    /// waits while that isn't certain, while runs are separated and each server has one, and while
+    /// another one is in flight that may have crashed servers too.
     async fn next_allowed(&mut self) -> Option<Target> {
         let mut is_separated = false;
         loop {
@@ -222,7 +223,11 @@
                 return None;
             }
             let occupied = self.context.occupied_servers(&self.call);
-            match self.next(&occupied) {
+            let next = match self.context.must_wait(&self.call) {
+                true => Err(Unplaced::Occupied),
+                false => self.next(&occupied),
+            };
+            match next {
                 Ok(target) => return Some(target),
                 Err(Unplaced::Occupied) if Instant::now() < self.call.until => {}
                 Err(_) => return None,
@@ -306,8 +311,9 @@
         if let Either::Left((result, _)) = select(first.as_mut(), std::pin::pin!(hedge)).await {
             return vec![result];
         }
-        // The first response must not wait until it is certain that the request is refused.
-        if self.context.refused_cause(&self.call).is_some() {
+        // The first response must not wait until it is certain that the request is refused. A second
+        // server isn't put at risk by a request that may have crashed others.
+        if self.context.is_suspect(&self.call) {
             return vec![first.await];
         }
         let occupied = self.context.occupied_servers(&self.call);
@@ -389,6 +395,7 @@
 ) -> Attempt {
     let mut in_flight = InFlight::new(&context.fleet, &target.server, PLAIN_WORK);
     let _probation = context.suspects.probation.begin(&target.server);
+    let _plain = context.begin_plain(call);
     let overloads = &context.demands.overloads;
     let objective = call.pass.objective;
     let mut sent = Sent::new(overloads, &call.service, &target.server, objective);
--- a/components/gateway/src/probation.rs
+++ b/components/gateway/src/probation.rs
@@ -7,7 +7,15 @@
     time::Duration, //
 };
 
+use contract::poison::{
+    Fingerprint,
+    evidence::{
+        LIFE_SIGN,
+        ServiceId, //
+    }, //
+};
 use names::Server;
+use tokio::time::Instant;
 
 /// Interval at which a request that waits for the lives of others looks for a server.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -21,10 +29,19 @@
     Occupied,
 }
 
-/// Numbers of these runs by server.
+/// Numbers of these runs by server, and plain requests in flight.
 #[derive(Debug, Default)]
 pub struct Probation {
     counts: RefCell<BTreeMap<Server, usize>>,
+    plain: RefCell<Vec<PlainRun>>,
+}
+
+/// Run of a plain request while requests are suspected.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct PlainRun {
+    service: ServiceId,
+    request: Fingerprint,
+    began: Instant,
 }
 
 impl Probation {
@@ -38,6 +55,31 @@
         }
     }
 
+    /// Adds a run of a plain request until the guard is dropped.
+    pub fn begin_plain(self: &Rc<Self>, service: ServiceId, request: Fingerprint) -> PlainGuard {
+        let run = PlainRun {
+            service,
+            request,
+            began: Instant::now(),
+        };
+        self.plain.borrow_mut().push(run);
+        PlainGuard {
+            probation: self.clone(),
+            run,
+        }
+    }
+
+    /// Returns the plain requests to a service whose runs are too young to have given a sign of life.
+    pub fn young_requests(&self, service: ServiceId) -> Vec<Fingerprint> {
+        let plain = self.plain.borrow();
+        let is_young = |run: &&PlainRun| run.service == service && run.began.elapsed() < LIFE_SIGN;
+        plain
+            .iter()
+            .filter(is_young)
+            .map(|run| run.request)
+            .collect()
+    }
+
     /// Returns the servers that have such runs.
     pub fn servers(&self) -> Vec<Server> {
         self.counts.borrow().keys().cloned().collect()
@@ -63,3 +105,19 @@
         }
     }
 }
+
+/// Keeps the run of a plain request until it is dropped.
+#[derive(Debug)]
+pub struct PlainGuard {
+    probation: Rc<Probation>,
+    run: PlainRun,
+}
+
+impl Drop for PlainGuard {
+    fn drop(&mut self) {
+        let mut plain = self.probation.plain.borrow_mut();
+        if let Some(index) = plain.iter().position(|run| *run == self.run) {
+            plain.swap_remove(index);
+        }
+    }
+}
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -9,6 +9,7 @@
 
 use contract::poison::{
     Fingerprint,
+    Verdict,
     evidence::{
         Evidence,
         Observation,
@@ -71,6 +72,22 @@
         }
     }
 
+    /// Returns whether a request may have crashed servers.
+    pub fn is_suspect(&self, request: Fingerprint) -> bool {
+        let evidence = self.evidence.borrow();
+        evidence.verdict(clock::now(), request) == Verdict::Suspect
+    }
+
+    /// Returns whether a plain request that may have crashed servers has to wait for another one:
+    /// requests that are together at each crash can't be told apart.
+    pub fn must_wait(&self, subject: &Subject) -> bool {
+        if !self.is_suspect(subject.request) {
+            return false;
+        }
+        let mut young = self.probation.young_requests(subject.service).into_iter();
+        young.any(|request| self.is_suspect(request))
+    }
+
     /// Records that a server crashed before a run of the request survived.
     pub fn record_crash(&self, call: &Call, target: &Target, stage: Stage) {
         let observation = Observation::Crashed {
