gateway: the log says what a server that declines a request asks for

Whether a server named a time in its answer, and how long, wasn't in the lines, so that a time that is ignored couldn't be told from one that is forgotten. Event 1003 names the time and the mark of a leaving server; the adapter parses the mark. No logic changes.

--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -511,7 +511,9 @@
             forwarding::DECLINED,
             id = id,
             server = server,
-            status = status.as_u16()
+            status = status.as_u16(),
+            retry_after_ms = reply.retry_after_ms(),
+            leaving = reply.leaving
         );
         let read = connection.read_body(MAX_BUFFERED_RESPONSE_BYTES);
         if let Ok(Ok(_)) = timeout(DECLINED_BODY_TIMEOUT, read).await {
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -99,12 +99,22 @@
     /// Whether an intermediary encoded the body, so that it differs from the one that the server
     /// sent.
     pub encoded: bool,
-    /// Time to wait before a retry.
+    /// Time for which a server that declined the request wants no other.
     pub retry_after: Option<Duration>,
+    /// Whether the server states that it leaves.
+    pub leaving: bool,
     /// Requests per second that the server accepts from all gateways together, if it limits them.
     pub rate_limit: Option<f64>,
 }
 
+impl Reply {
+    /// Returns the time to wait before another request, in milliseconds for a log line.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        let time = self.retry_after?;
+        Some(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
 /// Requests in progress at a server, as reported by it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Activity {
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -259,7 +259,9 @@
                 forwarding::DECLINED,
                 id = id,
                 server = server.as_str(),
-                status = status
+                status = status,
+                retry_after_ms = reply.retry_after_ms(),
+                leaving = reply.leaving
             );
             if head.status == StatusCode::SERVICE_UNAVAILABLE && run.copy.is_none() {
                 self.context
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -160,7 +160,10 @@
             not_run: headers.contains_key("not-run"),
             misdirected: headers.contains_key("other"),
             encoded: headers.contains_key("content-encoding"),
-            retry_after: None,
+            retry_after: text(headers, "retry-after")
+                .and_then(|seconds| seconds.parse().ok())
+                .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()),
+            leaving: headers.contains_key("leaving"),
             rate_limit: text(headers, "rate-limit").and_then(|rate| rate.parse().ok()),
         }
     }
