gateway: a server that wants no requests for a time gets none

Cause: no path kept the time that a server names. Plain requests counted the server as full for 100 ms; streams took over the time as a penalty, but a full server is chosen where the others are no better. Change: placement::notice keeps what a run of a server says, apart from its registration; a server in its backoff is no candidate on any path, and the gateway's own calls leave it out. One request at a time after the end until one is answered. While all want none, a refusal at once with the return of the first. An absurd time no longer overflows the clock. Conclusion: class of fault: a bound that a receiver sets is read as a hint on its load.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -82,6 +82,8 @@
     ADMITTED_DRAINING = 1040, Debug, "Request admitted during the drain";
     /// A stream waits, as each server has one that must live first.
     SEPARATED = 1041, Info, "Stream waits until others live";
+    /// A server asked for no requests for a time.
+    SERVER_BACKS_OFF = 1042, Info, "Backend server wants no requests for a time";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/cache_lookup.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -325,16 +325,16 @@
 }
 
 /// Queries the contents of an engine's cache.
-async fn query_engine<P: Protocol>(context: &Context<P>, engine: Target) -> Vec<Prompt> {
+async fn query_engine<P: Protocol + 'static>(context: &Context<P>, engine: Target) -> Vec<Prompt> {
     let protocol = context.sender.protocol();
-    let call = context.sender.call(
+    let call = context.call(
         &engine,
         &Method::GET,
         protocol.cache_request(),
         Bytes::new(),
     );
     // An engine that doesn't answer counts as having an empty cache.
-    let Ok(Ok((head, body))) = timeout(QUERY_TIMEOUT, call).await else {
+    let Ok(Some(Ok((head, body)))) = timeout(QUERY_TIMEOUT, call).await else {
         return Vec::new();
     };
     let parts = protocol.parse_cache(&head, &body).unwrap_or_default();
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -51,6 +51,7 @@
 
 mod exchange;
 mod in_flight;
+mod notice;
 mod rate_limit;
 mod speed;
 
@@ -161,10 +162,11 @@
             if before.is_some_and(|before| before != started_ms) {
                 self.placement.reset_speed(&server);
             }
+            self.placement.set_started(&server, started_ms);
         }
         let unchanged = self.addresses.get(&server) == Some(&address)
             && self.placement.spec(&server) == Some(&spec)
-            && self.placement.accepts_work(&server) != leaving;
+            && self.placement.is_registered_as_leaving(&server) == leaving;
         self.placement.record_heartbeat(since, &server);
         if unchanged {
             return false;
@@ -175,6 +177,9 @@
             self.mark_replaced(&previous);
         }
         self.placement.upsert(clock::now(), &server, spec, leaving);
+        if let Some(started_ms) = started_ms {
+            self.placement.set_started(&server, started_ms);
+        }
         self.servers_by_id
             .insert(beacon::id(&server), server.clone());
         if let Some(old_address) = self.addresses.insert(server.clone(), address) {
@@ -221,7 +226,7 @@
             .collect()
     }
 
-    /// Returns the usable servers of a service with their slots.
+    /// Returns the usable servers of a service that want requests now, with their slots.
     pub fn slots(&self, service: &Service) -> Vec<(Server, u32)> {
         let mut slots = Vec::new();
         for server in self.placement.servers() {
@@ -229,7 +234,7 @@
             let Some(spec) = spec.filter(|spec| spec.service == *service) else {
                 continue;
             };
-            if self.is_usable(server) {
+            if self.is_usable(server) && self.wants_requests(server) {
                 slots.push((server.clone(), spec.slots));
             }
         }
@@ -411,7 +416,7 @@
         self.placement.mark_alive(clock::now(), server);
     }
 
-    /// Returns whether a server accepts work according to its registration.
+    /// Returns whether a server accepts work, according to its registration and to what it said.
     pub fn accepts_work(&self, server: &Server) -> bool {
         self.placement.accepts_work(server)
     }
--- a/components/gateway/src/fleet/rate_limit.rs
+++ b/components/gateway/src/fleet/rate_limit.rs
@@ -101,25 +101,26 @@
             .set_demand_share(clock::now(), service, share);
     }
 
-    /// Returns whether the limit on a server's request rate allows a request now.
+    /// Returns whether a server takes a request now: the limit on its request rate allows one, and it
+    /// wants one.
     pub fn allows_request(&self, server: &Server) -> bool {
         self.placement.allows_request(clock::now(), server)
     }
 
-    /// Returns the time until the limits on the servers' request rates allow a request to the
-    /// service; `None` if they don't prevent it now.
-    pub fn rate_limited_for(&self, service: &Service) -> Option<Duration> {
+    /// Returns the time until the first server of a service takes a request; `None` if one does now, or
+    /// there is none.
+    pub fn next_request_in(&self, service: &Service) -> Option<Duration> {
         let now = clock::now();
         let next = self.placement.next_request_at(now, service)?;
         Some(next - now)
     }
 
-    /// Returns when a caller should return if the limits on the servers' request rates prevent a
-    /// request to the service now.
-    pub fn rate_limited_retry_after(&mut self, service: &Service) -> Option<Duration> {
+    /// Returns when a caller should return if no server of a service takes a request now, as all limit
+    /// their request rates or want no requests.
+    pub fn unplaced_retry_after(&mut self, service: &Service) -> Option<Duration> {
         let now = clock::now();
         self.placement.next_request_at(now, service)?;
-        Some(self.placement.retry_after(now, service))
+        Some(self.placement.retry_after(now, service, &mut self.rng))
     }
 }
 
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -41,7 +41,9 @@
     note, //
 };
 use http::{
+    Method,
     Response,
+    StatusCode,
     header::{
         CONTENT_LENGTH,
         HOST, //
@@ -57,6 +59,7 @@
     Service,
     Team, //
 };
+use routing::placement::Said;
 use spread::{
     Freshness,
     beacon, //
@@ -64,8 +67,10 @@
 use tokio::time::{
     Instant,
     sleep,
+    timeout,
     timeout_at, //
 };
+use upstream::Head;
 
 use crate::{
     body::Body,
@@ -84,6 +89,7 @@
     plain,
     probation::PlainGuard,
     protocol::{
+        Activity,
         Generation,
         Metadata,
         Protocol,
@@ -117,6 +123,9 @@
     suspects::Suspects, //
 };
 
+/// Timeout of a request for a server's current runs.
+const ACTIVITY_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Timeout of a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -353,14 +362,23 @@
         retry_budgets.take_retry(service, &bound, purpose)
     }
 
-    /// Returns why no server could be chosen for a request: none takes it, or all that could limit
-    /// their request rates.
+    /// Returns why no server could be chosen for a request: none takes it, or all that could want no
+    /// requests or limit their request rates.
     pub fn unplaced_refusal(&self, service: &Service) -> Refusal {
         let mut fleet = self.fleet.borrow_mut();
-        let retry_after = fleet.rate_limited_retry_after(service);
+        if let Some(retry_after) = fleet.backoff_retry_after(service) {
+            return Refusal::BackingOff(retry_after);
+        }
+        let retry_after = fleet.unplaced_retry_after(service);
         retry_after.map_or(Refusal::NoServer, Refusal::RateLimited)
     }
 
+    /// Returns the refusal of a request while all servers of its service want none.
+    pub fn backing_off(&self, service: &Service) -> Option<Refusal> {
+        let retry_after = self.fleet.borrow_mut().backoff_retry_after(service)?;
+        Some(Refusal::BackingOff(retry_after))
+    }
+
     /// Returns whether it is certain that a request must not run, as servers crashed under it or under
     /// a part of its prompt.
     pub fn is_poisonous(&self, call: &Call) -> bool {
@@ -432,13 +450,70 @@
         }
     }
 
-    /// Records the limit on the request rate that a server named, or that it names none.
-    /// The request was sent at `sent_at`.
-    pub fn record_rate_limit(&self, server: &Server, reply: &Reply, sent_at: Clock) {
+    /// Records what a server says of itself in the head of an answer to a request that was sent at
+    /// `sent_at`: whether it leaves, whether it wants requests, and the limit on their rate.
+    pub fn record_reply(&self, target: &Target, status: StatusCode, reply: &Reply, sent_at: Clock) {
+        if reply.misdirected {
+            // Another server answered.
+            return;
+        }
+        let mut fleet = self.fleet.borrow_mut();
         if reply.signed || reply.rate_limit.is_some() {
-            let mut fleet = self.fleet.borrow_mut();
-            fleet.record_rate_limit(server, reply.rate_limit, sent_at);
+            fleet.record_rate_limit(&target.server, reply.rate_limit, sent_at);
+        }
+        let is_backoff =
+            |time: &Duration| status == StatusCode::SERVICE_UNAVAILABLE && !time.is_zero();
+        let said = Said {
+            leaving: false,
+            backoff: reply.retry_after.filter(is_backoff),
+        };
+        fleet.record_said(target, said, sent_at);
+    }
+
+    /// Sends a request of the gateway itself, and reads the whole response; see [`Sender::call`].
+    /// Returns `None` when there is none, or the server wants no requests.
+    pub async fn call(
+        &self,
+        target: &Target,
+        method: &Method,
+        head: Vec<u8>,
+        body: Bytes,
+    ) -> Option<Result<(Head, Bytes), upstream::Error>> {
+        if !self.fleet.borrow().wants_requests(&target.server) {
+            return None;
         }
+        let sent_at = clock::now();
+        let result = self.sender.call(target, method, head, body).await;
+        if let Ok((head, _)) = &result {
+            let reply = self.sender.protocol().parse_reply(head);
+            self.record_reply(target, head.status, &reply, sent_at);
+        }
+        Some(result)
+    }
+
+    /// Reads a server's current runs. Returns `None` when it can't be reached. Nothing is known of them
+    /// while the server wants no requests, or if the response can't be parsed.
+    pub async fn read_activity(&self, target: &Target) -> Option<Activity> {
+        // While `queued` isn't 0, `Activity::has_lost` doesn't count a missing run as lost.
+        let unknown = Activity {
+            queued: 1,
+            runs: Vec::new(),
+        };
+        let protocol = self.sender.protocol();
+        let head = protocol.activity_request();
+        let call = self.call(target, &Method::GET, head, Bytes::new());
+        let (head, body) = match timeout(ACTIVITY_TIMEOUT, call).await.ok()? {
+            None => {
+                let is_alive = self.sender.probe(target).await;
+                return is_alive.then_some(unknown);
+            }
+            Some(Ok(response)) => response,
+            Some(Err(upstream::Error::Excess(_) | upstream::Error::Malformed(_))) => {
+                return Some(unknown);
+            }
+            Some(Err(_)) => return None,
+        };
+        Some(protocol.parse_activity(&head, &body).unwrap_or(unknown))
     }
 
     /// Checks whether the server that broke off a run has crashed, and records it against the
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -52,6 +52,11 @@
     counter!("medlarhatch_excesses_total", "bound" => bound).increment(1);
 }
 
+/// Counts a server that began to leave, or to want no requests, by what it said.
+pub fn server_notice(notice: &'static str) {
+    counter!("medlarhatch_server_notices_total", "notice" => notice).increment(1);
+}
+
 /// Counts a server that crashed before a run survived its start.
 pub fn server_crash() {
     counter!("medlarhatch_server_crashes_total").increment(1);
--- a/components/gateway/src/overload.rs
+++ b/components/gateway/src/overload.rs
@@ -302,6 +302,10 @@
                     ticket,
                 });
                 sleep(POLL_INTERVAL).await;
+                if let Some(retry_after) = fleet.borrow_mut().backoff_retry_after(service) {
+                    demands.count_request(service);
+                    return Err(retry_after);
+                }
                 overloads.update(demands, fleet, service);
                 let now = clock::now();
                 verdict = overloads.with(service, |overload, _| overload.poll(now, ticket));
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -168,6 +168,10 @@
         if let Some(response) = self.context.refuse_poisonous(&self.call).await {
             return response;
         }
+        if let Some(refusal) = self.context.backing_off(&self.call.service) {
+            self.context.demands.count_request(&self.call.service);
+            return self.call.refuse(&refusal);
+        }
         if let Err(refusal) = self.wait_for_room().await {
             return self.call.refuse(&refusal);
         }
@@ -363,15 +367,11 @@
                 response
             }
             (Step::NotRun, _) => {
-                let retry_after = self
-                    .context
-                    .demands
-                    .overloads
-                    .retry_after(&self.call.service);
-                let refusal = match retry_after {
-                    Some(retry_after) => overloaded(retry_after),
-                    None => self.context.unplaced_refusal(&self.call.service),
-                };
+                let service = &self.call.service;
+                let retry_after = || self.context.demands.overloads.retry_after(service);
+                let refusal = self.context.backing_off(service);
+                let refusal = refusal.or_else(|| retry_after().map(overloaded));
+                let refusal = refusal.unwrap_or_else(|| self.context.unplaced_refusal(service));
                 self.call.refuse(&refusal)
             }
             _ => self.call.refuse(&Refusal::Lost),
@@ -502,8 +502,8 @@
         Ok(reply) => reply,
         Err(error) => return lost_exchange(context, call, target, &error).await,
     };
-    context.record_rate_limit(&target.server, &reply, sent_at);
     let status = head.status;
+    context.record_reply(target, status, &reply, sent_at);
     if reply.not_run {
         // The head states that the server didn't run the request, which holds even if the body is
         // cut off.
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -226,6 +226,9 @@
                     if is_for_memory(context, &call.service) {
                         context.queue.record_wait(&call.service);
                     }
+                    if let Some(refusal) = context.backing_off(&call.service) {
+                        return Err(refusal);
+                    }
                     let grace = context.settings.borrow().bounds.grace;
                     if !call.is_admitted(&context.shutdown, grace) {
                         return Err(Refusal::ShuttingDown(context.shutdown.retry_after(grace)));
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -66,6 +66,8 @@
     /// All servers that could take the request limit their request rates; one can be sent after
     /// this time.
     RateLimited(Duration),
+    /// All servers that could take the request want none; the first one does again after this time.
+    BackingOff(Duration),
     /// Another attempt is needed, and the retry budget of the service is used up.
     RetriesSpent,
     /// Servers crashed under earlier attempts of the request.
@@ -94,6 +96,7 @@
             | Refusal::TooLittleTime
             | Refusal::Overloaded(_)
             | Refusal::RateLimited(_)
+            | Refusal::BackingOff(_)
             | Refusal::RetriesSpent
             | Refusal::Poisonous(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
@@ -116,6 +119,7 @@
             Refusal::TooLittleTime => "too_little_time",
             Refusal::Overloaded(_) => "too_many_requests",
             Refusal::RateLimited(_) => "rate_limited",
+            Refusal::BackingOff(_) => "backing_off",
             Refusal::RetriesSpent => "retries_spent",
             Refusal::Poisonous(_) => "poisonous",
             Refusal::Lost => "lost",
@@ -174,11 +178,14 @@
                 | Refusal::Expired
                 | Refusal::Overloaded(_)
                 | Refusal::RateLimited(_)
+                | Refusal::BackingOff(_)
                 | Refusal::RetriesSpent
         );
         let retry_after = match self {
             Refusal::Overloaded(rejection) => rejection.retry_after,
-            Refusal::ShuttingDown(retry_after) | Refusal::RateLimited(retry_after) => *retry_after,
+            Refusal::ShuttingDown(retry_after)
+            | Refusal::RateLimited(retry_after)
+            | Refusal::BackingOff(retry_after) => *retry_after,
             _ => DEFAULT_RETRY_AFTER,
         };
         if retryable {
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -21,7 +21,6 @@
     request::Parts, //
 };
 use names::Server;
-use tokio::time::timeout;
 use upstream::{
     Bound,
     Connection,
@@ -35,7 +34,6 @@
     fleet::Target,
     meter,
     protocol::{
-        Activity,
         Dispatch,
         Metadata,
         Protocol,
@@ -51,9 +49,6 @@
 /// centres of one region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Timeout of a request for a server's current runs.
-const ACTIVITY_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Maximum size of a response body that isn't passed to a caller: the response to an earlier
 /// request on the connection, or to a call of the gateway's own.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -192,28 +187,6 @@
         true
     }
 
-    /// Reads a server's current runs. Returns `None` when it can't be reached. A response that
-    /// can't be parsed gives no information on any run but shows that the server is alive.
-    pub async fn read_activity(&self, target: &Target) -> Option<Activity> {
-        let head = self.protocol.activity_request();
-        let call = self.call(target, &Method::GET, head, Bytes::new());
-        // While `queued` isn't 0, `Activity::has_lost` doesn't count a missing run as lost.
-        let unknown = Activity {
-            queued: 1,
-            runs: Vec::new(),
-        };
-        let (head, body) = match timeout(ACTIVITY_TIMEOUT, call).await.ok()? {
-            Ok(response) => response,
-            Err(Error::Excess(_) | Error::Malformed(_)) => return Some(unknown),
-            Err(_) => return None,
-        };
-        Some(
-            self.protocol
-                .parse_activity(&head, &body)
-                .unwrap_or(unknown),
-        )
-    }
-
     /// Sends a request of the gateway itself, and reads the whole response.
     ///
     /// # Errors
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -162,6 +162,9 @@
         if let Some(response) = self.context.refuse_poisonous(&self.call).await {
             return Err(response);
         }
+        if let Some(refusal) = self.context.backing_off(&self.call.service) {
+            return Err(self.call.refuse(&refusal));
+        }
         let work = self.remaining_work();
         match queue::admit(&self.context, &self.call, work).await {
             Ok(admission) => self.admission = Some(admission),
@@ -284,7 +287,7 @@
                 Unplaced::NoServer if self.ran_at.is_empty() => return None,
                 Unplaced::NoServer => {
                     let fleet = self.context.fleet.clone();
-                    let wait = fleet.borrow().rate_limited_for(&self.call.service)?;
+                    let wait = fleet.borrow().next_request_in(&self.call.service)?;
                     sleep(wait.min(MAX_RATE_LIMIT_WAIT)).await;
                 }
                 Unplaced::Occupied => {
--- a/components/gateway/src/stream/backup.rs
+++ b/components/gateway/src/stream/backup.rs
@@ -160,7 +160,7 @@
     retention: Duration,
 }
 
-impl<P: Protocol> Replicator<P> {
+impl<P: Protocol + 'static> Replicator<P> {
     /// Refreshes the copy until `stop` is cancelled, and releases it then unless it was taken.
     async fn run(self, state: Rc<RefCell<State>>, stop: CancellationToken) {
         while !stop.is_cancelled() {
@@ -189,12 +189,9 @@
         let (head, body) = sender
             .protocol()
             .copy_request(&self.id, self.holder.address);
-        let response = timeout(
-            CALL_TIMEOUT,
-            sender.call(&self.source, &Method::POST, head, body),
-        )
-        .await;
-        let response = response.ok().and_then(Result::ok);
+        let call = self.context.call(&self.source, &Method::POST, head, body);
+        let response = timeout(CALL_TIMEOUT, call).await.ok().flatten();
+        let response = response.and_then(Result::ok);
         let name = response
             .and_then(|(head, body): (_, Bytes)| sender.protocol().parse_copy(&head, &body));
         note!(
@@ -215,9 +212,11 @@
     async fn release(&self, copy: &KvCopy) {
         let sender = &self.context.sender;
         let head = sender.protocol().release_request(&copy.name);
-        let call = sender.call(&self.source, &Method::DELETE, head, Bytes::new());
+        let call = self
+            .context
+            .call(&self.source, &Method::DELETE, head, Bytes::new());
         let response = timeout(RELEASE_TIMEOUT, call).await;
-        let released = matches!(response, Ok(Ok((head, _))) if head.status.is_success());
+        let released = matches!(response, Ok(Some(Ok((head, _)))) if head.status.is_success());
         note!(
             forwarding::KV_COPY_RELEASED,
             id = self.id.as_str(),
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -145,7 +145,7 @@
                     }
                 }
                 Advice::QueryServer => {
-                    let query = self.context.sender.read_activity(&run.target);
+                    let query = self.context.read_activity(&run.target);
                     tokio::select! {
                         biased;
                         filled = run.connection.fill() => {
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -246,7 +246,8 @@
         let id = self.call.request.metadata.id.as_str();
         let server = run.target.server.clone();
         let status = head.status.as_u16();
-        self.context.record_rate_limit(&server, &reply, run.sent_at);
+        self.context
+            .record_reply(&run.target, head.status, &reply, run.sent_at);
         if reply.not_run {
             if let Some(trial) = &mut run.trial {
                 trial.cancel();
--- a/components/routing/src/member.rs
+++ b/components/routing/src/member.rs
@@ -213,7 +213,7 @@
                 self.consecutive_failures += 1;
             }
             Outcome::Refused { retry_after } => {
-                self.full_until = self.full_until.max(now + retry_after);
+                self.full_until = self.full_until.max(now.saturating_add(retry_after));
             }
             Outcome::Cancelled => {}
         }
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -14,6 +14,7 @@
 
 use self::{
     candidate::Candidate,
+    notice::Unregistered,
     speed::Speeds,
     suspicion::Suspicions, //
 };
@@ -34,6 +35,7 @@
 mod candidate;
 mod choice;
 mod limits;
+mod notice;
 mod rate_limit;
 pub mod speed;
 mod suspicion;
@@ -45,6 +47,10 @@
     Score,
     Versions, //
 };
+pub use notice::{
+    News,
+    Said, //
+};
 pub use suspicion::Suspicion;
 
 /// Registration data of a server.
@@ -110,6 +116,10 @@
     settings: Settings,
     candidates: BTreeMap<Server, Candidate>,
     suspicions: Suspicions,
+    /// What servers without a registration said of themselves.
+    unregistered: Unregistered,
+    /// Time after which no server has a backoff or is on trial after one.
+    last_backoff_end: Clock,
     /// Mean time of a request at a server of mean speed, in seconds, by service.
     request_times: HashMap<Service, f64>,
     /// Mean time to process one prompt token at a server of mean speed, in seconds, by service.
@@ -156,11 +166,12 @@
                 self.speeds.insert(server, &spec.service);
             }
             candidate.set_spec(spec);
-            candidate.leaving = leaving;
+            candidate.registered_as_leaving = leaving;
             return;
         }
         self.speeds.insert(server, &spec.service);
         let mut candidate = Candidate::new(now, server, spec, leaving);
+        candidate.notice = self.unregistered.take(server);
         candidate.peer_work = self.peer_work(server);
         candidate.set_rank(server, self.rank, &self.data_centre);
         self.candidates.insert(server.clone(), candidate);
@@ -168,7 +179,9 @@
 
     /// Removes a server.
     pub fn remove(&mut self, server: &Server) {
-        self.candidates.remove(server);
+        if let Some(candidate) = self.candidates.remove(server) {
+            self.unregistered.keep(server, candidate.notice);
+        }
         self.speeds.remove(server);
     }
 
@@ -187,11 +200,16 @@
         self.candidates.get(server).map(|candidate| &candidate.spec)
     }
 
-    /// Returns whether a server accepts new work according to its registration.
+    /// Returns whether a server is registered as leaving.
+    pub fn is_registered_as_leaving(&self, server: &Server) -> bool {
+        let candidate = self.candidates.get(server);
+        candidate.is_some_and(|candidate| candidate.registered_as_leaving)
+    }
+
+    /// Returns whether a server accepts new work, according to its registration and to what it said.
     pub fn accepts_work(&self, server: &Server) -> bool {
-        self.candidates
-            .get(server)
-            .is_some_and(|candidate| !candidate.leaving)
+        let candidate = self.candidates.get(server);
+        candidate.is_some_and(|candidate| !candidate.is_leaving())
     }
 
     /// Records work that was sent to a server.
@@ -200,6 +218,11 @@
             return;
         };
         candidate.sent(now, work);
+        if work.requests > 0 {
+            candidate.notice.sent(now);
+            let end = candidate.notice.next_request_at();
+            self.last_backoff_end = self.last_backoff_end.max(end);
+        }
         if work.requests > 0 && candidate.rate_limit.per_second().is_some() {
             candidate.rate_limit.take(now);
         }
--- a/components/routing/src/placement/candidate.rs
+++ b/components/routing/src/placement/candidate.rs
@@ -15,6 +15,7 @@
     Spec,
     Suspicion,
     Work,
+    notice::Notice,
     rate_limit::RateLimit,
     speed::Recent,
     suspicion::Domain, //
@@ -64,7 +65,7 @@
     pub(super) spec: Spec,
     /// Failure domain; stored because each choice looks it up for each server.
     pub(super) domain: Domain,
-    pub(super) leaving: bool,
+    pub(super) registered_as_leaving: bool,
     pub(super) member: Member,
     pub(super) own_work: Work,
     pub(super) peer_work: Work,
@@ -74,6 +75,8 @@
     pub(super) steady: f64,
     /// Limit that the server names on the rate of requests.
     pub(super) rate_limit: RateLimit,
+    /// What the server said of itself.
+    pub(super) notice: Notice,
     suspended_until: Clock,
     suspicion: Suspicion,
     consecutive_suspensions: u32,
@@ -95,13 +98,14 @@
         Candidate {
             domain: domain(&spec),
             spec,
-            leaving,
+            registered_as_leaving: leaving,
             member: Member::new(now, server.clone()),
             own_work: Work::default(),
             peer_work: Work::default(),
             recent: Recent::default(),
             steady: 1.0,
             rate_limit: RateLimit::default(),
+            notice: Notice::default(),
             suspended_until: Clock::ZERO,
             suspicion: Suspicion::Refused,
             consecutive_suspensions: 0,
@@ -149,6 +153,17 @@
         }
     }
 
+    /// Returns whether the server leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.registered_as_leaving || self.notice.is_leaving()
+    }
+
+    /// Returns from when this process may send the server a request.
+    pub(super) fn next_request_at(&self, now: Clock) -> Clock {
+        let limited_until = self.rate_limit.next_send_at(now);
+        limited_until.max(self.notice.next_request_at())
+    }
+
     /// Returns whether new work should go elsewhere.
     pub(super) fn is_suspended(&self, now: Clock) -> bool {
         self.suspended_until > now || self.trial_until > now
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -139,9 +139,10 @@
             token_time.map(|token_time| within.as_secs_f64() / token_time.max(f64::MIN_POSITIVE));
         let mut room = 0_u32;
         for candidate in self.candidates.values() {
-            if candidate.leaving
+            if candidate.is_leaving()
                 || candidate.spec.service != *service
                 || candidate.is_suspended(now)
+                || !candidate.notice.wants_requests(now)
             {
                 continue;
             }
@@ -166,7 +167,7 @@
     pub fn memory_use(&self, now: Clock, service: &Service) -> f64 {
         let (mut used, mut memory) = (0, 0);
         for candidate in self.candidates.values() {
-            if candidate.leaving
+            if candidate.is_leaving()
                 || candidate.spec.service != *service
                 || candidate.is_unreachable(now)
             {
@@ -183,7 +184,7 @@
         let Some(candidate) = self.candidates.get(server) else {
             return false;
         };
-        !candidate.leaving && !candidate.is_unreachable(now)
+        !candidate.is_leaving() && !candidate.is_unreachable(now)
     }
 
     /// Chooses the server with the lowest penalties and, among those, the lowest load.
@@ -220,7 +221,7 @@
     ) -> Option<Choice> {
         let mut best: Option<(Order, &Server)> = None;
         let eligible = self.candidates.iter().filter(|(_, candidate)| {
-            let serves = !candidate.leaving && candidate.spec.service == *request.service;
+            let serves = !candidate.is_leaving() && candidate.spec.service == *request.service;
             serves && request.versions.allow(&candidate.spec.version)
         });
         let candidates = u32::try_from(eligible.clone().count()).unwrap_or(u32::MAX);
@@ -235,7 +236,7 @@
         };
         for (server, candidate) in eligible {
             let is_limited = candidate.rate_limit.available(now) == Some(0);
-            if is_limited && request.work.requests > 0 {
+            if is_limited && request.work.requests > 0 || !candidate.notice.wants_requests(now) {
                 continue;
             }
             let penalties = self.penalties(now, server, candidate, request);
--- a/components/routing/src/placement/limits.rs
+++ b/components/routing/src/placement/limits.rs
@@ -1,4 +1,5 @@
-//! Limits on the request rates of servers, as the placement keeps them.
+//! Limits on the request rates of servers, as the placement keeps them, and when the servers of a
+//! service take requests again.
 
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 /// Longest time after which a caller that is refused for a rate limit is told to return.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Longest time over which callers are spread who return when servers that wanted no requests do.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
 impl Placement {
@@ -103,36 +107,53 @@
         })
     }
 
-    /// Returns whether the limit on a server's request rate allows a request now.
+    /// Returns whether a server takes a request now: the limit on its request rate allows one, and it
+    /// wants one.
     pub fn allows_request(&self, now: Clock, server: &Server) -> bool {
         let Some(candidate) = self.candidates.get(server) else {
             return true;
         };
-        candidate.rate_limit.available(now) != Some(0)
+        candidate.rate_limit.available(now) != Some(0) && candidate.notice.wants_requests(now)
     }
 
-    /// Returns when the limits on the servers' request rates allow a request to a service; `None`
-    /// if they don't prevent it now.
+    /// Returns when the first server of a service takes a request; `None` if one does now, or there is
+    /// none.
     pub fn next_request_at(&self, now: Clock, service: &Service) -> Option<Clock> {
-        let serves =
-            |candidate: &&Candidate| !candidate.leaving && candidate.spec.service == *service;
-        let times = self.candidates.values().filter(serves);
-        let times = times.map(|candidate| candidate.rate_limit.next_send_at(now));
+        let times = self.serving(service);
+        let times = times.map(|candidate| candidate.next_request_at(now));
         times.min().filter(|at| *at > now)
     }
 
-    /// Returns when a caller that is refused for the limits on the servers' request rates should
-    /// return. Callers return one after the other, at the rate that the limits allow.
-    pub fn retry_after(&mut self, now: Clock, service: &Service) -> Duration {
-        let serving = self.candidates.values().filter(|candidate| {
-            let has_limit = candidate.rate_limit.per_second().is_some();
-            !candidate.leaving && candidate.spec.service == *service && has_limit
-        });
-        let rates = serving.map(|candidate| candidate.rate_limit.rate());
-        let interval = rate_limit::interval(rates.sum());
+    /// Returns when the first server of a service wants requests again; `None` if one does now, or
+    /// there is none.
+    pub fn backing_off_until(&self, now: Clock, service: &Service) -> Option<Clock> {
+        if self.last_backoff_end <= now {
+            return None;
+        }
+        let times = self.serving(service);
+        let times = times.map(|candidate| candidate.notice.next_request_at());
+        times.min().filter(|at| *at > now)
+    }
+
+    fn serving<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Candidate> {
+        let candidates = self.candidates.values();
+        candidates.filter(|candidate| !candidate.is_leaving() && candidate.spec.service == *service)
+    }
+
+    /// Returns when a caller that is refused as no server takes a request should return. Callers
+    /// return one after the other, at the rate that the servers' limits allow; without limits they are
+    /// spread over a time.
+    pub fn retry_after(&mut self, now: Clock, service: &Service, rng: &mut impl Rng) -> Duration {
+        let limited = self.serving(service);
+        let limited = limited.filter(|candidate| candidate.rate_limit.per_second().is_some());
+        let rate: f64 = limited.map(|candidate| candidate.rate_limit.rate()).sum();
         let next = self.next_request_at(now, service).unwrap_or(now);
+        if rate == 0.0 {
+            return next - now + MAX_RETURN_SPREAD.mul_f64(rng.random_range(0.0..1.0));
+        }
         let last = self.last_returns.get(service).copied().unwrap_or_default();
-        let at = next.max(last + interval).min(now + MAX_RETRY_AFTER);
+        let latest = next.max(now + MAX_RETRY_AFTER);
+        let at = next.max(last + rate_limit::interval(rate)).min(latest);
         self.last_returns.insert(service.clone(), at);
         at - now
     }
