gateway: a server that says that it leaves gets no new requests

Cause: the mark of a leaving server in its answers was passed on and not read; whether a server leaves was known from the register alone, which may be silent or wrong for long. Evidence: ten cases of notices.rs red before, nine of them on the mark: whole answers, failures, refusals and heads of streams, the register listing the server as ready, losing and listing it again. Conclusion: what a server says of itself counts beside what the register says.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -84,6 +84,8 @@
     SEPARATED = 1041, Info, "Stream waits until others live";
     /// A server asked for no requests for a time.
     SERVER_BACKS_OFF = 1042, Info, "Backend server wants no requests for a time";
+    /// A server said that it leaves.
+    SERVER_LEAVES = 1043, Info, "Backend server says that it leaves";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/fleet/notice.rs
+++ b/components/gateway/src/fleet/notice.rs
@@ -36,6 +36,10 @@
         let news = self
             .placement
             .record_said(now, sent_at, server, said, &mut self.rng);
+        if news.leaving {
+            meter::server_notice("leaving");
+            note!(forwarding::SERVER_LEAVES, server = server.as_str());
+        }
         if news.backoff {
             meter::server_notice("backoff");
             let time = said.backoff.unwrap_or_default();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -464,7 +464,7 @@
         let is_backoff =
             |time: &Duration| status == StatusCode::SERVICE_UNAVAILABLE && !time.is_zero();
         let said = Said {
-            leaving: false,
+            leaving: reply.leaving,
             backoff: reply.retry_after.filter(is_backoff),
         };
         fleet.record_said(target, said, sent_at);
