--- a/components/gateway/tests/shutdown.rs
+++ b/components/gateway/tests/shutdown.rs
@@ -401,3 +401,31 @@
         assert_eq!(response.status(), status, "{}", response.text());
     });
 }
+
+/// Guards against a stream that is cut at a drain, as the rest of the body of an earlier request on
+/// its connection, which had its response before, arrived together with the stream's request.
+#[test]
+fn a_stream_after_a_request_that_was_answered_early_is_whole() {
+    common::run(async {
+        let (_, harness) = start_with_grace(Duration::from_secs(8));
+        let mut document = document();
+        let callers = document.callers.as_mut().expect("limits of callers");
+        callers.idle_time = Duration::from_millis(500);
+        harness.put_document(2, document);
+        let backend = engine().await;
+        harness.register("s1", "draft", "a", backend.address);
+        let mut caller = harness
+            .send("early", "/unknown/x", "content-length: 10\r\n")
+            .await;
+        caller.write_all(b"12345").await.expect("half a body");
+        let response = read_message(&mut caller).await.expect("a response");
+        assert_eq!(response.status(), 404);
+        let stream = common::format_request("running", "/stream/x", "tokens: 10\r\n");
+        let rest = format!("67890{stream}");
+        caller.write_all(rest.as_bytes()).await.expect("a request");
+        common::until_received(&caller, "id: 1\n").await;
+        harness.stop.cancel();
+        let response = read_message(&mut caller).await.expect("a whole stream");
+        assert!(response.text().contains("id: 50\n"));
+    });
+}
