gateway: a connection is idle only when none of its requests is in progress

Cause: since the rest of a body may be read after its response, and the guard of that request and the next one set and cleared one flag. The end of the first cleared it while the second ran; from the balancer's delay on, connections that look idle are closed. Change: the flag is a count. Conclusion: class of fault: a state that two owners set and clear.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -119,8 +119,8 @@
 /// State of a connection, by which its timeouts are applied.
 #[derive(Default)]
 struct Progress {
-    /// Whether a request is in progress.
-    running: Cell<bool>,
+    /// Number of requests in progress. The rest of a body may end after the next request began.
+    running: Cell<usize>,
     /// Time at which the last response ended, or the connection was opened.
     idle_since: Cell<Option<Instant>>,
     /// Time at which the first byte of the next request arrived.
@@ -130,9 +130,15 @@
 /// Marks a request as in progress until its response is written.
 struct ActiveGuard(Rc<Progress>);
 
+impl Progress {
+    fn is_running(&self) -> bool {
+        self.running.get() > 0
+    }
+}
+
 impl ActiveGuard {
     fn new(progress: Rc<Progress>) -> ActiveGuard {
-        progress.running.set(true);
+        progress.running.set(progress.running.get() + 1);
         progress.request_began.set(None);
         ActiveGuard(progress)
     }
@@ -140,7 +146,7 @@
 
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
-        self.0.running.set(false);
+        self.0.running.set(self.0.running.get() - 1);
         self.0.idle_since.set(Some(Instant::now()));
     }
 }
@@ -203,7 +209,7 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep_until(next) => {
-                if progress.running.get()
+                if progress.is_running()
                     || next_check(&progress, idle_timeout, header_timeout) > Instant::now()
                 {
                     continue;
@@ -251,7 +257,7 @@
 
 /// Returns when the timeouts of the connection have to be checked next.
 fn next_check(progress: &Progress, idle_timeout: Duration, header_timeout: Duration) -> Instant {
-    if progress.running.get() {
+    if progress.is_running() {
         return Instant::now() + idle_timeout;
     }
     if let Some(request_began) = progress.request_began.get() {
@@ -287,7 +293,7 @@
         ready!(Pin::new(&mut self.inner).poll_read(waker, &mut buffer))?;
         let read = buffer.filled();
         if !read.is_empty()
-            && !self.progress.running.get()
+            && !self.progress.is_running()
             && self.progress.request_began.get().is_none()
         {
             self.progress.request_began.set(Some(Instant::now()));
