--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -80,8 +80,8 @@
     CUT_OFF = 1039, Error, "Request cut off at the exit";
     /// A request was admitted while the process drains.
     ADMITTED_DRAINING = 1040, Debug, "Request admitted during the drain";
-    /// A stream waits, as each server has one that must live first.
-    SEPARATED = 1041, Info, "Stream waits until others live";
+    /// A request waits, as another one or each server's run must live first.
+    SEPARATED = 1041, Info, "Request waits until others live";
     /// A server asked for no requests for a time.
     SERVER_BACKS_OFF = 1042, Info, "Backend server wants no requests for a time";
     /// A server said that it leaves.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -250,7 +250,7 @@
         shutdown.admits(now, &request, grace)
     }
 
-    /// Logs that the request waits until runs at the `occupied` servers live.
+    /// Logs that the request waits until others live, those at the `occupied` servers if there are any.
     pub fn log_separated(&self, occupied: &[Server]) {
         let id = self.request.metadata.id.as_str();
         note!(forwarding::SEPARATED, id = id, servers = occupied.len());
--- a/components/gateway/src/probation.rs
+++ b/components/gateway/src/probation.rs
@@ -25,7 +25,7 @@
 pub enum Unplaced {
     /// No server takes it, or it may not be sent again.
     NoServer,
-    /// The servers have runs that must live first.
+    /// The servers have runs that must live first, or another request must.
     Occupied,
 }
 
