Gateway: the log says which retries are no longer counted as their process is gone

Cause: event 1009 has the counts of the peers as they are now. Counts that a peer's end or silence removes can't be told from counts that come late.

Change: event 1044 for each service of a peer that ended or fell silent, with its last requests and retries; medlarhatch_retries_total by service and result.

Conclusion: the first hypothesis (counts are forgotten) can be told from the second (counts are late).

--- a/components/admission/src/retries.rs
+++ b/components/admission/src/retries.rs
@@ -129,9 +129,10 @@
         }
     }
 
-    /// Removes a peer that ended or stopped reporting.
-    pub fn forget(&mut self, peer: Peer) {
-        self.reported.remove(&peer);
+    /// Removes a peer that ended or stopped reporting, and returns its last totals.
+    pub fn forget(&mut self, peer: Peer) -> Option<Totals> {
+        let reported = self.reported.remove(&peer)?;
+        Some(reported.counts.totals)
     }
 
     fn record_local(&mut self, now: Clock, retries: u32) {
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -86,6 +86,8 @@
     SERVER_BACKS_OFF = 1042, Info, "Backend server wants no requests for a time";
     /// A server said that it leaves.
     SERVER_LEAVES = 1043, Info, "Backend server says that it leaves";
+    /// A peer ended or fell silent that had sent retries within the window of their budget.
+    RETRIES_UNREPORTED = 1044, Info, "Peer no longer reports its retries";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -47,6 +47,12 @@
     counter!("medlarhatch_losses_total", "reason" => reason).increment(1);
 }
 
+/// Counts a retry by whether the budget of its service granted it.
+pub fn retry(service: &Service, result: &'static str) {
+    let service = service.to_string();
+    counter!("medlarhatch_retries_total", "service" => service, "result" => result).increment(1);
+}
+
 /// Counts a connection that was closed as its server sent too much, by the exceeded bound.
 pub fn excess(bound: &'static str) {
     counter!("medlarhatch_excesses_total", "bound" => bound).increment(1);
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -24,7 +24,10 @@
     Incarnation,
 };
 
-use crate::clock;
+use crate::{
+    clock,
+    meter, //
+};
 
 /// Requests and retries of this gateway and of its peers.
 #[derive(Debug, Default)]
@@ -50,6 +53,7 @@
         let retries = self.budget(beacon::id(service));
         let own = retries.counts(now, bound).totals;
         let granted = retries.retry(now, bound, known_share, purpose);
+        meter::retry(service, if granted { "granted" } else { "spent" });
         if !granted {
             let peers = retries.peers(known_share);
             note!(
@@ -106,8 +110,17 @@
     /// Removes a peer that ended or stopped sending.
     pub fn remove_peer(&mut self, peer: Incarnation) {
         self.peers.remove(&peer);
-        for retries in self.services.values_mut() {
-            retries.forget(peer);
+        for (service, retries) in &mut self.services {
+            let Some(totals) = retries.forget(peer).filter(|totals| totals.retries > 0) else {
+                continue;
+            };
+            note!(
+                forwarding::RETRIES_UNREPORTED,
+                peer = peer,
+                service = *service,
+                requests = totals.requests,
+                retries = totals.retries
+            );
         }
     }
 
