admission: retries of a process that ended count until they leave the window

What callers saw: none of it directly; a service gets more repeats from all entries together than its bound allows while its servers fail.

Cause: the reports of a peer were dropped with the peer. Each end, restart or silence of an entry made what it had sent available again, while it still counts against the bound for up to a window.

Change: the retries of a peer's last report count until a window after it; the peer's requests no longer raise the bound. A peer that returns replaces them.

Test: retries_of_a_process_that_ended_count_until_they_leave_the_window fails without the change.

--- a/components/admission/src/retries.rs
+++ b/components/admission/src/retries.rs
@@ -47,6 +47,13 @@
     is_local: bool,
 }
 
+/// Retries of a peer that no longer reports, and the end of the window that may have them.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    retries: u32,
+    counts_until: Clock,
+}
+
 /// Retries of one service: those of this process and the reported ones of its peers.
 #[derive(Clone, Debug, Default)]
 pub struct Retries {
@@ -54,6 +61,8 @@
     /// Retries of this process since it started.
     sent: u32,
     reported: HashMap<Peer, Reported>,
+    /// Retries of peers that ended or stopped reporting, until they leave the window.
+    departed: HashMap<Peer, Departed>,
     /// Retries of the processes of this data centre, including this one, by the time of their
     /// reports.
     local_retries: VecDeque<(Clock, u32)>,
@@ -68,7 +77,7 @@
     /// Takes a retry. Returns `false` if none is available over all processes. `coverage` is the
     /// share of all processes whose reports are known, including this one.
     pub fn retry(&mut self, now: Clock, bound: &Bound, coverage: f64, purpose: Purpose) -> bool {
-        let peers = self.peers(coverage);
+        let peers = self.peers(now, coverage);
         let is_allowed = self.own.retry(now, bound, peers, purpose);
         if is_allowed {
             self.sent = self.sent.wrapping_add(1);
@@ -78,8 +87,11 @@
     }
 
     /// Returns the retries of the other processes, as reported or estimated.
-    pub fn peers(&self, coverage: f64) -> Peers {
-        let mut totals = Totals::default();
+    pub fn peers(&mut self, now: Clock, coverage: f64) -> Peers {
+        let mut totals = Totals {
+            requests: 0,
+            retries: self.departed(now),
+        };
         let mut local_processes = 1;
         let mut unreported = 0;
         for reported in self.reported.values() {
@@ -111,6 +123,7 @@
     /// centre.
     pub fn record_peer(&mut self, now: Clock, peer: Peer, counts: Counts, is_local: bool) {
         let reported_at = now;
+        self.departed.remove(&peer);
         let before = self.reported.insert(
             peer,
             Reported {
@@ -129,12 +142,26 @@
         }
     }
 
-    /// Removes a peer that ended or stopped reporting, and returns its last totals.
-    pub fn forget(&mut self, peer: Peer) -> Option<Totals> {
+    /// Removes a peer that ended or stopped reporting, and returns its last totals. Its retries count
+    /// until they leave the window.
+    pub fn forget(&mut self, peer: Peer, window: Duration) -> Option<Totals> {
         let reported = self.reported.remove(&peer)?;
+        let departed = Departed {
+            retries: reported.counts.totals.retries,
+            counts_until: reported.reported_at + window,
+        };
+        self.departed.insert(peer, departed);
         Some(reported.counts.totals)
     }
 
+    /// Returns the retries of peers that ended or stopped reporting.
+    pub fn departed(&mut self, now: Clock) -> u32 {
+        self.departed
+            .retain(|_, departed| departed.counts_until > now);
+        let departed = self.departed.values();
+        departed.map(|departed| departed.retries).sum()
+    }
+
     fn record_local(&mut self, now: Clock, retries: u32) {
         self.local_retries.push_back((now, retries));
         while let Some((first, _)) = self.local_retries.front()
--- a/components/admission/tests/retries.rs
+++ b/components/admission/tests/retries.rs
@@ -6,7 +6,8 @@
     Bound,
     Counts,
     Purpose,
-    Retries, //
+    Retries,
+    Totals, //
 };
 use names::Clock;
 use rand::{
@@ -137,3 +138,41 @@
     assert!(max_use <= 1.0, "{max_use} of the bound");
     assert!(max_use >= 0.2, "{max_use} of the bound: too strict");
 }
+
+/// Guards against retries that no longer count once their process has ended, while they still count
+/// against the bound.
+#[test]
+fn retries_of_a_process_that_ended_count_until_they_leave_the_window() {
+    let now = Duration::from_secs(100);
+    let mut remaining = Retries::default();
+    let counts = Counts {
+        totals: Totals {
+            requests: 100,
+            retries: 150,
+        },
+        retries: 150,
+    };
+    remaining.record_peer(now, 1, counts, false);
+    remaining.forget(1, BOUND.window);
+    assert!(!remaining.retry(now, &BOUND, 1.0, Purpose::Resume));
+    let later = now + BOUND.window;
+    assert!(remaining.retry(later, &BOUND, 1.0, Purpose::Resume));
+}
+
+/// Guards against a peer whose retries count twice when it reports again.
+#[test]
+fn retries_of_a_silent_process_that_returns_count_once() {
+    let now = Duration::from_secs(100);
+    let mut retries = Retries::default();
+    let counts = Counts {
+        totals: Totals {
+            requests: 100,
+            retries: 60,
+        },
+        retries: 60,
+    };
+    retries.record_peer(now, 1, counts, false);
+    retries.forget(1, BOUND.window);
+    retries.record_peer(now, 1, counts, false);
+    assert_eq!(retries.peers(now, 1.0).totals.retries, 60);
+}
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -241,7 +241,9 @@
             fleet.remove_peer(silent);
             self.shared.queue.remove_peer(silent);
             self.shared.demands.remove_peer(silent);
-            self.shared.retry_budgets.borrow_mut().remove_peer(silent);
+            let bound = self.shared.settings.borrow().bounds.retries();
+            let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
+            retry_budgets.remove_peer(silent, &bound);
         }
         fleet.set_rank(self.table.rank());
         self.shared.queue.set_gateways(self.table.rank().1);
@@ -474,7 +476,9 @@
             fleet.remove_peer(ended);
             self.shared.queue.remove_peer(ended);
             self.shared.demands.remove_peer(ended);
-            self.shared.retry_budgets.borrow_mut().remove_peer(ended);
+            let bound = self.shared.settings.borrow().bounds.retries();
+            let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
+            retry_budgets.remove_peer(ended, &bound);
         }
         fleet.apply_beacon(&beacon);
         self.shared.queue.apply_beacon(&beacon);
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -55,7 +55,8 @@
         let granted = retries.retry(now, bound, known_share, purpose);
         meter::retry(service, if granted { "granted" } else { "spent" });
         if !granted {
-            let peers = retries.peers(known_share);
+            let departed = retries.departed(now);
+            let peers = retries.peers(now, known_share);
             note!(
                 forwarding::RETRY_BUDGET_SPENT,
                 service = service.as_str(),
@@ -64,6 +65,7 @@
                 others_requests = peers.totals.requests,
                 others_retries = peers.totals.retries,
                 others_unheard = peers.unreported,
+                departed = departed,
                 known = known_share
             );
         }
@@ -107,11 +109,12 @@
         self.max_gateways = self.max_gateways.max(self.peers.len() + 1);
     }
 
-    /// Removes a peer that ended or stopped sending.
-    pub fn remove_peer(&mut self, peer: Incarnation) {
+    /// Removes a peer that ended or stopped sending. Its retries count until they leave the window.
+    pub fn remove_peer(&mut self, peer: Incarnation, bound: &Bound) {
         self.peers.remove(&peer);
         for (service, retries) in &mut self.services {
-            let Some(totals) = retries.forget(peer).filter(|totals| totals.retries > 0) else {
+            let totals = retries.forget(peer, bound.window);
+            let Some(totals) = totals.filter(|totals| totals.retries > 0) else {
                 continue;
             };
             note!(
