admission: a process uses the slack of a retry budget only with those that know its retries

What callers saw: none of it directly; after a restart of all entries, or while some don't hear each other, a service gets more repeats than its bound allows from all of them together.

Cause: a process that starts took the whole budget for unused: the retries of its window before the start were known to nobody, or to peers that never told them. It also counted peers by whether it hears them, not by whether they hear it, and one that had met nobody took itself for the only one. Class of fault: a bound over all processes whose counts live no longer than a process.

With it all cases are at 1.0 or less.

Change: beacons carry the retries of departed peers and whether the sender knows its whole window. A process that doesn't know it yet gets what its own requests add to the bound, and none of the slack; the settings say when the whole fleet starts for the first time. The rest of the slack belongs to peers that receive this process's counts, by the echo of its beacons.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -4,6 +4,7 @@
 //! bound retries; [`Forecast`] estimates which streams can't complete in time. All are state
 //! machines without I/O. `docs/design/admission.md` gives the reasons and the figures.
 
+mod accounts;
 mod budget;
 mod concurrency;
 mod demand;
@@ -21,6 +22,7 @@
 mod team;
 pub mod wait;
 
+pub use accounts::Accounts;
 pub use budget::Budget;
 pub use demand::Demand;
 pub use forecast::{
--- a/components/admission/src/quota.rs
+++ b/components/admission/src/quota.rs
@@ -56,8 +56,8 @@
 pub struct Peers {
     /// Sum of the totals that they reported.
     pub totals: Totals,
-    /// Share of all processes whose totals are known, including this one. The rest of the slack is
-    /// left to the unknown processes.
+    /// Share of all processes that know each other's totals, including this one. The rest of the
+    /// slack is left to the others.
     pub coverage: f64,
     /// Estimated retries since their last reports.
     pub unreported: f64,
--- a/components/admission/src/retries.rs
+++ b/components/admission/src/retries.rs
@@ -63,6 +63,8 @@
     reported: HashMap<Peer, Reported>,
     /// Retries of peers that ended or stopped reporting, until they leave the window.
     departed: HashMap<Peer, Departed>,
+    /// Retries of peers that had ended before this process could know them.
+    inherited: Option<Departed>,
     /// Retries of the processes of this data centre, including this one, by the time of their
     /// reports.
     local_retries: VecDeque<(Clock, u32)>,
@@ -75,7 +77,7 @@
     }
 
     /// Takes a retry. Returns `false` if none is available over all processes. `coverage` is the
-    /// share of all processes whose reports are known, including this one.
+    /// share of all processes that know each other's reports, including this one.
     pub fn retry(&mut self, now: Clock, bound: &Bound, coverage: f64, purpose: Purpose) -> bool {
         let peers = self.peers(now, coverage);
         let is_allowed = self.own.retry(now, bound, peers, purpose);
@@ -154,11 +156,26 @@
         Some(reported.counts.totals)
     }
 
+    /// Records the sum of [`Retries::departed`] at another process, which several of them report.
+    /// What isn't known here is of peers that had ended before this process started.
+    pub fn inherit(&mut self, now: Clock, retries: u32, window: Duration) {
+        let known = self.departed(now);
+        if retries <= known {
+            return;
+        }
+        let inherited = self.inherited.map_or(0, |inherited| inherited.retries);
+        self.inherited = Some(Departed {
+            retries: inherited + retries - known,
+            counts_until: now + window,
+        });
+    }
+
     /// Returns the retries of peers that ended or stopped reporting.
     pub fn departed(&mut self, now: Clock) -> u32 {
-        self.departed
-            .retain(|_, departed| departed.counts_until > now);
-        let departed = self.departed.values();
+        let counts = |departed: &Departed| departed.counts_until > now;
+        self.inherited = self.inherited.filter(counts);
+        self.departed.retain(|_, departed| counts(departed));
+        let departed = self.departed.values().chain(&self.inherited);
         departed.map(|departed| departed.retries).sum()
     }
 
--- /dev/null
+++ b/components/admission/tests/accounts.rs
@@ -0,0 +1,271 @@
+//! Retries over a small fleet whose processes start, end, and don't all hear each other.
+
+use std::time::Duration;
+
+use admission::{
+    Accounts,
+    Bound,
+    Purpose,
+    Retries, //
+};
+use names::Clock;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use rstest::rstest;
+
+const BOUND: Bound = Bound {
+    ratio: 0.8,
+    slack: 150.0,
+    window: Duration::from_secs(10),
+};
+
+const STEP: Duration = Duration::from_millis(10);
+
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Silence after which a process no longer counts a peer.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Time from a process's end to the start of the next one.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+
+const PROCESSES: usize = 5;
+
+const REQUESTS_PER_S: f64 = 5.0;
+
+/// Process number and how often it was started.
+type Start = (usize, u64);
+
+struct Process {
+    accounts: Accounts,
+    retries: Retries,
+    starts: u64,
+    /// When each peer was last heard, by its number, and as which start.
+    heard: [Option<(Clock, u64)>; PROCESSES],
+    /// The process runs from then on.
+    from: Clock,
+}
+
+fn id((number, starts): Start) -> u64 {
+    number as u64 + 100 * starts
+}
+
+/// What goes wrong in a fleet.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// All processes end at once, every so often.
+    Herd(Duration),
+    /// The processes end one after the other.
+    Turns(Duration),
+    /// From the start on, no process hears another one.
+    NeverMet,
+    /// From the twentieth second on, this process isn't heard, and hears the others if `true`. Until
+    /// the twenty-first second only its requests fail.
+    Cut(usize, bool),
+}
+
+struct Fleet {
+    processes: Vec<Process>,
+    fault: Fault,
+    now: Clock,
+    rng: SmallRng,
+    requests: Vec<Clock>,
+    retries: Vec<Clock>,
+}
+
+impl Fleet {
+    fn new(fault: Fault) -> Fleet {
+        let process = |_| Process {
+            accounts: Accounts::new(Clock::ZERO, true, true),
+            retries: Retries::default(),
+            starts: 0,
+            heard: [None; PROCESSES],
+            from: Clock::ZERO,
+        };
+        Fleet {
+            processes: (0..PROCESSES).map(process).collect(),
+            fault,
+            now: Clock::ZERO,
+            rng: SmallRng::seed_from_u64(3),
+            requests: Vec::new(),
+            retries: Vec::new(),
+        }
+    }
+
+    fn is_due(&self, interval: Duration) -> bool {
+        let rest = self.now.as_millis() % interval.as_millis();
+        self.now >= Duration::from_secs(12) && rest < STEP.as_millis()
+    }
+
+    fn restart(&mut self, number: usize) {
+        let from = self.now + RESTART_TIME;
+        let process = &mut self.processes[number];
+        process.accounts = Accounts::new(from, true, false);
+        process.retries = Retries::default();
+        process.heard = [None; PROCESSES];
+        process.starts += 1;
+        process.from = from;
+    }
+
+    fn hears(&self, to: usize, from: usize) -> bool {
+        match self.fault {
+            Fault::NeverMet => false,
+            Fault::Cut(cut, hears_others) if self.now >= Duration::from_secs(20) => {
+                from != cut && (to != cut || hears_others)
+            }
+            _ => true,
+        }
+    }
+
+    fn report(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let is_running = |process: &Process| process.from <= now;
+        if !is_running(&self.processes[from]) || !is_running(&self.processes[to]) {
+            return;
+        }
+        let sender = &mut self.processes[from];
+        let counts = sender.retries.counts(now, &BOUND);
+        let departed = sender.retries.departed(now);
+        let accounted = sender
+            .accounts
+            .are_complete(now, BOUND.window)
+            .then(|| sender.accounts.processes());
+        let (starts, heard) = (sender.starts, sender.heard[to]);
+        let receiver = &mut self.processes[to];
+        let is_received =
+            heard.is_some_and(|(at, starts)| starts == receiver.starts && now - at <= SILENCE);
+        let previous = receiver.heard[from].replace((now, starts));
+        if let Some((_, before)) = previous.filter(|(_, before)| *before != starts) {
+            let ended = id((from, before));
+            receiver.accounts.remove_peer(ended);
+            let _ = receiver.retries.forget(ended, BOUND.window);
+        }
+        let peer = id((from, starts));
+        receiver.retries.record_peer(now, peer, counts, false);
+        receiver.accounts.record_peer(peer, is_received);
+        if let Some(accounted) = accounted
+            && !receiver.accounts.are_complete(now, BOUND.window)
+        {
+            receiver.retries.inherit(now, departed, BOUND.window);
+            receiver.accounts.inform(accounted);
+        }
+    }
+
+    fn expire(&mut self, number: usize) {
+        for peer in 0..PROCESSES {
+            let process = &mut self.processes[number];
+            let Some((_, starts)) = process.heard[peer].filter(|(at, _)| self.now - *at > SILENCE)
+            else {
+                continue;
+            };
+            process.heard[peer] = None;
+            process.accounts.remove_peer(id((peer, starts)));
+            let _ = process.retries.forget(id((peer, starts)), BOUND.window);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        match self.fault {
+            Fault::Herd(interval) if self.is_due(interval) => {
+                (0..PROCESSES).for_each(|number| self.restart(number));
+            }
+            Fault::Turns(interval) if self.is_due(interval) => {
+                let turn = self.now.as_millis() / interval.as_millis();
+                self.restart(turn as usize % PROCESSES);
+            }
+            _ => {}
+        }
+        for number in 0..PROCESSES {
+            self.send(number);
+            let offset = REPORT_INTERVAL.as_millis() * number as u128 / PROCESSES as u128;
+            let since = (self.now.as_millis() + offset) % REPORT_INTERVAL.as_millis();
+            if since >= STEP.as_millis() {
+                continue;
+            }
+            self.expire(number);
+            for to in (0..PROCESSES).filter(|to| *to != number) {
+                if self.hears(to, number) {
+                    self.report(number, to);
+                }
+            }
+        }
+    }
+
+    /// Sends the requests of a step, and as many retries as are allowed.
+    fn send(&mut self, number: usize) {
+        let now = self.now;
+        let is_one_alone = now < Duration::from_secs(21);
+        let fails = match self.fault {
+            Fault::Cut(cut, _) if is_one_alone => cut == number,
+            _ => true,
+        };
+        let process = &mut self.processes[number];
+        if process.from > now {
+            return;
+        }
+        let probability = REQUESTS_PER_S * STEP.as_secs_f64() / PROCESSES as f64;
+        if self.rng.random_bool(probability) {
+            process.retries.request(now, &BOUND);
+            self.requests.push(now);
+        }
+        let coverage = process.accounts.coverage(now, BOUND.window);
+        if fails
+            && process
+                .retries
+                .retry(now, &BOUND, coverage, Purpose::Resume)
+        {
+            self.retries.push(now);
+        }
+    }
+
+    /// Returns the largest share of the bound that any window used.
+    fn max_use(&self) -> f64 {
+        let within = |times: &[Clock], start| {
+            let before = |limit| times.partition_point(|at| *at < limit);
+            before(start + BOUND.window) - before(start)
+        };
+        let mut max_use = 0.0_f64;
+        for start in &self.retries {
+            let requests = within(&self.requests, *start) as f64;
+            let allowed = BOUND.ratio * requests + BOUND.slack;
+            max_use = max_use.max(within(&self.retries, *start) as f64 / allowed);
+        }
+        max_use
+    }
+}
+
+/// Guards against retries that are forgotten with the processes that sent them, and against
+/// processes that take what others have used, as they don't know of it.
+#[rstest]
+#[case::all_restart_once(Fault::Herd(Duration::from_secs(25)))]
+#[case::all_restart_often(Fault::Herd(Duration::from_secs(4)))]
+#[case::restarts_by_turns(Fault::Turns(Duration::from_millis(1300)))]
+#[case::never_met(Fault::NeverMet)]
+#[case::cut_off(Fault::Cut(2, false))]
+#[case::not_heard(Fault::Cut(2, true))]
+fn a_small_fleet_stays_within_the_bound(#[case] fault: Fault) {
+    let mut fleet = Fleet::new(fault);
+    while fleet.now < Duration::from_secs(60) {
+        fleet.step();
+    }
+    let max_use = fleet.max_use();
+    assert!(max_use <= 1.0, "{max_use} of the bound");
+}
+
+/// Guards against a process that gets no retries for seconds although others can tell it what was
+/// sent before it started.
+#[test]
+fn a_restarted_process_may_retry_once_the_others_have_informed_it() {
+    let mut fleet = Fleet::new(Fault::Turns(Duration::from_secs(20)));
+    while fleet.now < Duration::from_millis(21_600) {
+        fleet.step();
+    }
+    let restarted = &fleet.processes[1];
+    assert_eq!(restarted.starts, 1);
+    let coverage = restarted.accounts.coverage(fleet.now, BOUND.window);
+    assert!((coverage - 1.0).abs() < 1e-9, "{coverage}");
+}
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -69,6 +69,7 @@
     protocol::Protocol,
     queue::Queue,
     requests::Stage,
+    retry_budget::RetryBudgets,
     rollout::Report,
     sender::Sender,
     settings::Settings,
@@ -108,6 +109,8 @@
 impl<P: Protocol + 'static> Gateway<P> {
     /// Creates a gateway without a document or servers.
     pub fn new(settings: Settings, protocol: P) -> Gateway<P> {
+        let has_seeds = settings.seeds.iter().any(|seed| *seed != settings.peers);
+        let retry_budgets = RetryBudgets::new(has_seeds, settings.is_first_start);
         let (outgoing, outgoing_receiver) = unbounded_channel();
         let (changes_sender, changes) = unbounded_channel();
         let (lookup_sender, lookup_requests) = unbounded_channel();
@@ -119,7 +122,7 @@
             freshness: Rc::default(),
             fleet: Rc::new(RefCell::new(fleet)),
             sender: Sender::new(Rc::new(protocol)),
-            retry_budgets: Rc::default(),
+            retry_budgets: Rc::new(RefCell::new(retry_budgets)),
             cache_lookup: CacheLookup::new(outgoing.clone()),
             queue: Rc::new(Queue::default()),
             rollouts: Rc::default(),
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -287,7 +287,9 @@
         self.shared.queue.fill_beacon(&mut beacon);
         self.shared.rollouts.fill_beacon(&mut beacon);
         let bound = settings.bounds.retries();
-        beacon.attempts = self.shared.retry_budgets.borrow_mut().attempts(&bound);
+        let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
+        retry_budgets.fill_beacon(&mut beacon, &bound);
+        drop(retry_budgets);
         let now = clock::now();
         let claim = self.shared.freshness.borrow().claim();
         self.last_claim = claim.map(|claim| claim.at);
@@ -470,13 +472,13 @@
             self.informed.remove(&beacon.incarnation);
         }
         self.inform(from, &beacon);
+        let bound = self.shared.settings.borrow().bounds.retries();
         let mut fleet = self.shared.fleet.borrow_mut();
         if let Some(ended) = ended {
             self.informed.remove(&ended);
             fleet.remove_peer(ended);
             self.shared.queue.remove_peer(ended);
             self.shared.demands.remove_peer(ended);
-            let bound = self.shared.settings.borrow().bounds.retries();
             let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
             retry_budgets.remove_peer(ended, &bound);
         }
@@ -484,8 +486,9 @@
         self.shared.queue.apply_beacon(&beacon);
         self.shared.rollouts.apply_beacon(&beacon);
         let is_local = beacon.data_centre == self.shared.settings.borrow().data_centre;
+        let is_received = self.table.is_received(&beacon);
         let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
-        retry_budgets.apply_attempts(beacon.incarnation, &beacon.attempts, is_local);
+        retry_budgets.apply_beacon(&beacon, &bound, is_local, is_received);
         if let Some(claim) = beacon.claim(self.incarnation) {
             self.shared
                 .freshness
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -1,11 +1,9 @@
 //! Retry budget of each service, shared by all gateways.
 
-use std::collections::{
-    HashMap,
-    HashSet, //
-};
+use std::collections::HashMap;
 
 use admission::{
+    Accounts,
     Bound,
     Counts,
     Purpose,
@@ -19,9 +17,10 @@
 use names::Service;
 use spread::beacon::{
     self,
-    Attempts, //
+    Attempts,
+    Beacon,
     Id,
-    Incarnation,
+    Incarnation, //
 };
 
 use crate::{
@@ -30,15 +29,22 @@
 };
 
 /// Requests and retries of this gateway and of its peers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryBudgets {
     services: HashMap<Id, Retries>,
-    peers: HashSet<Incarnation>,
-    /// Largest number of gateways that were known at the same time.
-    max_gateways: usize,
+    accounts: Accounts,
 }
 
 impl RetryBudgets {
+    /// Creates the budgets of a gateway that starts now. `has_seeds` says whether its settings name
+    /// other gateways, `is_first_start` that no gateway has run before.
+    pub fn new(has_seeds: bool, is_first_start: bool) -> RetryBudgets {
+        RetryBudgets {
+            services: HashMap::new(),
+            accounts: Accounts::new(clock::now(), has_seeds, is_first_start),
+        }
+    }
+
     /// Counts the first send of a request.
     pub fn count_request(&mut self, service: &Service, bound: &Bound) {
         self.budget(beacon::id(service))
@@ -48,15 +54,15 @@
     /// Takes a retry from the budget; returns `false` if it is used up.
     pub fn take_retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> bool {
         let now = clock::now();
-        let live = self.peers.len() + 1;
-        let known_share = live as f64 / self.max_gateways.max(live) as f64;
+        let coverage = self.accounts.coverage(now, bound.window);
+        let are_complete = self.accounts.are_complete(now, bound.window);
         let retries = self.budget(beacon::id(service));
         let own = retries.counts(now, bound).totals;
-        let granted = retries.retry(now, bound, known_share, purpose);
+        let granted = retries.retry(now, bound, coverage, purpose);
         meter::retry(service, if granted { "granted" } else { "spent" });
         if !granted {
             let departed = retries.departed(now);
-            let peers = retries.peers(now, known_share);
+            let peers = retries.peers(now, coverage);
             note!(
                 forwarding::RETRY_BUDGET_SPENT,
                 service = service.as_str(),
@@ -66,12 +72,21 @@
                 others_retries = peers.totals.retries,
                 others_unheard = peers.unreported,
                 departed = departed,
-                known = known_share
+                complete = are_complete,
+                known = coverage
             );
         }
         granted
     }
 
+    /// Adds the recent attempts of this gateway to a beacon.
+    pub fn fill_beacon(&mut self, beacon: &mut Beacon, bound: &Bound) {
+        beacon.attempts = self.attempts(bound);
+        if self.accounts.are_complete(clock::now(), bound.window) {
+            beacon.accounted = self.accounts.processes() as u32;
+        }
+    }
+
     /// Returns the recent attempts of this gateway, for its peers.
     pub fn attempts(&mut self, bound: &Bound) -> Vec<Attempts> {
         let now = clock::now();
@@ -86,11 +101,34 @@
                 requests: window_totals.requests,
                 retries: window_totals.retries,
                 total_retries,
+                departed_retries: retries.departed(now),
             });
         }
         attempts
     }
 
+    /// Applies a peer's beacon. `is_local` says whether it is in the same data centre, `is_received`
+    /// whether it receives this gateway's beacons.
+    pub fn apply_beacon(
+        &mut self,
+        beacon: &Beacon,
+        bound: &Bound,
+        is_local: bool,
+        is_received: bool,
+    ) {
+        self.apply_attempts(beacon.incarnation, &beacon.attempts, is_local);
+        self.accounts.record_peer(beacon.incarnation, is_received);
+        let now = clock::now();
+        if beacon.accounted == 0 || self.accounts.are_complete(now, bound.window) {
+            return;
+        }
+        for sent in &beacon.attempts {
+            self.budget(sent.service)
+                .inherit(now, sent.departed_retries, bound.window);
+        }
+        self.accounts.inform(beacon.accounted as usize);
+    }
+
     /// Applies the recent attempts of a peer; `is_local` if it is in the same data centre.
     pub fn apply_attempts(&mut self, peer: Incarnation, attempts: &[Attempts], is_local: bool) {
         let now = clock::now();
@@ -105,13 +143,11 @@
             self.budget(sent.service)
                 .record_peer(now, peer, sent_totals, is_local);
         }
-        self.peers.insert(peer);
-        self.max_gateways = self.max_gateways.max(self.peers.len() + 1);
     }
 
     /// Removes a peer that ended or stopped sending. Its retries count until they leave the window.
     pub fn remove_peer(&mut self, peer: Incarnation, bound: &Bound) {
-        self.peers.remove(&peer);
+        self.accounts.remove_peer(peer);
         for (service, retries) in &mut self.services {
             let totals = retries.forget(peer, bound.window);
             let Some(totals) = totals.filter(|totals| totals.retries > 0) else {
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -29,6 +29,8 @@
     pub metrics: Option<SocketAddr>,
     /// Addresses of some other gateways, which may no longer exist.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that no gateway has run before.
+    pub is_first_start: bool,
     /// Limits that the operator sets.
     pub bounds: Bounds,
 }
--- a/components/gateway/tests/prompt_lookup.rs
+++ b/components/gateway/tests/prompt_lookup.rs
@@ -301,6 +301,7 @@
             requests: 100,
             retries: 10_000,
             total_retries: 10_000,
+            departed_retries: 0,
         };
         let loads = Message::Loads(Loads {
             incarnation: 1,
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -84,6 +84,9 @@
     pub addresses: Vec<SocketAddr>,
     /// Number of peers that the sender receives beacons from.
     pub peer_count: u32,
+    /// Number of live processes that the sender knows, itself included, if it knows all retries of
+    /// the last window; 0 otherwise.
+    pub accounted: u32,
     /// Longest time until the next beacon, in milliseconds.
     pub interval_ms: u32,
     /// The sender's monotonic clock, in milliseconds.
@@ -237,6 +240,8 @@
     pub retries: u32,
     /// Retries since the process started; wraps around.
     pub total_retries: u32,
+    /// Recent retries of processes that ended or fell silent, as far as the sender knows.
+    pub departed_retries: u32,
 }
 
 /// Server that should receive no new work for a while.
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -384,6 +384,17 @@
         })
     }
 
+    /// Returns whether the sender of a beacon receives the beacons of this process, by what it
+    /// echoes.
+    pub fn is_received(&self, beacon: &Beacon) -> bool {
+        let interval = Duration::from_millis(u64::from(beacon.interval_ms));
+        let silence = MIN_SILENCE.max(interval * SILENCE_INTERVALS);
+        beacon.echo.is_some_and(|echo| {
+            let own = echo.incarnation == self.incarnation;
+            own && Duration::from_millis(echo.delay_ms) <= silence
+        })
+    }
+
     /// Returns whether this address is a peer's.
     pub fn contains(&self, from: SocketAddr) -> bool {
         self.peers.contains_key(&from)
--- a/components/spread/tests/beacon.rs
+++ b/components/spread/tests/beacon.rs
@@ -11,6 +11,7 @@
     Age,
     Beacon,
     Demand,
+    Echo,
     Incarnation,
     MAX_DATAGRAM_BYTES,
     Message,
@@ -65,6 +66,30 @@
     assert_eq!(table.rank().1, usize::from(count));
 }
 
+/// Guards against a process that relies on peers which no longer receive what it tells them.
+#[rstest]
+#[case::received(0, 100, true)]
+#[case::received_long_ago(0, 5000, false)]
+#[case::an_earlier_start(7, 100, false)]
+fn a_beacon_shows_whether_its_sender_receives_those_of_this_process(
+    #[case] incarnation: Incarnation,
+    #[case] delay_ms: u64,
+    #[case] received: bool,
+) {
+    let table = Table::new(0, Vec::new());
+    let echo = Echo {
+        incarnation,
+        timestamp: 0,
+        delay_ms,
+    };
+    let beacon = Beacon {
+        echo: Some(echo),
+        ..beacon(1, 1, Duration::from_millis(500))
+    };
+    assert_eq!(table.is_received(&beacon), received);
+    assert!(!table.is_received(&self::beacon(1, 1, Duration::from_millis(500))));
+}
+
 /// Guards against a terminated peer that keeps its part of shared quotas for long.
 #[test]
 fn a_terminated_peer_is_silent_after_a_few_intervals() {
