admission: a retry counts from its permission until a window after its arrival

Cause: a retry left its window that long after its permission. One that waits for a connection, or that a link holds up, arrives later, beside those that were allowed meanwhile.

Change: the permission is an object that is held until the server's head has arrived or the attempt has ended. The retry counts all the while, and for a window after it. Permissions of sends that reached no server are used for the next send, as before.

Test: a_retry_counts_until_a_window_after_its_arrival; the tests of the quota settle each retry at once, which is what they meant before.

--- a/components/admission/src/quota.rs
+++ b/components/admission/src/quota.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quota {
     buckets: VecDeque<Bucket>,
+    /// Retries that may still arrive at their servers.
+    unsettled: u32,
 }
 
 impl Quota {
@@ -82,7 +84,8 @@
         self.bucket(now, bound).requests += 1;
     }
 
-    /// Takes a retry out of the quota. Returns `false` if none is available over all processes.
+    /// Takes a retry out of the quota. Returns `false` if none is available over all processes. A
+    /// retry counts until a window after [`Quota::settle`], as it can arrive until then.
     pub fn retry(&mut self, now: Clock, bound: &Bound, peers: Peers, purpose: Purpose) -> bool {
         let own = self.totals(now, bound);
         let requests = own.requests + peers.totals.requests;
@@ -95,14 +98,23 @@
         if f64::from(retries) + peers.unreported + 1.0 > allowed {
             return false;
         }
-        self.bucket(now, bound).retries += 1;
+        self.unsettled += 1;
         true
     }
 
+    /// Records that a retry has arrived at its server, or won't any more.
+    pub fn settle(&mut self, now: Clock, bound: &Bound) {
+        self.unsettled = self.unsettled.saturating_sub(1);
+        self.bucket(now, bound).retries += 1;
+    }
+
     /// Returns the requests and retries that this process sent within the window.
     pub fn totals(&mut self, now: Clock, bound: &Bound) -> Totals {
         self.bucket(now, bound);
-        let mut totals = Totals::default();
+        let mut totals = Totals {
+            requests: 0,
+            retries: self.unsettled,
+        };
         for bucket in &self.buckets {
             totals.requests += bucket.requests;
             totals.retries += bucket.retries;
--- a/components/admission/src/retries.rs
+++ b/components/admission/src/retries.rs
@@ -76,8 +76,9 @@
         self.own.request(now, bound);
     }
 
-    /// Takes a retry. Returns `false` if none is available over all processes. `coverage` is the
-    /// share of all processes that know each other's reports, including this one.
+    /// Takes a retry, which counts until a window after [`Retries::settle`]. Returns `false` if none
+    /// is available over all processes. `coverage` is the share of all processes that know each
+    /// other's reports, including this one.
     pub fn retry(&mut self, now: Clock, bound: &Bound, coverage: f64, purpose: Purpose) -> bool {
         let peers = self.peers(now, coverage);
         let is_allowed = self.own.retry(now, bound, peers, purpose);
@@ -88,6 +89,11 @@
         is_allowed
     }
 
+    /// Records that a retry has arrived at its server, or won't any more.
+    pub fn settle(&mut self, now: Clock, bound: &Bound) {
+        self.own.settle(now, bound);
+    }
+
     /// Returns the retries of the other processes, as reported or estimated.
     pub fn peers(&mut self, now: Clock, coverage: f64) -> Peers {
         let mut totals = Totals {
--- a/components/admission/tests/accounts.rs
+++ b/components/admission/tests/accounts.rs
@@ -218,6 +218,7 @@
                 .retries
                 .retry(now, &BOUND, coverage, Purpose::Resume)
         {
+            process.retries.settle(now, &BOUND);
             self.retries.push(now);
         }
     }
--- a/components/admission/tests/quota.rs
+++ b/components/admission/tests/quota.rs
@@ -66,6 +66,7 @@
         attempts.push((now, false));
         for _ in 0..4 {
             if quota.retry(now, &BOUND, peers, Purpose::Resume) {
+                quota.settle(now, &BOUND);
                 attempts.push((now, true));
             }
         }
@@ -119,3 +120,21 @@
     }
     assert!(retries <= BOUND.slack as usize / PROCESSES);
 }
+
+/// Guards against retries that arrive long after they were allowed, as a link held them up, beside
+/// those that were allowed meanwhile.
+#[test]
+fn a_retry_counts_until_a_window_after_its_arrival() {
+    let mut quota = Quota::default();
+    let mut now = Duration::from_secs(1);
+    let mut held = 0;
+    while quota.retry(now, &BOUND, NO_PEERS, Purpose::Resume) {
+        held += 1;
+    }
+    now += BOUND.window * 2;
+    assert!(!quota.retry(now, &BOUND, NO_PEERS, Purpose::Resume));
+    (0..held).for_each(|_| quota.settle(now, &BOUND));
+    assert_eq!(quota.totals(now, &BOUND).retries, held);
+    now += BOUND.window * 2;
+    assert!(quota.retry(now, &BOUND, NO_PEERS, Purpose::Resume));
+}
--- a/components/admission/tests/retries.rs
+++ b/components/admission/tests/retries.rs
@@ -68,6 +68,7 @@
             }
             let retries = self.rng.random_bool(failing(process));
             if retries && self.processes[process].retry(self.now, &BOUND, 1.0, Purpose::Resume) {
+                self.processes[process].settle(self.now, &BOUND);
                 self.retries.push(self.now);
             }
         }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -108,7 +108,10 @@
         Requests,
         Running, //
     },
-    retry_budget::RetryBudgets,
+    retry_budget::{
+        Permit,
+        RetryBudgets, //
+    },
     rollout::Rollouts,
     sender::{
         BufferedRequest,
@@ -350,16 +353,17 @@
             .state(clock::now(), confirmed, revocation)
     }
 
-    /// Counts a send of a request. Returns `false` when it is a retry and the budget is used up.
-    pub fn may_send(&self, service: &Service, first: bool, purpose: Purpose) -> bool {
+    /// Counts a send of a request. Returns `None` when it is a retry and the budget is used up.
+    pub fn may_send(&self, service: &Service, first: bool, purpose: Purpose) -> Option<Permit> {
         let bound = self.settings.borrow().bounds.retries();
-        let mut retry_budgets = self.retry_budgets.borrow_mut();
-        if first {
-            retry_budgets.count_request(service, &bound);
-            self.demands.count_request(service);
-            return true;
+        if !first {
+            return Permit::retry(&self.retry_budgets, service, &bound, purpose);
         }
-        retry_budgets.take_retry(service, &bound, purpose)
+        self.retry_budgets
+            .borrow_mut()
+            .count_request(service, &bound);
+        self.demands.count_request(service);
+        Some(Permit::default())
     }
 
     /// Returns why no server could be chosen for a request: none takes it, or all that could want no
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -89,6 +89,7 @@
         DEFAULT_RETRY_AFTER,
         Refusal, //
     },
+    retry_budget::Permit,
     rollout::{
         Selection,
         Trial, //
@@ -134,7 +135,7 @@
         call,
         class,
         tried: Vec::new(),
-        uncounted_sends: 0,
+        unused: Vec::new(),
         response: None,
     };
     plain.run().await
@@ -150,12 +151,18 @@
     sends: Sends,
     /// Servers to which the request was sent.
     tried: Vec<Server>,
-    /// Further sends that aren't counted, one for each counted send that reached no server.
-    uncounted_sends: u32,
+    /// Permits of sends that reached no server.
+    unused: Vec<Permit>,
     /// Last response of a server.
     response: Option<Response<Body>>,
 }
 
+/// A server for an attempt, and the permission to send there.
+struct Placed {
+    target: Target,
+    permit: Permit,
+}
+
 /// Result of one attempt, and the server's response if there was one.
 struct Attempt {
     ending: Ending,
@@ -175,17 +182,19 @@
         if let Err(refusal) = self.wait_for_room().await {
             return self.call.refuse(&refusal);
         }
-        while let Some(target) = self.next_allowed().await {
+        while let Some(placed) = self.next_allowed().await {
             if self.tried.len() == 1 && !self.context.may_begin(&self.call) {
                 return self.call.refuse(&self.context.shutting_down());
             }
             let until = self.call.until;
-            let Ok(results) = timeout_at(until, self.race(target)).await else {
+            let Ok(results) = timeout_at(until, self.race(placed)).await else {
                 return self.timed_out();
             };
             let mut step = Step::Send;
-            for result in results {
-                self.uncounted_sends += u32::from(result.ending == Ending::Unsent);
+            for (result, permit) in results {
+                if result.ending == Ending::Unsent {
+                    self.unused.push(permit);
+                }
                 self.response = result.response.or(self.response.take());
                 step = self.sends.record(result.ending);
             }
@@ -220,7 +229,7 @@
     /// Chooses a server like [`PlainRequest::next`]. A request that must not be sent gets none; it
     /// waits while that isn't certain, while runs are separated and each server has one, and while
     /// another one is in flight that may have crashed servers too.
-    async fn next_allowed(&mut self) -> Option<Target> {
+    async fn next_allowed(&mut self) -> Option<Placed> {
         let mut is_separated = false;
         loop {
             if self.context.poisonous_cause(&self.call).await.is_some() {
@@ -232,7 +241,7 @@
                 false => self.next(&occupied),
             };
             match next {
-                Ok(target) => return Some(target),
+                Ok(placed) => return Some(placed),
                 Err(Unplaced::Occupied) if Instant::now() < self.call.until => {}
                 Err(_) => return None,
             }
@@ -246,11 +255,11 @@
 
     /// Chooses the next server, if there is one and the retry budget allows another send. `occupied`
     /// servers take no further run now.
-    fn next(&mut self, occupied: &[Server]) -> Result<Target, Unplaced> {
+    fn next(&mut self, occupied: &[Server]) -> Result<Placed, Unplaced> {
         let first = self.tried.is_empty();
         let overloads = &self.context.demands.overloads;
         // A send that reached no server took no capacity.
-        let is_repeat = !first && self.uncounted_sends == 0;
+        let is_repeat = !first && self.unused.is_empty();
         if is_repeat && !overloads.may_repeat(&self.call.service) {
             let id = self.call.request.metadata.id.as_str();
             note!(forwarding::REPEAT_GAVE_WAY, id = id);
@@ -293,20 +302,18 @@
             return Err(Unplaced::Occupied);
         }
         // A send that can't have reached a server doesn't count.
-        if self.uncounted_sends > 0 {
-            self.uncounted_sends -= 1;
-        } else if !self.context.may_send(service, first, Purpose::Unanswered) {
-            return Err(Unplaced::NoServer);
-        }
+        let unused = self.unused.pop();
+        let permit = unused.or_else(|| self.context.may_send(service, first, Purpose::Unanswered));
+        let permit = permit.ok_or(Unplaced::NoServer)?;
         self.tried.push(target.server.clone());
-        Ok(target)
+        Ok(Placed { target, permit })
     }
 
     /// Sends the request to a server, and to a second one too when it is repeatable and the first
     /// response takes long.
-    async fn race(&mut self, target: Target) -> Vec<Attempt> {
+    async fn race(&mut self, placed: Placed) -> Vec<(Attempt, Permit)> {
         let (context, call) = (self.context.clone(), self.call.clone());
-        let first = attempt(&context, &call, &target);
+        let first = attempt(&context, &call, placed);
         let mut first = std::pin::pin!(first);
         if self.class == Class::Once || self.sends.remaining() < 2 {
             return vec![first.await];
@@ -321,16 +328,16 @@
             return vec![first.await];
         }
         let occupied = self.context.occupied_servers(&self.call);
-        let Ok(target) = self.next(&occupied) else {
+        let Ok(placed) = self.next(&occupied) else {
             return vec![first.await];
         };
-        let second = attempt(&context, &call, &target);
+        let second = attempt(&context, &call, placed);
         let second = std::pin::pin!(second);
         let (result, other) = match select(first, second).await {
             Either::Left((result, other)) => (result, Either::Left(other)),
             Either::Right((result, other)) => (result, Either::Right(other)),
         };
-        if result.ending == Ending::Answered {
+        if result.0.ending == Ending::Answered {
             return vec![result];
         }
         let last = match other {
@@ -387,12 +394,14 @@
     })
 }
 
-/// Sends the request to a server and reads its response.
+/// Sends the request to a server and reads its response. Returns the permit with the result.
 async fn attempt<P: Protocol + 'static>(
     context: &Rc<Context<P>>,
     call: &Call,
-    target: &Target,
-) -> Attempt {
+    placed: Placed,
+) -> (Attempt, Permit) {
+    let Placed { target, permit } = placed;
+    let target = &target;
     let mut in_flight = InFlight::new(&context.fleet, &target.server, PLAIN_WORK);
     let _probation = context.suspects.probation.begin(&target.server);
     let _plain = context.begin_plain(call);
@@ -456,7 +465,7 @@
             retry_after: DEFAULT_RETRY_AFTER,
         },
     });
-    result
+    (result, permit)
 }
 
 async fn send_and_read<P: Protocol + 'static>(
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -1,6 +1,10 @@
 //! Retry budget of each service, shared by all gateways.
 
-use std::collections::HashMap;
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc, //
+};
 
 use admission::{
     Accounts,
@@ -35,6 +39,50 @@
     accounts: Accounts,
 }
 
+/// Permission to send a request to a server. It is held until the request has arrived there or won't
+/// any more.
+#[derive(Debug, Default)]
+pub struct Permit {
+    /// `None` for the first send of a request.
+    _taken: Option<Taken>,
+}
+
+/// A retry that was taken from a budget.
+#[derive(Debug)]
+struct Taken {
+    budgets: Rc<RefCell<RetryBudgets>>,
+    service: Id,
+    bound: Bound,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets
+            .budget(self.service)
+            .settle(clock::now(), &self.bound);
+    }
+}
+
+impl Permit {
+    /// Takes a retry from the budget of a service; returns `None` if it is used up.
+    pub fn retry(
+        budgets: &Rc<RefCell<RetryBudgets>>,
+        service: &Service,
+        bound: &Bound,
+        purpose: Purpose,
+    ) -> Option<Permit> {
+        let granted = budgets.borrow_mut().take_retry(service, bound, purpose);
+        granted.then(|| Permit {
+            _taken: Some(Taken {
+                budgets: budgets.clone(),
+                service: beacon::id(service),
+                bound: *bound,
+            }),
+        })
+    }
+}
+
 impl RetryBudgets {
     /// Creates the budgets of a gateway that starts now. `has_seeds` says whether its settings name
     /// other gateways, `is_first_start` that no gateway has run before.
@@ -52,7 +100,7 @@
     }
 
     /// Takes a retry from the budget; returns `false` if it is used up.
-    pub fn take_retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> bool {
+    fn take_retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> bool {
         let now = clock::now();
         let coverage = self.accounts.coverage(now, bound.window);
         let are_complete = self.accounts.are_complete(now, bound.window);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -54,6 +54,7 @@
         Admission, //
     },
     refuse::Refusal,
+    retry_budget::Permit,
     rollout::Selection,
     stream::{
         abandon_guard::AbandonGuard,
@@ -100,7 +101,7 @@
         tried: Vec::new(),
         ran_at: Vec::new(),
         last_lost: None,
-        uncounted_sends: 0,
+        unused: Vec::new(),
         unreachable_in_row: 0,
         last_event: Instant::now(),
         time_to_first: None,
@@ -143,8 +144,8 @@
     ran_at: Vec<Server>,
     /// Server of the last lost run.
     last_lost: Option<Server>,
-    /// Further sends that aren't counted, one for each counted send that reached no server.
-    uncounted_sends: u32,
+    /// Permits of sends that reached no server.
+    unused: Vec<Permit>,
     /// Number of unreachable servers in a row.
     unreachable_in_row: u32,
     /// Time at which the caller was last sent an event; initially the arrival of the request.
@@ -184,10 +185,10 @@
             if self.ran_at.is_empty() && !self.worth_trying(&target) {
                 return Err(self.call.refuse(&Refusal::TooLittleTime));
             }
-            if !self.may_send(first, Purpose::Unanswered) {
+            let Some(permit) = self.may_send(first, Purpose::Unanswered) else {
                 retries_spent = true;
                 break;
-            }
+            };
             first = false;
             match self.start(&target, copy.as_ref()).await {
                 Start::Running {
@@ -214,7 +215,7 @@
                     break;
                 }
                 Start::Unreachable => {
-                    self.uncounted_sends += 1;
+                    self.unused.push(permit);
                     self.count_unreachable().await;
                 }
                 Start::Replaced => self.count_unreachable().await,
@@ -305,14 +306,11 @@
         Instant::now() >= self.call.until
     }
 
-    /// Counts a send; returns `false` when it is a retry and the budget is used up. A send that
+    /// Counts a send; returns `None` when it is a retry and the budget is used up. A send that
     /// can't have reached a server doesn't count.
-    fn may_send(&mut self, first: bool, purpose: Purpose) -> bool {
-        if self.uncounted_sends > 0 {
-            self.uncounted_sends -= 1;
-            return true;
-        }
-        self.context.may_send(&self.call.service, first, purpose)
+    fn may_send(&mut self, first: bool, purpose: Purpose) -> Option<Permit> {
+        let unused = self.unused.pop();
+        unused.or_else(|| self.context.may_send(&self.call.service, first, purpose))
     }
 
     /// Counts a server that was unreachable or replaced, and waits when there are many in a row.
@@ -448,9 +446,7 @@
         let mut declined = 0;
         while !self.timed_out() {
             let (target, copy) = self.choose_allowed(&mut resumption).await?;
-            if !self.may_send(false, Purpose::Resume) {
-                return None;
-            }
+            let permit = self.may_send(false, Purpose::Resume)?;
             match self.start(&target, copy.as_ref()).await {
                 Start::Running { run, .. } => {
                     self.unreachable_in_row = 0;
@@ -476,7 +472,7 @@
                 Start::Failed(_) => self.record_ran(&target),
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
                 Start::Unreachable => {
-                    self.uncounted_sends += 1;
+                    self.unused.push(permit);
                     self.count_unreachable().await;
                 }
                 Start::Replaced => self.count_unreachable().await,
