evidence: the lives that tell crashes apart are kept, and told to processes that start

Cause: a part is convicted by crashes between which runs of the service lived. Only the latest 256 lives of a service were kept, seconds of them under load. Without those between its crashes a harmful part was convicted no more: it went on to crash servers, and what was beside it, also a part that all streams have, was convicted in its place. A process that started was told the crashes and not these lives, so that it refused nothing of what the others refused. Class of fault: a bound on memory that drops evidence by its age.

Change: above a limit, only the last life before each crash, the last one and those of the last seconds are kept; these are told to a new peer.

Tests: a_part_stays_refused_however_many_runs_live and a_process_that_starts_refuses_what_others_refuse fail without their half of the change.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -52,6 +52,9 @@
 /// Age of a run that has outlived a request that crashes its server at once.
 pub const LIFE_SIGN: Duration = Duration::from_millis(250);
 
+/// In place of a request, in reports on lives of a service.
+const NO_REQUEST: Fingerprint = 0;
+
 /// Time for which reports count: longer than callers repeat a request, and short enough that a
 /// wrong verdict doesn't last.
 const REPORT_TTL: Duration = Duration::from_secs(600);
@@ -86,8 +89,8 @@
 /// Maximum number of stored causes that survived.
 const MAX_SURVIVORS: usize = 512;
 
-/// Maximum number of stored times at which runs of a service lived.
-const MAX_SERVICE_LIVES: usize = 256;
+/// Maximum number of stored times at which runs of a service lived: more than there are crashes.
+const MAX_SERVICE_LIVES: usize = 1024;
 
 /// Maximum number of prompt parts that count as causes.
 const MAX_PARTS: usize = 8;
@@ -220,10 +223,7 @@
     fn record(&mut self, at: Clock, subject: &Subject) -> bool {
         let times = self.services.entry(subject.service).or_default();
         let mut changed = times.insert(at);
-        if times.len() > MAX_SERVICE_LIVES {
-            times.pop_first();
-        }
-        for cause in subject.causes() {
+        for cause in subject.causes().filter(|cause| *cause != NO_REQUEST) {
             if !self.has_since(cause, at) {
                 changed = true;
                 self.causes.insert(cause, (subject.service, at));
@@ -238,12 +238,19 @@
         last.is_some_and(|(_, last)| *last >= at)
     }
 
-    /// Removes expired times, then the oldest ones beyond the limit.
-    fn prune(&mut self, now: Clock) {
+    /// Removes expired times, those that tell no two crashes apart, then the oldest ones beyond the
+    /// limit. `crashes` are the times of all crashes, in order.
+    fn prune(&mut self, now: Clock, crashes: &[Clock]) {
         let is_current = |at: &Clock| *at + REPORT_TTL > now;
         self.causes.retain(|_, (_, at)| is_current(at));
         for times in self.services.values_mut() {
             times.retain(is_current);
+            if times.len() > MAX_SERVICE_LIVES {
+                *times = separating(times, crashes, now.saturating_sub(SETTLE_TIME));
+            }
+            while times.len() > MAX_SERVICE_LIVES {
+                times.pop_first();
+            }
         }
         self.services.retain(|_, times| !times.is_empty());
         while self.causes.len() > MAX_SURVIVORS {
@@ -255,12 +262,20 @@
         }
     }
 
-    /// Returns reports on all causes.
-    fn reports(&self, now: Clock, observation: Observation) -> impl Iterator<Item = Report> {
-        self.causes.iter().map(move |(cause, (service, at))| {
+    /// Returns reports on all causes, and on the lives that tell crashes apart.
+    fn reports(&self, now: Clock, crashes: &[Clock], observation: Observation) -> Vec<Report> {
+        let mut reports = Vec::new();
+        for (service, times) in &self.services {
+            for at in separating(times, crashes, now) {
+                let subject = Subject::new(*service, NO_REQUEST, []);
+                reports.push(Report::new(now, at, subject, observation));
+            }
+        }
+        for (cause, (service, at)) in &self.causes {
             let subject = Subject::new(*service, *cause, []);
-            Report::new(now, *at, subject, observation)
-        })
+            reports.push(Report::new(now, *at, subject, observation));
+        }
+        reports
     }
 }
 
@@ -362,8 +377,10 @@
                 reports.push(Report::new(now, run.at, run.subject.clone(), observation));
             }
         }
-        reports.extend(self.lived.reports(now, Observation::Lived));
-        reports.extend(self.survived.reports(now, Observation::Survived));
+        let crashes = self.crash_times();
+        let (lived, survived) = (Observation::Lived, Observation::Survived);
+        reports.extend(self.lived.reports(now, &crashes, lived));
+        reports.extend(self.survived.reports(now, &crashes, survived));
         reports
     }
 
@@ -522,11 +539,20 @@
         }
         all.retain(|_, runs| !runs.is_empty());
         self.runs = all;
-        self.lived.prune(now);
-        self.survived.prune(now);
+        let crashes = self.crash_times();
+        self.lived.prune(now, &crashes);
+        self.survived.prune(now, &crashes);
         self.remove_oldest_crashes();
     }
 
+    /// Returns the times of all runs at crashes, in order.
+    fn crash_times(&self) -> Vec<Clock> {
+        let runs = self.runs.values().flatten();
+        let mut times: Vec<Clock> = runs.map(|run| run.at).collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Removes the oldest crashes beyond the limit, those that convict a cause last.
     fn remove_oldest_crashes(&mut self) {
         let count: usize = self.runs.values().map(|runs| by_crash(runs).len()).sum();
@@ -650,6 +676,16 @@
     }
 }
 
+/// Returns the last life, the last one before each crash, and all since a time.
+fn separating(lives: &BTreeSet<Clock>, crashes: &[Clock], since: Clock) -> BTreeSet<Clock> {
+    let mut kept: BTreeSet<Clock> = lives.range(since..).copied().collect();
+    kept.extend(lives.last());
+    for crash in crashes {
+        kept.extend(lives.range(..=*crash).next_back());
+    }
+    kept
+}
+
 /// Splits the runs at a server, in order of time, by crash; no part is empty.
 fn by_crash(mut runs: &[Run]) -> Vec<&[Run]> {
     let mut crashes = Vec::new();
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -370,3 +370,49 @@
     case.evidence.set_stored(POISON, false);
     assert!(!case.is_refused(POISON));
 }
+
+/// Returns evidence that convicts the part [`POISON`]: between the crashes, and after them, runs with
+/// another part survived.
+fn convicted_part() -> (Evidence, Clock) {
+    let mut evidence = Evidence::default();
+    let mut now = START;
+    for number in 0..3 {
+        now += Duration::from_secs(1);
+        let subject = Subject::new(SERVICE, 100 + number, [POISON, OTHER]);
+        let crash = crashed(10 + number as ServerId, Stage::Started);
+        evidence.record(now, now, &subject, crash);
+        now += Duration::from_millis(500);
+        survive(&mut evidence, now);
+    }
+    assert!(is_refused(&evidence, now, POISON));
+    (evidence, now)
+}
+
+fn survive(evidence: &mut Evidence, now: Clock) {
+    let subject = Subject::new(SERVICE, INNOCENT, [OTHER]);
+    evidence.record(now, now, &subject, Observation::Survived);
+}
+
+/// Guards against a part that goes on to crash servers, as the runs that lived between its crashes
+/// are forgotten while many others live.
+#[test]
+fn a_part_stays_refused_however_many_runs_live() {
+    let (mut evidence, mut now) = convicted_part();
+    for _ in 0..5000 {
+        now += Duration::from_millis(10);
+        survive(&mut evidence, now);
+    }
+    assert!(is_refused(&evidence, now, POISON));
+    assert!(!is_refused(&evidence, now, OTHER));
+}
+
+/// Guards against a process that starts and sends requests with a part that others refuse: it is told
+/// the crashes, and not what lived between them.
+#[test]
+fn a_process_that_starts_refuses_what_others_refuse() {
+    let (evidence, now) = convicted_part();
+    let mut started = Evidence::default();
+    started.apply(now, &evidence.reports(now));
+    assert!(is_refused(&started, now, POISON));
+    assert!(!is_refused(&started, now, OTHER));
+}
