admission: a process counts those that fell silent, and those that its peers know

What callers saw: none of it directly. A service gets more repeats than its bound after a restart inside a partition; and a fleet that shrank or whose hosts were replaced had less slack for good.

Cause: the slack was divided by the largest number of processes that a process had ever known at the same time. One that restarts beside a single peer knows two, whatever that peer knows. And the number was never lowered.

Change: a process that fell silent counts for an hour, as it may still send and hear nobody, unless it had left, its host comes back, or another run took its place. Beacons tell how many processes their sender knows. Whether others are configured follows the settings in force, not those of the start. What a peer received counts for a time, so that a process that was paused relies on nobody.

Tests: a_small_fleet_stays_within_the_bound (restart_in_a_partition, one_ends), a_process_that_is_gone_is_counted_until_it_was_replaced, a_silent_peer_is_known_to_have_left.

--- a/components/admission/src/accounts.rs
+++ b/components/admission/src/accounts.rs
@@ -10,17 +10,34 @@
     time::Duration, //
 };
 
-use names::Clock;
+use names::{
+    Clock,
+    Host, //
+};
 
 use crate::retries::Peer;
 
+/// Time for which a part of the slack is left to a process that fell silent: it may still send, and
+/// hear nobody. A host that is gone for longer was replaced.
+const SILENT_TTL: Duration = Duration::from_secs(3600);
+
+/// A peer, by its last report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Contact {
+    /// Host of the peer.
+    pub host: Host,
+    /// Until when the peer counts what this process reported to it; `None` if it received nothing.
+    pub counts_until: Option<Clock>,
+    /// Number of processes that the peer knows.
+    pub processes: usize,
+}
+
 /// Processes that a process exchanges retry counts with.
 #[derive(Clone, Debug)]
 pub struct Accounts {
-    /// Live peers, and whether each receives the counts of this process.
-    peers: HashMap<Peer, bool>,
-    /// Largest number of processes that were known at the same time.
-    max_processes: usize,
+    peers: HashMap<Peer, Contact>,
+    /// Hosts of peers that fell silent, and until when they are counted.
+    silent: HashMap<Host, Clock>,
     started: Clock,
     /// Whether other processes are configured.
     has_seeds: bool,
@@ -34,18 +51,22 @@
     pub fn new(now: Clock, has_seeds: bool, is_first_start: bool) -> Accounts {
         Accounts {
             peers: HashMap::new(),
-            max_processes: 1,
+            silent: HashMap::new(),
             started: now,
             has_seeds,
             is_informed: is_first_start,
         }
     }
 
-    /// Records a report of a peer. `is_received` says whether the peer receives those of this
-    /// process.
-    pub fn record_peer(&mut self, peer: Peer, is_received: bool) {
-        self.peers.insert(peer, is_received);
-        self.max_processes = self.max_processes.max(self.peers.len() + 1);
+    /// Sets whether other processes are configured.
+    pub fn set_has_seeds(&mut self, has_seeds: bool) {
+        self.has_seeds = has_seeds;
+    }
+
+    /// Records a report of a peer.
+    pub fn record_peer(&mut self, peer: Peer, contact: Contact) {
+        self.silent.remove(&contact.host);
+        self.peers.insert(peer, contact);
     }
 
     /// Returns whether a peer reports now.
@@ -58,25 +79,47 @@
         self.is_informed = true;
     }
 
-    /// Removes a peer that ended or stopped reporting.
+    /// Removes a peer that ended.
     pub fn remove_peer(&mut self, peer: Peer) {
         self.peers.remove(&peer);
     }
 
+    /// Records that a peer fell silent.
+    pub fn lose_peer(&mut self, now: Clock, peer: Peer) {
+        if let Some(contact) = self.peers.remove(&peer) {
+            self.silent.insert(contact.host, now + SILENT_TTL);
+        }
+    }
+
+    /// Returns the number of processes, with this one and those that fell silent.
+    pub fn processes(&self, now: Clock) -> usize {
+        let silent = self.silent.values().filter(|until| **until > now);
+        self.peers.len() + 1 + silent.count()
+    }
+
+    /// Returns whether this process has started within the last window, so that others may know of
+    /// retries that it can't know itself.
+    pub fn is_young(&self, now: Clock, window: Duration) -> bool {
+        now.saturating_sub(self.started) <= window
+    }
+
     /// Returns whether the retries of the last window are known, also those that were sent before
     /// this process started.
     pub fn are_complete(&self, now: Clock, window: Duration) -> bool {
-        self.is_informed || now.saturating_sub(self.started) > window
+        self.is_informed || !self.is_young(now, window)
     }
 
-    /// Returns the share of the slack that belongs to this process and the peers that know its
+    /// Returns the share of the slack that belongs to this process and the peers that count its
     /// retries.
     pub fn coverage(&self, now: Clock, window: Duration) -> f64 {
-        let has_met = self.max_processes > 1;
+        let told = self.peers.values().map(|contact| contact.processes);
+        let processes = told.max().unwrap_or(0).max(self.processes(now));
+        let has_met = processes > 1;
         if !self.are_complete(now, window) || self.has_seeds && !has_met {
             return 0.0;
         }
-        let mutual = self.peers.values().filter(|receives| **receives).count() + 1;
-        mutual as f64 / self.max_processes as f64
+        let counts = |contact: &&Contact| contact.counts_until.is_some_and(|until| until > now);
+        let mutual = self.peers.values().filter(counts).count() + 1;
+        mutual as f64 / processes as f64
     }
 }
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -22,7 +22,10 @@
 mod team;
 pub mod wait;
 
-pub use accounts::Accounts;
+pub use accounts::{
+    Accounts,
+    Contact, //
+};
 pub use budget::Budget;
 pub use demand::Demand;
 pub use forecast::{
--- a/components/admission/tests/accounts.rs
+++ b/components/admission/tests/accounts.rs
@@ -5,6 +5,7 @@
 use admission::{
     Accounts,
     Bound,
+    Contact,
     Purpose,
     Retries, //
 };
@@ -65,6 +66,9 @@
     /// From the twentieth second on, this process isn't heard, and hears the others if `true`. Until
     /// the twenty-first second only its requests fail.
     Cut(usize, bool),
+    /// From the twentieth second on, the first two processes and the others don't hear each other.
+    /// The first one restarts at the twenty-second second.
+    Partition,
     /// This process ends for good at the twentieth second.
     End(usize),
 }
@@ -118,6 +122,7 @@
             Fault::Cut(cut, hears_others) if self.now >= Duration::from_secs(20) => {
                 from != cut && (to != cut || hears_others)
             }
+            Fault::Partition if self.now >= Duration::from_secs(20) => (from < 2) == (to < 2),
             _ => true,
         }
     }
@@ -132,10 +137,15 @@
         let counts = sender.retries.counts(now, &BOUND);
         let departed: Vec<_> = sender.retries.departed(now).collect();
         let is_complete = sender.accounts.are_complete(now, BOUND.window);
+        let processes = sender.accounts.processes(now);
         let (starts, heard) = (sender.starts, sender.heard[to]);
         let receiver = &mut self.processes[to];
-        let is_received =
-            heard.is_some_and(|(at, starts)| starts == receiver.starts && now - at <= SILENCE);
+        let heard = heard.filter(|(_, starts)| *starts == receiver.starts);
+        let contact = Contact {
+            host: from.to_string(),
+            counts_until: heard.map(|(at, _)| at + SILENCE),
+            processes,
+        };
         let previous = receiver.heard[from].replace((now, starts));
         if let Some((_, before)) = previous.filter(|(_, before)| *before != starts) {
             let ended = id((from, before));
@@ -144,7 +154,7 @@
         }
         let peer = id((from, starts));
         receiver.retries.record_peer(now, peer, counts, false);
-        receiver.accounts.record_peer(peer, is_received);
+        receiver.accounts.record_peer(peer, contact);
         if is_complete {
             receiver.accounts.inform();
         }
@@ -162,7 +172,7 @@
                 continue;
             };
             process.heard[peer] = None;
-            process.accounts.remove_peer(id((peer, starts)));
+            process.accounts.lose_peer(self.now, id((peer, starts)));
             let _ = process.retries.forget(id((peer, starts)), BOUND.window);
         }
     }
@@ -173,6 +183,7 @@
             Fault::Herd(interval) if self.is_due(interval) => {
                 (0..PROCESSES).for_each(|number| self.restart(number));
             }
+            Fault::Partition if self.now == Duration::from_secs(22) => self.restart(0),
             Fault::End(number) if self.now == Duration::from_secs(20) => {
                 self.processes[number].from = Clock::MAX;
             }
@@ -252,6 +263,7 @@
 #[case::never_met(Fault::NeverMet)]
 #[case::cut_off(Fault::Cut(2, false))]
 #[case::not_heard(Fault::Cut(2, true))]
+#[case::restart_in_a_partition(Fault::Partition)]
 #[case::one_ends(Fault::End(2))]
 fn a_small_fleet_stays_within_the_bound(#[case] fault: Fault) {
     let mut fleet = Fleet::new(fault);
@@ -292,3 +304,27 @@
     let coverage = restarted.accounts.coverage(fleet.now, BOUND.window);
     assert!((coverage - 1.0).abs() < 1e-9, "{coverage}");
 }
+
+/// Guards against a part of the slack that nobody may use for good, as a process has left or has been
+/// replaced.
+#[test]
+fn a_process_that_is_gone_is_counted_until_it_was_replaced() {
+    let contact = |host: &str| Contact {
+        host: host.into(),
+        counts_until: None,
+        processes: 0,
+    };
+    let mut now = Duration::from_secs(100);
+    let mut accounts = Accounts::new(now, true, true);
+    accounts.record_peer(1, contact("a"));
+    accounts.record_peer(2, contact("b"));
+    accounts.lose_peer(now, 1);
+    accounts.lose_peer(now, 2);
+    assert_eq!(accounts.processes(now), 3);
+    accounts.record_peer(3, contact("a"));
+    assert_eq!(accounts.processes(now), 3);
+    accounts.remove_peer(3);
+    assert_eq!(accounts.processes(now), 2);
+    now += Duration::from_secs(3601);
+    assert_eq!(accounts.processes(now), 1);
+}
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -246,7 +246,10 @@
             self.shared.demands.remove_peer(silent);
             let bound = self.shared.settings.borrow().bounds.retries();
             let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
-            retry_budgets.remove_peer(silent, &bound);
+            match self.table.has_left(silent) {
+                true => retry_budgets.remove_peer(silent, &bound),
+                false => retry_budgets.lose_peer(silent, &bound),
+            }
         }
         fleet.set_rank(self.table.rank());
         self.shared.queue.set_gateways(self.table.rank().1);
@@ -269,6 +272,8 @@
                 next_return: remaining.min().map(|remaining| Instant::now() + remaining),
             });
         self.table.add_seeds(&settings.seeds);
+        let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
+        retry_budgets.set_has_seeds(settings.has_seeds());
     }
 
     /// Sends a beacon to all peers, and returns its size in bytes.
@@ -489,9 +494,9 @@
         self.shared.queue.apply_beacon(&beacon);
         self.shared.rollouts.apply_beacon(&beacon);
         let is_local = beacon.data_centre == self.shared.settings.borrow().data_centre;
-        let is_received = self.table.is_received(&beacon);
+        let received_for = self.table.received_for(&beacon);
         let mut retry_budgets = self.shared.retry_budgets.borrow_mut();
-        retry_budgets.apply_beacon(&beacon, is_local, is_received);
+        retry_budgets.apply_beacon(&beacon, is_local, received_for);
         if let Some(claim) = beacon.claim(self.incarnation) {
             self.shared
                 .freshness
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -10,6 +10,7 @@
 use admission::{
     Accounts,
     Bound,
+    Contact,
     Counts,
     Departed,
     Purpose,
@@ -146,10 +147,16 @@
         false
     }
 
+    /// Sets whether the settings name other gateways.
+    pub fn set_has_seeds(&mut self, has_seeds: bool) {
+        self.accounts.set_has_seeds(has_seeds);
+    }
+
     /// Adds the recent attempts of this gateway to a beacon.
     pub fn fill_beacon(&mut self, beacon: &mut Beacon, bound: &Bound) {
         let now = clock::now();
         beacon.attempts = self.attempts(bound);
+        beacon.processes = self.accounts.processes(now) as u32;
         beacon.knows_retries = self.accounts.are_complete(now, bound.window);
     }
 
@@ -179,10 +186,21 @@
         attempts
     }
 
-    /// Applies a peer's beacon. `is_local` says whether it is in the same data centre, `is_received`
-    /// whether it receives this gateway's beacons.
-    pub fn apply_beacon(&mut self, beacon: &Beacon, is_local: bool, is_received: bool) {
-        self.accounts.record_peer(beacon.incarnation, is_received);
+    /// Applies a peer's beacon. `is_local` says whether it is in the same data centre, `received_for`
+    /// for how long the peer still counts what it received of this gateway.
+    pub fn apply_beacon(
+        &mut self,
+        beacon: &Beacon,
+        is_local: bool,
+        received_for: Option<Duration>,
+    ) {
+        let now = clock::now();
+        let contact = Contact {
+            host: beacon.host.clone(),
+            counts_until: received_for.map(|time| now + time),
+            processes: beacon.processes as usize,
+        };
+        self.accounts.record_peer(beacon.incarnation, contact);
         if beacon.knows_retries {
             self.accounts.inform();
         }
@@ -222,9 +240,20 @@
         }
     }
 
-    /// Removes a peer that ended or stopped sending. Its retries count until they leave the window.
+    /// Removes a peer that ended. Its retries count until they leave the window.
     pub fn remove_peer(&mut self, peer: Incarnation, bound: &Bound) {
         self.accounts.remove_peer(peer);
+        self.forget(peer, bound);
+    }
+
+    /// Removes a peer that fell silent, and may still send. Its retries count until they leave the
+    /// window.
+    pub fn lose_peer(&mut self, peer: Incarnation, bound: &Bound) {
+        self.accounts.lose_peer(clock::now(), peer);
+        self.forget(peer, bound);
+    }
+
+    fn forget(&mut self, peer: Incarnation, bound: &Bound) {
         for (service, retries) in &mut self.services {
             let totals = retries.forget(peer, bound.window);
             let Some(totals) = totals.filter(|totals| totals.retries > 0) else {
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -58,6 +58,13 @@
     pub exposure: Exposure,
 }
 
+impl Settings {
+    /// Returns whether other gateways are named.
+    pub fn has_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.peers)
+    }
+}
+
 impl Bounds {
     /// Returns the limit on retries.
     pub fn retries(&self) -> Bound {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -84,6 +84,8 @@
     pub addresses: Vec<SocketAddr>,
     /// Number of peers that the sender receives beacons from.
     pub peer_count: u32,
+    /// Number of processes that the sender knows, itself and those that fell silent included.
+    pub processes: u32,
     /// Whether the sender knows all retries of the last window.
     pub knows_retries: bool,
     /// Longest time until the next beacon, in milliseconds.
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -384,15 +384,21 @@
         })
     }
 
-    /// Returns whether the sender of a beacon receives the beacons of this process, by what it
-    /// echoes.
-    pub fn is_received(&self, beacon: &Beacon) -> bool {
+    /// Returns for how long the sender of a beacon still counts what it received of this process, by
+    /// what it echoes; `None` if it doesn't receive its beacons.
+    pub fn received_for(&self, beacon: &Beacon) -> Option<Duration> {
+        let echo = beacon
+            .echo
+            .filter(|echo| echo.incarnation == self.incarnation)?;
         let interval = Duration::from_millis(u64::from(beacon.interval_ms));
         let silence = MIN_SILENCE.max(interval * SILENCE_INTERVALS);
-        beacon.echo.is_some_and(|echo| {
-            let own = echo.incarnation == self.incarnation;
-            own && Duration::from_millis(echo.delay_ms) <= silence
-        })
+        silence.checked_sub(Duration::from_millis(echo.delay_ms))
+    }
+
+    /// Returns whether a process left before it fell silent.
+    pub fn has_left(&self, incarnation: Incarnation) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.incarnation == incarnation && peer.leaving_since.is_some())
     }
 
     /// Returns whether this address is a peer's.
--- a/components/spread/tests/beacon.rs
+++ b/components/spread/tests/beacon.rs
@@ -66,15 +66,30 @@
     assert_eq!(table.rank().1, usize::from(count));
 }
 
+/// Guards against a part of a shared budget that is kept for a process that has left.
+#[rstest]
+fn a_silent_peer_is_known_to_have_left(#[values(true, false)] leaving: bool) {
+    let mut table = Table::new(0, Vec::new());
+    let interval = Duration::from_millis(500);
+    table.receive(Clock::ZERO, address(1), &beacon(1, 1, interval));
+    let last = Beacon {
+        leaving,
+        ..beacon(1, 2, interval)
+    };
+    table.receive(interval, address(1), &last);
+    assert_eq!(table.expire(interval * 10), [1]);
+    assert_eq!(table.has_left(1), leaving);
+}
+
 /// Guards against a process that relies on peers which no longer receive what it tells them.
 #[rstest]
-#[case::received(0, 100, true)]
-#[case::received_long_ago(0, 5000, false)]
-#[case::an_earlier_start(7, 100, false)]
+#[case::received(0, 100, Some(1400))]
+#[case::received_long_ago(0, 5000, None)]
+#[case::an_earlier_start(7, 100, None)]
 fn a_beacon_shows_whether_its_sender_receives_those_of_this_process(
     #[case] incarnation: Incarnation,
     #[case] delay_ms: u64,
-    #[case] received: bool,
+    #[case] received_ms: Option<u64>,
 ) {
     let table = Table::new(0, Vec::new());
     let echo = Echo {
@@ -86,8 +101,10 @@
         echo: Some(echo),
         ..beacon(1, 1, Duration::from_millis(500))
     };
-    assert_eq!(table.is_received(&beacon), received);
-    assert!(!table.is_received(&self::beacon(1, 1, Duration::from_millis(500))));
+    let received_for = received_ms.map(Duration::from_millis);
+    assert_eq!(table.received_for(&beacon), received_for);
+    let silent = self::beacon(1, 1, Duration::from_millis(500));
+    assert_eq!(table.received_for(&silent), None);
 }
 
 /// Guards against a terminated peer that keeps its part of shared quotas for long.
