evidence: the lives that tell crashes apart are kept at any rate, in a module of their own

Cause: where more than 1,024 runs lived within the last two seconds, all of these were kept, and the oldest lives beyond the limit were removed: those between the crashes of a refused part, as in, at the rates of a large fleet. The times of all crashes were sorted at each observation as well, though they are needed only then.

The stored times are thinned only beyond the limit. The lives move to a module of their own.

Test: a_part_stays_refused_however_many_runs_live with 4,000 a second fails before.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -33,9 +33,13 @@
     Verdict, //
 };
 
-use self::attribution::candidates;
+use self::{
+    attribution::candidates,
+    lives::Lives, //
+};
 
 mod attribution;
+mod lives;
 
 /// Numeric id of a server. It is the same after a restart.
 pub type ServerId = u32;
@@ -52,9 +56,6 @@
 /// Age of a run that has outlived a request that crashes its server at once.
 pub const LIFE_SIGN: Duration = Duration::from_millis(250);
 
-/// In place of a request, in reports on lives of a service.
-const NO_REQUEST: Fingerprint = 0;
-
 /// Time for which reports count: longer than callers repeat a request, and short enough that a
 /// wrong verdict doesn't last.
 const REPORT_TTL: Duration = Duration::from_secs(600);
@@ -86,12 +87,6 @@
 /// Maximum number of stored runs of one crash that had not started.
 const MAX_PENDING_RUNS_PER_CRASH: usize = 16;
 
-/// Maximum number of stored causes that survived.
-const MAX_SURVIVORS: usize = 512;
-
-/// Maximum number of stored times at which runs of a service lived: more than there are crashes.
-const MAX_SERVICE_LIVES: usize = 1024;
-
 /// Maximum number of prompt parts that count as causes.
 const MAX_PARTS: usize = 8;
 
@@ -209,76 +204,6 @@
     }
 }
 
-/// When runs lived.
-#[derive(Clone, Debug, Default)]
-struct Lives {
-    /// Last time for each cause, and its service.
-    causes: BTreeMap<Fingerprint, (ServiceId, Clock)>,
-    /// All times for each service.
-    services: attribution::Lives,
-}
-
-impl Lives {
-    /// Records a time; returns whether it changed anything.
-    fn record(&mut self, at: Clock, subject: &Subject) -> bool {
-        let times = self.services.entry(subject.service).or_default();
-        let mut changed = times.insert(at);
-        for cause in subject.causes().filter(|cause| *cause != NO_REQUEST) {
-            if !self.has_since(cause, at) {
-                changed = true;
-                self.causes.insert(cause, (subject.service, at));
-            }
-        }
-        changed
-    }
-
-    /// Returns whether a run with a cause lived at a time or later.
-    fn has_since(&self, cause: Fingerprint, at: Clock) -> bool {
-        let last = self.causes.get(&cause);
-        last.is_some_and(|(_, last)| *last >= at)
-    }
-
-    /// Removes expired times, those that tell no two crashes apart, then the oldest ones beyond the
-    /// limit. `crashes` are the times of all crashes, in order.
-    fn prune(&mut self, now: Clock, crashes: &[Clock]) {
-        let is_current = |at: &Clock| *at + REPORT_TTL > now;
-        self.causes.retain(|_, (_, at)| is_current(at));
-        for times in self.services.values_mut() {
-            times.retain(is_current);
-            if times.len() > MAX_SERVICE_LIVES {
-                *times = separating(times, crashes, now.saturating_sub(SETTLE_TIME));
-            }
-            while times.len() > MAX_SERVICE_LIVES {
-                times.pop_first();
-            }
-        }
-        self.services.retain(|_, times| !times.is_empty());
-        while self.causes.len() > MAX_SURVIVORS {
-            let oldest = self.causes.iter().min_by_key(|(_, (_, at))| *at);
-            let Some(cause) = oldest.map(|(cause, _)| *cause) else {
-                return;
-            };
-            self.causes.remove(&cause);
-        }
-    }
-
-    /// Returns reports on all causes, and on the lives that tell crashes apart.
-    fn reports(&self, now: Clock, crashes: &[Clock], observation: Observation) -> Vec<Report> {
-        let mut reports = Vec::new();
-        for (service, times) in &self.services {
-            for at in separating(times, crashes, now) {
-                let subject = Subject::new(*service, NO_REQUEST, []);
-                reports.push(Report::new(now, at, subject, observation));
-            }
-        }
-        for (cause, (service, at)) in &self.causes {
-            let subject = Subject::new(*service, *cause, []);
-            reports.push(Report::new(now, *at, subject, observation));
-        }
-        reports
-    }
-}
-
 /// Observations of all processes, and the verdicts that follow from them.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -463,8 +388,7 @@
     /// crashes are lost.
     pub fn set_stored(&mut self, cause: Fingerprint, stored: bool) {
         // The refusal is older than a survival that is known here.
-        let is_cleared =
-            self.survived.causes.contains_key(&cause) && !self.suspects.contains(&cause);
+        let is_cleared = self.survived.last(cause).is_some() && !self.suspects.contains(&cause);
         match stored && !is_cleared {
             true => self.stored.insert(cause),
             false => self.stored.remove(&cause),
@@ -539,9 +463,13 @@
         }
         all.retain(|_, runs| !runs.is_empty());
         self.runs = all;
-        let crashes = self.crash_times();
-        self.lived.prune(now, &crashes);
-        self.survived.prune(now, &crashes);
+        if self.lived.are_many() || self.survived.are_many() {
+            let crashes = self.crash_times();
+            self.lived.thin(now, &crashes);
+            self.survived.thin(now, &crashes);
+        }
+        self.lived.prune(now);
+        self.survived.prune(now);
         self.remove_oldest_crashes();
     }
 
@@ -589,7 +517,7 @@
         let crashes = self.crashes();
         let runs = crashes.iter().flat_map(|crash| &crash.runs);
         self.involved = runs.flat_map(attribution::Run::fingerprints).collect();
-        let (lived, survived) = (&self.lived.services, &self.survived.services);
+        let (lived, survived) = (self.lived.services(), self.survived.services());
         let attribution = attribution::attribute(crashes, lived, survived);
         self.suspects = attribution.suspects;
         self.awaiting = attribution.awaiting;
@@ -641,7 +569,7 @@
         for run in self.runs.values().flatten() {
             for cause in run.subject.causes() {
                 let tally = tallies.entry(cause).or_insert_with(|| Tally {
-                    lived: self.lived.causes.get(&cause).map(|(_, at)| *at),
+                    lived: self.lived.last(cause),
                     ..Tally::default()
                 });
                 match run.stage {
@@ -676,16 +604,6 @@
     }
 }
 
-/// Returns the last life, the last one before each crash, and all since a time.
-fn separating(lives: &BTreeSet<Clock>, crashes: &[Clock], since: Clock) -> BTreeSet<Clock> {
-    let mut kept: BTreeSet<Clock> = lives.range(since..).copied().collect();
-    kept.extend(lives.last());
-    for crash in crashes {
-        kept.extend(lives.range(..=*crash).next_back());
-    }
-    kept
-}
-
 /// Splits the runs at a server, in order of time, by crash; no part is empty.
 fn by_crash(mut runs: &[Run]) -> Vec<&[Run]> {
     let mut crashes = Vec::new();
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -395,11 +395,13 @@
 
 /// Guards against a part that goes on to crash servers, as the runs that lived between its crashes
 /// are forgotten while many others live.
-#[test]
-fn a_part_stays_refused_however_many_runs_live() {
+#[rstest]
+#[case::a_hundred_a_second(100)]
+#[case::thousands_a_second(4000)]
+fn a_part_stays_refused_however_many_runs_live(#[case] per_second: u32) {
     let (mut evidence, mut now) = convicted_part();
     for _ in 0..5000 {
-        now += Duration::from_millis(10);
+        now += Duration::from_secs(1) / per_second;
         survive(&mut evidence, now);
     }
     assert!(is_refused(&evidence, now, POISON));
