evidence: survivals of what was at crashes outlast those of other requests

What callers saw: streams refused that have a sound part of a prompt.

Cause: the survivals of the latest 512 causes were kept. Each request is a cause of its own, so that some seconds of load push out the survival of a part that few requests have. It was at its earlier crashes again then, and a further one beside a harmful request convicted it.

Change: above a limit, survivals of causes that were at no recorded crash are removed first.

Test: a_part_that_survived_is_not_refused_for_the_crashes_before_however_many_ requests_live fails before, and without the order.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -465,8 +465,10 @@
         self.runs = all;
         if self.lived.are_many() || self.survived.are_many() {
             let crashes = self.crash_times();
-            self.lived.thin(now, &crashes);
-            self.survived.thin(now, &crashes);
+            let runs = self.runs.values().flatten();
+            let causes = runs.flat_map(|run| run.subject.causes()).collect();
+            self.lived.thin(now, &crashes, &causes);
+            self.survived.thin(now, &crashes, &causes);
         }
         self.lived.prune(now);
         self.survived.prune(now);
--- a/components/contract/src/poison/evidence/lives.rs
+++ b/components/contract/src/poison/evidence/lives.rs
@@ -24,7 +24,8 @@
 /// In place of a request, in reports on lives of a service.
 const NO_REQUEST: Fingerprint = 0;
 
-/// Maximum number of stored causes that survived.
+/// Number of stored causes that survived from which some are removed, and that of those that remain.
+const MANY_SURVIVORS: usize = 1024;
 const MAX_SURVIVORS: usize = 512;
 
 /// Number of stored times at which runs of a service lived, from which those that tell no two crashes
@@ -73,15 +74,25 @@
         &self.services
     }
 
-    /// Returns whether so many times are stored that some should be removed.
+    /// Returns whether so much is stored that some of it should be removed.
     pub(super) fn are_many(&self) -> bool {
         let mut services = self.services.values();
-        services.any(|times| times.len() > MANY_LIVES)
+        self.causes.len() > MANY_SURVIVORS || services.any(|times| times.len() > MANY_LIVES)
     }
 
-    /// Removes the times that tell no two crashes apart where there are many. `crashes` are the times
-    /// of all crashes.
-    pub(super) fn thin(&mut self, now: Clock, crashes: &[Clock]) {
+    /// Removes, where there are many, the times that tell no two crashes apart, and the oldest causes,
+    /// those that were at no crash first: without its survival, a cause would be at its earlier crashes
+    /// again. `crashes` are the times of all crashes, and `causes` what was at them.
+    pub(super) fn thin(&mut self, now: Clock, crashes: &[Clock], causes: &BTreeSet<Fingerprint>) {
+        if self.causes.len() > MANY_SURVIVORS {
+            let mut all: Vec<_> = self.causes.iter().collect();
+            all.sort_unstable_by_key(|(cause, (_, at))| (causes.contains(cause), *at));
+            let excess = all.len().saturating_sub(MAX_SURVIVORS);
+            let least: Vec<Fingerprint> = all[..excess].iter().map(|(cause, _)| **cause).collect();
+            for cause in least {
+                self.causes.remove(&cause);
+            }
+        }
         for times in self.services.values_mut() {
             if times.len() > MANY_LIVES {
                 *times = separating(times, crashes, now.saturating_sub(SETTLE_TIME));
@@ -92,7 +103,7 @@
         }
     }
 
-    /// Removes expired times, then the oldest causes beyond the limit.
+    /// Removes expired times.
     pub(super) fn prune(&mut self, now: Clock) {
         let is_current = |at: &Clock| *at + REPORT_TTL > now;
         self.causes.retain(|_, (_, at)| is_current(at));
@@ -100,13 +111,6 @@
             times.retain(is_current);
         }
         self.services.retain(|_, times| !times.is_empty());
-        while self.causes.len() > MAX_SURVIVORS {
-            let oldest = self.causes.iter().min_by_key(|(_, (_, at))| *at);
-            let Some(cause) = oldest.map(|(cause, _)| *cause) else {
-                return;
-            };
-            self.causes.remove(&cause);
-        }
     }
 
     /// Returns reports on all causes, and on the lives that tell crashes apart.
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -408,6 +408,38 @@
     assert!(!is_refused(&evidence, now, OTHER));
 }
 
+/// Guards against the refusal of a part whose survival is forgotten while many other requests survive:
+/// the crashes before it would count again.
+#[test]
+fn a_part_that_survived_is_not_refused_for_the_crashes_before_however_many_requests_live() {
+    let mut evidence = Evidence::default();
+    let mut now = START;
+    let mut step = |evidence: &mut Evidence, subject: &Subject, observation| {
+        now += Duration::from_millis(500);
+        evidence.record(now, now, subject, observation);
+        now
+    };
+    let between = Subject::new(SERVICE, 900, [OTHER]);
+    for number in 0..2 {
+        let subject = Subject::new(SERVICE, 100 + number, [INNOCENT]);
+        let crash = crashed(10 + number as ServerId, Stage::Started);
+        step(&mut evidence, &subject, crash);
+        step(&mut evidence, &between, Observation::Survived);
+    }
+    let sound = Subject::new(SERVICE, 200, [INNOCENT]);
+    step(&mut evidence, &sound, Observation::Survived);
+    for number in 0..3000 {
+        let subject = Subject::new(SERVICE, 1000 + number, [OTHER]);
+        now += Duration::from_millis(5);
+        evidence.record(now, now, &subject, Observation::Survived);
+    }
+    let subject = Subject::new(SERVICE, 102, [INNOCENT]);
+    now += Duration::from_millis(500);
+    let crash = crashed(12, Stage::Started);
+    evidence.record(now, now, &subject, crash);
+    assert!(!is_refused(&evidence, now, INNOCENT));
+}
+
 /// Guards against a process that starts and sends requests with a part that others refuse: it is told
 /// the crashes, and not what lived between them.
 #[test]
