--- a/components/gateway/tests/cut_heads.rs
+++ b/components/gateway/tests/cut_heads.rs
@@ -54,6 +54,9 @@
 /// Longer than the sockets' buffers, so that a response can come before the whole of it is written.
 const LONG_BODY_BYTES: usize = 900 * 1024;
 
+/// Longer than a response that is read whole before the caller gets any of it.
+const LONG_RESPONSE_BYTES: usize = 600 * 1024;
+
 /// What a server reads of such a request before it responds.
 const READ_BYTES: usize = 4 * 1024;
 
@@ -111,6 +114,15 @@
     HalfTheBody,
 }
 
+impl Before {
+    fn interim(self) -> &'static str {
+        match self {
+            Before::Interim => "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n",
+            _ => "",
+        }
+    }
+}
+
 /// Handles a connection to a plain server. The first response to a request other than `/safe/first`
 /// is cut, later ones are whole.
 async fn serve(mut stream: TcpStream, is_first: Rc<Cell<bool>>, cut: Cut, before: Before) {
@@ -131,11 +143,7 @@
             stream.write_all(whole.as_bytes()).await.expect("written");
             continue;
         }
-        let interim = match before {
-            Before::Interim => "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n",
-            _ => "",
-        };
-        let text = format!("{interim}{}", cut.text(id, "whole"));
+        let text = format!("{}{}", before.interim(), cut.text(id, "whole"));
         stream.write_all(text.as_bytes()).await.expect("written");
         return;
     }
@@ -211,6 +219,29 @@
     });
 }
 
+/// Guards against the end of a long response that a caller takes for whole, as its server closed the
+/// connection before the end of a chunk, or inside the trailers.
+#[rstest]
+fn a_long_response_that_is_cut_does_not_look_complete(
+    #[values(Cut::LastChunk, Cut::TrailerName, Cut::TrailerLine)] cut: Cut,
+    #[values(0, LONG_RESPONSE_BYTES / 2)] missing: usize,
+    #[values("safe", "unsafe")] route: &'static str,
+) {
+    common::run(async move {
+        let harness = Harness::with_document(document());
+        let server = Backend::start(move |message, connection| async move {
+            let id = message.header("id").unwrap_or_default();
+            let text = cut.text(id, &"x".repeat(LONG_RESPONSE_BYTES));
+            connection.write(&text[..text.len() - missing]).await;
+            false
+        })
+        .await;
+        harness.register("s1", "ledger", "a", server.address);
+        let (_, answer) = harness.request("r1", &format!("/{route}/x"), "").await;
+        assert!(answer.is_err(), "a whole response");
+    });
+}
+
 /// Returns the chunks of the events before a loss or a pause.
 fn first_events() -> String {
     (1..=FIRST_EVENTS).map(event_chunk).collect()
@@ -241,6 +272,7 @@
     )]
     cut: Cut,
     #[values(Run::First, Run::Resumed)] cut_run: Run,
+    #[values(Before::Nothing, Before::Response, Before::Interim)] before: Before,
 ) {
     common::run(async move {
         let harness = Harness::with_document(document());
@@ -260,11 +292,17 @@
                         connection.write(&response(id, 404, "")).await;
                         return true;
                     }
+                    if message.start_line.contains("/first") {
+                        connection.write(&stream_head(id)).await;
+                        write_events(&connection, 1, LAST_EVENT, EVENT_INTERVAL).await;
+                        return true;
+                    }
                     runs.set(runs.get() + 1);
                     let after = message.header("after").and_then(|after| after.parse().ok());
                     let after: u64 = after.unwrap_or(0);
                     if runs.get() == cut_number {
-                        connection.write(&cut.text(id, "")).await;
+                        let text = format!("{}{}", before.interim(), cut.text(id, ""));
+                        connection.write(&text).await;
                         return false;
                     }
                     connection.write(&stream_head(id)).await;
@@ -280,6 +318,12 @@
             harness.register(name, "draft", "a", engine.address);
             engines.push(engine);
         }
+        if before == Before::Response {
+            // All engines have an idle connection afterwards.
+            let first = || harness.request("r0", "/stream/first", "tokens: 10\r\n");
+            let warmed = tokio::join!(first(), first(), first(), first(), first(), first());
+            assert_eq!(warmed.0.1.expect("a response").status(), 200);
+        }
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
         let answer = timeout(ANSWER_TIME, read_message(&mut caller)).await;
         let answer = answer.expect("in time").expect("a whole response");
