--- /dev/null
+++ b/review/standins/cases.rs
@@ -0,0 +1,153 @@
+//! The cases.
+
+use std::{io, path::Path, thread, time::Duration};
+
+use crate::{
+    replica::{self, entry, Replica},
+    world::{Kind, World},
+};
+
+/// Plays a case; returns whether the rule held.
+pub fn play(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
+    match case {
+        "restart" => restart(folder, trouble),
+        "same-id" => same_id(folder, trouble),
+        "foreign-entry" => foreign_entry(folder, trouble),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
+
+/// All processes and replicas lose power for a second and a half. The replicas are back under new
+/// ids at the addresses that they had; the entries of their earlier boots haven't expired yet.
+fn restart(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const LOST_AT: f64 = 8.0;
+    const BACK_AT: f64 = 9.5;
+    const RECOVERY_S: f64 = 12.0;
+    const END: f64 = 40.0;
+    let mut world = World::new(folder)?;
+    let places = [
+        ("ledger", replica::Kind::Plain, 41),
+        ("ledger", replica::Kind::Plain, 42),
+        ("writer", replica::Kind::Engine, 51),
+        ("writer", replica::Kind::Engine, 52),
+    ];
+    let boot = |world: &World, ids: [&str; 4]| -> io::Result<Vec<Replica>> {
+        let replicas = places.iter().zip(ids).map(|((service, kind, host), id)| {
+            let address = world.network.address(*host, 8224);
+            Replica::start(id, service, *kind, address, &world.store, &world.record)
+        });
+        replicas.collect()
+    };
+    let first = boot(&world, ["i-b41c", "i-c502", "i-d9e0", "i-e77a"])?;
+    world.start_entries()?;
+    let rates = [(Kind::Letter, 2.0), (Kind::Pay, 5.0), (Kind::Look, 5.0)];
+    world.start_traffic(rates, END - 1.0);
+    world.wait_until(LOST_AT);
+    let mut second = Vec::new();
+    if trouble {
+        for entry in &mut world.entries {
+            entry.kill(&world.record);
+        }
+        first.iter().for_each(Replica::crash);
+        world.wait_until(BACK_AT);
+        second = boot(&world, ["i-1f60", "i-28d3", "i-3a91", "i-407b"])?;
+        thread::sleep(Duration::from_millis(200));
+        world.record.line(&format!("the store has {:?}", world.store.keys("servers/")));
+        for entry in &mut world.entries {
+            entry.start(&world.record)?;
+        }
+    }
+    world.wait_until(END);
+    world.record.line(&format!("the store has {:?}", world.store.keys("servers/")));
+    let (sent_before, served_before) = world.tally(&Kind::ALL, 0.0, LOST_AT - 1.0);
+    let (sent, served) = world.tally(&Kind::ALL, BACK_AT + RECOVERY_S + 0.5, END - 5.0);
+    drop(second);
+    if sent == 0 || served_before * 4 < sent_before {
+        return Err(io::Error::other("nothing to compare with"));
+    }
+    Ok(judge(&world, "RECOVER", served * 4 >= sent))
+}
+
+/// Engines crash, their addresses go to replicas of another service, and they start again elsewhere
+/// under the ids that they had.
+fn same_id(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const CRASH_AT: f64 = 6.0;
+    const REUSED_AT: f64 = 8.2;
+    const BACK_AT: f64 = 9.0;
+    const END: f64 = 60.0;
+    let mut world = World::new(folder)?;
+    let start = |world: &World, id: &str, service: &str, host: u8| {
+        let kind = match service {
+            "writer" => replica::Kind::Engine,
+            _ => replica::Kind::Plain,
+        };
+        let address = world.network.address(host, 8224);
+        Replica::start(id, service, kind, address, &world.store, &world.record)
+    };
+    let mut others = vec![start(&world, "ledger-1", "ledger", 41)?];
+    let engines = [start(&world, "writer-1", "writer", 51)?, start(&world, "writer-2", "writer", 52)?];
+    world.start_entries()?;
+    let rates = [(Kind::Letter, 2.0), (Kind::Pay, 4.0), (Kind::Look, 4.0)];
+    world.start_traffic(rates, END - 6.0);
+    world.wait_until(CRASH_AT);
+    if trouble {
+        engines.iter().for_each(Replica::crash);
+        world.wait_until(REUSED_AT);
+        others.push(start(&world, "ledger-2", "ledger", 51)?);
+        others.push(start(&world, "ledger-3", "ledger", 52)?);
+        world.wait_until(BACK_AT);
+        others.push(start(&world, "writer-1", "writer", 53)?);
+        others.push(start(&world, "writer-2", "writer", 54)?);
+    }
+    world.wait_until(END);
+    Ok(judge_starved(&world, &[Kind::Letter], END))
+}
+
+/// Another writer leaves entries of a service that the manifest doesn't name, at the addresses of
+/// replicas of this one.
+fn foreign_entry(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const WRITTEN_AT: f64 = 6.0;
+    const END: f64 = 60.0;
+    let mut world = World::new(folder)?;
+    let hosts = [41, 42];
+    let mut replicas = Vec::new();
+    for host in hosts {
+        let (id, address) = (format!("i-41{host}"), world.network.address(host, 8224));
+        let kind = replica::Kind::Plain;
+        replicas.push(Replica::start(&id, "ledger", kind, address, &world.store, &world.record)?);
+    }
+    let address = world.network.address(51, 8224);
+    let kind = replica::Kind::Engine;
+    replicas.push(Replica::start("i-9c51", "writer", kind, address, &world.store, &world.record)?);
+    world.start_entries()?;
+    let rates = [(Kind::Letter, 6.0), (Kind::Pay, 2.0), (Kind::Look, 2.0)];
+    world.start_traffic(rates, END - 6.0);
+    world.wait_until(WRITTEN_AT);
+    if trouble {
+        for host in hosts {
+            let value = entry("ledger-trial", world.network.address(host, 8224));
+            let key = format!("servers/trial-{host}");
+            world.record.line(&format!("another writer writes {key}: {value}"));
+            world.store.put(&key, &value);
+        }
+    }
+    world.wait_until(END);
+    Ok(judge_starved(&world, &[Kind::Pay, Kind::Look], END))
+}
+
+/// Judges whether each of some kinds of request was served a quarter as often as all requests.
+fn judge_starved(world: &World, kinds: &[Kind], end: f64) -> bool {
+    let (all, all_served) = world.tally(&Kind::ALL, 0.0, end);
+    let mut held = true;
+    for kind in kinds {
+        let (sent, served) = world.tally(&[*kind], 0.0, end);
+        held &= served as f64 / sent as f64 >= 0.25 * all_served as f64 / all as f64;
+    }
+    judge(world, "Starved", held)
+}
+
+fn judge(world: &World, rule: &str, held: bool) -> bool {
+    let verdict = if held { "held" } else { "broken" };
+    world.record.say(&format!("{rule}: {verdict}"));
+    held
+}
--- /dev/null
+++ b/review/standins/replica.rs
@@ -0,0 +1,163 @@
+//! Replicas of services: an application that answers at once, or an engine that streams events.
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    http::{self, Channel, Head, Server},
+    record::Record,
+    store::{Store, PING_INTERVAL},
+};
+
+/// Number of events of a stream, and the time between two of them.
+pub const EVENTS: u64 = 20;
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a replica does with requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    Plain,
+    Engine,
+}
+
+/// One start of a replica.
+pub struct Replica {
+    server: Server,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Replica {
+    /// Starts a replica that registers itself and pings until it is stopped.
+    pub fn start(
+        id: &str,
+        service: &str,
+        kind: Kind,
+        address: SocketAddr,
+        store: &Store,
+        record: &Record,
+    ) -> io::Result<Replica> {
+        let core = Arc::new(Core {
+            id: id.to_string(),
+            kind,
+            record: record.clone(),
+            runs: Mutex::default(),
+        });
+        let server = Server::start(
+            address,
+            Arc::new(move |channel, head, body| core.respond(channel, head, &body)),
+        )?;
+        record.line(&format!("replica {id} of {service} starts at {address}"));
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (key, value) = (format!("servers/{id}"), entry(service, address));
+        let (store, stop) = (store.clone(), stopped.clone());
+        thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                store.ping(&key, &value);
+                for _ in 0..PING_INTERVAL.as_millis() / 20 {
+                    thread::sleep(Duration::from_millis(20));
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                }
+            }
+        });
+        Ok(Replica { server, stopped })
+    }
+
+    /// Ends the replica at once: it says nothing, and its entry stays until it expires.
+    pub fn crash(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.server.stop();
+    }
+}
+
+/// Returns the entry of a replica that starts now.
+pub fn entry(service: &str, address: SocketAddr) -> String {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\
+         \"slots\":24,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":{born}}}"
+    )
+}
+
+struct Core {
+    id: String,
+    kind: Kind,
+    record: Record,
+    /// Ids of the requests that run.
+    runs: Mutex<Vec<String>>,
+}
+
+impl Core {
+    fn respond(&self, channel: &mut Channel, head: &Head, body: &[u8]) -> io::Result<bool> {
+        let (method, path) = head.method_and_target();
+        match (method, path) {
+            ("GET", "/health") => {
+                return http::answer(channel, 200, &[("X-Instance-Id", &self.id)], b"");
+            }
+            ("GET", "/api/report") => {
+                let running = self.runs.lock().unwrap().len();
+                let text = format!(
+                    "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
+                     \"busy\":false,\"seq\":0,\"queued\":{running},\"running\":0,\"kvUsed\":0,\
+                     \"kvTotal\":55000,\"handles\":0,\"runs\":[]}}"
+                );
+                return http::answer(channel, 200, &[], text.as_bytes());
+            }
+            ("GET", "/api/kv-list") => {
+                return http::answer(channel, 200, &[], b"{\"epoch\":1,\"next\":0,\"held\":[]}");
+            }
+            _ => {}
+        }
+        let id = head.header("x-request-id").unwrap_or("").to_string();
+        let expected = head.header("x-expect-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            self.record.line(&format!("replica {} answers 421 to {id} and doesn't run it", self.id));
+            let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
+            return http::answer(channel, 421, &headers, b"");
+        }
+        self.record.line(&format!("replica {} runs {id} ({} bytes)", self.id, body.len()));
+        self.runs.lock().unwrap().push(id.clone());
+        let result = match self.kind {
+            Kind::Plain => {
+                thread::sleep(Duration::from_millis(15));
+                let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", self.id.as_str())];
+                http::answer(channel, 200, &headers, format!("done {path}").as_bytes())
+            }
+            Kind::Engine => self.stream(channel, head, &id),
+        };
+        self.runs.lock().unwrap().retain(|run| *run != id);
+        if result.is_err() {
+            self.record.line(&format!("replica {}: the channel of {id} closed while it ran", self.id));
+        }
+        result
+    }
+
+    fn stream(&self, channel: &mut Channel, head: &Head, id: &str) -> io::Result<bool> {
+        let after = head.header("last-event-id").and_then(|after| after.parse().ok()).unwrap_or(0);
+        let start = format!(
+            "HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+             X-Request-Id: {id}\r\nX-Server-Stamp: {}\r\nX-Weight-Versions: 1\r\n\r\n",
+            self.id
+        );
+        // The prompt is read first.
+        thread::sleep(Duration::from_millis(50));
+        channel.stream.write_all(start.as_bytes())?;
+        for number in after + 1..=EVENTS {
+            thread::sleep(EVENT_INTERVAL);
+            let event = format!("id: {number}\ndata: word {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            channel.stream.write_all(chunk.as_bytes())?;
+        }
+        channel.stream.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+}
