--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,8 +1,20 @@
 //! The cases.
 
-use std::{io, path::Path, thread, time::Duration};
+use std::{
+    io,
+    path::Path,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
 
 use crate::{
+    caller::Outcome,
+    entry::Entry,
+    record::Record,
     replica::{self, entry, Replica},
     world::{Kind, World},
 };
@@ -13,6 +25,8 @@
         "restart" => restart(folder, trouble),
         "same-id" => same_id(folder, trouble),
         "foreign-entry" => foreign_entry(folder, trouble),
+        "slow-readers" => slow_readers(folder, trouble),
+        "lost-event" => lost_event(folder, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -24,7 +38,7 @@
     const BACK_AT: f64 = 9.5;
     const RECOVERY_S: f64 = 12.0;
     const END: f64 = 40.0;
-    let mut world = World::new(folder)?;
+    let mut world = World::new(folder, 260)?;
     let places = [
         ("ledger", replica::Kind::Plain, 41),
         ("ledger", replica::Kind::Plain, 42),
@@ -41,7 +55,7 @@
     let first = boot(&world, ["i-b41c", "i-c502", "i-d9e0", "i-e77a"])?;
     world.start_entries()?;
     let rates = [(Kind::Letter, 2.0), (Kind::Pay, 5.0), (Kind::Look, 5.0)];
-    world.start_traffic(rates, END - 1.0);
+    world.start_traffic(&rates, END - 1.0);
     world.wait_until(LOST_AT);
     let mut second = Vec::new();
     if trouble {
@@ -75,7 +89,7 @@
     const REUSED_AT: f64 = 8.2;
     const BACK_AT: f64 = 9.0;
     const END: f64 = 60.0;
-    let mut world = World::new(folder)?;
+    let mut world = World::new(folder, 260)?;
     let start = |world: &World, id: &str, service: &str, host: u8| {
         let kind = match service {
             "writer" => replica::Kind::Engine,
@@ -88,7 +102,7 @@
     let engines = [start(&world, "writer-1", "writer", 51)?, start(&world, "writer-2", "writer", 52)?];
     world.start_entries()?;
     let rates = [(Kind::Letter, 2.0), (Kind::Pay, 4.0), (Kind::Look, 4.0)];
-    world.start_traffic(rates, END - 6.0);
+    world.start_traffic(&rates, END - 6.0);
     world.wait_until(CRASH_AT);
     if trouble {
         engines.iter().for_each(Replica::crash);
@@ -108,7 +122,7 @@
 fn foreign_entry(folder: &Path, trouble: bool) -> io::Result<bool> {
     const WRITTEN_AT: f64 = 6.0;
     const END: f64 = 60.0;
-    let mut world = World::new(folder)?;
+    let mut world = World::new(folder, 260)?;
     let hosts = [41, 42];
     let mut replicas = Vec::new();
     for host in hosts {
@@ -121,7 +135,7 @@
     replicas.push(Replica::start("i-9c51", "writer", kind, address, &world.store, &world.record)?);
     world.start_entries()?;
     let rates = [(Kind::Letter, 6.0), (Kind::Pay, 2.0), (Kind::Look, 2.0)];
-    world.start_traffic(rates, END - 6.0);
+    world.start_traffic(&rates, END - 6.0);
     world.wait_until(WRITTEN_AT);
     if trouble {
         for host in hosts {
@@ -135,6 +149,102 @@
     Ok(judge_starved(&world, &[Kind::Pay, Kind::Look], END))
 }
 
+/// Consumers send sheets as long as the manifest allows, and the engines read them slowly. The
+/// platform kills a process that exceeds its memory.
+fn slow_readers(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const MEMORY_MB: u64 = 120;
+    const RATE: f64 = 8.0;
+    const SLOW_AT: f64 = 8.0;
+    const BYTES_A_SECOND: u64 = 300_000;
+    const END: f64 = 60.0;
+    let mut world = World::new(folder, MEMORY_MB)?;
+    let mut replicas = Vec::new();
+    for host in 51..=54 {
+        let (id, address) = (format!("i-9c{host}"), world.network.address(host, 8224));
+        let kind = replica::Kind::Engine;
+        replicas.push(Replica::start(&id, "writer", kind, address, &world.store, &world.record)?);
+    }
+    world.start_entries()?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let watches = std::mem::take(&mut world.entries).into_iter().map(|entry| {
+        let (stop, record) = (stop.clone(), world.record.clone());
+        thread::spawn(move || keep_within(entry, MEMORY_MB, &stop, &record))
+    });
+    let watches: Vec<_> = watches.collect();
+    world.start_traffic(&[(Kind::LongLetter, RATE)], END - 5.0);
+    world.wait_until(SLOW_AT);
+    if trouble {
+        world.record.line("the engines read slowly");
+        replicas.iter().for_each(|replica| replica.set_pace(BYTES_A_SECOND));
+    }
+    world.wait_until(END);
+    stop.store(true, Ordering::SeqCst);
+    let kills: Vec<usize> = watches.into_iter().filter_map(|watch| watch.join().ok()).collect();
+    world.tally(&[Kind::LongLetter], 0.0, END);
+    world.record.say(&format!("processes that ended for their memory, by machine: {kills:?}"));
+    let failing = kills.iter().filter(|kills| **kills >= 3).count();
+    Ok(judge(&world, "Fault", failing < 2))
+}
+
+/// Does to an entry what the platform does: kills it when it exceeds its memory, and starts it again.
+/// Returns how often.
+fn keep_within(mut entry: Entry, memory_mb: u64, stop: &AtomicBool, record: &Record) -> usize {
+    let (mut kills, mut peak) = (0, 0);
+    while !stop.load(Ordering::SeqCst) {
+        let used = entry.memory_mb().unwrap_or(0);
+        peak = peak.max(used);
+        if used > memory_mb {
+            record.line(&format!("{} uses {used} MB", entry.name));
+            entry.kill(record);
+            kills += 1;
+            thread::sleep(Duration::from_millis(500));
+            if entry.start(record).is_err() {
+                break;
+            }
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    record.say(&format!("{} used up to {peak} MB", entry.name));
+    entry.kill(record);
+    kills
+}
+
+/// Some engines lose an event of one answer in twenty, the last but one.
+fn lost_event(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const FAULTY_AT: f64 = 5.0;
+    const FAULTY_S: f64 = 6.5;
+    const END: f64 = 20.0;
+    let mut world = World::new(folder, 260)?;
+    let mut replicas = Vec::new();
+    for host in 51..=54 {
+        let (id, address) = (format!("i-9c{host}"), world.network.address(host, 8224));
+        let kind = replica::Kind::Engine;
+        replicas.push(Replica::start(&id, "writer", kind, address, &world.store, &world.record)?);
+    }
+    world.start_entries()?;
+    world.start_traffic(&[(Kind::Letter, 12.0)], END - 3.0);
+    for spoils in [true, false] {
+        world.wait_until(if spoils { FAULTY_AT } else { FAULTY_AT + FAULTY_S });
+        replicas[..2].iter().for_each(|replica| replica.set_spoils(spoils && trouble));
+    }
+    world.wait_until(END);
+    world.tally(&[Kind::Letter], 0.0, END);
+    let whole: String = (1..=replica::EVENTS).map(replica::event).collect();
+    let mut held = true;
+    for (_, at, outcome) in world.results() {
+        let Outcome::Answered { status: 200, body, .. } = outcome else {
+            continue;
+        };
+        if body != whole.as_bytes() {
+            held = false;
+            let text = String::from_utf8_lossy(&body);
+            let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+            world.record.say(&format!("sent at second {at:.2}, complete, but has the events {}", ids.join(" ")));
+        }
+    }
+    Ok(judge(&world, "ORDER", held))
+}
+
 /// Judges whether each of some kinds of request was served a quarter as often as all requests.
 fn judge_starved(world: &World, kinds: &[Kind], end: f64) -> bool {
     let (all, all_served) = world.tally(&Kind::ALL, 0.0, end);
--- a/review/standins/entry.rs
+++ b/review/standins/entry.rs
@@ -30,6 +30,9 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
+    /// Text of the settings, without the value of `bootstrap`.
+    text: String,
+    has_run: bool,
     log: PathBuf,
     words: Vec<String>,
     child: Option<Child>,
@@ -37,7 +40,13 @@
 
 impl Entry {
     /// Prepares an entry on host `host` of `network`; `folder` takes its settings and its log.
-    pub fn new(network: Network, host: u8, seeds: &[u8], folder: &Path) -> io::Result<Entry> {
+    pub fn new(
+        network: Network,
+        host: u8,
+        seeds: &[u8],
+        memory_mb: u64,
+        folder: &Path,
+    ) -> io::Result<Entry> {
         let name = format!("front-a-{host}");
         let (callers, ready) = (network.address(host, 8740), network.address(host, 8749));
         let seeds: String =
@@ -46,8 +55,8 @@
             "nodeName: \"{name}\"\nrole: \"entry\"\nmachineClass: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\n\
              ip: \"{ip}\"\nzone: \"a\"\nregion: \"r\"\nzones:\n  a: \"r\"\n\
              listen:\n  front: \"{callers}\"\n  readyAddr: \"{ready}\"\n  control: \"{control}\"\n\
-             portRange:\n  - 7200\n  - 7215\nseeds:\n{seeds}bootstrap: true\n\
-             limits:\n  cpuShare: 0.19\n  cores: 1\n  memoryMb: 260\n  maxFds: 4100\n  linkMbps: 1000.0\n  diskMb: 0\n\
+             portRange:\n  - 7200\n  - 7215\nseeds:\n{seeds}bootstrap: {{first}}\n\
+             limits:\n  cpuShare: 0.19\n  cores: 1\n  memoryMb: {memory_mb}\n  maxFds: 4100\n  linkMbps: 1000.0\n  diskMb: 0\n\
              dataDir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeatMs: 1200\n\
              bounds:\n  addrReuseS: 2\n  contactMs: 3000\n  drainMs: 2000\n  graceS: 8\n  lossSlackMs: 200\n  configApplyMs: 2000\n\
              \x20 downgradeSlackMs: 250\n  skewMaxMs: 5000\n  strictRevoke: true\n  revokeMs: 5000\n  retryRatio: 0.8\n\
@@ -60,8 +69,9 @@
             store = network.store(),
         );
         let settings = folder.join(format!("{name}.yaml"));
-        fs::write(&settings, text)?;
         Ok(Entry {
+            text,
+            has_run: false,
             log: folder.join(format!("{name}.log")),
             words: command()?,
             child: None,
@@ -74,6 +84,10 @@
 
     /// Starts the process, as the platform does on a machine.
     pub fn start(&mut self, record: &Record) -> io::Result<()> {
+        // The platform names only the first start of the whole system as such.
+        let first = if self.has_run { "false" } else { "true" };
+        fs::write(&self.settings, self.text.replace("{first}", first))?;
+        self.has_run = true;
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.words[0]);
         command.args(&self.words[1..]).env_clear();
@@ -90,6 +104,15 @@
         Ok(())
     }
 
+    /// Returns the memory of the process in MB.
+    pub fn memory_mb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes / 1024)
+    }
+
     /// Kills the process, and waits for its end.
     pub fn kill(&mut self, record: &Record) {
         let Some(mut child) = self.child.take() else {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -4,7 +4,7 @@
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -43,18 +43,24 @@
 pub struct Channel {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    /// Bytes a second that are read; 0 for no limit.
+    pace: Arc<AtomicU64>,
 }
 
 impl Channel {
     pub fn new(stream: TcpStream) -> Channel {
         let _ = stream.set_nodelay(true);
-        Channel { stream, buffer: Vec::new() }
+        Channel { stream, buffer: Vec::new(), pace: Arc::default() }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
         let mut bytes = [0; 16384];
         let length = self.stream.read(&mut bytes)?;
         self.buffer.extend_from_slice(&bytes[..length]);
+        let pace = self.pace.load(Ordering::SeqCst);
+        if pace > 0 {
+            thread::sleep(Duration::from_secs_f64(length as f64 / pace as f64));
+        }
         Ok(length)
     }
 
@@ -141,14 +147,18 @@
 pub struct Server {
     stopped: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Bytes a second that are read from each channel; 0 for no limit.
+    pub pace: Arc<AtomicU64>,
 }
 
 impl Server {
     pub fn start(address: SocketAddr, respond: Arc<Respond>) -> io::Result<Server> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
-        let server = Server { stopped: Arc::default(), streams: Arc::default() };
+        let server =
+            Server { stopped: Arc::default(), streams: Arc::default(), pace: Arc::default() };
         let (stopped, streams) = (server.stopped.clone(), server.streams.clone());
+        let pace = server.pace.clone();
         thread::spawn(move || {
             while !stopped.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
@@ -159,9 +169,9 @@
                 if let Ok(clone) = stream.try_clone() {
                     streams.lock().unwrap().push(clone);
                 }
-                let (respond, stopped) = (respond.clone(), stopped.clone());
+                let (respond, stopped, pace) = (respond.clone(), stopped.clone(), pace.clone());
                 thread::spawn(move || {
-                    let mut channel = Channel::new(stream);
+                    let mut channel = Channel { pace, ..Channel::new(stream) };
                     let _ = serve(&mut channel, &*respond, &stopped);
                     let _ = channel.stream.shutdown(Shutdown::Both);
                 });
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -4,7 +4,7 @@
     io::{self, Write},
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -21,6 +21,17 @@
 pub const EVENTS: u64 = 20;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Number of events at the end of a stream that are written at once.
+const LAST_EVENTS: u64 = 3;
+
+/// One in this many answers of a faulty replica is spoilt.
+const SPOILT_ONE_IN: u64 = 20;
+
+/// Returns an event as it is streamed.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: word {number}\n\n")
+}
+
 /// What a replica does with requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
@@ -32,6 +43,7 @@
 pub struct Replica {
     server: Server,
     stopped: Arc<AtomicBool>,
+    core: Arc<Core>,
 }
 
 impl Replica {
@@ -49,10 +61,13 @@
             kind,
             record: record.clone(),
             runs: Mutex::default(),
+            spoils: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
         });
+        let responding = core.clone();
         let server = Server::start(
             address,
-            Arc::new(move |channel, head, body| core.respond(channel, head, &body)),
+            Arc::new(move |channel, head, body| responding.respond(channel, head, &body)),
         )?;
         record.line(&format!("replica {id} of {service} starts at {address}"));
         let stopped = Arc::new(AtomicBool::new(false));
@@ -69,7 +84,17 @@
                 }
             }
         });
-        Ok(Replica { server, stopped })
+        Ok(Replica { server, stopped, core })
+    }
+
+    /// Sets how many bytes a second the replica reads from each channel; 0 for no limit.
+    pub fn set_pace(&self, pace: u64) {
+        self.server.pace.store(pace, Ordering::SeqCst);
+    }
+
+    /// Sets whether the replica spoils some of its answers.
+    pub fn set_spoils(&self, spoils: bool) {
+        self.core.spoils.store(spoils, Ordering::SeqCst);
     }
 
     /// Ends the replica at once: it says nothing, and its entry stays until it expires.
@@ -94,6 +119,10 @@
     record: Record,
     /// Ids of the requests that run.
     runs: Mutex<Vec<String>>,
+    /// Whether some answers are spoilt.
+    spoils: AtomicBool,
+    /// Number of streams that were answered while some are.
+    answers: AtomicU64,
 }
 
 impl Core {
@@ -151,13 +180,25 @@
         // The prompt is read first.
         thread::sleep(Duration::from_millis(50));
         channel.stream.write_all(start.as_bytes())?;
+        let is_spoilt = self.spoils.load(Ordering::SeqCst)
+            && self.answers.fetch_add(1, Ordering::SeqCst) % SPOILT_ONE_IN == 0;
+        if is_spoilt {
+            self.record.line(&format!("replica {} loses event {} of {id}", self.id, EVENTS - 1));
+        }
+        let mut bytes = Vec::new();
         for number in after + 1..=EVENTS {
             thread::sleep(EVENT_INTERVAL);
-            let event = format!("id: {number}\ndata: word {number}\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            channel.stream.write_all(chunk.as_bytes())?;
+            if !is_spoilt || number != EVENTS - 1 {
+                let event = event(number);
+                bytes.extend_from_slice(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            }
+            if number <= EVENTS - LAST_EVENTS {
+                channel.stream.write_all(&bytes)?;
+                bytes.clear();
+            }
         }
-        channel.stream.write_all(b"0\r\n\r\n")?;
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        channel.stream.write_all(&bytes)?;
         Ok(true)
     }
 }
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -29,10 +29,15 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"team-one","apiKeys":["key-one"],"priority":1}]}"#;
 
+/// Largest body that the manifest allows.
+const MAX_BODY_BYTES: usize = 4_194_304;
+
 /// Kinds of request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
     Letter,
+    /// A letter from a sheet as long as the manifest allows.
+    LongLetter,
     Pay,
     Look,
 }
@@ -40,21 +45,23 @@
 impl Kind {
     pub const ALL: [Kind; 3] = [Kind::Letter, Kind::Pay, Kind::Look];
 
-    fn request(self, number: usize) -> Request {
+    pub fn request(self, number: usize) -> Request {
         let (method, path, seconds) = match self {
             Kind::Letter => ("POST", "letters", 25),
+            Kind::LongLetter => ("POST", "letters/long", 25),
             Kind::Pay => ("POST", "pay", 1),
             Kind::Look => ("GET", "look", 1),
         };
         let body = match self {
             Kind::Look => Vec::new(),
+            Kind::LongLetter => vec![b'x'; MAX_BODY_BYTES],
             _ => format!("{{\"number\":{number}}}").into_bytes(),
         };
         Request {
             method,
             path: format!("/{path}/{number}"),
             deadline: Duration::from_secs(seconds),
-            stream: self == Kind::Letter,
+            stream: matches!(self, Kind::Letter | Kind::LongLetter),
             body,
         }
     }
@@ -76,8 +83,8 @@
 }
 
 impl World {
-    /// Starts the store and prepares the entries; `folder` takes the record.
-    pub fn new(folder: &Path) -> io::Result<World> {
+    /// Starts the store and prepares the entries, with `memory_mb` each; `folder` takes the record.
+    pub fn new(folder: &Path, memory_mb: u64) -> io::Result<World> {
         let record = Record::create(&folder.join("record.txt"))?;
         // Runs at the same time use networks of their own.
         let mut bound = Err(io::ErrorKind::AddrInUse.into());
@@ -95,7 +102,7 @@
         fs::create_dir_all(&temporary)?;
         let mut entries = Vec::new();
         for host in ENTRY_HOSTS {
-            entries.push(Entry::new(network, host, &ENTRY_HOSTS, &temporary)?);
+            entries.push(Entry::new(network, host, &ENTRY_HOSTS, memory_mb, &temporary)?);
         }
         let addresses = entries.iter().map(|entry| (entry.callers, entry.ready)).collect();
         Ok(World {
@@ -127,14 +134,15 @@
         Ok(())
     }
 
-    /// Sends requests of each kind at the given rates a second, for a time from now on.
-    pub fn start_traffic(&self, rates: [(Kind, f64); 3], seconds: f64) {
-        for (kind, rate) in rates.into_iter().filter(|(_, rate)| *rate > 0.0) {
+    /// Sends requests of some kinds at the given rates a second, for a time from now on.
+    pub fn start_traffic(&self, rates: &[(Kind, f64)], seconds: f64) {
+        for (kind, rate) in rates.iter().copied() {
             let (balancer, record) = (self.balancer.clone(), self.record.clone());
             let (results, began) = (self.results.clone(), self.began);
+            let start = Instant::now();
             thread::spawn(move || {
                 for number in 0..(seconds * rate) as usize {
-                    let at = began + Duration::from_secs_f64(number as f64 / rate);
+                    let at = start + Duration::from_secs_f64(number as f64 / rate);
                     thread::sleep(at.saturating_duration_since(Instant::now()));
                     let (balancer, record, results) =
                         (balancer.clone(), record.clone(), results.clone());
