--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -23,6 +23,7 @@
 pub fn play(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
     match case {
         "rollouts" => rollouts(folder, trouble),
+        "hot-look" => hot_look(folder, trouble),
         "restart" => restart(folder, trouble),
         "same-id" => same_id(folder, trouble),
         "foreign-entry" => foreign_entry(folder, trouble),
@@ -80,7 +81,7 @@
         for (index, state) in states(&world).iter().enumerate() {
             if state.contains("completed") && !stopped[index] {
                 world.record.line(&format!("desk-{}: {state}; its old replica stops", index + 1));
-                replicas[index].crash();
+                Replica::crash(&replicas[index..=index]);
                 world.store.remove(&format!("servers/i-{}v1", index + 1));
                 stopped[index] = true;
             }
@@ -113,6 +114,36 @@
     Ok(judge(&world, "RECOVER", served * 4 >= sent))
 }
 
+/// All replicas of a service crash at once, and are back after three seconds. Many consumers of one
+/// tenant make the same look-up there.
+fn hot_look(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const CRASH_AT: f64 = 5.0;
+    const BACK_AT: f64 = 8.0;
+    const END: f64 = 60.0;
+    let mut world = World::new(folder, 260)?;
+    let boot = |world: &World, ids: [&str; 3]| -> io::Result<Vec<Replica>> {
+        let replicas = ids.into_iter().zip(41..).map(|(id, host)| {
+            let address = world.network.address(host, 8224);
+            let kind = replica::Kind::Plain;
+            Replica::start(id, "ledger", kind, "v1", address, &world.store, &world.record)
+        });
+        replicas.collect()
+    };
+    let first = boot(&world, ["i-1f60", "i-28d3", "i-3a91"])?;
+    world.start_entries()?;
+    world.start_traffic(&[(Kind::HotLook, 150.0), (Kind::Look, 240.0)], END - 2.0);
+    world.wait_until(CRASH_AT);
+    let mut second = Vec::new();
+    if trouble {
+        Replica::crash(&first);
+        world.wait_until(BACK_AT);
+        second = boot(&world, ["i-b41c", "i-c502", "i-d9e0"])?;
+    }
+    world.wait_until(END);
+    drop(second);
+    Ok(judge_starved(&world, &[Kind::HotLook, Kind::Look], END))
+}
+
 /// All processes and replicas lose power for a second and a half. The replicas are back under new
 /// ids at the addresses that they had; the entries of their earlier boots haven't expired yet.
 fn restart(folder: &Path, trouble: bool) -> io::Result<bool> {
@@ -144,7 +175,7 @@
         for entry in &mut world.entries {
             entry.kill(&world.record);
         }
-        first.iter().for_each(Replica::crash);
+        Replica::crash(&first);
         world.wait_until(BACK_AT);
         second = boot(&world, ["i-1f60", "i-28d3", "i-3a91", "i-407b"])?;
         thread::sleep(Duration::from_millis(200));
@@ -187,7 +218,7 @@
     world.start_traffic(&rates, END - 6.0);
     world.wait_until(CRASH_AT);
     if trouble {
-        engines.iter().for_each(Replica::crash);
+        Replica::crash(&engines);
         world.wait_until(REUSED_AT);
         others.push(start(&world, "ledger-2", "ledger", 51)?);
         others.push(start(&world, "ledger-3", "ledger", 52)?);
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -11,6 +11,9 @@
     time::Duration,
 };
 
+/// Time from the last answers of a process that crashes to the end of its channels.
+pub const CRASH_TIME: Duration = Duration::from_millis(10);
+
 /// A request's or an answer's head.
 #[derive(Clone, Debug, Default)]
 pub struct Head {
@@ -180,10 +183,15 @@
         Ok(server)
     }
 
-    /// Closes the listener and all channels, as the end of a process does.
-    pub fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
-        thread::sleep(Duration::from_millis(10));
+    /// Closes the listeners and all channels of some servers, as the end of their processes does.
+    pub fn stop<'a>(servers: impl Iterator<Item = &'a Server>) {
+        let servers: Vec<_> = servers.collect();
+        servers.iter().for_each(|server| server.stopped.store(true, Ordering::SeqCst));
+        thread::sleep(CRASH_TIME);
+        servers.iter().for_each(|server| server.close());
+    }
+
+    fn close(&self) {
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -12,11 +12,18 @@
 };
 
 use crate::{
-    http::{self, Channel, Head, Server},
+    http::{self, Channel, Head, Server, CRASH_TIME},
     record::Record,
     store::{Store, PING_INTERVAL},
 };
 
+/// Time that a plain request takes.
+const WORK: Duration = Duration::from_millis(15);
+
+/// Path that many consumers ask for, and the time that its requests take.
+pub const HOT_PATH: &str = "/look/rates";
+const HOT_WORK: Duration = Duration::from_millis(100);
+
 /// Number of events of a stream, and the time between two of them.
 pub const EVENTS: u64 = 20;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -57,7 +64,9 @@
         store: &Store,
         record: &Record,
     ) -> io::Result<Replica> {
+        let stopped = Arc::new(AtomicBool::new(false));
         let core = Arc::new(Core {
+            stopped: stopped.clone(),
             id: id.to_string(),
             kind,
             record: record.clone(),
@@ -71,7 +80,6 @@
             Arc::new(move |channel, head, body| responding.respond(channel, head, &body)),
         )?;
         record.line(&format!("replica {id} of {service} starts at {address}"));
-        let stopped = Arc::new(AtomicBool::new(false));
         let (key, value) = (format!("servers/{id}"), entry(service, version, address));
         let (store, stop) = (store.clone(), stopped.clone());
         thread::spawn(move || {
@@ -98,10 +106,10 @@
         self.core.spoils.store(spoils, Ordering::SeqCst);
     }
 
-    /// Ends the replica at once: it says nothing, and its entry stays until it expires.
-    pub fn crash(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
-        self.server.stop();
+    /// Ends replicas at once: they say nothing, and their entries stay until they expire.
+    pub fn crash(replicas: &[Replica]) {
+        replicas.iter().for_each(|replica| replica.stopped.store(true, Ordering::SeqCst));
+        Server::stop(replicas.iter().map(|replica| &replica.server));
     }
 }
 
@@ -120,6 +128,7 @@
     record: Record,
     /// Ids of the requests that run.
     runs: Mutex<Vec<String>>,
+    stopped: Arc<AtomicBool>,
     /// Whether some answers are spoilt.
     spoils: AtomicBool,
     /// Number of streams that were answered while some are.
@@ -158,7 +167,11 @@
         self.runs.lock().unwrap().push(id.clone());
         let result = match self.kind {
             Kind::Plain => {
-                thread::sleep(Duration::from_millis(15));
+                thread::sleep(if path == HOT_PATH { HOT_WORK } else { WORK });
+                if self.stopped.load(Ordering::SeqCst) {
+                    // The process is about to lose its channels, and answers nothing more.
+                    thread::sleep(CRASH_TIME * 3);
+                }
                 let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", self.id.as_str())];
                 http::answer(channel, 200, &headers, format!("done {path}").as_bytes())
             }
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -12,6 +12,7 @@
     caller::{is_ready, send, Balancer, Outcome, Request},
     entry::{Entry, Network},
     record::Record,
+    replica::HOT_PATH,
     store::Store,
 };
 
@@ -58,10 +59,12 @@
     Look,
     /// A look-up at one of the desks, in turn.
     Desk,
+    /// A look-up that is always the same.
+    HotLook,
 }
 
 impl Kind {
-    pub const ALL: [Kind; 4] = [Kind::Letter, Kind::Pay, Kind::Look, Kind::Desk];
+    pub const ALL: [Kind; 5] = [Kind::Letter, Kind::Pay, Kind::Look, Kind::Desk, Kind::HotLook];
 
     pub fn request(self, number: usize) -> Request {
         let (method, path, seconds) = match self {
@@ -69,16 +72,19 @@
             Kind::Letter => ("POST", "letters", 25),
             Kind::LongLetter => ("POST", "letters/long", 25),
             Kind::Pay => ("POST", "pay", 1),
-            Kind::Look => ("GET", "look", 1),
+            Kind::Look | Kind::HotLook => ("GET", "look", 1),
         };
         let body = match self {
-            Kind::Look | Kind::Desk => Vec::new(),
+            Kind::Look | Kind::Desk | Kind::HotLook => Vec::new(),
             Kind::LongLetter => vec![b'x'; MAX_BODY_BYTES],
             _ => format!("{{\"number\":{number}}}").into_bytes(),
         };
         Request {
             method,
-            path: format!("/{path}/{number}"),
+            path: match self {
+                Kind::HotLook => HOT_PATH.into(),
+                _ => format!("/{path}/{number}"),
+            },
             deadline: Duration::from_secs(seconds),
             stream: matches!(self, Kind::Letter | Kind::LongLetter),
             body,
