--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -23,6 +23,7 @@
 pub fn play(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
     match case {
         "rollouts" => rollouts(folder, trouble),
+        "late-copy" => late_copy(folder, trouble),
         "hot-look" => hot_look(folder, trouble),
         "restart" => restart(folder, trouble),
         "same-id" => same_id(folder, trouble),
@@ -322,6 +323,38 @@
     kills
 }
 
+/// The only replica of the ledger declines one order in twenty as if it were full, and sends a second
+/// copy of that answer late.
+fn late_copy(folder: &Path, trouble: bool) -> io::Result<bool> {
+    const FAULTY_AT: f64 = 4.0;
+    const FAULTY_S: f64 = 5.0;
+    const END: f64 = 15.0;
+    let mut world = World::new(folder, 260)?;
+    let address = world.network.address(41, 8224);
+    let kind = replica::Kind::Plain;
+    let replica =
+        Replica::start("i-4141", "ledger", kind, "v1", address, &world.store, &world.record)?;
+    world.start_entries()?;
+    world.start_traffic(&[(Kind::Order, 40.0)], END - 2.0);
+    world.wait_until(FAULTY_AT);
+    replica.set_declines(trouble);
+    world.wait_until(FAULTY_AT + FAULTY_S);
+    replica.set_declines(false);
+    world.wait_until(END);
+    world.tally(&[Kind::Order], 0.0, END);
+    let record = std::fs::read_to_string(folder.join("record.txt"))?;
+    let ids = |prefix: &str, suffix: &str| -> Vec<String> {
+        let lines = record.lines().filter_map(|line| line.get(9..));
+        let lines = lines.filter(|line| line.starts_with(prefix) && line.contains(suffix));
+        let ids = lines.filter_map(|line| line.split([' ', ':']).find(|word| word.len() == 16));
+        ids.map(str::to_string).collect()
+    };
+    let (ran, refused) = (ids("replica", " runs "), ids("consumer has", ": 503 "));
+    let wrong: Vec<_> = refused.iter().filter(|id| ran.contains(id)).collect();
+    world.record.say(&format!("answered 503 and run: {wrong:?}"));
+    Ok(judge(&world, "REFUSED", wrong.is_empty()))
+}
+
 /// Some engines lose an event of one answer in twenty, the last but one.
 fn lost_event(folder: &Path, trouble: bool) -> io::Result<bool> {
     const FAULTY_AT: f64 = 5.0;
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -31,6 +31,9 @@
 /// Number of events at the end of a stream that are written at once.
 const LAST_EVENTS: u64 = 3;
 
+/// Time after which a second copy of an answer comes.
+const LATE_COPY: Duration = Duration::from_millis(6);
+
 /// One in this many answers of a faulty replica is spoilt.
 const SPOILT_ONE_IN: u64 = 20;
 
@@ -72,6 +75,8 @@
             record: record.clone(),
             runs: Mutex::default(),
             spoils: AtomicBool::new(false),
+            declines: AtomicBool::new(false),
+            arrived: Mutex::default(),
             answers: AtomicU64::new(0),
         });
         let responding = core.clone();
@@ -101,6 +106,12 @@
         self.server.pace.store(pace, Ordering::SeqCst);
     }
 
+    /// Sets whether the replica declines one request in twenty as if it were full, and sends a second
+    /// copy of that answer late.
+    pub fn set_declines(&self, declines: bool) {
+        self.core.declines.store(declines, Ordering::SeqCst);
+    }
+
     /// Sets whether the replica spoils some of its answers.
     pub fn set_spoils(&self, spoils: bool) {
         self.core.spoils.store(spoils, Ordering::SeqCst);
@@ -131,6 +142,10 @@
     stopped: Arc<AtomicBool>,
     /// Whether some answers are spoilt.
     spoils: AtomicBool,
+    /// Whether some requests are declined.
+    declines: AtomicBool,
+    /// Ids of the requests that arrived while some are.
+    arrived: Mutex<Vec<String>>,
     /// Number of streams that were answered while some are.
     answers: AtomicU64,
 }
@@ -163,6 +178,9 @@
             let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
             return http::answer(channel, 421, &headers, b"");
         }
+        if self.declines.load(Ordering::SeqCst) && self.declines_first(&id) {
+            return self.decline_twice(channel, &id);
+        }
         self.record.line(&format!("replica {} runs {id} ({} bytes)", self.id, body.len()));
         self.runs.lock().unwrap().push(id.clone());
         let result = match self.kind {
@@ -184,6 +202,33 @@
         result
     }
 
+    /// Returns whether a request is one in twenty and arrives for the first time.
+    fn declines_first(&self, id: &str) -> bool {
+        let mut arrived = self.arrived.lock().unwrap();
+        if arrived.iter().any(|known| known == id) {
+            return false;
+        }
+        arrived.push(id.to_string());
+        arrived.len() as u64 % SPOILT_ONE_IN == 0
+    }
+
+    /// Declines a request as if the replica were full, and sends the same answer again late.
+    fn decline_twice(&self, channel: &mut Channel, id: &str) -> io::Result<bool> {
+        self.record.line(&format!("replica {} declines {id} and doesn't run it", self.id));
+        let text = format!(
+            "HTTP/1.1 503 x\r\nContent-Length: 0\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\n\r\n"
+        );
+        channel.stream.write_all(text.as_bytes())?;
+        let mut stream = channel.stream.try_clone()?;
+        let (record, id, own) = (self.record.clone(), id.to_string(), self.id.clone());
+        thread::spawn(move || {
+            thread::sleep(LATE_COPY);
+            let sent = stream.write_all(text.as_bytes()).is_ok();
+            record.line(&format!("replica {own} sends that answer to {id} again: {sent}"));
+        });
+        Ok(true)
+    }
+
     fn stream(&self, channel: &mut Channel, head: &Head, id: &str) -> io::Result<bool> {
         let after = head.header("last-event-id").and_then(|after| after.parse().ok()).unwrap_or(0);
         let start = format!(
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -30,6 +30,7 @@
 {"name":"desk-5","host":"shop.example","prefix":"/desk/5/","kind":"safe","timeoutMs":1000,"sloMs":100,"priority":2,"service":"desk-5","maxAttempts":2,"public":false,"sticky":false,"resumable":false},
 {"name":"desk-6","host":"shop.example","prefix":"/desk/6/","kind":"safe","timeoutMs":1000,"sloMs":100,"priority":2,"service":"desk-6","maxAttempts":2,"public":false,"sticky":false,"resumable":false},
 {"name":"pay","host":"shop.example","prefix":"/pay/","kind":"unsafe","timeoutMs":1000,"sloMs":100,"priority":2,"service":"ledger","maxAttempts":1,"public":false,"sticky":false,"resumable":false},
+{"name":"order","host":"shop.example","prefix":"/order/","kind":"unsafe","timeoutMs":1000,"sloMs":100,"priority":2,"service":"ledger","maxAttempts":2,"public":false,"sticky":false,"resumable":false},
 {"name":"look","host":"shop.example","prefix":"/look/","kind":"safe","timeoutMs":1000,"sloMs":100,"priority":2,"service":"ledger","maxAttempts":2,"public":false,"sticky":false,"resumable":false}],
 "services":[
 {"name":"writer","healthPath":"/health","maxConns":210,"protocol":"h1","tls":false,"engine":{"slots":24,"kvCapacity":55000,"tokenBytes":327680,"linkMbps":260000.0,"moves":false,"backups":false,"stride":8,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":4.0,"models":[{"name":"m"}]}},
@@ -61,10 +62,13 @@
     Desk,
     /// A look-up that is always the same.
     HotLook,
+    /// Like a payment, on a route that allows two replicas.
+    Order,
 }
 
 impl Kind {
-    pub const ALL: [Kind; 5] = [Kind::Letter, Kind::Pay, Kind::Look, Kind::Desk, Kind::HotLook];
+    pub const ALL: [Kind; 6] =
+        [Kind::Letter, Kind::Pay, Kind::Look, Kind::Desk, Kind::HotLook, Kind::Order];
 
     pub fn request(self, number: usize) -> Request {
         let (method, path, seconds) = match self {
@@ -72,6 +76,7 @@
             Kind::Letter => ("POST", "letters", 25),
             Kind::LongLetter => ("POST", "letters/long", 25),
             Kind::Pay => ("POST", "pay", 1),
+            Kind::Order => ("POST", "order", 1),
             Kind::Look | Kind::HotLook => ("GET", "look", 1),
         };
         let body = match self {
