Test: servers whose port closes after their connections when they crash

An entry counts a crash only if the next connection is refused at once. A server whose port is open for 2, 20 or 150 ms longer is taken to have lost an answer: nothing is counted, and the request goes on to crash servers.

--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -336,6 +336,7 @@
     pub requests: Rc<RefCell<Vec<Message>>>,
     stop: CancellationToken,
     stop_accepting: CancellationToken,
+    cut: CancellationToken,
 }
 
 impl Backend {
@@ -361,7 +362,8 @@
         let address = listener.local_addr().expect("bound");
         let requests: Rc<RefCell<Vec<Message>>> = Rc::default();
         let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
-        let closed = stop_accepting.clone();
+        let cut = CancellationToken::new();
+        let (closed, cut_off) = (stop_accepting.clone(), cut.clone());
         let (handler, log, stopped) = (Rc::new(handler), requests.clone(), stop.clone());
         spawn_local(async move {
             loop {
@@ -374,6 +376,7 @@
                     return;
                 };
                 let (handler, log, stopped) = (handler.clone(), log.clone(), stopped.clone());
+                let cut_off = cut_off.clone();
                 spawn_local(async move {
                     let serve = async {
                         while let Ok(message) = read_message(&mut stream).await {
@@ -390,6 +393,7 @@
                     };
                     tokio::select! {
                         () = stopped.cancelled() => {}
+                        () = cut_off.cancelled() => {}
                         () = serve => {}
                     }
                 });
@@ -400,9 +404,15 @@
             requests,
             stop,
             stop_accepting,
+            cut,
         }
     }
 
+    /// Closes all connections, also those that are opened from now on; the port stays open.
+    pub fn cut(&self) {
+        self.cut.cancel();
+    }
+
     /// Closes the port; open connections stay open.
     pub fn stop_accepting(&self) {
         self.stop_accepting.cancel();
--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -55,10 +55,15 @@
 
 impl Servers {
     async fn start(kind: Kind) -> Servers {
+        Servers::start_with(kind, Duration::ZERO).await
+    }
+
+    /// Starts servers whose ports close some time after the connections when they crash.
+    async fn start_with(kind: Kind, port_closes_after: Duration) -> Servers {
         let runs: Rc<RefCell<Vec<String>>> = Rc::default();
         let mut backends = Vec::new();
         for _ in 0..SERVER_COUNT {
-            backends.push(start_server(kind, runs.clone()).await);
+            backends.push(start_server(kind, runs.clone(), port_closes_after).await);
         }
         Servers { backends, runs }
     }
@@ -79,7 +84,11 @@
 
 /// Starts a server that crashes shortly after it began to run a request whose path contains
 /// `poison`, and loses the answer to one whose path contains `lost`.
-async fn start_server(kind: Kind, runs: Rc<RefCell<Vec<String>>>) -> Rc<Backend> {
+async fn start_server(
+    kind: Kind,
+    runs: Rc<RefCell<Vec<String>>>,
+    port_closes_after: Duration,
+) -> Rc<Backend> {
     let crash = Rc::new(Notify::new());
     let crashed = crash.clone();
     let handler = move |message: Message, connection: common::Connection| {
@@ -116,6 +125,10 @@
     let server = backend.clone();
     spawn_local(async move {
         crashed.notified().await;
+        if !port_closes_after.is_zero() {
+            server.cut();
+            sleep(port_closes_after).await;
+        }
         server.kill();
     });
     backend
@@ -244,3 +257,28 @@
         assert_eq!(servers.run_count(&poison), MAX_CRASHES);
     });
 }
+
+/// Guards against crashes that aren't counted as the port of a crashing server is open for a little
+/// longer than its connections.
+#[rstest]
+fn a_crash_is_counted_if_the_port_closes_last(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+    #[values(2, 20, 150)] port_closes_after_ms: u64,
+) {
+    common::run(async move {
+        let port_closes_after = Duration::from_millis(port_closes_after_ms);
+        let servers = Servers::start_with(kind, port_closes_after).await;
+        let harness = start_gateway(None);
+        servers.register(&harness, kind);
+        let poison = kind.path("poison");
+        for attempt in 0..8 {
+            send(&harness, &format!("r{attempt}"), kind, &poison).await;
+            sleep(PROPAGATION_TIME).await;
+        }
+        // What one attempt sends while its first crashes aren't noticed yet.
+        assert!(servers.run_count(&poison) <= 2 * MAX_CRASHES);
+        let status = send(&harness, "last", kind, &poison).await;
+        assert_eq!(status, Some(503));
+        assert!(servers.run_count(&poison) <= 2 * MAX_CRASHES);
+    });
+}
