--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -88,6 +88,8 @@
     SERVER_LEAVES = 1043, Info, "Backend server says that it leaves";
     /// A peer ended or fell silent that had sent retries within the window of their budget.
     RETRIES_UNREPORTED = 1044, Info, "Peer no longer reports its retries";
+    /// A server broke off a run that had not survived, and its port is open.
+    BROKEN_OFF = 1045, Info, "Backend server broke off a request and still listens";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -524,6 +524,14 @@
     /// request. A lost answer alone doesn't count.
     pub async fn check_crash(&self, call: &Call, target: &Target, stage: Stage) {
         if !self.sender.is_gone(target).await {
+            note!(
+                forwarding::BROKEN_OFF,
+                id = call.request.metadata.id.as_str(),
+                server = target.server.as_str(),
+                fingerprint = format!("{:032x}", call.fingerprint()).as_str(),
+                parts = call.part_ids().as_deref(),
+                started = stage != Stage::Pending
+            );
             return;
         }
         // A request that is sent on a connection of the crashed process would look lost too.
