gateway: a crash is noticed also if the port closes after the connections

Callers saw servers end one after the other under the same requests, without end: an entry counted a crash only if the connection that it tried at once was refused. A process whose port closes a moment after its connections, or whose port something in front of it keeps open, was taken to have lost an answer, and no crash was ever counted.

The port is tried again after 15, 50, 150 and 400 ms, once for all runs that were lost at the server. After that its registration tells, for six seconds: another start, another server at the address, or none while the port closes new connections.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -55,6 +55,7 @@
         CacheLookup, //
     },
     clock,
+    crashes::Crashes,
     document_cache::State,
     fleet::Fleet,
     handle::Context,
@@ -127,6 +128,7 @@
             rollouts: Rc::default(),
             demands: Rc::default(),
             suspects: Rc::default(),
+            crashes: Crashes::default(),
             initial_sync: InitialSync::default(),
             forecast: RefCell::default(),
             shutdown: Rc::default(),
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -125,6 +125,19 @@
     pub incarnation: ServerIncarnation,
 }
 
+/// What the registry says of a server since it was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registered {
+    /// It is registered as it was.
+    Same,
+    /// It leaves.
+    Leaving,
+    /// Its process has started again, or another server has its address.
+    Restarted,
+    /// It isn't registered.
+    Removed,
+}
+
 impl Fleet {
     /// Creates a fleet without servers.
     pub fn new(seed: u64) -> Fleet {
@@ -204,6 +217,25 @@
         self.replaced.contains(server)
     }
 
+    /// Returns what the registry says of a server since it was chosen.
+    pub fn registered(&self, target: &Target) -> Registered {
+        let server = &target.server;
+        let Some(address) = self.addresses.get(server) else {
+            return match self.is_replaced(server) {
+                true => Registered::Restarted,
+                false => Registered::Removed,
+            };
+        };
+        let incarnation = self.incarnation(server);
+        let has_started =
+            incarnation != target.incarnation && incarnation != 0 && target.incarnation != 0;
+        match has_started || *address != target.address {
+            true => Registered::Restarted,
+            false if self.accepts_work(server) => Registered::Same,
+            false => Registered::Leaving,
+        }
+    }
+
     /// Removes a server and returns its address.
     pub fn remove(&mut self, server: &Server) -> Option<SocketAddr> {
         self.placement.remove(server);
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -24,7 +24,6 @@
     Fingerprint,
     evidence::{
         Observation,
-        Stage,
         Subject, //
     }, //
 };
@@ -76,6 +75,7 @@
     body::Body,
     cache_lookup::CacheLookup,
     clock,
+    crashes::Crashes,
     demands::Demands,
     document_cache::{
         DocumentCache,
@@ -162,6 +162,8 @@
     pub demands: Rc<Demands>,
     /// Requests that may crash servers.
     pub suspects: Rc<Suspects>,
+    /// Losses that may turn out to be crashes.
+    pub crashes: Crashes,
     /// Initial read of the store.
     pub initial_sync: InitialSync,
     /// Estimates of how long answers take.
@@ -520,25 +522,6 @@
         Some(protocol.parse_activity(&head, &body).unwrap_or(unknown))
     }
 
-    /// Checks whether the server that broke off a run has crashed, and records it against the
-    /// request. A lost answer alone doesn't count.
-    pub async fn check_crash(&self, call: &Call, target: &Target, stage: Stage) {
-        if !self.sender.is_gone(target).await {
-            note!(
-                forwarding::BROKEN_OFF,
-                id = call.request.metadata.id.as_str(),
-                server = target.server.as_str(),
-                fingerprint = format!("{:032x}", call.fingerprint()).as_str(),
-                parts = call.part_ids().as_deref(),
-                started = stage != Stage::Pending
-            );
-            return;
-        }
-        // A request that is sent on a connection of the crashed process would look lost too.
-        self.sender.disconnect(target.address);
-        self.suspects.record_crash(call, target, stage);
-    }
-
     /// Returns the engine parameters of a service.
     fn engine<'a>(index: &'a Index, service: &Service) -> Option<&'a Engine> {
         let provision = index.document().service(service)?;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod body;
 mod cache_lookup;
 pub mod clock;
+mod crashes;
 pub mod daemon;
 mod demands;
 pub mod document_cache;
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -21,6 +21,7 @@
     request::Parts, //
 };
 use names::Server;
+use tokio::time::timeout;
 use upstream::{
     Bound,
     Connection,
@@ -49,6 +50,9 @@
 /// centres of one region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time within which something that listens in place of a server closes a new connection.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
 /// Maximum size of a response body that isn't passed to a caller: the response to an earlier
 /// request on the connection, or to a call of the gateway's own.
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -234,6 +238,18 @@
         }
     }
 
+    /// Returns whether the port of a server refuses connections or closes new ones at once.
+    pub async fn is_closed(&self, target: &Target) -> bool {
+        match self.open(target, PROBE_TIMEOUT).await {
+            Ok(mut connection) => {
+                let head = timeout(CLOSE_TIME, connection.head()).await;
+                head.is_ok_and(|head| head.is_err())
+            }
+            Err(Error::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Returns a connection to the pool after its response was read to the end.
     pub fn release(&self, connection: Connection) {
         self.pool.borrow_mut().put(connection);
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -23,15 +23,21 @@
     forwarding,
     note, //
 };
-use names::Server;
+use names::{
+    Clock,
+    Server, //
+};
 use spread::beacon;
 use tokio::sync::Notify;
 
 use crate::{
     announcements::Announcements,
     clock,
+    crashes::{
+        Loss,
+        Sign, //
+    },
     fleet::Target,
-    handle::Call,
     meter,
     probation::Probation, //
 };
@@ -41,7 +47,7 @@
 pub struct Suspects {
     evidence: RefCell<Evidence>,
     /// Recent observations of this gateway.
-    own: Announcements<(Subject, Observation)>,
+    own: Announcements<(Clock, Subject, Observation)>,
     /// Runs of this gateway that haven't lived yet.
     pub probation: Rc<Probation>,
 }
@@ -88,15 +94,16 @@
         young.any(|request| self.is_suspect(request))
     }
 
-    /// Records that a server crashed before a run of the request survived.
-    pub fn record_crash(&self, call: &Call, target: &Target, stage: Stage) {
+    /// Records that a server crashed before a run of a request survived.
+    pub fn record_crash(&self, loss: &Loss, target: &Target, sign: Sign) {
+        let (call, stage) = (&loss.call, loss.stage);
         let observation = Observation::Crashed {
             server: beacon::id(&target.server),
             incarnation: target.incarnation,
             stage,
         };
         let subject = call.subject();
-        if !self.record_own(subject, observation) {
+        if !self.record_own(loss.at, subject, observation) {
             return;
         }
         meter::server_crash();
@@ -107,6 +114,8 @@
             server = target.server.as_str(),
             fingerprint = format!("{:032x}", subject.request).as_str(),
             started = stage != Stage::Pending,
+            sign = sign.name(),
+            noticed_ms = clock::now().saturating_sub(loss.at).as_millis() as u64,
             refused = cause.is_some(),
             cause = cause.map(|cause| format!("{cause:032x}")).as_deref(),
             part = cause.and_then(|cause| call.part_of(cause))
@@ -117,18 +126,18 @@
     pub fn record_life(&self, subject: &Subject, observation: Observation) {
         let relevant = self.evidence.borrow().relevant_to(subject, observation);
         if let Some(relevant) = relevant {
-            self.record_own(&relevant, observation);
+            self.record_own(clock::now(), &relevant, observation);
         }
     }
 
-    /// Records an observation of this gateway; returns whether it was new.
-    fn record_own(&self, subject: &Subject, observation: Observation) -> bool {
+    /// Records an observation of this gateway from the time `at`; returns whether it was new.
+    fn record_own(&self, at: Clock, subject: &Subject, observation: Observation) -> bool {
         let now = clock::now();
         let mut evidence = self.evidence.borrow_mut();
-        if !evidence.record(now, now, subject, observation) {
+        if !evidence.record(now, at, subject, observation) {
             return false;
         }
-        self.own.push(now, (subject.clone(), observation));
+        self.own.push(now, (at, subject.clone(), observation));
         true
     }
 
@@ -171,7 +180,7 @@
     pub fn due_reports(&self, is_new: bool) -> Vec<Report> {
         let now = clock::now();
         let due = self.own.due(now, is_new).into_iter();
-        due.map(|(at, (subject, observation))| Report::new(now, at, subject, observation))
+        due.map(|(_, (at, subject, observation))| Report::new(now, at, subject, observation))
             .collect()
     }
 
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -413,6 +413,11 @@
         self.cut.cancel();
     }
 
+    /// Returns whether its connections were closed by [`Backend::cut`].
+    pub fn is_cut(&self) -> bool {
+        self.cut.is_cancelled()
+    }
+
     /// Closes the port; open connections stay open.
     pub fn stop_accepting(&self) {
         self.stop_accepting.cancel();
--- a/components/gateway/tests/poison.rs
+++ b/components/gateway/tests/poison.rs
@@ -19,6 +19,7 @@
     stream_head,
     write_events, //
 };
+use gateway::Update;
 use rstest::rstest;
 use tokio::{
     sync::Notify,
@@ -282,3 +283,58 @@
         assert!(servers.run_count(&poison) <= 2 * MAX_CRASHES);
     });
 }
+
+/// What the registry tells of a server whose port stays open when it crashes.
+#[derive(Clone, Copy, Debug)]
+enum Told {
+    /// It has started again under its name.
+    Restarted,
+    /// Another server has its address.
+    Replaced,
+    /// It is gone.
+    Removed,
+}
+
+/// Guards against crashes that aren't counted as something in front of a server keeps its port open.
+#[rstest]
+fn a_crash_behind_an_open_port_is_counted(
+    #[values(Kind::Safe, Kind::Stream)] kind: Kind,
+    #[values(Told::Restarted, Told::Replaced, Told::Removed)] told: Told,
+) {
+    common::run(async move {
+        let port_closes_after = Duration::from_secs(60);
+        let servers = Servers::start_with(kind, port_closes_after).await;
+        let harness = start_gateway(None);
+        let register = |index: usize, name: &str, started_ms| {
+            let address = servers.backends[index].address;
+            harness.register_started(name, kind.service(), "a", address, 8, Some(started_ms));
+        };
+        for index in 0..SERVER_COUNT {
+            register(index, &format!("s{index}"), 1);
+        }
+        let poison = kind.path("poison");
+        let mut told_of = Vec::new();
+        for attempt in 0..MAX_CRASHES {
+            send(&harness, &format!("r{attempt}"), kind, &poison).await;
+            sleep(PROPAGATION_TIME).await;
+            for (index, backend) in servers.backends.iter().enumerate() {
+                if !backend.is_cut() || told_of.contains(&index) {
+                    continue;
+                }
+                told_of.push(index);
+                match told {
+                    Told::Restarted => register(index, &format!("s{index}"), 2),
+                    Told::Replaced => register(index, &format!("t{index}"), 2),
+                    Told::Removed => {
+                        let server = format!("s{index}");
+                        harness.gateway.apply(Update::Deregistered(server));
+                    }
+                }
+            }
+            sleep(PROPAGATION_TIME).await;
+        }
+        let before = servers.run_count(&poison);
+        let status = send(&harness, "last", kind, &poison).await;
+        assert_eq!((status, servers.run_count(&poison)), (Some(503), before));
+    });
+}
