poison: what crashed together runs one at a time over all gateways

Callers saw harmful requests go on to crash few servers, and sound ones refused: with two or three servers they meet at each crash. Nothing is refused that another cause was always beside, each process ran one suspect at a time though several processes ran theirs together, a refusal lifted what it explained, and what many sound streams have was refused as it accounted for the crashes of some seconds.

A cause of three crashes that isn't refused is held: a request with it runs with a permit that one process grants, one at a time for a service. What it does tells: it lives and is free, or it crashes its server alone. A cause is refused only if it was singled out at a crash; the one with most crashes goes first, whole requests and parts together; the crashes of a request must follow each other, so that servers that fail at one moment convict none. The rule of coverage goes: with few runs at a crash it convicts by chance.

--- a/components/contract/src/poison.rs
+++ b/components/contract/src/poison.rs
@@ -13,6 +13,7 @@
 mod detector;
 pub mod evidence;
 mod facts;
+pub mod trial;
 
 pub use detector::{
     Detector,
--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -153,6 +153,8 @@
         incarnation: ServerIncarnation,
         /// How far the run had come.
         stage: Stage,
+        /// Milliseconds from the send of the request to the crash.
+        run_ms: u32,
     },
     /// A run was answered for [`LIFE_SIGN`].
     Lived,
@@ -191,10 +193,17 @@
     at: Clock,
     incarnation: ServerIncarnation,
     stage: Stage,
+    /// Milliseconds from the send of the request to the crash.
+    run_ms: u32,
     subject: Subject,
 }
 
 impl Run {
+    fn began(&self) -> Clock {
+        let length = Duration::from_millis(self.run_ms.into());
+        self.at.saturating_sub(length)
+    }
+
     /// Returns whether two runs at a server were in flight at the same crash.
     fn is_at_crash_of(&self, other: &Run) -> bool {
         let is_same_process = self.incarnation == other.incarnation
@@ -218,6 +227,9 @@
     involved: BTreeSet<Fingerprint>,
     /// Causes to which crashes are attributed. Follows from the observations.
     suspects: BTreeSet<Fingerprint>,
+    /// Causes of which one run at a time tells whether they crash servers. Follows from the
+    /// observations.
+    held: BTreeSet<Fingerprint>,
     /// Convicted causes with the end of their refusal. Follows from the observations.
     convicts: BTreeMap<Fingerprint, Clock>,
     /// Services with crashes since their last run lived. Follows from the observations.
@@ -275,11 +287,13 @@
                 server,
                 incarnation,
                 stage,
+                run_ms,
             } => {
                 let run = Run {
                     at,
                     incarnation,
                     stage,
+                    run_ms,
                     subject: subject.clone(),
                 };
                 self.record_crash(server, run)
@@ -298,6 +312,7 @@
                     server: *server,
                     incarnation: run.incarnation,
                     stage: run.stage,
+                    run_ms: run.run_ms,
                 };
                 reports.push(Report::new(now, run.at, run.subject.clone(), observation));
             }
@@ -346,6 +361,14 @@
         crashed_at.map_or(Duration::ZERO, |at| (at + REPORT_TIME).saturating_sub(now))
     }
 
+    /// Returns the number of causes of a request that were at so many crashes, always beside others, that
+    /// only a run beside no other such request tells whether they crash servers. It must have
+    /// a permit of the service's [`Arbiter`](super::trial::Arbiter) if there is any.
+    pub fn held_causes(&self, subject: &Subject) -> usize {
+        let is_held = |cause: &Fingerprint| self.held.contains(cause);
+        subject.causes().filter(is_held).count()
+    }
+
     /// Returns whether the runs of a service must be separated: its servers crash one after the other,
     /// and no cause is known. Causes that are together at each crash can't be told apart, so each
     /// process has one run at a time at a server until it lives.
@@ -522,6 +545,7 @@
         let (lived, survived) = (self.lived.services(), self.survived.services());
         let attribution = attribution::attribute(crashes, lived, survived);
         self.suspects = attribution.suspects;
+        self.held = attribution.held;
         self.awaiting = attribution.awaiting;
         self.unexplained = attribution.unexplained;
         let convicts = attribution.convicts.into_iter();
@@ -554,6 +578,7 @@
                 });
                 crash.runs.push(attribution::Run {
                     stage: run.stage,
+                    began: run.began(),
                     service: run.subject.service,
                     request: run.subject.request,
                     causes: causes.collect(),
@@ -565,19 +590,26 @@
         crashes
     }
 
-    /// Sums up how far the runs with each cause had come.
+    /// Sums up how far the runs with each cause had come, the one that had come farthest at each crash.
     fn tallies(&self) -> HashMap<Fingerprint, Tally> {
         let mut tallies: HashMap<Fingerprint, Tally> = HashMap::new();
-        for run in self.runs.values().flatten() {
-            for cause in run.subject.causes() {
+        for crash in self.runs.values().flat_map(|runs| by_crash(runs)) {
+            let mut stages: HashMap<Fingerprint, Stage> = HashMap::new();
+            for run in crash {
+                for cause in run.subject.causes() {
+                    let stage = stages.entry(cause).or_insert(run.stage);
+                    *stage = run.stage.max(*stage);
+                }
+            }
+            for (cause, stage) in stages {
                 let tally = tallies.entry(cause).or_insert_with(|| Tally {
                     lived: self.lived.last(cause),
                     ..Tally::default()
                 });
-                match run.stage {
+                match stage {
                     Stage::Lived => {
                         tally.lived_count += 1;
-                        tally.lived = tally.lived.max(Some(run.at));
+                        tally.lived = tally.lived.max(Some(crash[0].at));
                     }
                     Stage::Started => tally.started_count += 1,
                     Stage::Pending => tally.pending_count += 1,
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -1,14 +1,16 @@
 //! Attributes crashes to their causes.
 //!
-//! A request is convicted by three crashes, as each of them is a run of its own. A prompt part may be
-//! in many requests at once, so that servers which fail together crash under it together. It is
-//! convicted by three crashes under different requests, between which runs of the service outlived
-//! the time after which it crashes servers; or if it accounts for nearly all crashes of the service,
-//! alone or with another one, see [`coverage`]. Nothing is convicted while another cause was in flight beside it at all of its
-//! crashes, and a crash doesn't count that came together with others without the cause.
+//! A request is convicted by three crashes that follow each other: servers that fail at one moment
+//! crash once under it. A prompt part may be in many requests at once. It is convicted by three crashes
+//! under different requests, between which runs of the service outlived the time after which it
+//! crashes servers; one doesn't count that came together with others without the part. Nothing is
+//! convicted while another cause was in flight beside it at all of its crashes.
 //!
-//! Causes that always come together can't be told apart by crashes. The one that the fewest requests
-//! have is convicted: others that crash servers too are found by the crashes that remain.
+//! A conviction explains its crashes. A request at crashes that are explained by another one is convicted
+//! by two more.
+//!
+//! Causes that are together at each crash can't be told apart by crashes. Requests with a cause at three
+//! crashes are held back: one at a time runs, over all processes, and what it does tells.
 
 use std::{
     collections::{
@@ -30,8 +32,6 @@
     Subject, //
 };
 
-mod coverage;
-
 /// Total weight of the crashes that convict a cause: three at which its run had started.
 const CONVICTION_WEIGHT: u32 = 6;
 
@@ -45,6 +45,16 @@
 /// Minimum number of crashes that convict a cause.
 const MIN_CRASHES: usize = 3;
 
+/// Number of crashes under a prompt part, not all at one moment, from which its runs are held back.
+const MIN_HELD_PART_CRASHES: usize = 5;
+
+/// Time by which a run may seem to have begun before the crash that it followed, as the processes
+/// tell each other ages.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(5);
+
+/// Minimum number of them that no other convicted cause explains.
+const MIN_UNEXPLAINED_CRASHES: usize = 2;
+
 /// Time without a crash that ends a series.
 const SERIES_GAP: Duration = Duration::from_secs(2);
 
@@ -67,6 +77,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Run {
     pub(super) stage: Stage,
+    /// When the request was sent.
+    pub(super) began: Clock,
     pub(super) service: ServiceId,
     pub(super) request: Fingerprint,
     /// Causes that have not survived since, from the most specific to the least.
@@ -101,6 +113,8 @@
     pub(super) convicts: BTreeMap<Fingerprint, Clock>,
     /// Causes that may have crashed a server.
     pub(super) suspects: BTreeSet<Fingerprint>,
+    /// Causes at so many crashes that they run one at a time.
+    pub(super) held: BTreeSet<Fingerprint>,
     pub(super) awaiting: Awaiting,
     /// Last series of crashes of each service.
     pub(super) unexplained: BTreeMap<ServiceId, Series>,
@@ -138,29 +152,34 @@
         },
         ..Attribution::default()
     };
-    loop {
-        let requests = convictable_requests(&crashes);
-        let part = find_part(&crashes, &requests, lived, survived);
-        let parts = match part {
-            Some(part) => vec![part],
-            None => coverage::find_parts(&crashes, &requests),
-        };
-        if parts.is_empty() {
-            break;
-        }
-        for part in parts {
-            attribution.convict(&crashes, part);
-            crashes.retain(|crash| !crash.has(part));
-        }
-    }
-    // A request that crashes servers for a part of its prompt is refused with the part.
-    while let Some(request) = find_request(&crashes, &attribution.convicts) {
-        attribution.convict(&crashes, request);
-        for crash in crashes.iter_mut().filter(|crash| crash.has(request)) {
-            crash.runs.retain(|run| run.has(request));
+    let all = crashes.clone();
+    while let Some(cause) = find_cause(&crashes, &all, &attribution.convicts, lived, survived) {
+        attribution.convict(&crashes, cause.fingerprint);
+        match cause.distance {
+            Some(_) => crashes.retain(|crash| !crash.has(cause.fingerprint)),
+            // A request that crashes servers for a part of its prompt is refused with the part.
+            None => {
+                for crash in &mut crashes {
+                    if crash.has(cause.fingerprint) {
+                        crash.runs.retain(|run| run.has(cause.fingerprint));
+                    }
+                }
+            }
         }
     }
     attribution.unexplained = find_series(&crashes, lived);
+    let unexplained: HashSet<Fingerprint> = crashes
+        .iter()
+        .flat_map(|crash| &crash.runs)
+        .flat_map(Run::fingerprints)
+        .collect();
+    // A crash that another cause explains may have been this one's.
+    let held = cases(&all, MIN_CRASHES).into_iter().filter(Case::is_held);
+    let held = held.map(|case| case.candidate);
+    attribution.held = held
+        .filter(|cause| cause.distance.is_none() || unexplained.contains(&cause.fingerprint))
+        .map(|cause| cause.fingerprint)
+        .collect();
     let runs = crashes.iter().flat_map(|crash| &crash.runs);
     attribution
         .suspects
@@ -205,6 +224,30 @@
 }
 
 impl Case<'_> {
+    /// Returns whether runs with the cause are held back until one at a time shows whether it crashes
+    /// servers. Servers that fail at one moment hold no prompt part back.
+    fn is_held(&self) -> bool {
+        let cause = self.candidate.fingerprint;
+        let successive = successive_stages(cause, &self.crashes).count();
+        match self.candidate.distance {
+            None => self.crashes.len() >= MIN_CRASHES,
+            Some(_) => {
+                successive >= MIN_CRASHES
+                    || successive > 1 && self.crashes.len() >= MIN_HELD_PART_CRASHES
+            }
+        }
+    }
+
+    /// Returns whether no other one of the causes that were `repeated` at crashes was beside this one at one
+    /// of its crashes.
+    fn is_singled_out(&self, repeated: &HashSet<Fingerprint>) -> bool {
+        let cause = self.candidate.fingerprint;
+        self.crashes.iter().any(|crash| {
+            let mut others = crash.runs.iter().filter(|run| !run.has(cause));
+            !others.any(|run| run.fingerprints().any(|other| repeated.contains(&other)))
+        })
+    }
+
     /// Returns the order among cases with the same crashes: the most specific first.
     fn order(&self) -> (usize, Option<usize>, Fingerprint) {
         let candidate = &self.candidate;
@@ -239,7 +282,7 @@
 /// Returns the cases of all causes, with the crashes that didn't come together with others without
 /// the cause.
 fn single_cases(crashes: &[Crash]) -> impl Iterator<Item = Case<'_>> {
-    cases(crashes).into_iter().map(|mut case| {
+    cases(crashes, MIN_CRASHES).into_iter().map(|mut case| {
         let cause = case.candidate.fingerprint;
         case.crashes
             .retain(|crash| is_single(crash, cause, crashes));
@@ -272,7 +315,7 @@
 }
 
 /// Returns the cases of all causes with enough crashes; most causes have a single one.
-fn cases(crashes: &[Crash]) -> Vec<Case<'_>> {
+fn cases(crashes: &[Crash], min_crashes: usize) -> Vec<Case<'_>> {
     let counts = count_crashes(crashes);
     let mut cases: HashMap<Fingerprint, Case<'_>> = HashMap::new();
     for crash in crashes {
@@ -280,7 +323,7 @@
         for run in &crash.runs {
             for candidate in &run.causes {
                 let cause = candidate.fingerprint;
-                if counts[&cause] < MIN_CRASHES {
+                if counts[&cause] < min_crashes {
                     continue;
                 }
                 let case = cases.entry(cause).or_insert_with(|| Case {
@@ -299,13 +342,31 @@
     cases.into_values().collect()
 }
 
-/// Returns the most specific part that is convicted by crashes between which runs lived.
-fn find_part(
+/// Returns the cause that is convicted by the most crashes.
+fn find_cause(
     crashes: &[Crash],
-    requests: &[Fingerprint],
+    all: &[Crash],
+    convicts: &BTreeMap<Fingerprint, Clock>,
     lived: &Lives,
     survived: &Lives,
-) -> Option<Fingerprint> {
+) -> Option<Candidate> {
+    let mut convictable = part_cases(crashes, lived, survived);
+    convictable.extend(request_cases(crashes, all));
+    convictable.retain(|case| !convicts.contains_key(&case.candidate.fingerprint));
+    if convictable.is_empty() {
+        return None;
+    }
+    let counts = count_crashes(crashes).into_iter();
+    let repeated =
+        counts.filter(|(cause, count)| *count >= MIN_CRASHES && !convicts.contains_key(cause));
+    let repeated = repeated.map(|(cause, _)| cause).collect();
+    convictable.retain(|case| case.is_singled_out(&repeated));
+    let convict = select(convictable)?;
+    Some(convict.candidate)
+}
+
+/// Returns the cases of prompt parts that are convicted by crashes between which runs lived.
+fn part_cases<'a>(crashes: &'a [Crash], lived: &Lives, survived: &Lives) -> Vec<Case<'a>> {
     let is_convicted = |case: &Case<'_>| {
         let cause = case.candidate.fingerprint;
         let (lives, weight) = match case.candidate.strikes_early {
@@ -316,57 +377,50 @@
             && case.crashes.len() >= MIN_CRASHES
             && part_weight(cause, &case.crashes, lives) >= weight
             && !has_rival(case, crashes)
-            && !is_beside_requests(case, requests, crashes)
     };
-    let convicted = single_cases(crashes).filter(is_convicted);
-    let convict = select(convicted.collect())?;
-    Some(convict.candidate.fingerprint)
-}
-
-/// Returns a request that is convicted by the crashes of its runs.
-fn find_request(crashes: &[Crash], convicts: &BTreeMap<Fingerprint, Clock>) -> Option<Fingerprint> {
-    let mut convicted = request_cases(crashes);
-    convicted.retain(|case| !convicts.contains_key(&case.candidate.fingerprint));
-    let convict = select(convicted)?;
-    Some(convict.candidate.fingerprint)
-}
-
-/// Returns the requests that the crashes of their runs would convict.
-fn convictable_requests(crashes: &[Crash]) -> Vec<Fingerprint> {
-    let cases = request_cases(crashes).into_iter();
-    cases.map(|case| case.candidate.fingerprint).collect()
+    single_cases(crashes).filter(is_convicted).collect()
 }
 
-fn request_cases(crashes: &[Crash]) -> Vec<Case<'_>> {
+/// Returns the cases of requests that are convicted by the crashes that nothing else explains, if
+/// they were at enough crashes in all.
+fn request_cases<'a>(crashes: &'a [Crash], all: &[Crash]) -> Vec<Case<'a>> {
     let is_convicted = |case: &Case<'_>| {
+        let request = case.candidate.fingerprint;
+        let with_request = all.iter().filter(|crash| crash.has(request));
+        let with_request: Vec<&Crash> = with_request.collect();
         case.candidate.distance.is_none()
-            && case.crashes.len() >= MIN_CRASHES
-            && request_weight(case.candidate.fingerprint, &case.crashes) >= CONVICTION_WEIGHT
+            && with_request.len() >= MIN_CRASHES
+            && request_weight(request, &with_request) >= CONVICTION_WEIGHT
             && !has_rival(case, crashes)
     };
-    single_cases(crashes).filter(is_convicted).collect()
+    let mut cases = cases(crashes, MIN_UNEXPLAINED_CRASHES);
+    cases.retain(is_convicted);
+    cases
 }
 
-/// Returns whether a convictable request that also crashed a server without a part was in flight at
-/// each crash under the part. A part that many requests have is beside several causes, none of which
-/// is beside it each time.
-fn is_beside_requests(case: &Case<'_>, requests: &[Fingerprint], crashes: &[Crash]) -> bool {
-    let part = case.candidate.fingerprint;
-    let is_apart = |request: &&Fingerprint| {
-        let mut with_request = crashes.iter().filter(|crash| crash.has(**request));
-        with_request.any(|crash| !crash.has(part))
-    };
-    let apart: Vec<&Fingerprint> = requests.iter().filter(is_apart).collect();
-    case.crashes.iter().all(|crash| {
-        let mut others = crash.runs.iter().filter(|run| !run.has(part));
-        others.any(|run| apart.contains(&&run.request))
-    })
+/// Returns the total weight of the crashes of a request that follow each other.
+fn request_weight(request: Fingerprint, crashes: &[&Crash]) -> u32 {
+    successive_stages(request, crashes).map(Stage::weight).sum()
 }
 
-fn request_weight(request: Fingerprint, crashes: &[&Crash]) -> u32 {
-    let runs = crashes.iter().flat_map(|crash| &crash.runs);
-    let own = runs.filter(|run| run.has(request));
-    own.map(|run| run.stage.weight()).sum()
+/// Returns how far the runs with a cause had come at those of its crashes that follow each other: at
+/// each of them a run with the cause was sent after the crash before. Servers that fail together
+/// crash under runs that were all sent before.
+fn successive_stages(cause: Fingerprint, crashes: &[&Crash]) -> impl Iterator<Item = Stage> {
+    let mut last: Option<Clock> = None;
+    crashes.iter().filter_map(move |crash| {
+        let follows = |run: &&Run| {
+            run.has(cause) && last.is_none_or(|last| run.began + CLOCK_TOLERANCE >= last)
+        };
+        let stage = crash
+            .runs
+            .iter()
+            .filter(follows)
+            .map(|run| run.stage)
+            .max()?;
+        last = Some(crash.at);
+        Some(stage)
+    })
 }
 
 /// Returns the weight of the crashes under a part. A crash counts if it comes under another request
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -74,6 +74,7 @@
         server,
         incarnation: 0,
         stage,
+        run_ms: 50,
     }
 }
 
@@ -450,3 +451,58 @@
     assert!(is_refused(&started, now, POISON));
     assert!(!is_refused(&started, now, OTHER));
 }
+
+/// Guards against the conviction of a request that many callers make by servers that fail at one moment.
+#[test]
+fn servers_that_crash_at_one_moment_convict_no_request() {
+    let mut case = Case::new();
+    for server in [10, 11, 12] {
+        let observation = crashed(server, Stage::Started);
+        let subject = request(INNOCENT);
+        case.evidence.record(START, START, &subject, observation);
+    }
+    case.now = START;
+    assert!(!case.is_refused(INNOCENT));
+    assert_eq!(case.evidence.held_causes(&request(INNOCENT)), 1);
+    case.observe(INNOCENT, Observation::Survived);
+    assert_eq!(case.evidence.held_causes(&request(INNOCENT)), 0);
+}
+
+/// Guards against the refusal of a request that was beside the cause each time, and against a cause that
+/// is never found as another request was beside it each time.
+#[test]
+fn requests_that_are_together_at_each_crash_are_held() {
+    let mut case = Case::new();
+    for server in [10, 11, 12, 13] {
+        case.crash(server, &[POISON, INNOCENT]);
+    }
+    for fingerprint in [POISON, INNOCENT] {
+        assert!(!case.is_refused(fingerprint));
+        assert_eq!(case.evidence.held_causes(&request(fingerprint)), 1);
+    }
+    case.crash(14, &[POISON]);
+    assert!(case.is_refused(POISON));
+    assert!(!case.is_refused(INNOCENT));
+    case.observe(INNOCENT, Observation::Survived);
+    assert_eq!(case.evidence.held_causes(&request(INNOCENT)), 0);
+}
+
+/// Guards against a verdict that is lifted by the conviction of another request at the same crashes, so
+/// that both go on to crash servers in turns.
+#[test]
+fn a_crash_that_another_request_explains_still_counts() {
+    let mut case = Case::new();
+    for server in [10, 11, 12] {
+        case.crash(server, &[POISON, OTHER]);
+    }
+    for server in [13, 14] {
+        case.crash(server, &[POISON]);
+    }
+    assert!(case.is_refused(POISON));
+    for server in [15, 16] {
+        assert!(!case.is_refused(OTHER));
+        case.crash(server, &[OTHER]);
+    }
+    assert!(case.is_refused(POISON));
+    assert!(case.is_refused(OTHER));
+}
--- a/components/contract/tests/evidence_fleet.rs
+++ b/components/contract/tests/evidence_fleet.rs
@@ -19,6 +19,10 @@
         Stage,
         Subject, //
     },
+    trial::{
+        Arbiter,
+        Permit, //
+    },
 };
 use names::Clock;
 use rand::{
@@ -147,6 +151,9 @@
 #[derive(Clone, Debug)]
 struct Run {
     request: Request,
+    /// Permit to run, if it needs one, until it has lived.
+    permit: Option<Permit>,
+    sent: Clock,
     starts: Clock,
     ends: Clock,
     /// Whether a sign of life and the survival were recorded.
@@ -237,6 +244,9 @@
     /// Requests that wait for a server.
     waiting: Vec<Request>,
     processes: Vec<Evidence>,
+    arbiter: Arbiter,
+    /// Number of the last permit.
+    permits: u32,
     /// Datagrams under way: arrival, receiver, time of the observation, report.
     datagrams: BTreeMap<(Clock, u64), (usize, Clock, Subject, Observation)>,
     sequence: u64,
@@ -257,6 +267,8 @@
         last_id: plan.servers as ServerId,
         waiting: Vec::new(),
         processes: vec![Evidence::default(); plan.processes],
+        arbiter: Arbiter::default(),
+        permits: 0,
         datagrams: BTreeMap::new(),
         sequence: 0,
         outcome: Outcome {
@@ -373,6 +385,18 @@
             }
             return;
         }
+        let is_held = self.processes[request.process].held_causes(&request.subject) > 0;
+        let permit = is_held.then(|| {
+            self.permits += 1;
+            Permit {
+                process: request.process as u64,
+                number: self.permits,
+            }
+        });
+        if permit.is_some_and(|permit| !self.arbiter.grant(self.now, SERVICE, permit)) {
+            self.waiting.push(request);
+            return;
+        }
         request.attempts -= 1;
         if let Some(part) = request.harm {
             self.outcome.sends[part].push(self.now);
@@ -393,6 +417,8 @@
         let starts = self.now + prefill;
         self.servers[server].runs.push(Run {
             request,
+            permit,
+            sent: self.now,
             starts,
             ends: starts + length,
             recorded: (false, false),
@@ -414,10 +440,20 @@
         }
         let mut observed = Vec::new();
         for run in &mut self.servers[server].runs {
+            if let Some(permit) = run.permit {
+                self.arbiter.grant(now, SERVICE, permit);
+            }
             let Some(lived) = lived(run, now) else {
                 continue;
             };
             let ended = run.ends <= now;
+            let evidence = &self.processes[run.request.process];
+            let is_over = ended
+                || lived >= PROBATION
+                || lived >= LIFE_SIGN && evidence.held_causes(&run.request.subject) == 0;
+            if let Some(permit) = run.permit.take_if(|_| is_over) {
+                self.arbiter.release(SERVICE, permit);
+            }
             if !run.recorded.1 && (lived >= PROBATION || ended) {
                 run.recorded = (true, true);
                 observed.push((run.request.clone(), Observation::Survived));
@@ -458,6 +494,7 @@
                 server: id,
                 incarnation: 0,
                 stage,
+                run_ms: (self.now - run.sent).as_millis() as u32,
             };
             self.observe(
                 run.request.process,
@@ -466,6 +503,9 @@
             );
         }
         for run in runs {
+            if let Some(permit) = run.permit {
+                self.arbiter.release(SERVICE, permit);
+            }
             self.send(run.request);
         }
     }
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -24,6 +24,7 @@
     task::spawn_local,
     time::{
         Instant,
+        sleep,
         sleep_until, //
     },
 };
@@ -56,6 +57,11 @@
 /// servers are back, some seconds after a crash.
 const REGISTRY_TIME: Duration = Duration::from_secs(6);
 
+/// Time for which a request that runs alone waits for the decision on its loss before another one runs,
+/// and how often it looks: the first checks of the port.
+const DECISION_TIME: Duration = Duration::from_millis(60);
+const DECISION_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Maximum number of servers that are watched.
 const MAX_SERVERS: usize = 64;
 
@@ -88,6 +94,7 @@
 pub struct Loss {
     pub call: Call,
     pub stage: Stage,
+    pub sent_at: Clock,
     pub at: Clock,
 }
 
@@ -100,10 +107,17 @@
 impl<P: Protocol + 'static> Context<P> {
     /// Checks whether the server that broke off a run has crashed, and records it against the
     /// request. A lost answer alone doesn't count.
-    pub async fn check_crash(self: &Rc<Self>, call: &Call, target: &Target, stage: Stage) {
+    pub async fn check_crash(
+        self: &Rc<Self>,
+        call: &Call,
+        target: &Target,
+        stage: Stage,
+        sent_at: Clock,
+    ) {
         let loss = Loss {
             call: call.clone(),
             stage,
+            sent_at,
             at: clock::now(),
         };
         if self.sender.is_gone(target).await {
@@ -119,6 +133,18 @@
             started = stage != Stage::Pending
         );
         self.watch(target, loss);
+        if self.is_held(call) {
+            self.await_decision(target).await;
+        }
+    }
+
+    /// Waits until the losses at a server are decided, or may be lost answers.
+    async fn await_decision(&self, target: &Target) {
+        let until = Instant::now() + DECISION_TIME;
+        let is_open = || self.crashes.watched.borrow().contains_key(&target.server);
+        while is_open() && Instant::now() < until {
+            sleep(DECISION_POLL_INTERVAL).await;
+        }
     }
 
     /// Watches the server of a loss until the loss is decided.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -123,7 +123,8 @@
         Shutdown, //
     },
     stream,
-    suspects::Suspects, //
+    suspects::Suspects,
+    trials::Ticket, //
 };
 
 /// Timeout of a request for a server's current runs.
@@ -435,6 +436,25 @@
             || !self.suspects.is_empty() && self.suspects.is_suspect(call.fingerprint())
     }
 
+    /// Returns whether a request may only run beside no other one that may crash servers.
+    pub fn is_held(&self, call: &Call) -> bool {
+        !self.suspects.is_empty() && self.suspects.held_causes(call.subject()) > 0
+    }
+
+    /// Returns whether a request may run now. One that may only run beside no other waits for its turn.
+    pub fn may_run(&self, call: &Call, ticket: &mut Option<Ticket>) -> bool {
+        if !self.is_held(call) {
+            *ticket = None;
+            return true;
+        }
+        let subject = call.subject();
+        let held_causes = self.suspects.held_causes(subject);
+        let trials = &self.suspects.trials;
+        ticket
+            .get_or_insert_with(|| trials.wait(subject.service, held_causes))
+            .has_come()
+    }
+
     /// Returns whether a plain request has to wait for another one; see [`Suspects::must_wait`].
     pub fn must_wait(&self, call: &Call) -> bool {
         !self.suspects.is_empty()
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod shutdown;
 mod stream;
 mod suspects;
+mod trials;
 pub mod update;
 
 pub use daemon::Gateway;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -156,6 +156,7 @@
         let mut retry_budgets = shared.retry_budgets.borrow_mut();
         retry_budgets.set_incarnation(incarnation);
         drop(retry_budgets);
+        shared.suspects.trials.set_process(incarnation);
         let seeds = shared.settings.borrow().seeds.clone();
         Peers {
             socket,
@@ -182,11 +183,13 @@
         let announced = self.shared.fleet.borrow().announce_notify();
         let observed = self.shared.suspects.announce_notify();
         let limited = self.shared.fleet.borrow().rate_limit_notify();
+        let trials = self.shared.suspects.trials.notify();
         let mut sent = Instant::now();
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             self.report_demand();
             self.report_speeds();
+            self.send_trials();
             let now = Instant::now();
             let confirmed = self.shared.freshness.borrow().confirmed_at();
             self.new_addresses |= self.table.take_new_candidates();
@@ -203,7 +206,7 @@
                 continue;
             }
             let wake = next_send.min(
-                now + if has_changes {
+                now + if has_changes || self.shared.suspects.trials.are_open() {
                     POLL_INTERVAL
                 } else {
                     POLL_INTERVAL * 4
@@ -218,6 +221,7 @@
                 }
                 () = observed.notified() => self.send_crash_reports(true),
                 () = limited.notified() => self.send_rate_limits(true),
+                () = trials.notified() => {}
                 outgoing = self.channels.outgoing.recv() => match outgoing {
                     None => {}
                     Some(Outgoing::Changes(changes, scope)) => self.send_changes(changes, scope),
@@ -453,6 +457,14 @@
                 }
                 return;
             }
+            Ok(Message::Trial(trial)) => {
+                if self.table.contains(from)
+                    && let Some(answer) = self.shared.suspects.trials.receive(&trial)
+                {
+                    self.send_to(&Message::Trial(answer), from);
+                }
+                return;
+            }
             Ok(Message::Introduction(addresses)) => {
                 self.table.add_introduced(clock::now(), from, &addresses);
                 return;
--- a/components/gateway/src/peers/news.rs
+++ b/components/gateway/src/peers/news.rs
@@ -125,6 +125,22 @@
         }
     }
 
+    /// Sends the messages about permits that are due.
+    pub(super) fn send_trials(&self) {
+        let trials = &self.shared.suspects.trials;
+        if !trials.has_news() {
+            return;
+        }
+        let live: Vec<_> = self.table.live().collect();
+        let peers: Vec<_> = live.iter().map(|(peer, _)| *peer).collect();
+        for (arbiter, trial) in trials.due(&peers) {
+            let address = live.iter().find(|(peer, _)| *peer == arbiter);
+            if let Some((_, address)) = address {
+                self.send_to(&Message::Trial(trial), *address);
+            }
+        }
+    }
+
     /// Sends this gateway's own recent reports on crashes to all peers.
     pub(super) fn send_crash_reports(&self, is_new: bool) {
         let reports = self.shared.suspects.due_reports(is_new);
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -35,7 +35,10 @@
 };
 use gates::Rejection;
 use http::Response;
-use names::Server;
+use names::{
+    Clock,
+    Server, //
+};
 use routing::{
     Outcome,
     placement::{
@@ -94,7 +97,8 @@
         Selection,
         Trial, //
     },
-    sender::Failure, //
+    sender::Failure,
+    trials::Ticket, //
 };
 
 /// Maximum size of a response that is buffered before the caller gets it, in bytes.
@@ -136,6 +140,7 @@
         class,
         tried: Vec::new(),
         unused: Vec::new(),
+        ticket: None,
         response: None,
     };
     plain.run().await
@@ -153,6 +158,8 @@
     tried: Vec<Server>,
     /// Permits of sends that reached no server.
     unused: Vec<Permit>,
+    /// Ticket of a request that runs beside no other.
+    ticket: Option<Ticket>,
     /// Last response of a server.
     response: Option<Response<Body>>,
 }
@@ -161,6 +168,8 @@
 struct Placed {
     target: Target,
     permit: Permit,
+    /// Ticket of a request that runs beside no other.
+    ticket: Option<Ticket>,
 }
 
 /// Result of one attempt, and the server's response if there was one.
@@ -236,12 +245,18 @@
                 return None;
             }
             let occupied = self.context.occupied_servers(&self.call);
-            let next = match self.context.must_wait(&self.call) {
+            let may_run = self.context.may_run(&self.call, &mut self.ticket);
+            let next = match !may_run || self.context.must_wait(&self.call) {
                 true => Err(Unplaced::Occupied),
                 false => self.next(&occupied),
             };
             match next {
-                Ok(placed) => return Some(placed),
+                Ok(placed) => {
+                    return Some(Placed {
+                        ticket: self.ticket.take(),
+                        ..placed
+                    });
+                }
                 Err(Unplaced::Occupied) if Instant::now() < self.call.until => {}
                 Err(_) => return None,
             }
@@ -306,7 +321,11 @@
         let permit = unused.or_else(|| self.context.may_send(service, first, Purpose::Unanswered));
         let permit = permit.ok_or(Unplaced::NoServer)?;
         self.tried.push(target.server.clone());
-        Ok(Placed { target, permit })
+        Ok(Placed {
+            target,
+            permit,
+            ticket: None,
+        })
     }
 
     /// Sends the request to a server, and to a second one too when it is repeatable and the first
@@ -400,7 +419,11 @@
     call: &Call,
     placed: Placed,
 ) -> (Attempt, Permit) {
-    let Placed { target, permit } = placed;
+    let Placed {
+        target,
+        permit,
+        ticket: _ticket,
+    } = placed;
     let target = &target;
     let mut in_flight = InFlight::new(&context.fleet, &target.server, PLAIN_WORK);
     let _probation = context.suspects.probation.begin(&target.server);
@@ -509,7 +532,7 @@
         .await
     {
         Ok(reply) => reply,
-        Err(error) => return lost_exchange(context, call, target, &error).await,
+        Err(error) => return lost_exchange(context, call, target, sent_at, &error).await,
     };
     let status = head.status;
     context.record_reply(target, status, &reply, sent_at);
@@ -540,7 +563,7 @@
     }
     let collected = match connection.read_body(MAX_BUFFERED_RESPONSE_BYTES).await {
         Ok(collected) => collected,
-        Err(error) => return lost_exchange(context, call, target, &error).await,
+        Err(error) => return lost_exchange(context, call, target, sent_at, &error).await,
     };
     context.fleet.borrow_mut().mark_alive(&target.server);
     if status.is_success() && head.is_delimited() {
@@ -626,6 +649,7 @@
     context: &Rc<Context<P>>,
     call: &Call,
     target: &Target,
+    sent_at: Clock,
     error: &upstream::Error,
 ) -> Attempt {
     let id = call.request.metadata.id.as_str();
@@ -633,7 +657,8 @@
         .sender
         .report_excess(Some(id), &target.server, error);
     if !excess {
-        context.check_crash(call, target, Stage::Started).await;
+        let stage = Stage::Started;
+        context.check_crash(call, target, stage, sent_at).await;
     }
     lost_attempt(call, target.server.as_str(), &error.to_string())
 }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -68,6 +68,7 @@
             Step, //
         },
     },
+    trials::Ticket,
 };
 
 mod abandon_guard;
@@ -102,6 +103,7 @@
         ran_at: Vec::new(),
         last_lost: None,
         unused: Vec::new(),
+        ticket: None,
         unreachable_in_row: 0,
         last_event: Instant::now(),
         time_to_first: None,
@@ -146,6 +148,8 @@
     last_lost: Option<Server>,
     /// Permits of sends that reached no server.
     unused: Vec<Permit>,
+    /// Ticket of a request that runs beside no other.
+    ticket: Option<Ticket>,
     /// Number of unreachable servers in a row.
     unreachable_in_row: u32,
     /// Time at which the caller was last sent an event; initially the arrival of the request.
@@ -190,7 +194,8 @@
                 break;
             };
             first = false;
-            match self.start(&target, copy.as_ref()).await {
+            let ticket = self.ticket.take();
+            match self.start(&target, copy.as_ref(), ticket).await {
                 Start::Running {
                     run,
                     status,
@@ -277,7 +282,12 @@
                 return None;
             }
             let occupied = self.context.occupied_servers(&self.call);
-            let unplaced = match self.choose(resumption, &occupied) {
+            let may_run = self.context.may_run(&self.call, &mut self.ticket);
+            let choice = match may_run {
+                true => self.choose(resumption, &occupied),
+                false => Err(Unplaced::Occupied),
+            };
+            let unplaced = match choice {
                 Ok(choice) => return Some(choice),
                 Err(unplaced) => unplaced,
             };
@@ -447,7 +457,8 @@
         while !self.timed_out() {
             let (target, copy) = self.choose_allowed(&mut resumption).await?;
             let permit = self.may_send(false, Purpose::Resume)?;
-            match self.start(&target, copy.as_ref()).await {
+            let ticket = self.ticket.take();
+            match self.start(&target, copy.as_ref(), ticket).await {
                 Start::Running { run, .. } => {
                     self.unreachable_in_row = 0;
                     let same = self.ran_at.last() == Some(&target.server);
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -51,6 +51,7 @@
         Session,
         backup::Backup, //
     },
+    trials::Ticket,
 };
 
 mod receive;
@@ -91,6 +92,8 @@
     recorded: (bool, bool),
     /// Held until the run lives.
     probation: Option<probation::Guard>,
+    /// Ticket of a request that runs beside no other, until the run shows whether it crashes servers.
+    ticket: Option<Ticket>,
     /// Whether the end of the answer can be told from a connection that is closed early.
     is_delimited: bool,
     complete: bool,
@@ -220,12 +223,16 @@
         if !survived && lived_for >= PROBATION {
             run.recorded = (true, true);
             run.probation = None;
+            run.ticket = None;
             self.context.record_life(&self.call, Observation::Survived);
         } else if !lived && lived_for >= LIFE_SIGN {
             run.recorded.0 = true;
             run.probation = None;
             self.context.record_life(&self.call, Observation::Lived);
         }
+        if run.recorded.0 && !self.context.is_held(&self.call) {
+            run.ticket = None;
+        }
     }
 
     /// Checks whether the server of a lost run crashed before the run survived its start.
@@ -239,7 +246,9 @@
             None => Stage::Pending,
         };
         let context = &self.context;
-        context.check_crash(&self.call, &run.target, stage).await;
+        context
+            .check_crash(&self.call, &run.target, stage, run.sent_at)
+            .await;
     }
 
     /// Ensures that another server holds a copy of the run's KV cache.
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -63,6 +63,7 @@
         Session,
         backup::Backup, //
     },
+    trials::Ticket,
 };
 
 /// Maximum size of an error response that is read, in bytes.
@@ -97,7 +98,12 @@
 
 impl<P: Protocol + 'static> Session<P> {
     /// Starts a run, and waits for the head of its answer.
-    pub(in crate::stream) async fn start(&self, target: &Target, copy: Option<&KvCopy>) -> Start {
+    pub(in crate::stream) async fn start(
+        &self,
+        target: &Target,
+        copy: Option<&KvCopy>,
+        ticket: Option<Ticket>,
+    ) -> Start {
         let began = Instant::now();
         let work = self.work_at(target, copy);
         if self.sequence.last().is_none() {
@@ -152,6 +158,7 @@
             events: 0,
             recorded: (false, false),
             probation: Some(probation),
+            ticket,
             is_delimited: true,
             complete: false,
             trial: self.begin_trial(target),
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -39,7 +39,8 @@
     },
     fleet::Target,
     meter,
-    probation::Probation, //
+    probation::Probation,
+    trials::Trials, //
 };
 
 /// Evidence against requests, from this gateway and its peers.
@@ -48,6 +49,8 @@
     evidence: RefCell<Evidence>,
     /// Recent observations of this gateway.
     own: Announcements<(Clock, Subject, Observation)>,
+    /// Permits of requests that run one at a time.
+    pub trials: Rc<Trials>,
     /// Runs of this gateway that haven't lived yet.
     pub probation: Rc<Probation>,
 }
@@ -78,6 +81,11 @@
         }
     }
 
+    /// Returns the number of causes for which a request needs a permit; see [`Evidence::held_causes`].
+    pub fn held_causes(&self, subject: &Subject) -> usize {
+        self.evidence.borrow().held_causes(subject)
+    }
+
     /// Returns whether a request may have crashed servers.
     pub fn is_suspect(&self, request: Fingerprint) -> bool {
         let evidence = self.evidence.borrow();
@@ -101,6 +109,7 @@
             server: beacon::id(&target.server),
             incarnation: target.incarnation,
             stage,
+            run_ms: loss.at.saturating_sub(loss.sent_at).as_millis() as u32,
         };
         let subject = call.subject();
         if !self.record_own(loss.at, subject, observation) {
--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -27,6 +27,7 @@
 mod demand;
 mod fragment;
 mod table;
+pub mod trial;
 
 pub use demand::{
     Demand,
@@ -43,6 +44,7 @@
     Scope,
     Table, //
 };
+pub use trial::Trial;
 
 /// Numeric id of a server or service in a beacon: the lower 32 bits of the XXH3 hash of its name.
 pub type Id = u32;
@@ -157,6 +159,8 @@
     Demand(Demand),
     /// What the sender observed at some servers about their speed.
     Speeds(Speeds),
+    /// Permit of a request that may crash servers.
+    Trial(Trial),
 }
 
 /// Work in progress at one server.
--- a/components/spread/src/beacon/table.rs
+++ b/components/spread/src/beacon/table.rs
@@ -267,6 +267,14 @@
         self.peers.keys().copied().collect()
     }
 
+    /// Returns the live peers that don't leave, with their addresses.
+    pub fn live(&self) -> impl Iterator<Item = (Incarnation, SocketAddr)> {
+        let is_live = |peer: &&Peer| !peer.silent && peer.leaving_since.is_none();
+        let all = self.peers.iter();
+        all.filter(move |(_, peer)| is_live(peer))
+            .map(|(address, peer)| (peer.incarnation, *address))
+    }
+
     /// Returns the addresses of live peers in a data centre.
     pub fn local_peers(&self, data_centre: &str) -> Vec<SocketAddr> {
         let live = |peer: &Peer| !peer.silent && peer.data_centre == data_centre;
