settings: a file that announces the first start is not trusted

A process whose settings say that the whole system starts for the first time took the retry budget of the window for unused.

Every start is now treated alike: the slack is used after a window, or once a peer that knows the window has told it.

--- a/components/admission/src/accounts.rs
+++ b/components/admission/src/accounts.rs
@@ -62,14 +62,14 @@
 
 impl Accounts {
     /// Creates the accounts of a process that starts now. `has_seeds` says whether other processes
-    /// are configured, `is_first_start` that none has run before.
-    pub fn new(now: Clock, has_seeds: bool, is_first_start: bool) -> Accounts {
+    /// are configured, `is_informed` that none sent a retry in the last window.
+    pub fn new(now: Clock, has_seeds: bool, is_informed: bool) -> Accounts {
         Accounts {
             peers: HashMap::new(),
             silent: HashMap::new(),
             started: now,
             has_seeds,
-            is_informed: is_first_start,
+            is_informed,
         }
     }
 
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -110,7 +110,7 @@
 impl<P: Protocol + 'static> Gateway<P> {
     /// Creates a gateway without a document or servers.
     pub fn new(settings: Settings, protocol: P) -> Gateway<P> {
-        let retry_budgets = RetryBudgets::new(settings.has_seeds(), settings.is_first_start);
+        let retry_budgets = RetryBudgets::new(settings.has_seeds(), settings.retries_known);
         let (outgoing, outgoing_receiver) = unbounded_channel();
         let (changes_sender, changes) = unbounded_channel();
         let (lookup_sender, lookup_requests) = unbounded_channel();
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -101,12 +101,12 @@
 
 impl RetryBudgets {
     /// Creates the budgets of a gateway that starts now. `has_seeds` says whether its settings name
-    /// other gateways, `is_first_start` that no gateway has run before.
-    pub fn new(has_seeds: bool, is_first_start: bool) -> RetryBudgets {
+    /// other gateways, `retries_known` that none sent a retry in the last window.
+    pub fn new(has_seeds: bool, retries_known: bool) -> RetryBudgets {
         RetryBudgets {
             incarnation: 0,
             services: HashMap::new(),
-            accounts: Accounts::new(clock::now(), has_seeds, is_first_start),
+            accounts: Accounts::new(clock::now(), has_seeds, retries_known),
         }
     }
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -29,8 +29,9 @@
     pub metrics: Option<SocketAddr>,
     /// Addresses of some other gateways, which may no longer exist.
     pub seeds: Vec<SocketAddr>,
-    /// Whether the whole fleet starts for the first time, so that no gateway has run before.
-    pub is_first_start: bool,
+    /// Whether it is certain that no gateway sent a retry in the last window, so that the start needs
+    /// no caution.
+    pub retries_known: bool,
     /// Limits that the operator sets.
     pub bounds: Bounds,
 }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -513,7 +513,7 @@
         peers: free,
         metrics: None,
         seeds: Vec::new(),
-        is_first_start: true,
+        retries_known: true,
         bounds: Bounds {
             grace: Duration::from_secs(8),
             revocation: Duration::from_secs(60),
