fleet: which registration holds an address follows from all of them

A living server was lost for good: an entry that read the store while the registration of the server's earlier boot stood took whichever id sorted last, and when the dead one expired no event brought the living one back. So did a registration of a service that no document names, and a server whose address was taken and that came back elsewhere under its id lost each run at its start, as its id stayed on the list of replaced servers.

All registrations are kept now. The one that holds an address is the one that the server there hasn't denied, of a service that the document names, of the newest start, then of the newest revision; it is found anew whenever a registration comes or goes, or the document changes. A run is given up if its server was replaced at the address and in the process at which it runs, not by its name.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -208,7 +208,10 @@
         match update {
             Update::Document(snapshot) => {
                 let version = snapshot.version;
+                let services = snapshot.index.document().services.iter();
+                let services = services.map(|service| service.name.clone()).collect();
                 if self.context.document_cache.borrow_mut().update(snapshot) {
+                    self.context.fleet.borrow_mut().set_services(services);
                     note!(forwarding::DOCUMENT_IN_FORCE, version = version);
                 }
             }
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -49,12 +49,14 @@
     update::Registration, //
 };
 
+mod claims;
 mod exchange;
 mod in_flight;
 mod notice;
 mod rate_limit;
 mod speed;
 
+use claims::Claims;
 pub use in_flight::InFlight;
 
 /// Rounds a load to three decimal places for a log line.
@@ -79,6 +81,8 @@
 /// Known backend servers.
 pub struct Fleet {
     placement: Placement,
+    claims: Claims,
+    /// Addresses of the servers in use.
     addresses: HashMap<Server, SocketAddr>,
     /// Reverse index of `addresses`.
     servers_by_address: HashMap<SocketAddr, Server>,
@@ -101,8 +105,9 @@
     new_prompts: Vec<Prompt>,
     /// Limits that servers named or lifted in answers to this gateway.
     rate_limit_news: Announcements<(Server, Option<f64>)>,
-    /// Servers whose address was taken by another one, oldest first.
-    replaced: VecDeque<Server>,
+    /// Servers whose address was taken by another one, with the address and the start of the process,
+    /// oldest first.
+    replaced: VecDeque<(Server, SocketAddr, ServerIncarnation)>,
     /// Bound on the log lines about the servers' speeds.
     speed_log: speed::LogBound,
     rng: SmallRng,
@@ -143,6 +148,7 @@
     pub fn new(seed: u64) -> Fleet {
         Fleet {
             placement: Placement::default(),
+            claims: Claims::default(),
             addresses: HashMap::new(),
             servers_by_address: HashMap::new(),
             started_ms: HashMap::new(),
@@ -163,12 +169,51 @@
     /// Applies a registration that was written at `since` or later; returns whether it changed
     /// anything.
     pub fn register(&mut self, registration: Registration, since: Clock) -> bool {
+        let server = registration.server.clone();
+        let addresses = self.claims.put(registration);
+        let changed = addresses
+            .into_iter()
+            .fold(false, |changed, address| self.settle(address) || changed);
+        self.placement.record_heartbeat(since, &server);
+        changed
+    }
+
+    /// Sets the services of the operator's document: a registration of another service takes no server's
+    /// address.
+    pub fn set_services(&mut self, services: HashSet<Service>) {
+        for address in self.claims.set_services(services) {
+            self.settle(address);
+        }
+    }
+
+    /// Uses the server that holds an address, and no other one there; returns whether that changed
+    /// anything.
+    fn settle(&mut self, address: SocketAddr) -> bool {
+        let holder = self.claims.holder(address).cloned();
+        let previous = self.servers_by_address.get(&address).cloned();
+        let is_other = |previous: &Server| {
+            holder
+                .as_ref()
+                .is_none_or(|holder| holder.server != *previous)
+        };
+        if let Some(previous) = previous.filter(is_other) {
+            if holder.is_some() {
+                self.record_replaced(&previous);
+            }
+            self.withdraw(&previous);
+        }
+        holder.is_some_and(|holder| self.use_server(holder))
+    }
+
+    /// Uses a registered server; returns whether that changed anything.
+    fn use_server(&mut self, registration: Registration) -> bool {
         let Registration {
             server,
             address,
             spec,
             leaving,
             started_ms,
+            revision: _,
         } = registration;
         if let Some(started_ms) = started_ms {
             let before = self.started_ms.insert(server.clone(), started_ms);
@@ -180,48 +225,62 @@
         let unchanged = self.addresses.get(&server) == Some(&address)
             && self.placement.spec(&server) == Some(&spec)
             && self.placement.is_registered_as_leaving(&server) == leaving;
-        self.placement.record_heartbeat(since, &server);
         if unchanged {
             return false;
         }
-        // A restarted server has a new name and its previous address.
-        let previous = self.servers_by_address.get(&address).cloned();
-        if let Some(previous) = previous.filter(|previous| *previous != server) {
-            self.mark_replaced(&previous);
-        }
         self.placement.upsert(clock::now(), &server, spec, leaving);
         if let Some(started_ms) = started_ms {
             self.placement.set_started(&server, started_ms);
         }
         self.servers_by_id
             .insert(beacon::id(&server), server.clone());
-        if let Some(old_address) = self.addresses.insert(server.clone(), address) {
+        if let Some(old_address) = self.addresses.insert(server.clone(), address)
+            && self.servers_by_address.get(&old_address) == Some(&server)
+        {
             self.servers_by_address.remove(&old_address);
         }
+        let run = (server.clone(), address, self.incarnation(&server));
+        self.replaced.retain(|replaced| *replaced != run);
         self.servers_by_address.insert(address, server);
         true
     }
 
-    /// Records that another server has taken over this server's address, so that this server's runs
-    /// are lost. Returns the address.
-    pub fn mark_replaced(&mut self, server: &Server) -> Option<SocketAddr> {
-        self.replaced.push_back(server.clone());
+    /// Records that a server said that it isn't the one that is registered at its address, so that the
+    /// runs there are lost.
+    pub fn mark_replaced(&mut self, server: &Server) {
+        self.record_replaced(server);
+        self.claims.deny(server);
+        if let Some(address) = self.withdraw(server) {
+            self.settle(address);
+        }
+    }
+
+    /// Records that the runs at a server are lost, as another one has its address.
+    fn record_replaced(&mut self, server: &Server) {
+        let Some(address) = self.addresses.get(server).copied() else {
+            return;
+        };
+        let run = (server.clone(), address, self.incarnation(server));
+        self.replaced.push_back(run);
         if self.replaced.len() > MAX_REPLACED_SERVERS {
             self.replaced.pop_front();
         }
-        self.remove(server)
     }
 
-    /// Returns whether another server took over a server's address.
-    pub fn is_replaced(&self, server: &Server) -> bool {
-        self.replaced.contains(server)
+    /// Returns whether another server took over the address of a server since it was chosen.
+    pub fn is_replaced(&self, target: &Target) -> bool {
+        self.replaced.iter().any(|(server, address, incarnation)| {
+            *server == target.server
+                && *address == target.address
+                && *incarnation == target.incarnation
+        })
     }
 
     /// Returns what the registry says of a server since it was chosen.
     pub fn registered(&self, target: &Target) -> Registered {
         let server = &target.server;
         let Some(address) = self.addresses.get(server) else {
-            return match self.is_replaced(server) {
+            return match self.is_replaced(target) {
                 true => Registered::Restarted,
                 false => Registered::Removed,
             };
@@ -236,13 +295,25 @@
         }
     }
 
-    /// Removes a server and returns its address.
+    /// Removes a server that is no longer registered, and returns its address.
     pub fn remove(&mut self, server: &Server) -> Option<SocketAddr> {
+        let claimed = self.claims.remove(server);
+        let address = self.withdraw(server);
+        if let Some(claimed) = claimed {
+            self.settle(claimed);
+        }
+        address
+    }
+
+    /// Stops using a server, and returns its address.
+    fn withdraw(&mut self, server: &Server) -> Option<SocketAddr> {
         self.placement.remove(server);
         self.started_ms.remove(server);
         self.servers_by_id.remove(&beacon::id(server));
         let address = self.addresses.remove(server)?;
-        self.servers_by_address.remove(&address);
+        if self.servers_by_address.get(&address) == Some(server) {
+            self.servers_by_address.remove(&address);
+        }
         Some(address)
     }
 
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -88,7 +88,7 @@
             if head && self.context.is_poisonous(&self.call) {
                 return Received::Poisonous;
             }
-            if self.context.fleet.borrow().is_replaced(&run.target.server) {
+            if self.context.fleet.borrow().is_replaced(&run.target) {
                 return Received::Lost(Loss::Unreachable);
             }
             self.check_suspicion(run);
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -73,4 +73,6 @@
     /// Time of the start of its process in Unix milliseconds, if it states it. It tells a server that
     /// restarted under its name from the one before.
     pub started_ms: Option<u64>,
+    /// Store revision at which it was written.
+    pub revision: Revision,
 }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -8,6 +8,10 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
     time::Duration, //
 };
 
@@ -500,6 +504,8 @@
     pub stop: CancellationToken,
     /// Cancelled once the gateway has stopped.
     pub stopped: CancellationToken,
+    /// Store revision of the next registration.
+    revision: AtomicU64,
 }
 
 /// Returns settings with ephemeral ports.
@@ -674,6 +680,7 @@
             peers,
             stop,
             stopped,
+            revision: AtomicU64::new(1),
         }
     }
 
@@ -742,6 +749,7 @@
                 spec,
                 leaving: false,
                 started_ms,
+                revision: self.revision.fetch_add(1, Ordering::Relaxed),
             },
             since: clock::now(),
         });
--- a/components/gateway/tests/rollout.rs
+++ b/components/gateway/tests/rollout.rs
@@ -113,6 +113,7 @@
                 spec,
                 leaving: false,
                 started_ms: None,
+                revision: 0,
             },
             since: clock::now(),
         });
--- a/components/gateway/tests/unreachable.rs
+++ b/components/gateway/tests/unreachable.rs
@@ -77,6 +77,7 @@
             spec,
             leaving: false,
             started_ms: None,
+            revision: 0,
         },
         since: Clock::ZERO,
     });
