gateway: a late copy of an answer answers no later send

A server declined a call, ran its second send, and a late copy of the refusal on the same connection told the caller that the call hasn't run. Answers were told apart by the request's id, which both sends share. A request that goes to a server again does so on a connection of its own.

--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -640,6 +640,7 @@
                 metadata,
                 body,
                 subject: OnceCell::new(),
+                sent_to: RefCell::default(),
             }),
             pass,
             service,
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     io::ErrorKind,
+    net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
@@ -81,6 +82,8 @@
     pub body: Bytes,
     /// What the request has that may crash servers, once it was needed.
     pub subject: OnceCell<Subject>,
+    /// Addresses to which the request was sent.
+    pub sent_to: RefCell<Vec<SocketAddr>>,
 }
 
 /// Reason for which a request wasn't sent.
@@ -116,8 +119,14 @@
         target: &Target,
         dispatch: &Dispatch<'_>,
     ) -> Result<Connection, Failure> {
+        // A late copy of the answer to an earlier send would be taken for that to this one.
+        let is_repeated = request.sent_to.borrow().contains(&target.address);
         loop {
-            let mut connection = self.connect(target).await.map_err(Failure::Unsent)?;
+            let connection = match is_repeated {
+                true => self.open(target, CONNECT_TIMEOUT).await,
+                false => self.connect(target).await,
+            };
+            let mut connection = connection.map_err(Failure::Unsent)?;
             let length = request.body.len();
             let head =
                 self.protocol
@@ -131,7 +140,12 @@
                 Err(_) if connection.bytes_sent() == 0 && connection.is_reused() => {}
                 Err(error) if connection.bytes_sent() == 0 => return Err(Failure::Unsent(error)),
                 // The response may have arrived before the connection failed.
-                Err(_) | Ok(()) => return Ok(connection),
+                Err(_) | Ok(()) => {
+                    if !is_repeated {
+                        request.sent_to.borrow_mut().push(target.address);
+                    }
+                    return Ok(connection);
+                }
             }
         }
     }
@@ -262,7 +276,7 @@
 
     /// Closes idle connections to a server that is gone: its address may soon belong to another
     /// one.
-    pub fn disconnect(&self, address: std::net::SocketAddr) {
+    pub fn disconnect(&self, address: SocketAddr) {
         self.pool.borrow_mut().remove(address);
     }
 
--- /dev/null
+++ b/components/gateway/tests/late_answers.rs
@@ -0,0 +1,75 @@
+//! Tests of second answers to one request that arrive late.
+
+mod common;
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use common::{
+    Backend,
+    Harness,
+    Kind,
+    Message,
+    document,
+    response,
+    stream_head,
+    write_events, //
+};
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// Time after which the copy of an answer arrives, and that of a run.
+const COPY_DELAY: Duration = Duration::from_millis(6);
+const RUN_TIME: Duration = Duration::from_millis(40);
+
+/// Starts a server that declines the first request, and answers it a second time a little later.
+async fn start_server(kind: Kind, runs: Rc<Cell<u32>>) -> Backend {
+    let declined = Rc::new(Cell::new(false));
+    let handler = move |message: Message, connection: common::Connection| {
+        let (declined, runs) = (declined.clone(), runs.clone());
+        async move {
+            let id = message.header("id").unwrap_or_default().to_string();
+            if !declined.replace(true) {
+                let head = format!("HTTP/1.1 503 x\r\nid: {id}\r\nsigned: 1\r\nnot-run: 1\r\n");
+                let answer = format!("{head}content-length: 0\r\n\r\n");
+                connection.write(&answer).await;
+                sleep(COPY_DELAY).await;
+                connection.write(&answer).await;
+                return true;
+            }
+            runs.set(runs.get() + 1);
+            sleep(RUN_TIME).await;
+            match kind {
+                Kind::Stream => {
+                    connection.write(&stream_head(&id)).await;
+                    write_events(&connection, 1, 3, Duration::from_millis(5)).await;
+                }
+                Kind::Safe | Kind::Unsafe => connection.write(&response(&id, 200, "fine")).await,
+            }
+            true
+        }
+    };
+    Backend::start(handler).await
+}
+
+/// Guards against a late copy of a refusal that answers the next send of the same request: its caller
+/// would be told that it hasn't run.
+#[rstest]
+fn a_late_copy_of_a_refusal_answers_no_later_send(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let runs: Rc<Cell<u32>> = Rc::default();
+        let server = start_server(kind, runs.clone()).await;
+        let harness = Harness::with_document(document());
+        harness.register("only", kind.service(), "a", server.address);
+        let (_, response) = harness
+            .request("r1", &kind.path("r1"), kind.headers())
+            .await;
+        let status = response.expect("a response").status();
+        assert_eq!((status, runs.get()), (200, 1));
+    });
+}
