gateway: a gap in a stream is not forgotten

A stream that lacked its last event but one ended as complete: the events before the gap were passed on, the one behind it was dropped, and nothing showed the gap again. It is remembered, and the stream is resumed.

lost_events.rs failed before where the missing event comes right before the last one.

--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -88,6 +88,8 @@
     /// Time at which the holder of the backup was last checked.
     backup_checked: Instant,
     events: u64,
+    /// Whether an event is missing after those that were taken.
+    has_gap: bool,
     /// Whether a sign of life of the run was recorded, and its survival.
     recorded: (bool, bool),
     /// Held until the run lives.
@@ -276,6 +278,9 @@
     /// Takes the complete events that were received, without those that the caller already has.
     fn take_events(&mut self, run: &mut Run) -> Result<Bytes, Loss> {
         let mut out = BytesMut::new();
+        if run.has_gap {
+            return Err(Loss::Gap);
+        }
         let before = run.events;
         let excess = Error::Excess(Bound::Event);
         loop {
@@ -305,8 +310,13 @@
                 }
                 Ok(false) => {}
                 // The events before the gap are valid; another run provides the missing ones.
-                Err(_) if !out.is_empty() => break,
-                Err(_) => return Err(Loss::Gap),
+                Err(_) => {
+                    run.has_gap = true;
+                    if out.is_empty() {
+                        return Err(Loss::Gap);
+                    }
+                    break;
+                }
             }
         }
         if run.events > before {
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -156,6 +156,7 @@
             last_alive: began,
             backup_checked: began,
             events: 0,
+            has_gap: false,
             recorded: (false, false),
             probation: Some(probation),
             ticket,
