--- a/components/gateway/src/admin.rs
+++ b/components/gateway/src/admin.rs
@@ -2,7 +2,8 @@
 
 use std::{
     convert::Infallible,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use http::{
@@ -17,7 +18,8 @@
 };
 use tokio::{
     net::TcpListener,
-    task::spawn_local, //
+    task::spawn_local,
+    time::sleep, //
 };
 use tokio_util::sync::CancellationToken;
 
@@ -26,6 +28,9 @@
     body::Body, //
 };
 
+/// Wait before a connection is accepted again after a failure.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
 /// Status and text of a response.
 pub type Page = (StatusCode, String);
 
@@ -37,6 +42,8 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
+            // Descriptors may have run out; the connection is still waiting.
+            sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         let respond = respond.clone();
