--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -48,6 +48,10 @@
 /// Number of crashes under a prompt part, not all at one moment, from which its runs are held back.
 const MIN_HELD_PART_CRASHES: usize = 5;
 
+/// Shortest time between two crashes that follow each other. Servers that fail at one moment are noticed
+/// one after the other, and what was lost at the first may be sent to the next meanwhile.
+const MIN_CRASH_GAP: Duration = Duration::from_millis(8);
+
 /// Time by which a run may seem to have begun before the crash that it followed, as the processes
 /// tell each other ages.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(5);
@@ -409,6 +413,9 @@
 fn successive_stages(cause: Fingerprint, crashes: &[&Crash]) -> impl Iterator<Item = Stage> {
     let mut last: Option<Clock> = None;
     crashes.iter().filter_map(move |crash| {
+        if last.is_some_and(|last| crash.at < last + MIN_CRASH_GAP) {
+            return None;
+        }
         let follows = |run: &&Run| {
             run.has(cause) && last.is_none_or(|last| run.began + CLOCK_TOLERANCE >= last)
         };
--- a/components/contract/tests/evidence.rs
+++ b/components/contract/tests/evidence.rs
@@ -456,12 +456,19 @@
 #[test]
 fn servers_that_crash_at_one_moment_convict_no_request() {
     let mut case = Case::new();
-    for server in [10, 11, 12] {
-        let observation = crashed(server, Stage::Started);
+    // The request that was lost at the first server is sent to the others before they are noticed.
+    for (server, after_ms) in [(10, 0), (11, 2), (12, 4)] {
+        let observation = Observation::Crashed {
+            server,
+            incarnation: 0,
+            stage: Stage::Started,
+            run_ms: 1,
+        };
+        case.now = START + Duration::from_millis(after_ms);
         let subject = request(INNOCENT);
-        case.evidence.record(START, START, &subject, observation);
+        case.evidence
+            .record(case.now, case.now, &subject, observation);
     }
-    case.now = START;
     assert!(!case.is_refused(INNOCENT));
     assert_eq!(case.evidence.held_causes(&request(INNOCENT)), 1);
     case.observe(INNOCENT, Observation::Survived);
