spread: a datagram with times out of range doesn't overflow

The echoed time and its delay were added without a bound: in a build that checks overflow, a changed datagram ended the process.

--- a/components/spread/src/beacon.rs
+++ b/components/spread/src/beacon.rs
@@ -293,7 +293,7 @@
     pub fn claim(&self, receiver: Incarnation) -> Option<Claim> {
         let freshness = self.freshness?;
         let echo = self.echo.filter(|echo| echo.incarnation == receiver)?;
-        let created = Duration::from_millis(echo.timestamp + echo.delay_ms);
+        let created = Duration::from_millis(echo.timestamp.saturating_add(echo.delay_ms));
         Some(Claim {
             revision: freshness.revision,
             at: created.saturating_sub(Duration::from_millis(freshness.age_ms)),
