--- a/components/contract/tests/evidence_requests.rs
+++ b/components/contract/tests/evidence_requests.rs
@@ -489,11 +489,7 @@
 #[case::many_processes(Plan { processes: 40, rate: 200.0, seconds: 15, ..Plan::default() })]
 fn a_request_that_crashes_few_servers_is_refused_beside_sound_ones(#[case] plan: Plan) {
     let (mut late, mut sound, mut refused) = (0, 0, 0);
-    for seed in 0..std::env::var("SC")
-        .ok()
-        .and_then(|s| s.parse().ok())
-        .unwrap_or(SEED_COUNT)
-    {
+    for seed in 0..seed_count() {
         let outcome = play(plan.clone(), seed);
         let sends = (0..plan.harmful.len()).map(|harm| outcome.late_sends(harm));
         late = late.max(sends.max().unwrap_or(0));
