--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -171,9 +171,10 @@
     pub fn register(&mut self, registration: Registration, since: Clock) -> bool {
         let server = registration.server.clone();
         let addresses = self.claims.put(registration);
-        let changed = addresses
-            .into_iter()
-            .fold(false, |changed, address| self.settle(address) || changed);
+        let mut changed = false;
+        for address in addresses {
+            changed |= self.settle(address);
+        }
         self.placement.record_heartbeat(since, &server);
         changed
     }
