--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -243,10 +243,19 @@
     }
 
     /// Returns whether no other one of the causes that were `repeated` at crashes was beside this one at one
-    /// of its crashes.
-    fn is_singled_out(&self, repeated: &HashSet<Fingerprint>) -> bool {
+    /// of its crashes, and no convicted request, which explains it.
+    fn is_singled_out(
+        &self,
+        repeated: &HashSet<Fingerprint>,
+        convicts: &BTreeMap<Fingerprint, Clock>,
+    ) -> bool {
         let cause = self.candidate.fingerprint;
-        self.crashes.iter().any(|crash| {
+        let is_explained = |crash: &Crash| {
+            let mut runs = crash.runs.iter();
+            runs.any(|run| convicts.contains_key(&run.request))
+        };
+        let mut open = self.crashes.iter().filter(|crash| !is_explained(crash));
+        open.any(|crash| {
             let mut others = crash.runs.iter().filter(|run| !run.has(cause));
             !others.any(|run| run.fingerprints().any(|other| repeated.contains(&other)))
         })
@@ -364,7 +373,7 @@
     let repeated =
         counts.filter(|(cause, count)| *count >= MIN_CRASHES && !convicts.contains_key(cause));
     let repeated = repeated.map(|(cause, _)| cause).collect();
-    convictable.retain(|case| case.is_singled_out(&repeated));
+    convictable.retain(|case| case.is_singled_out(&repeated, convicts));
     let convict = select(convictable)?;
     Some(convict.candidate)
 }
