fleet: a server that denied its identity once is used again

A service was lost for good when each of its living servers answered a request with "another server" (421) once: 503 to all requests, though the servers run, are registered and would answer.

Cause: a denial held until the registration's revision grew, which it doesn't while a server lives, and nothing asked the server again. The answer also gave up the streams that the server was producing, and counted as a sign of a crash.

A denial lapses now after 200 ms, doubling up to 10 s while the answers agree; the next request asks the server, and an answer of its own ends the denial. It no longer gives up runs or tells of a crash by itself: only a registration of another server at the address does. Event MH1046 tells of each denial.

Related paths: plain requests, streams and resumed runs share this code. The pool's connections to the address are closed as before. Suspicions, backoffs and rate limits are bound to a time. Refusals of other servers' answers stay: nothing is learnt from a 421 but the denial.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -90,6 +90,8 @@
     RETRIES_UNREPORTED = 1044, Info, "Peer no longer reports its retries";
     /// A server broke off a run that had not survived, and its port is open.
     BROKEN_OFF = 1045, Info, "Backend server broke off a request and still listens";
+    /// The server at an address said that it is another one than the registered one.
+    DENIED = 1046, Info, "Backend server says that it is another one";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -190,7 +190,7 @@
     /// Uses the server that holds an address, and no other one there; returns whether that changed
     /// anything.
     fn settle(&mut self, address: SocketAddr) -> bool {
-        let holder = self.claims.holder(address).cloned();
+        let holder = self.claims.holder(clock::now(), address).cloned();
         let previous = self.servers_by_address.get(&address).cloned();
         let is_other = |previous: &Server| {
             holder
@@ -246,13 +246,35 @@
         true
     }
 
-    /// Records that a server said that it isn't the one that is registered at its address, so that the
-    /// runs there are lost.
-    pub fn mark_replaced(&mut self, server: &Server) {
-        self.record_replaced(server);
-        self.claims.deny(server);
-        if let Some(address) = self.withdraw(server) {
-            self.settle(address);
+    /// Records that the server at a target's address said that it is another one. Returns the time for
+    /// which the target isn't used, or `None` if it has another address by now.
+    ///
+    /// The answer may be wrong, so that the runs there go on unless the registry has another server at
+    /// the address.
+    pub fn deny(&mut self, target: &Target) -> Option<Duration> {
+        let server = &target.server;
+        if self.addresses.get(server) != Some(&target.address) {
+            return None;
+        }
+        let time = self.claims.deny(clock::now(), server)?;
+        self.withdraw(server);
+        self.settle(target.address);
+        Some(time)
+    }
+
+    /// Uses a target again that was denied. Returns how long that has to wait still, if it has to.
+    pub fn reinstate(&mut self, target: &Target) -> Option<Duration> {
+        let wait = self.claims.denied_for(clock::now(), &target.server);
+        if wait.is_none() {
+            self.settle(target.address);
+        }
+        wait
+    }
+
+    /// Records that a target answered as the server that it is registered as.
+    pub fn confirm(&mut self, target: &Target) {
+        if self.addresses.get(&target.server) == Some(&target.address) {
+            self.claims.confirm(&target.server);
         }
     }
 
@@ -270,11 +292,19 @@
 
     /// Returns whether another server took over the address of a server since it was chosen.
     pub fn is_replaced(&self, target: &Target) -> bool {
-        self.replaced.iter().any(|(server, address, incarnation)| {
+        let mut replaced = self.replaced.iter();
+        replaced.any(|(server, address, incarnation)| {
             *server == target.server
                 && *address == target.address
                 && *incarnation == target.incarnation
-        })
+        }) || self.is_superseded(target)
+    }
+
+    /// Returns whether a target isn't used as it denied its identity, and the registry has another
+    /// server at its address.
+    fn is_superseded(&self, target: &Target) -> bool {
+        self.addresses.get(&target.server) != Some(&target.address)
+            && self.claims.is_superseded(&target.server, target.address)
     }
 
     /// Returns what the registry says of a server since it was chosen.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -63,11 +63,14 @@
     Freshness,
     beacon, //
 };
-use tokio::time::{
-    Instant,
-    sleep,
-    timeout,
-    timeout_at, //
+use tokio::{
+    task::spawn_local,
+    time::{
+        Instant,
+        sleep,
+        timeout,
+        timeout_at, //
+    },
 };
 use upstream::Head;
 
@@ -484,6 +487,9 @@
             return;
         }
         let mut fleet = self.fleet.borrow_mut();
+        if reply.signed {
+            fleet.confirm(target);
+        }
         if reply.signed || reply.rate_limit.is_some() {
             fleet.record_rate_limit(&target.server, reply.rate_limit, sent_at);
         }
@@ -496,6 +502,29 @@
         fleet.record_said(target, said, sent_at);
     }
 
+    /// Records that the server at a target's address said that it is another one, and uses the target
+    /// again after a while.
+    pub fn record_denial(&self, target: &Target) {
+        self.sender.disconnect(target.address);
+        let Some(time) = self.fleet.borrow_mut().deny(target) else {
+            return;
+        };
+        note!(
+            forwarding::DENIED,
+            server = target.server.as_str(),
+            address = target.address.to_string().as_str(),
+            ms = time.as_millis() as u64
+        );
+        let (fleet, target) = (self.fleet.clone(), target.clone());
+        spawn_local(async move {
+            let mut wait = Some(time);
+            while let Some(time) = wait {
+                sleep(time).await;
+                wait = fleet.borrow_mut().reinstate(&target);
+            }
+        });
+    }
+
     /// Sends a request of the gateway itself, and reads the whole response; see [`Sender::call`].
     /// Returns `None` when there is none, or the server wants no requests.
     pub async fn call(
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -554,8 +554,7 @@
         if !reply.misdirected {
             return Attempt::without_response(Ending::Declined);
         }
-        context.fleet.borrow_mut().mark_replaced(&target.server);
-        context.sender.disconnect(target.address);
+        context.record_denial(target);
         return Attempt::without_response(Ending::Misdirected);
     }
     if !reply.signed || reply.encoded {
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -279,13 +279,12 @@
                     .suspect(&server, Suspicion::Full);
             }
             if reply.misdirected {
-                let mut fleet = self.context.fleet.borrow_mut();
                 // Servers that failed together restart together, under names that are unknown while
                 // the store is unavailable.
+                let mut fleet = self.context.fleet.borrow_mut();
                 fleet.suspect(&server, Suspicion::Refused);
-                fleet.mark_replaced(&server);
                 drop(fleet);
-                self.context.sender.disconnect(run.target.address);
+                self.context.record_denial(&run.target);
             }
             if self.read_body(&mut run).await.is_some() && !reply.misdirected {
                 self.context.sender.release(run.connection);
