rollout: what serves decides, and not the order alone

An order that is written again word for word after its rollout took the service down: 503 to nearly all requests for nine tenths of its time, and for good if a few of them failed, as the only version was rolled back. An order that names a version without a server was reported as completed at its deadline, upon which the platform stops the servers that serve. An order that was written again and again during its rollout never ended.

Each new revision began a trial, which excludes the new version; "completed" and "rolled back" asked neither whether the version that they lead to has a server.

The gateway counts the registered servers of each version. A version that serves alone, by the state of an earlier order or for 10 s, has nothing to be tried; a rollout is completed only while its version has a server, and rolled back only while another one has; the repeat of an order in progress keeps what was found out.

Related paths: the moves of the form with sidecars (moves::Mover) weren't changed: their edits keep the move's begin, and an old version stays warm; a version without replicas there was not tried.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -162,6 +162,7 @@
 
     /// Records that the whole store was read.
     pub fn complete_initial_sync(&self) {
+        self.context.fleet.borrow_mut().set_registry_known();
         self.context.initial_sync.complete();
     }
 
@@ -177,7 +178,8 @@
 
     /// Returns the states of rollouts that are due to be written to the store.
     pub fn pending_reports(&self) -> Vec<Report> {
-        self.context.rollouts.pending_reports()
+        let fleet = self.context.fleet.borrow();
+        self.context.rollouts.pending_reports(&fleet)
     }
 
     /// Returns the refusals of requests that crash servers that are due to be written to the store,
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 };
 
 use contract::poison::evidence::ServerIncarnation;
+use moves::rollout::Servers;
 use names::{
     Clock,
     DataCentre,
@@ -55,9 +56,11 @@
 mod notice;
 mod rate_limit;
 mod speed;
+mod versions;
 
 use claims::Claims;
 pub use in_flight::InFlight;
+use versions::Versions as VersionCounts;
 
 /// Rounds a load to three decimal places for a log line.
 pub fn round_load(load: f64) -> f64 {
@@ -82,6 +85,7 @@
 pub struct Fleet {
     placement: Placement,
     claims: Claims,
+    versions: VersionCounts,
     /// Addresses of the servers in use.
     addresses: HashMap<Server, SocketAddr>,
     /// Reverse index of `addresses`.
@@ -149,6 +153,7 @@
         Fleet {
             placement: Placement::default(),
             claims: Claims::default(),
+            versions: VersionCounts::default(),
             addresses: HashMap::new(),
             servers_by_address: HashMap::new(),
             started_ms: HashMap::new(),
@@ -229,6 +234,10 @@
         if unchanged {
             return false;
         }
+        self.discount_version(&server);
+        if !leaving {
+            self.versions.add(&spec.service, &spec.version);
+        }
         self.placement.upsert(clock::now(), &server, spec, leaving);
         if let Some(started_ms) = started_ms {
             self.placement.set_started(&server, started_ms);
@@ -338,6 +347,7 @@
 
     /// Stops using a server, and returns its address.
     fn withdraw(&mut self, server: &Server) -> Option<SocketAddr> {
+        self.discount_version(server);
         self.placement.remove(server);
         self.started_ms.remove(server);
         self.servers_by_id.remove(&beacon::id(server));
@@ -348,6 +358,28 @@
         Some(address)
     }
 
+    /// Removes a server from the counts of its version, if it is in them.
+    fn discount_version(&mut self, server: &Server) {
+        let Some(spec) = self.placement.spec(server) else {
+            return;
+        };
+        if !self.placement.is_registered_as_leaving(server) {
+            self.versions
+                .remove(clock::now(), &spec.service, &spec.version);
+        }
+    }
+
+    /// Records that the whole registry is known.
+    pub fn set_registry_known(&mut self) {
+        self.versions.set_known(clock::now());
+    }
+
+    /// Returns the servers of a service that are and aren't of a version; `None` until the registry is
+    /// known.
+    pub fn servers_beside(&self, service: &Service, version: &Version) -> Option<Servers> {
+        self.versions.servers(service, version)
+    }
+
     /// Returns the usable servers of a service.
     pub fn usable_servers(&self, service: &Service) -> Vec<Target> {
         let serves = |server: &&Server| {
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -115,7 +115,10 @@
         Permit,
         RetryBudgets, //
     },
-    rollout::Rollouts,
+    rollout::{
+        Rollouts,
+        Selection, //
+    },
     sender::{
         BufferedRequest,
         Sender, //
@@ -289,6 +292,18 @@
     }
 }
 
+impl<P> Context<P> {
+    /// Selects the versions for a new request, and counts the request.
+    pub fn select(&self, service: &Service, route: &Route) -> Selection {
+        self.rollouts.select(&self.fleet.borrow(), service, route)
+    }
+
+    /// Returns the versions for a request that is resumed after a loss.
+    pub fn select_resumed(&self, service: &Service) -> Selection {
+        self.rollouts.select_resumed(&self.fleet.borrow(), service)
+    }
+}
+
 impl<P: Protocol + 'static> Context<P> {
     /// Handles a request. The response may come before the whole body was read.
     pub async fn serve(self: &Rc<Self>, parts: Parts, body: &mut Incoming) -> Response<Body> {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -135,7 +135,7 @@
     let plain = PlainRequest {
         context,
         sends: Sends::new(class, call.pass.attempts),
-        selection: context.rollouts.select(&call.service, &call.route),
+        selection: context.select(&call.service, &call.route),
         call,
         class,
         tried: Vec::new(),
--- a/components/gateway/src/queue.rs
+++ b/components/gateway/src/queue.rs
@@ -383,7 +383,7 @@
         return true;
     };
     let fleet = context.fleet.borrow();
-    let selection = context.rollouts.select_resumed(service);
+    let selection = context.select_resumed(service);
     let room = |work: Work| fleet.room(service, selection.versions(), work, Duration::MAX);
     ranked.is_memory_full(queue.gateways.get(), room)
 }
@@ -428,7 +428,7 @@
     let scarcities = queue.scarcities.borrow();
     queue.gates.report(|service, running| {
         let size = sizes.get(service)?;
-        let selection = context.rollouts.select_resumed(service);
+        let selection = context.select_resumed(service);
         let room = |work: Work, within: Duration| {
             let room = fleet.room(service, selection.versions(), work, within);
             // Late requests here come after those at peers that can still be in time.
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -37,7 +37,10 @@
     Beacon, //
 };
 
-use crate::clock;
+use crate::{
+    clock,
+    fleet::Fleet, //
+};
 
 mod trial;
 
@@ -103,8 +106,8 @@
     /// Sets the order of a service; `None` when it was cancelled.
     pub fn set_order(&self, service: &Service, order: Option<Order>, exposure: Exposure) {
         let mut rollouts = self.rollouts.borrow_mut();
-        let known = rollouts.get(service).map(|rollout| rollout.order().clone());
-        if known == order {
+        let known = rollouts.get(service);
+        if known.map(Rollout::order) == order.as_ref() {
             return;
         }
         let Some(order) = order else {
@@ -119,7 +122,12 @@
             revision = order.revision,
             within_ms = order.within.as_millis() as u64
         );
-        rollouts.insert(service.clone(), Rollout::new(order, exposure, clock::now()));
+        let now = clock::now();
+        let rollout = match known {
+            Some(known) => known.replaced_by(order, exposure, now),
+            None => Rollout::new(order, exposure, now),
+        };
+        rollouts.insert(service.clone(), rollout);
     }
 
     /// Applies a state that was written to the store at revision `at`.
@@ -128,8 +136,14 @@
         let Some(rollout) = rollouts.get_mut(service) else {
             return;
         };
+        if rollout.order().to != *to {
+            return;
+        }
         // A state that was written before this order belongs to an earlier one.
-        if at < rollout.order().revision || rollout.order().to != *to {
+        if at < rollout.order().revision {
+            if state == State::Done {
+                rollout.set_carried_out();
+            }
             return;
         }
         if !rollout.set_stored_state(state) {
@@ -146,12 +160,13 @@
     }
 
     /// Selects the versions for a new request, and counts the request.
-    pub fn select(&self, service: &Service, route: &Route) -> Selection {
+    pub fn select(&self, fleet: &Fleet, service: &Service, route: &Route) -> Selection {
         let now = clock::now();
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(rollout) = rollouts.get_mut(service) else {
             return Selection::default();
         };
+        observe_servers(rollout, fleet, service, now);
         let started = self.started.get().unwrap_or(now);
         let constraint = match rollout.state(now) {
             State::Running if now.saturating_sub(started) < NEW_VERSION_DELAY => {
@@ -169,11 +184,12 @@
     }
 
     /// Returns the versions for a request that is resumed after a loss.
-    pub fn select_resumed(&self, service: &Service) -> Selection {
-        let rollouts = self.rollouts.borrow();
-        let constraint = rollouts.get(service).map(|rollout| {
-            let constraint = rollout.constraint(clock::now());
-            (constraint, rollout.order().to.clone())
+    pub fn select_resumed(&self, fleet: &Fleet, service: &Service) -> Selection {
+        let now = clock::now();
+        let mut rollouts = self.rollouts.borrow_mut();
+        let constraint = rollouts.get_mut(service).map(|rollout| {
+            observe_servers(rollout, fleet, service, now);
+            (rollout.constraint(now), rollout.order().to.clone())
         });
         Selection { constraint }
     }
@@ -242,10 +258,11 @@
     }
 
     /// Returns the states that have to be written to the store.
-    pub fn pending_reports(&self) -> Vec<Report> {
+    pub fn pending_reports(&self, fleet: &Fleet) -> Vec<Report> {
         let now = clock::now();
-        let rollouts = self.rollouts.borrow();
-        let reports = rollouts.iter().filter_map(|(service, rollout)| {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let reports = rollouts.iter_mut().filter_map(|(service, rollout)| {
+            observe_servers(rollout, fleet, service, now);
             let state = rollout.state_to_store(now)?;
             Some(Report {
                 service: service.clone(),
@@ -306,6 +323,12 @@
     }
 }
 
+fn observe_servers(rollout: &mut Rollout, fleet: &Fleet, service: &Service, now: Clock) {
+    if let Some(servers) = fleet.servers_beside(service, &rollout.order().to) {
+        rollout.observe_servers(now, servers);
+    }
+}
+
 fn log_veto(service: &Service, rollout: &Rollout) {
     note!(
         event::FOUND_BAD,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -176,7 +176,7 @@
             Err(refusal) => return Err(self.call.refuse(&refusal)),
         }
         let (service, route) = (&self.call.service, &self.call.route);
-        self.selection = self.context.rollouts.select(service, route);
+        self.selection = self.context.select(service, route);
         let mut declined = 0;
         let mut failure = None;
         let mut resumption = None;
@@ -244,7 +244,7 @@
                 break;
             }
             // The rollout may have ended since, which changes the allowed versions.
-            self.selection = self.context.rollouts.select_resumed(&self.call.service);
+            self.selection = self.context.select_resumed(&self.call.service);
         }
         if failure.is_none()
             && self.ran_at.is_empty()
@@ -451,7 +451,7 @@
             return None;
         }
         let mut resumption = None;
-        self.selection = self.context.rollouts.select_resumed(&self.call.service);
+        self.selection = self.context.select_resumed(&self.call.service);
         self.record_loss(&mut resumption, lost);
         let mut declined = 0;
         while !self.timed_out() {
--- a/components/moves/src/rollout.rs
+++ b/components/moves/src/rollout.rs
@@ -86,6 +86,10 @@
 /// route that hasn't appeared yet.
 const MIN_ROUTES: usize = 2;
 
+/// Time after which servers that are no longer registered count as ended. Servers that crashed, or
+/// that the store lost, register again within it.
+pub const RETURN_TIME: Duration = Duration::from_secs(10);
+
 /// Identifier of a route: a hash of its name.
 pub type RouteId = u32;
 
@@ -112,6 +116,24 @@
     pub slack: f64,
 }
 
+/// Registered servers of a service that accept work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Servers {
+    /// Servers of the new version.
+    pub new: usize,
+    /// Servers of other versions.
+    pub others: usize,
+    /// Time at which the last server of another version left, or from which none was known.
+    pub alone_since: Clock,
+}
+
+impl Servers {
+    /// Returns whether the new version is the only one that has servers.
+    fn is_alone(&self) -> bool {
+        self.new > 0 && self.others == 0
+    }
+}
+
 /// State of a move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
@@ -193,6 +215,10 @@
     vetoed: bool,
     /// The state recorded in the store.
     stored_state: Option<State>,
+    /// Whether the new version served alone before the order, so that there is nothing to move.
+    carried_out: bool,
+    /// Servers of the service; `None` until the registry is known.
+    servers: Option<Servers>,
 }
 
 impl Rollout {
@@ -208,9 +234,54 @@
             processes: 1,
             vetoed: false,
             stored_state: None,
+            carried_out: false,
+            servers: None,
         }
     }
 
+    /// Starts the move of an order that replaces this one's at `now`.
+    ///
+    /// An order that only repeats that of a move in progress doesn't begin it anew: the processes keep
+    /// what they found out, and the time doesn't start again.
+    pub fn replaced_by(&self, order: Order, exposure: Exposure, now: Clock) -> Rollout {
+        let has_ended = matches!(self.stored_state, Some(State::Done | State::Reverted));
+        if self.order.to == order.to && self.order.within == order.within && !has_ended {
+            return Rollout {
+                order,
+                exposure,
+                ..self.clone()
+            };
+        }
+        let carried_out = self.order.to == order.to
+            && (self.stored_state == Some(State::Done) || self.carried_out);
+        Rollout {
+            carried_out,
+            ..Rollout::new(order, exposure, now)
+        }
+    }
+
+    /// Records that the version of the order was moved to before the order was given.
+    pub fn set_carried_out(&mut self) {
+        self.carried_out = true;
+    }
+
+    /// Records the servers of the service. What serves decides whether the move can be made at all:
+    /// it is done only while the new version has a server, and reverted only while another one has.
+    pub fn observe_servers(&mut self, now: Clock, servers: Servers) {
+        // The first observation tells what there was when the order came.
+        if self.servers.is_none() && servers.is_alone() && has_returned(now, servers) {
+            self.carried_out = true;
+        }
+        self.servers = Some(servers);
+    }
+
+    /// Returns whether the new version serves alone, so that there is nothing to compare it with or to
+    /// return to.
+    fn is_alone(&self, now: Clock) -> bool {
+        let servers = self.servers.filter(Servers::is_alone);
+        servers.is_some_and(|servers| self.carried_out || has_returned(now, servers))
+    }
+
     /// Returns the order.
     pub fn order(&self) -> &Order {
         &self.order
@@ -235,10 +306,13 @@
 
     /// Returns the state of the move at this process.
     pub fn state(&self, now: Clock) -> State {
+        if self.carried_out && self.is_alone(now) && self.stored_state != Some(State::Reverted) {
+            return State::Done;
+        }
         if self.vetoed() {
             return State::Reverted;
         }
-        if self.stored_state == Some(State::Done) || self.switched(now) {
+        if self.stored_state == Some(State::Done) || self.switched(now) || self.is_alone(now) {
             return State::Done;
         }
         match self.elapsed(now) < REPORT_FRACTION {
@@ -255,6 +329,9 @@
     fn switched(&self, now: Clock) -> bool {
         let elapsed = self.elapsed(now);
         let (first, last) = SWITCH_WINDOW;
+        if self.servers.is_some_and(|servers| servers.new == 0) {
+            return false;
+        }
         if elapsed < first || elapsed < last && !self.remainder_fits(elapsed) {
             return false;
         }
@@ -423,14 +500,24 @@
         if matches!(self.stored_state, Some(State::Done | State::Reverted)) {
             return None;
         }
+        let is_early = self.elapsed(now) < REPORT_FRACTION;
         let target = match self.state(now) {
-            State::Done if self.elapsed(now) < REPORT_FRACTION => State::Running,
+            State::Done if is_early && !(self.carried_out && self.is_alone(now)) => State::Running,
+            // The new version's servers stop when it is reverted.
+            State::Reverted if self.servers.is_some_and(|servers| servers.others == 0) => {
+                State::Running
+            }
             state => state,
         };
         (self.stored_state != Some(target)).then_some(target)
     }
 }
 
+/// Returns whether servers of other versions that are missing would be back.
+fn has_returned(now: Clock, servers: Servers) -> bool {
+    now.saturating_sub(servers.alone_since) >= RETURN_TIME
+}
+
 fn log_likelihood_ratio(slots: &[Count; SLOTS_PER_MOVE as usize]) -> f64 {
     let mut all = Count::default();
     slots.iter().for_each(|count| all.add(count));
