sender: a call of the gateway's own has a connection of its own

A request was sent a second time while it ran: a late copy of the answer to a call of the gateway's own (a refused list of the cache, without an id) arrived on the connection that the request had been given next, and was read as "not run". A call that may run once would have been refused and run.

They open a connection each now, which isn't used again. There are few of them: a query of a silent run, a list of the cache, a copy of it, its release.

Related paths: the same in the other direction, a late copy of a request's answer that is read as a report or a list, ends with it. The store's client closes the connection of a call that timed out, so that a late answer reaches no later call (read; Client::exchange takes the connection and drops it).

--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -205,7 +205,8 @@
         true
     }
 
-    /// Sends a request of the gateway itself, and reads the whole response.
+    /// Sends a request of the gateway itself, and reads the whole response. It has a connection of its
+    /// own: its response has no id that would tell it apart from a late copy of another one.
     ///
     /// # Errors
     ///
@@ -217,13 +218,10 @@
         head: Vec<u8>,
         body: Bytes,
     ) -> Result<(Head, Bytes), Error> {
-        let mut connection = self.connect(target).await?;
+        let mut connection = self.open(target, CONNECT_TIMEOUT).await?;
         let result = exchange(&mut connection, method, head, body).await;
-        match &result {
-            Ok(_) => self.release(connection),
-            Err(error) => {
-                self.report_excess(None, &target.server, error);
-            }
+        if let Err(error) = &result {
+            self.report_excess(None, &target.server, error);
         }
         result
     }
--- a/components/gateway/tests/late_answers.rs
+++ b/components/gateway/tests/late_answers.rs
@@ -73,3 +73,44 @@
         assert_eq!((status, runs.get()), (200, 1));
     });
 }
+
+/// Starts an engine that refuses calls of the gateway's own, and answers each a second time later.
+async fn start_engine(runs: Rc<Cell<u32>>, calls: Rc<Cell<u32>>) -> Backend {
+    let handler = move |message: Message, connection: common::Connection| {
+        let (runs, calls) = (runs.clone(), calls.clone());
+        async move {
+            if message.start_line.starts_with("GET ") {
+                let answer = "HTTP/1.1 503 x\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+                connection.write(answer).await;
+                calls.set(calls.get() + 1);
+                sleep(COPY_DELAY * 5).await;
+                connection.write(answer).await;
+                return true;
+            }
+            let id = message.header("id").unwrap_or_default();
+            runs.set(runs.get() + 1);
+            sleep(RUN_TIME).await;
+            connection.write(&stream_head(id)).await;
+            write_events(&connection, 5, 8, Duration::from_millis(5)).await;
+            true
+        }
+    };
+    Backend::start(handler).await
+}
+
+/// Guards against a late copy of the answer to a call of the gateway's own, which has no id, that
+/// answers the next request on the connection: it would be sent a second time while it runs.
+#[test]
+fn a_late_copy_of_the_answer_to_a_call_answers_no_request() {
+    common::run(async move {
+        let (runs, calls): (Rc<Cell<u32>>, Rc<Cell<u32>>) = Default::default();
+        let engine = start_engine(runs.clone(), calls.clone()).await;
+        let harness = Harness::with_document(document());
+        harness.register("only", "draft", "a", engine.address);
+        // The engine's cache is listed before the request is sent.
+        let headers = "tokens: 5020\r\nafter: 4\r\nparts: 1:20,77:5000\r\n";
+        let (_, response) = harness.request("r1", "/stream/r1", headers).await;
+        let status = response.expect("a response").status();
+        assert_eq!((status, calls.get(), runs.get()), (200, 1, 1));
+    });
+}
