stream: a late copy of an earlier answer doesn't end a run

A stream that was sent on a used connection was given up and sent a second time (or ended with 502, where it may not be repeated), as a late copy of the answer to an earlier request came first on the connection.

It skips such an answer now, with the same bounds.

--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -56,14 +56,14 @@
 
 /// Maximum size of a response body that isn't passed to a caller: the response to an earlier
 /// request on the connection, or to a call of the gateway's own.
-const MAX_BODY_BYTES: usize = 64 * 1024;
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// Maximum number of bytes of responses that all connections hold before they are processed. The
 /// buffers take up to twice as much, and the smallest hosts have 120 MB for the process.
 const MAX_HELD_BYTES: usize = 16 << 20;
 
 /// Maximum number of responses to earlier requests that are skipped on a connection.
-const MAX_EARLIER_RESPONSES: u32 = 4;
+pub const MAX_EARLIER_RESPONSES: u32 = 4;
 
 /// Client for backend servers, with a pool of connections.
 pub struct Sender<P> {
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -57,7 +57,10 @@
 mod receive;
 mod start;
 
-use receive::Received;
+use receive::{
+    Earlier,
+    Received, //
+};
 pub(super) use start::Start;
 
 /// Interval at which the holder of the backup is checked.
@@ -70,6 +73,7 @@
 pub(super) struct Run {
     pub(super) target: Target,
     connection: Connection,
+    earlier: Earlier,
     in_flight: InFlight,
     backup: Option<Backup>,
     splitter: Splitter,
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -17,6 +17,7 @@
     timeout_at, //
 };
 use upstream::{
+    Bound,
     Data,
     Error,
     Head, //
@@ -28,6 +29,10 @@
         Protocol,
         Reply, //
     },
+    sender::{
+        MAX_BODY_BYTES,
+        MAX_EARLIER_RESPONSES, //
+    },
     stream::Session, //
 };
 
@@ -38,6 +43,37 @@
 /// busy hosts.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Responses to earlier requests that arrive before that to a run.
+#[derive(Debug, Default)]
+pub(super) struct Earlier {
+    count: u32,
+    in_body: bool,
+    /// Bytes of the current body.
+    bytes: usize,
+}
+
+impl Earlier {
+    /// Begins the body of a response whose head was read.
+    fn begin(&mut self) -> Result<(), Error> {
+        self.count += 1;
+        self.in_body = true;
+        self.bytes = 0;
+        match self.count > MAX_EARLIER_RESPONSES {
+            true => Err(Error::Excess(Bound::EarlierResponses)),
+            false => Ok(()),
+        }
+    }
+
+    /// Counts bytes of the body.
+    fn skip(&mut self, bytes: usize) -> Result<(), Error> {
+        self.bytes += bytes;
+        match self.bytes > MAX_BODY_BYTES {
+            true => Err(Error::Excess(Bound::Body)),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Next piece of a run's answer.
 pub(super) enum Received {
     Head(Head, Reply),
@@ -63,13 +99,30 @@
                 Data::Pending => None,
             });
         }
-        let Some(head) = self.connection.try_head()? else {
-            return Ok(None);
-        };
-        let request = &session.call.request;
-        let reply = session.context.sender.match_reply(request, &head);
-        let reply = reply.ok_or(Error::Malformed("response to another request"))?;
-        Ok(Some(Received::Head(head, reply)))
+        while self.skip_earlier()? {
+            let Some(head) = self.connection.try_head()? else {
+                break;
+            };
+            let request = &session.call.request;
+            if let Some(reply) = session.context.sender.match_reply(request, &head) {
+                return Ok(Some(Received::Head(head, reply)));
+            }
+            self.earlier.begin()?;
+        }
+        Ok(None)
+    }
+
+    /// Skips the body of a response to an earlier request on the connection. Returns whether a head
+    /// comes next.
+    fn skip_earlier(&mut self) -> Result<bool, Error> {
+        while self.earlier.in_body {
+            match self.connection.try_data()? {
+                Data::Bytes(bytes) => self.earlier.skip(bytes.len())?,
+                Data::End => self.earlier.in_body = false,
+                Data::Pending => return Ok(false),
+            }
+        }
+        Ok(true)
     }
 }
 
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -34,6 +34,7 @@
 use upstream::Head;
 
 use super::{
+    Earlier,
     Received,
     Run, //
 };
@@ -143,6 +144,7 @@
         let mut run = Run {
             target: target.clone(),
             connection,
+            earlier: Earlier::default(),
             in_flight,
             backup,
             splitter: Splitter::default(),
--- a/components/gateway/tests/late_answers.rs
+++ b/components/gateway/tests/late_answers.rs
@@ -114,3 +114,49 @@
         assert_eq!((status, calls.get(), runs.get()), (200, 1, 1));
     });
 }
+
+/// Starts a server that answers the first request a second time later, and counts the runs of others.
+async fn start_repeating_server(kind: Kind, runs: Rc<Cell<u32>>) -> Backend {
+    let handler = move |message: Message, connection: common::Connection| {
+        let runs = runs.clone();
+        async move {
+            let id = message.header("id").unwrap_or_default();
+            if id != "r1" {
+                runs.set(runs.get() + 1);
+                sleep(RUN_TIME).await;
+            }
+            for _ in 0..=u32::from(id == "r1") {
+                match kind {
+                    Kind::Stream => {
+                        connection.write(&stream_head(id)).await;
+                        write_events(&connection, 1, 3, Duration::ZERO).await;
+                    }
+                    Kind::Safe | Kind::Unsafe => connection.write(&response(id, 200, id)).await,
+                }
+                sleep(COPY_DELAY * 3).await;
+            }
+            true
+        }
+    };
+    Backend::start(handler).await
+}
+
+/// Guards against a request that is given up as a late copy of an earlier answer comes first on its
+/// connection.
+#[rstest]
+fn a_late_copy_of_an_earlier_answer_ends_no_request(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let runs: Rc<Cell<u32>> = Rc::default();
+        let server = start_repeating_server(kind, runs.clone()).await;
+        let harness = Harness::with_document(document());
+        harness.register("only", kind.service(), "a", server.address);
+        for id in ["r1", "r2"] {
+            let path = kind.path(id);
+            let (_, response) = harness.request(id, &path, kind.headers()).await;
+            assert_eq!(response.expect("a response").status(), 200, "{id}");
+        }
+        assert_eq!(runs.get(), 1);
+    });
+}
