gateway: the bodies that a process holds are bounded together

A request without room is refused before its body is read, as not run, with the time until one is expected to be released; none that began is cut. A body of a known length takes its memory once, where the buffer doubled before.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -132,6 +132,7 @@
             initial_sync: InitialSync::default(),
             forecast: RefCell::default(),
             shutdown: Rc::default(),
+            bodies: Rc::default(),
             started: Instant::now(),
             requests: Rc::default(),
             connections: Cell::new(0),
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -75,6 +75,10 @@
 use upstream::Head;
 
 use crate::{
+    bodies::{
+        Bodies,
+        Hold, //
+    },
     body::Body,
     cache_lookup::CacheLookup,
     clock,
@@ -177,6 +181,8 @@
     pub forecast: RefCell<Forecast>,
     /// State of the graceful shutdown.
     pub shutdown: Rc<Shutdown>,
+    /// Bodies of requests that the process holds.
+    pub bodies: Rc<Bodies>,
     /// Time at which the process started.
     pub started: Instant,
     /// Requests in progress.
@@ -668,9 +674,12 @@
             );
         }
         let caller_limits = index.document().callers.as_ref();
-        let body = read_body(&parts, body, caller_limits, arrived)
-            .await
-            .map_err(refuse)?;
+        let room = Room {
+            bodies: &self.bodies,
+            memory: settings.memory,
+        };
+        let read = read_body(&parts, body, caller_limits, arrived, room).await;
+        let (body, hold) = read.map_err(refuse)?;
         progress.received(&route);
         let engine = Self::engine(index, &service);
         Ok(Call {
@@ -683,6 +692,7 @@
                 parts,
                 metadata,
                 body,
+                hold,
                 subject: OnceCell::new(),
                 sent_to: RefCell::default(),
             }),
@@ -754,13 +764,22 @@
     hasher.finish()
 }
 
-/// Reads the whole body of a request.
+/// Room for bodies in a process.
+struct Room<'a> {
+    bodies: &'a Rc<Bodies>,
+    /// Memory that the process may use, in bytes.
+    memory: Option<u64>,
+}
+
+/// Reads the whole body of a request. Refuses it before the first byte if there is no room for its
+/// length.
 async fn read_body(
     parts: &Parts,
     body: &mut Incoming,
     caller_limits: Option<&Bounds>,
     arrived: Instant,
-) -> Result<Bytes, Refusal> {
+    room: Room<'_>,
+) -> Result<(Bytes, Hold), Refusal> {
     let limit = caller_limits.map_or(usize::MAX, |limits| limits.body_bytes);
     let declared = parts
         .headers
@@ -769,13 +788,17 @@
     if declared.is_some_and(|length| length > limit) {
         return Err(Refusal::BodyTooLong);
     }
+    let Room { bodies, memory } = room;
+    let full = || Refusal::BodiesFull(bodies.retry_after());
+    let length = declared.unwrap_or(0);
+    let mut hold = bodies.hold(memory, length).ok_or_else(full)?;
     let until = arrived + BODY_TIMEOUT;
     let mut buffer = BytesMut::new();
     loop {
         let frame = timeout_at(until, body.frame()).await;
         let frame = match frame {
             Err(_) => return Err(Refusal::BodyIncomplete),
-            Ok(None) => return Ok(buffer.freeze()),
+            Ok(None) => return Ok((buffer.freeze(), hold)),
             Ok(Some(Err(_))) => return Err(Refusal::BodyIncomplete),
             Ok(Some(Ok(frame))) => frame,
         };
@@ -786,7 +809,13 @@
             return Err(Refusal::BodyTooLong);
         }
         if buffer.is_empty() && declared == Some(data.len()) {
-            return Ok(data);
+            return Ok((data, hold));
+        }
+        if declared.is_none() && !hold.grow(memory, data.len()) {
+            return Err(full());
+        }
+        if buffer.is_empty() {
+            buffer.reserve(length);
         }
         buffer.extend_from_slice(&data);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod accept;
 mod admin;
 mod announcements;
+mod bodies;
 mod body;
 mod cache_lookup;
 pub mod clock;
--- a/components/gateway/src/refuse.rs
+++ b/components/gateway/src/refuse.rs
@@ -68,6 +68,8 @@
     RateLimited(Duration),
     /// All servers that could take the request want none; the first one does again after this time.
     BackingOff(Duration),
+    /// The process holds as many bodies as it may; one is expected to be released within this time.
+    BodiesFull(Duration),
     /// Another attempt is needed, and the retry budget of the service is used up.
     RetriesSpent,
     /// Servers crashed under earlier attempts of the request.
@@ -97,6 +99,7 @@
             | Refusal::Overloaded(_)
             | Refusal::RateLimited(_)
             | Refusal::BackingOff(_)
+            | Refusal::BodiesFull(_)
             | Refusal::RetriesSpent
             | Refusal::Poisonous(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
@@ -120,6 +123,7 @@
             Refusal::Overloaded(_) => "too_many_requests",
             Refusal::RateLimited(_) => "rate_limited",
             Refusal::BackingOff(_) => "backing_off",
+            Refusal::BodiesFull(_) => "too_many_bytes",
             Refusal::RetriesSpent => "retries_spent",
             Refusal::Poisonous(_) => "poisonous",
             Refusal::Lost => "lost",
@@ -179,13 +183,15 @@
                 | Refusal::Overloaded(_)
                 | Refusal::RateLimited(_)
                 | Refusal::BackingOff(_)
+                | Refusal::BodiesFull(_)
                 | Refusal::RetriesSpent
         );
         let retry_after = match self {
             Refusal::Overloaded(rejection) => rejection.retry_after,
             Refusal::ShuttingDown(retry_after)
             | Refusal::RateLimited(retry_after)
-            | Refusal::BackingOff(retry_after) => *retry_after,
+            | Refusal::BackingOff(retry_after)
+            | Refusal::BodiesFull(retry_after) => *retry_after,
             _ => DEFAULT_RETRY_AFTER,
         };
         if retryable {
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -33,6 +33,7 @@
 };
 
 use crate::{
+    bodies::Hold,
     fleet::Target,
     meter,
     protocol::{
@@ -80,6 +81,8 @@
     pub metadata: Metadata,
     /// Complete body of the message.
     pub body: Bytes,
+    /// Room that the body takes.
+    pub hold: Hold,
     /// What the request has that may crash servers, once it was needed.
     pub subject: OnceCell<Subject>,
     /// Addresses to which the request was sent.
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     /// Whether it is certain that no gateway sent a retry in the last window, so that the start needs
     /// no caution.
     pub retries_known: bool,
+    /// Memory that the process may use, in bytes, if it is limited.
+    pub memory: Option<u64>,
     /// Limits that the operator sets.
     pub bounds: Bounds,
 }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -520,6 +520,7 @@
         metrics: None,
         seeds: Vec::new(),
         retries_known: true,
+        memory: None,
         bounds: Bounds {
             grace: Duration::from_secs(8),
             revocation: Duration::from_secs(60),
