stream: a run isn't lost while its server reads the request

Cause: the silence of a run began when its request was handed to the operating system, and an engine knows nothing of a run whose request it hasn't read. The time that a slow server takes to read the body (500 kB/s) comes first now; bodies of a few kilobytes change nothing.

a_request_that_is_read_slowly_is_sent_once ended with 504 before.

--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -83,7 +83,8 @@
     /// [`clock::now`](crate::clock::now) when the request was sent.
     sent_at: Clock,
     last_received: Instant,
-    /// Start of the silence: the last event, or later if the run couldn't be read since.
+    /// Start of the silence: the last event, or later if the run couldn't be read since or its server
+    /// had to read the request first.
     silent_since: Instant,
     /// Time at which the head of the answer arrived.
     answered: Option<Instant>,
@@ -178,7 +179,9 @@
     /// the time after it, so [`CATCH_UP_TIME`] is excluded as well.
     fn discount_pause(&mut self, pause: Duration) {
         let excluded = pause + CATCH_UP_TIME;
-        self.silent_since = Instant::now().min(self.silent_since + excluded);
+        // It lies in the future while the server may still read the request.
+        let latest = Instant::now().max(self.silent_since);
+        self.silent_since = latest.min(self.silent_since + excluded);
     }
 }
 
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -70,6 +70,10 @@
 /// Maximum size of an error response that is read, in bytes.
 const MAX_FAILURE_BODY_BYTES: usize = 64 * 1024;
 
+/// Bytes of a request per second that the slowest healthy servers read. Before it has read the whole
+/// request, a server neither answers nor reports the run.
+const MIN_READ_RATE: f64 = 500_000.0;
+
 /// Timeout of the body of an error response.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -153,7 +157,7 @@
             began,
             sent_at: clock::now(),
             last_received: began,
-            silent_since: began,
+            silent_since: began + read_time(self.call.request.body.len()),
             answered: None,
             last_alive: began,
             backup_checked: began,
@@ -346,3 +350,8 @@
         read.ok()?.ok()?.complete()
     }
 }
+
+/// Returns the time that a slow server takes to read a body of `bytes`.
+fn read_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_READ_RATE)
+}
