--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -406,6 +406,7 @@
     let confirmed = context.freshness.borrow().confirmed_at();
     Gauges {
         connections: context.connections.get(),
+        body_bytes: context.bodies.held(),
         running: context.requests.count(),
         by_stage: Stage::ALL.map(|stage| (stage.name(), context.requests.count_at(stage))),
         document: document_cache
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -110,6 +110,8 @@
 pub struct Gauges {
     /// Open connections of callers.
     pub connections: usize,
+    /// Bytes of the bodies of requests that the process holds.
+    pub body_bytes: usize,
     /// Requests in progress.
     pub running: usize,
     /// Requests in progress by the name of their stage.
@@ -124,6 +126,7 @@
     /// Sets the gauges.
     pub fn set(&self) {
         gauge!("medlarhatch_connections").set(self.connections as f64);
+        gauge!("medlarhatch_body_bytes").set(self.body_bytes as f64);
         gauge!("medlarhatch_running").set(self.running as f64);
         for (stage, count) in self.by_stage {
             gauge!("medlarhatch_requests_in_progress", "stage" => stage).set(count as f64);
