--- a/components/moves/src/rollout.rs
+++ b/components/moves/src/rollout.rs
@@ -500,6 +500,7 @@
         if matches!(self.stored_state, Some(State::Done | State::Reverted)) {
             return None;
         }
+        let has_others = self.servers.is_some_and(|servers| servers.others > 0);
         let is_early = self.elapsed(now) < REPORT_FRACTION;
         let target = match self.state(now) {
             State::Done if is_early && !(self.carried_out && self.is_alone(now)) => State::Running,
@@ -509,6 +510,10 @@
             }
             state => state,
         };
+        // The store's record that the version was moved to is all that a process that starts knows.
+        if target == State::Running && self.carried_out && !has_others {
+            return None;
+        }
         (self.stored_state != Some(target)).then_some(target)
     }
 }
