sends: each one beyond the first says why, and what the budget has left

Event 1001 has `repeat` and `retries_left`; `medlarhatch_repeats_total` by service and reason, `medlarhatch_retries_left`. No decision changes.

--- a/components/admission/src/retries.rs
+++ b/components/admission/src/retries.rs
@@ -106,8 +106,7 @@
         standing: Standing,
         purpose: Purpose,
     ) -> bool {
-        let peers = self.peers(now, bound, standing.coverage);
-        if self.own.available(now, bound, peers, purpose) < self.needed(now, &standing) {
+        if self.left(now, bound, standing, purpose) < self.needed(now, &standing) {
             return false;
         }
         self.own.take();
@@ -117,6 +116,12 @@
         true
     }
 
+    /// Returns how many more retries are available over all processes.
+    pub fn left(&mut self, now: Clock, bound: &Bound, standing: Standing, purpose: Purpose) -> f64 {
+        let peers = self.peers(now, bound, standing.coverage);
+        self.own.available(now, bound, peers, purpose)
+    }
+
     /// Returns how many retries must be available for one more. What peers don't count yet, each
     /// process may take for unused, so that this one takes only its part of it.
     fn needed(&mut self, now: Clock, standing: &Standing) -> f64 {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod protocol;
 mod queue;
 mod refuse;
+mod repeat;
 pub mod requests;
 mod retry_budget;
 pub mod rollout;
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -53,6 +53,17 @@
     counter!("medlarhatch_retries_total", "service" => service, "result" => result).increment(1);
 }
 
+/// Sets how many retries of a service are left over all processes, by what this one knows.
+pub fn retries_left(service: &Service, left: f64) {
+    gauge!("medlarhatch_retries_left", "service" => service.to_string()).set(left);
+}
+
+/// Counts a send beyond the first one of a request by its reason.
+pub fn repeat(service: &Service, reason: &'static str) {
+    let service = service.to_string();
+    counter!("medlarhatch_repeats_total", "service" => service, "reason" => reason).increment(1);
+}
+
 /// Counts a connection that was closed as its server sent too much, by the exceeded bound.
 pub fn excess(bound: &'static str) {
     counter!("medlarhatch_excesses_total", "bound" => bound).increment(1);
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -92,6 +92,7 @@
         DEFAULT_RETRY_AFTER,
         Refusal, //
     },
+    repeat::Repeat,
     retry_budget::Permit,
     rollout::{
         Selection,
@@ -141,6 +142,7 @@
         tried: Vec::new(),
         unused: Vec::new(),
         ticket: None,
+        repeat: None,
         response: None,
     };
     plain.run().await
@@ -160,6 +162,8 @@
     unused: Vec<Permit>,
     /// Ticket of a request that runs beside no other.
     ticket: Option<Ticket>,
+    /// Why the next send is one more.
+    repeat: Option<Repeat>,
     /// Last response of a server.
     response: Option<Response<Body>>,
 }
@@ -170,6 +174,8 @@
     permit: Permit,
     /// Ticket of a request that runs beside no other.
     ticket: Option<Ticket>,
+    /// Why the send is one more.
+    repeat: Option<Repeat>,
 }
 
 /// Result of one attempt, and the server's response if there was one.
@@ -204,6 +210,7 @@
                 if result.ending == Ending::Unsent {
                     self.unused.push(permit);
                 }
+                self.repeat = repeat_after(result.ending);
                 self.response = result.response.or(self.response.take());
                 step = self.sends.record(result.ending);
             }
@@ -325,6 +332,7 @@
             target,
             permit,
             ticket: None,
+            repeat: self.repeat,
         })
     }
 
@@ -347,6 +355,7 @@
             return vec![first.await];
         }
         let occupied = self.context.occupied_servers(&self.call);
+        self.repeat = Some(Repeat::Hedge);
         let Ok(placed) = self.next(&occupied) else {
             return vec![first.await];
         };
@@ -405,6 +414,18 @@
     }
 }
 
+/// Returns why a request is sent once more after an attempt with an ending.
+fn repeat_after(ending: Ending) -> Option<Repeat> {
+    match ending {
+        Ending::Answered => None,
+        Ending::Failed => Some(Repeat::Failed),
+        Ending::Declined => Some(Repeat::Declined),
+        Ending::Misdirected => Some(Repeat::Misdirected),
+        Ending::Unsent => Some(Repeat::Unsent),
+        Ending::Lost => Some(Repeat::Lost),
+    }
+}
+
 /// Returns the refusal of a request whose service is over capacity.
 fn overloaded(retry_after: Duration) -> Refusal {
     Refusal::Overloaded(Rejection {
@@ -423,8 +444,12 @@
         target,
         permit,
         ticket: _ticket,
+        repeat,
     } = placed;
     let target = &target;
+    if let Some(repeat) = repeat {
+        meter::repeat(&call.service, repeat.name());
+    }
     let mut in_flight = InFlight::new(&context.fleet, &target.server, PLAIN_WORK);
     let _probation = context.suspects.probation.begin(&target.server);
     let _plain = context.begin_plain(call);
@@ -440,6 +465,8 @@
         load = round_load(target.score.load),
         against = target.score.penalties,
         among = target.score.candidates,
+        repeat = repeat.map(Repeat::name),
+        retries_left = permit.left(),
         document = call.document.version
     );
     call.progress.sent(&target.server);
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -60,7 +60,7 @@
 #[derive(Debug, Default)]
 pub struct Permit {
     /// `None` for the first send of a request.
-    _taken: Option<Taken>,
+    taken: Option<Taken>,
 }
 
 /// A retry that was taken from a budget.
@@ -69,6 +69,8 @@
     budgets: Rc<RefCell<RetryBudgets>>,
     service: Id,
     bound: Bound,
+    /// Number of retries that the budget had left.
+    left: f64,
 }
 
 impl Drop for Taken {
@@ -88,15 +90,22 @@
         bound: &Bound,
         purpose: Purpose,
     ) -> Option<Permit> {
-        let granted = budgets.borrow_mut().take_retry(service, bound, purpose);
-        granted.then(|| Permit {
-            _taken: Some(Taken {
+        let left = budgets.borrow_mut().take_retry(service, bound, purpose)?;
+        Some(Permit {
+            taken: Some(Taken {
                 budgets: budgets.clone(),
                 service: beacon::id(service),
                 bound: *bound,
+                left,
             }),
         })
     }
+
+    /// Returns the number of retries that the budget had left once it was taken; `None` for the first
+    /// send of a request.
+    pub fn left(&self) -> Option<i64> {
+        self.taken.as_ref().map(|taken| taken.left as i64)
+    }
 }
 
 impl RetryBudgets {
@@ -121,16 +130,18 @@
             .request(clock::now(), bound);
     }
 
-    /// Takes a retry from the budget; returns `false` if it is used up.
-    fn take_retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> bool {
+    /// Takes a retry from the budget, and returns how many are left; `None` if it is used up.
+    fn take_retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> Option<f64> {
         let now = clock::now();
         let standing = self.accounts.standing(now, bound.window);
         let are_complete = self.accounts.are_complete(now, bound.window);
         let retries = self.budget(beacon::id(service));
         let granted = retries.retry(now, bound, standing, purpose);
         meter::retry(service, if granted { "granted" } else { "spent" });
+        let left = retries.left(now, bound, standing, purpose);
+        meter::retries_left(service, left);
         if granted {
-            return true;
+            return Some(left);
         }
         let own = retries.counts(now, bound).totals;
         let departed = retries.departed(now).map(|departed| departed.retries);
@@ -150,7 +161,7 @@
             confirmed_ms = confirmed_at.map(|at| now.saturating_sub(at).as_millis() as u64),
             known = standing.coverage
         );
-        false
+        None
     }
 
     /// Sets whether the settings name other gateways.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -54,6 +54,7 @@
         Admission, //
     },
     refuse::Refusal,
+    repeat::Repeat,
     retry_budget::Permit,
     rollout::Selection,
     stream::{
@@ -104,6 +105,7 @@
         last_lost: None,
         unused: Vec::new(),
         ticket: None,
+        repeat: None,
         unreachable_in_row: 0,
         last_event: Instant::now(),
         time_to_first: None,
@@ -150,6 +152,8 @@
     unused: Vec<Permit>,
     /// Ticket of a request that runs beside no other.
     ticket: Option<Ticket>,
+    /// Why the next send is one more.
+    repeat: Option<Repeat>,
     /// Number of unreachable servers in a row.
     unreachable_in_row: u32,
     /// Time at which the caller was last sent an event; initially the arrival of the request.
@@ -195,7 +199,9 @@
             };
             first = false;
             let ticket = self.ticket.take();
-            match self.start(&target, copy.as_ref(), ticket).await {
+            let started = self.start(&target, copy.as_ref(), ticket, &permit).await;
+            self.repeat = started.repeat();
+            match started {
                 Start::Running {
                     run,
                     status,
@@ -451,6 +457,7 @@
             return None;
         }
         let mut resumption = None;
+        self.repeat = Some(Repeat::Resumed);
         self.selection = self.context.select_resumed(&self.call.service);
         self.record_loss(&mut resumption, lost);
         let mut declined = 0;
@@ -458,7 +465,8 @@
             let (target, copy) = self.choose_allowed(&mut resumption).await?;
             let permit = self.may_send(false, Purpose::Resume)?;
             let ticket = self.ticket.take();
-            match self.start(&target, copy.as_ref(), ticket).await {
+            let started = self.start(&target, copy.as_ref(), ticket, &permit).await;
+            match started {
                 Start::Running { run, .. } => {
                     self.unreachable_in_row = 0;
                     let same = self.ran_at.last() == Some(&target.server);
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -57,6 +57,8 @@
     },
     queue,
     refuse::DEFAULT_RETRY_AFTER,
+    repeat::Repeat,
+    retry_budget::Permit,
     rollout::Trial,
     sender::Failure,
     stream::{
@@ -101,6 +103,20 @@
     Poisonous,
 }
 
+impl Start {
+    /// Returns why the request is sent once more, if it is.
+    pub(in crate::stream) fn repeat(&self) -> Option<Repeat> {
+        match self {
+            Start::Running { .. } | Start::TimedOut | Start::Poisonous => None,
+            Start::Failed(_) => Some(Repeat::Failed),
+            Start::Declined => Some(Repeat::Declined),
+            Start::Unreachable => Some(Repeat::Unsent),
+            Start::Replaced => Some(Repeat::Misdirected),
+            Start::Lost(_) => Some(Repeat::Lost),
+        }
+    }
+}
+
 impl<P: Protocol + 'static> Session<P> {
     /// Starts a run, and waits for the head of its answer.
     pub(in crate::stream) async fn start(
@@ -108,6 +124,7 @@
         target: &Target,
         copy: Option<&KvCopy>,
         ticket: Option<Ticket>,
+        permit: &Permit,
     ) -> Start {
         let began = Instant::now();
         let work = self.work_at(target, copy);
@@ -128,7 +145,7 @@
             copy,
             urgency: self.call.standing.as_ref().map(queue::urgency),
         };
-        self.log_sent(target, &dispatch, backup.as_ref());
+        self.log_sent(target, &dispatch, backup.as_ref(), permit);
         self.call.progress.sent(&target.server);
         let sent = self
             .context
@@ -214,7 +231,16 @@
         })
     }
 
-    fn log_sent(&self, target: &Target, dispatch: &Dispatch<'_>, backup: Option<&Backup>) {
+    fn log_sent(
+        &self,
+        target: &Target,
+        dispatch: &Dispatch<'_>,
+        backup: Option<&Backup>,
+        permit: &Permit,
+    ) {
+        if let Some(repeat) = self.repeat {
+            meter::repeat(&self.call.service, repeat.name());
+        }
         note!(
             forwarding::SENT,
             id = self.call.request.metadata.id.as_str(),
@@ -227,6 +253,8 @@
             prompt = self.parts().last().map(|(part, _)| *part),
             parts = self.call.part_ids().as_deref(),
             attempt = self.ran_at.len() + 1,
+            repeat = self.repeat.map(Repeat::name),
+            retries_left = permit.left(),
             after = dispatch.after,
             left_ms = dispatch.remaining.map(|left| left.as_millis() as u64),
             copy = dispatch.copy.is_some(),
