Soak and tests: servers that end while their ports stay open, red

Their registrations expire 3.6 s after the crash, and a new server starts after 1 s at another address.

--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -341,6 +341,8 @@
     stop: CancellationToken,
     stop_accepting: CancellationToken,
     cut: CancellationToken,
+    mute: CancellationToken,
+    freeze: CancellationToken,
 }
 
 impl Backend {
@@ -367,9 +369,12 @@
         let requests: Rc<RefCell<Vec<Message>>> = Rc::default();
         let (stop, stop_accepting) = (CancellationToken::new(), CancellationToken::new());
         let cut = CancellationToken::new();
+        let (mute, freeze) = (CancellationToken::new(), CancellationToken::new());
         let (closed, cut_off) = (stop_accepting.clone(), cut.clone());
+        let (muted, frozen) = (mute.clone(), freeze.clone());
         let (handler, log, stopped) = (Rc::new(handler), requests.clone(), stop.clone());
         spawn_local(async move {
+            let mut unanswered = Vec::new();
             loop {
                 let accepted = tokio::select! {
                     () = stopped.cancelled() => return,
@@ -379,8 +384,12 @@
                 let Ok((mut stream, _)) = accepted else {
                     return;
                 };
+                if muted.is_cancelled() || frozen.is_cancelled() {
+                    unanswered.push(stream);
+                    continue;
+                }
                 let (handler, log, stopped) = (handler.clone(), log.clone(), stopped.clone());
-                let cut_off = cut_off.clone();
+                let (cut_off, frozen) = (cut_off.clone(), frozen.clone());
                 spawn_local(async move {
                     let serve = async {
                         while let Ok(message) = read_message(&mut stream).await {
@@ -395,10 +404,14 @@
                             stream = returned;
                         }
                     };
+                    let mut serve = std::pin::pin!(serve);
                     tokio::select! {
+                        biased;
                         () = stopped.cancelled() => {}
                         () = cut_off.cancelled() => {}
-                        () = serve => {}
+                        // What is served meanwhile keeps its connection open.
+                        () = frozen.cancelled() => stopped.cancelled().await,
+                        () = serve.as_mut() => {}
                     }
                 });
             }
@@ -409,6 +422,8 @@
             stop,
             stop_accepting,
             cut,
+            mute,
+            freeze,
         }
     }
 
@@ -417,6 +432,18 @@
         self.cut.cancel();
     }
 
+    /// Closes all connections; those that are opened from now on stay open, and nothing is sent on
+    /// them.
+    pub fn mute(&self) {
+        self.mute.cancel();
+        self.cut.cancel();
+    }
+
+    /// Sends nothing from now on; connections stay open, also those that are opened.
+    pub fn freeze(&self) {
+        self.freeze.cancel();
+    }
+
     /// Returns whether its connections were closed by [`Backend::cut`].
     pub fn is_cut(&self) -> bool {
         self.cut.is_cancelled()
