crashes: the silence of a server counts, whatever becomes of its port

Callers' requests that crash servers went on without end where a crashed server's port neither refuses nor closes: nothing counted, and each entry logged "No answer from the backend server". Of ten ways to end, four gave none of the signs that were looked for, and where no connection broke nothing was looked for at all.

What all ends have in common is that nothing is answered any more. An entry now knows when it last heard of each server. A run that isn't answered while its server is silent, or that was broken off, leads to a status check; while that isn't answered either, the runs there are reported as silent. That is a suspicion: causes are held by permits, and refused once the servers, if they had crashed, would convict them. It isn't reported by an entry that hears of no other server, or was paused.

So that servers which end together convict nothing, a server counts only if it was heard after the crash before; a request in flight at a crash goes to a server that has just answered.

The stand-ins of the tests answer status checks, and their counts of requests leave these out. MH1047, MH1048, medlarhatch_server_silences_total.

--- a/components/answer/src/loss.rs
+++ b/components/answer/src/loss.rs
@@ -78,6 +78,11 @@
         matches!(self, Loss::Closed | Loss::Reset) && events == 0 && age < MIN_PREFILL_AGE
     }
 
+    /// Returns whether the run was given up, as the server sent nothing.
+    pub fn is_silent(self) -> bool {
+        matches!(self, Loss::Unreachable | Loss::Silent | Loss::Slow)
+    }
+
     /// Returns whether the server broke off the answer, as it also does when it crashes.
     pub fn is_broken_off(self) -> bool {
         matches!(self, Loss::Closed | Loss::Reset | Loss::Truncated)
--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -10,6 +10,10 @@
 //! and one crash convicts nobody. A cause is refused when several crashes are attributed to it; see
 //! the module `attribution`. Every run that survives voids the earlier crashes of its causes.
 //!
+//! Some servers end without a sign: their connections stay open, or their ports take new ones, and
+//! nothing answers. What such a server ran is suspected and held back, but nothing is convicted until
+//! it is known that the server has crashed; if it answers again, the suspicion ends.
+//!
 //! Reports are merged by union, and the verdicts follow from the merged reports alone. A late report
 //! therefore also corrects an earlier verdict.
 
@@ -67,6 +71,9 @@
 /// survived or not by then, and reports have arrived.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which the silence of a server counts at most: longer than its registration may outlive it.
+const SILENCE_TTL: Duration = Duration::from_secs(15);
+
 /// Number of unexplained crashes in a series from which runs are separated.
 const MIN_SERIES_CRASHES: usize = 4;
 
@@ -160,6 +167,23 @@
     Lived,
     /// A run survived the probation period, or ended with a complete answer.
     Survived,
+    /// A server stopped answering before the run survived. It may have crashed.
+    Silent {
+        /// The server.
+        server: ServerId,
+        /// Start of its process, as far as the observer knows.
+        incarnation: ServerIncarnation,
+        /// How far the run had come.
+        stage: Stage,
+        /// Milliseconds from the send of the request to the last time at which the server may have
+        /// answered. If the server wasn't known to answer then, from the time at which it was.
+        run_ms: u32,
+    },
+    /// A server that was silent hasn't crashed: it answers, or is still registered.
+    Answered {
+        /// The server.
+        server: ServerId,
+    },
 }
 
 /// Observation as sent to other processes.
@@ -191,6 +215,8 @@
 struct Run {
     /// Time of the crash.
     at: Clock,
+    /// Whether the server has crashed. Otherwise it is only known to be silent.
+    is_certain: bool,
     incarnation: ServerIncarnation,
     stage: Stage,
     /// Milliseconds from the send of the request to the crash.
@@ -218,6 +244,8 @@
 pub struct Evidence {
     /// Runs in flight at crashes of each server, in order of time.
     runs: BTreeMap<ServerId, Vec<Run>>,
+    /// When servers that were silent last answered.
+    answered: BTreeMap<ServerId, Clock>,
     /// Runs that survived.
     survived: Lives,
     /// Runs that survived, or gave a sign of life before.
@@ -232,10 +260,15 @@
     held: BTreeSet<Fingerprint>,
     /// Convicted causes with the end of their refusal. Follows from the observations.
     convicts: BTreeMap<Fingerprint, Clock>,
+    /// Causes that are refused while servers are silent. Follows from the observations.
+    presumed: BTreeSet<Fingerprint>,
     /// Services with crashes since their last run lived. Follows from the observations.
     awaiting: attribution::Awaiting,
     /// Last crashes of each service that nothing explains. Follows from the observations.
     unexplained: BTreeMap<ServiceId, attribution::Series>,
+    /// Requests that were in flight at crashes and haven't survived since. Follows from the
+    /// observations.
+    unproven: BTreeSet<Fingerprint>,
     /// Causes that are refused according to the store, whatever is known of the crashes.
     stored: BTreeSet<Fingerprint>,
 }
@@ -291,6 +324,7 @@
             } => {
                 let run = Run {
                     at,
+                    is_certain: true,
                     incarnation,
                     stage,
                     run_ms,
@@ -298,6 +332,24 @@
                 };
                 self.record_crash(server, run)
             }
+            Observation::Silent {
+                server,
+                incarnation,
+                stage,
+                run_ms,
+            } => {
+                let run = Run {
+                    at,
+                    is_certain: false,
+                    incarnation,
+                    stage,
+                    run_ms,
+                    subject: subject.clone(),
+                };
+                let answered = self.answered.get(&server);
+                answered.is_none_or(|answered| *answered < at) && self.record_crash(server, run)
+            }
+            Observation::Answered { server } => self.record_answer(server, at),
             Observation::Lived => self.lived.record(at, subject),
             Observation::Survived => self.record_survival(at, subject),
         }
@@ -308,11 +360,21 @@
         let mut reports = Vec::new();
         for (server, runs) in &self.runs {
             for run in runs {
-                let observation = Observation::Crashed {
-                    server: *server,
-                    incarnation: run.incarnation,
-                    stage: run.stage,
-                    run_ms: run.run_ms,
+                let (server, incarnation) = (*server, run.incarnation);
+                let (stage, run_ms) = (run.stage, run.run_ms);
+                let observation = match run.is_certain {
+                    true => Observation::Crashed {
+                        server,
+                        incarnation,
+                        stage,
+                        run_ms,
+                    },
+                    false => Observation::Silent {
+                        server,
+                        incarnation,
+                        stage,
+                        run_ms,
+                    },
                 };
                 reports.push(Report::new(now, run.at, run.subject.clone(), observation));
             }
@@ -337,6 +399,11 @@
                 remaining: REPORT_TTL,
             };
         }
+        if self.presumed.contains(&cause) {
+            return Verdict::Refused {
+                remaining: SILENCE_TTL,
+            };
+        }
         match self.suspects.contains(&cause) {
             true => Verdict::Suspect,
             false => Verdict::Clear,
@@ -402,6 +469,19 @@
         changes.then_some(relevant)
     }
 
+    /// Returns whether a request was in flight at a server that crashed or is silent, and hasn't survived
+    /// since. The next server that gets it must have answered just before: the end of one that was gone
+    /// already would tell nothing of the request.
+    pub fn is_unproven(&self, request: Fingerprint) -> bool {
+        self.unproven.contains(&request)
+    }
+
+    /// Returns whether a server is only known to be silent.
+    pub fn is_silent(&self, server: ServerId) -> bool {
+        let mut runs = self.runs.get(&server).into_iter().flatten();
+        runs.any(|run| !run.is_certain)
+    }
+
     /// Returns whether nothing is suspected.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty() && self.stored.is_empty()
@@ -440,8 +520,9 @@
             other.subject.request == run.subject.request && other.is_at_crash_of(&run)
         };
         if let Some(known) = runs.iter_mut().find(is_copy) {
-            let is_new = known.stage < run.stage;
+            let is_new = known.stage < run.stage || !known.is_certain && run.is_certain;
             known.stage = known.stage.max(run.stage);
+            known.is_certain |= run.is_certain;
             return is_new;
         }
         // Runs that had started say more, and are limited apart.
@@ -461,6 +542,18 @@
         true
     }
 
+    /// Removes what the silence of a server told before a time; returns whether there was any.
+    fn record_answer(&mut self, server: ServerId, at: Clock) -> bool {
+        let answered = self.answered.entry(server).or_default();
+        *answered = at.max(*answered);
+        let Some(runs) = self.runs.get_mut(&server) else {
+            return false;
+        };
+        let count = runs.len();
+        runs.retain(|run| run.is_certain || run.at > at);
+        count != runs.len()
+    }
+
     fn record_survival(&mut self, at: Clock, subject: &Subject) -> bool {
         self.lived.record(at, subject);
         if !self.survived.record(at, subject) {
@@ -482,10 +575,15 @@
     fn prune(&mut self, now: Clock) {
         let mut all = std::mem::take(&mut self.runs);
         for runs in all.values_mut() {
-            runs.retain(|run| run.at + REPORT_TTL > now && self.has_live_cause(run));
+            let expires_at = |run: &Run| match run.is_certain {
+                true => run.at + REPORT_TTL,
+                false => run.at + SILENCE_TTL,
+            };
+            runs.retain(|run| expires_at(run) > now && self.has_live_cause(run));
         }
         all.retain(|_, runs| !runs.is_empty());
         self.runs = all;
+        self.answered.retain(|_, at| *at + SILENCE_TTL > now);
         if self.lived.are_many() || self.survived.are_many() {
             let crashes = self.crash_times();
             let runs = self.runs.values().flatten();
@@ -542,9 +640,12 @@
         let crashes = self.crashes();
         let runs = crashes.iter().flat_map(|crash| &crash.runs);
         self.involved = runs.flat_map(attribution::Run::fingerprints).collect();
+        let runs = crashes.iter().flat_map(|crash| &crash.runs);
+        self.unproven = runs.map(|run| run.request).collect();
         let (lived, survived) = (self.lived.services(), self.survived.services());
         let attribution = attribution::attribute(crashes, lived, survived);
         self.suspects = attribution.suspects;
+        self.presumed = attribution.presumed;
         self.held = attribution.held;
         self.awaiting = attribution.awaiting;
         self.unexplained = attribution.unexplained;
@@ -568,6 +669,7 @@
         for runs in self.runs.values().flat_map(|runs| by_crash(runs)) {
             let mut crash = attribution::Crash {
                 at: runs[0].at,
+                is_certain: runs.iter().any(|run| run.is_certain),
                 runs: Vec::with_capacity(runs.len()),
             };
             for run in runs {
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -9,6 +9,10 @@
 //! A conviction explains its crashes. A request at crashes that are explained by another one is convicted
 //! by two more.
 //!
+//! A server that is only known to be silent convicts nothing for good. What it ran is held back like
+//! what is at crashes, and a cause that would be convicted if such servers had crashed is refused until
+//! it is known what became of them.
+//!
 //! Causes that are together at each crash can't be told apart by crashes. Requests with a cause at three
 //! crashes are held back: one at a time runs, over all processes, and what it does tells.
 
@@ -73,6 +77,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub(super) at: Clock,
+    /// Whether the server has crashed. Otherwise it is only known to be silent.
+    pub(super) is_certain: bool,
     /// Runs in flight that had not survived.
     pub(super) runs: Vec<Run>,
 }
@@ -115,6 +121,8 @@
 pub(super) struct Attribution {
     /// Convicted causes with their last crashes.
     pub(super) convicts: BTreeMap<Fingerprint, Clock>,
+    /// Causes that are convicted if the servers that are only known to be silent have crashed.
+    pub(super) presumed: BTreeSet<Fingerprint>,
     /// Causes that may have crashed a server.
     pub(super) suspects: BTreeSet<Fingerprint>,
     /// Causes at so many crashes that they run one at a time.
@@ -157,21 +165,18 @@
         ..Attribution::default()
     };
     let all = crashes.clone();
-    while let Some(cause) = find_cause(&crashes, &all, &attribution.convicts, lived, survived) {
+    let mut silences: Vec<Crash> = crashes.extract_if(.., |crash| !crash.is_certain).collect();
+    let certain = crashes.clone();
+    while let Some(cause) = find_cause(&crashes, &certain, &attribution.convicts, lived, survived) {
         attribution.convict(&crashes, cause.fingerprint);
-        match cause.distance {
-            Some(_) => crashes.retain(|crash| !crash.has(cause.fingerprint)),
-            // A request that crashes servers for a part of its prompt is refused with the part.
-            None => {
-                for crash in &mut crashes {
-                    if crash.has(cause.fingerprint) {
-                        crash.runs.retain(|run| run.has(cause.fingerprint));
-                    }
-                }
-            }
-        }
+        explain(&mut crashes, cause);
+        explain(&mut silences, cause);
     }
     attribution.unexplained = find_series(&crashes, lived);
+    if !silences.is_empty() {
+        attribution.presumed = presume(&all, &attribution.convicts, lived, survived);
+    }
+    crashes.append(&mut silences);
     let unexplained: HashSet<Fingerprint> = crashes
         .iter()
         .flat_map(|crash| &crash.runs)
@@ -191,6 +196,43 @@
     attribution
 }
 
+/// Returns the causes that would be convicted beside the `convicts` if all servers had crashed.
+fn presume(
+    all: &[Crash],
+    convicts: &BTreeMap<Fingerprint, Clock>,
+    lived: &Lives,
+    survived: &Lives,
+) -> BTreeSet<Fingerprint> {
+    let mut found = Attribution {
+        convicts: convicts.clone(),
+        ..Attribution::default()
+    };
+    let mut presumed = BTreeSet::new();
+    let mut crashes = all.to_vec();
+    crashes.retain(|crash| !convicts.keys().any(|cause| crash.has(*cause)));
+    while let Some(cause) = find_cause(&crashes, all, &found.convicts, lived, survived) {
+        found.convict(&crashes, cause.fingerprint);
+        explain(&mut crashes, cause);
+        presumed.insert(cause.fingerprint);
+    }
+    presumed
+}
+
+/// Removes what a convicted cause explains.
+fn explain(crashes: &mut Vec<Crash>, cause: Candidate) {
+    match cause.distance {
+        Some(_) => crashes.retain(|crash| !crash.has(cause.fingerprint)),
+        // A request that crashes servers for a part of its prompt is refused with the part.
+        None => {
+            for crash in crashes {
+                if crash.has(cause.fingerprint) {
+                    crash.runs.retain(|run| run.has(cause.fingerprint));
+                }
+            }
+        }
+    }
+}
+
 impl Attribution {
     /// Records the conviction of a cause by its crashes.
     fn convict(&mut self, crashes: &[Crash], cause: Fingerprint) {
--- /dev/null
+++ b/components/contract/tests/silence.rs
@@ -0,0 +1,114 @@
+//! Tests of the evidence of servers that stop answering, of which it isn't known whether they crashed.
+
+use std::time::Duration;
+
+use contract::poison::{
+    Fingerprint, Verdict,
+    evidence::{
+        Evidence,
+        Observation,
+        ServerId,
+        Stage,
+        Subject, //
+    },
+};
+use names::Clock;
+use rstest::rstest;
+
+const REQUEST: Fingerprint = 1;
+const START: Clock = Duration::from_secs(1000);
+
+/// Time between two runs of the request.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+fn subject() -> Subject {
+    Subject::new(5, REQUEST, [])
+}
+
+/// Returns the silence of a server that was known to answer `before` its last sign of life.
+fn silent(server: ServerId, before: Duration) -> Observation {
+    Observation::Silent {
+        server,
+        incarnation: 0,
+        stage: Stage::Started,
+        run_ms: before.as_millis() as u32,
+    }
+}
+
+/// Returns evidence of servers that fell silent under runs of the request, one after the other.
+fn silent_servers(count: u32, before: Duration) -> (Evidence, Clock) {
+    let mut evidence = Evidence::default();
+    let mut now = START;
+    for server in 0..count {
+        now = START + INTERVAL * server;
+        evidence.record(now, now, &subject(), silent(server, before));
+    }
+    (evidence, now)
+}
+
+fn is_refused(evidence: &Evidence, now: Clock) -> bool {
+    matches!(evidence.verdict(now, REQUEST), Verdict::Refused { .. })
+}
+
+/// Guards against a request that goes on while it isn't known whether the silent servers crashed.
+#[rstest]
+#[case(2, false)]
+#[case(3, true)]
+fn three_silent_servers_refuse_a_request(#[case] count: u32, #[case] refused: bool) {
+    let (evidence, now) = silent_servers(count, Duration::ZERO);
+    assert_eq!(is_refused(&evidence, now), refused);
+    assert!(evidence.is_unproven(REQUEST));
+    // The refusal isn't stored while it may end.
+    let late = now + Duration::from_secs(5);
+    assert!(evidence.unstored(late).is_empty());
+}
+
+/// Guards against the refusal of a request that was sent to servers which had ended together.
+#[test]
+fn servers_that_had_ended_before_refuse_no_request() {
+    let (mut evidence, now) = silent_servers(4, Duration::from_secs(2));
+    assert!(!is_refused(&evidence, now));
+    for server in 0..4 {
+        let at = START + INTERVAL * server;
+        let crashed = Observation::Crashed {
+            server,
+            incarnation: 0,
+            stage: Stage::Started,
+            run_ms: 2000,
+        };
+        evidence.record(now, at, &subject(), crashed);
+    }
+    assert!(!is_refused(&evidence, now));
+}
+
+/// Guards against a refusal that outlives the silence of a server that was only slow or cut off.
+#[test]
+fn an_answer_ends_what_the_silence_told() {
+    let (mut evidence, now) = silent_servers(3, Duration::ZERO);
+    let answer = Observation::Answered { server: 2 };
+    evidence.record(now, now, &Subject::new(0, 0, []), answer);
+    assert!(!is_refused(&evidence, now));
+    // A report from before the answer comes late.
+    let late = silent(2, Duration::ZERO);
+    assert!(!evidence.record(now, now, &subject(), late));
+    assert!(!is_refused(&evidence, now));
+}
+
+/// Guards against a request that is refused no longer once its servers are known to have crashed.
+#[test]
+fn crashes_confirm_what_the_silence_told() {
+    let (mut evidence, now) = silent_servers(3, Duration::ZERO);
+    for server in 0..3 {
+        let at = START + INTERVAL * server;
+        let crashed = Observation::Crashed {
+            server,
+            incarnation: 0,
+            stage: Stage::Started,
+            run_ms: 0,
+        };
+        assert!(evidence.record(now, at, &subject(), crashed));
+        assert!(is_refused(&evidence, now));
+    }
+    let late = now + Duration::from_secs(60);
+    assert!(is_refused(&evidence, late));
+}
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -92,6 +92,10 @@
     BROKEN_OFF = 1045, Info, "Backend server broke off a request and still listens";
     /// The server at an address said that it is another one than the registered one.
     DENIED = 1046, Info, "Backend server says that it is another one";
+    /// A server stopped answering before a run of the request survived, and may have crashed.
+    SERVER_SILENT = 1047, Warn, "Backend server stopped answering under a request";
+    /// A server that was silent answers, or is registered still.
+    SERVER_ANSWERS = 1048, Info, "Silent backend server hasn't crashed";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -55,7 +55,6 @@
         CacheLookup, //
     },
     clock,
-    crashes::Crashes,
     document_cache::State,
     fleet::Fleet,
     handle::Context,
@@ -128,7 +127,7 @@
             rollouts: Rc::default(),
             demands: Rc::default(),
             suspects: Rc::default(),
-            crashes: Crashes::default(),
+            crashes: Rc::default(),
             initial_sync: InitialSync::default(),
             forecast: RefCell::default(),
             shutdown: Rc::default(),
@@ -320,6 +319,8 @@
             });
             spawn_local(admin::run(metrics, respond, stopped.clone()));
         }
+        let (context, stop_watch) = (self.context.clone(), stopped.clone());
+        spawn_local(async move { context.watch_abandoned(stop_watch).await });
         let context = &self.context;
         if let Some(channels) = self.channels.take() {
             let shared = Shared {
--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -112,6 +112,8 @@
     /// Servers whose address was taken by another one, with the address and the start of the process,
     /// oldest first.
     replaced: VecDeque<(Server, SocketAddr, ServerIncarnation)>,
+    /// When each server last sent anything to this gateway.
+    heard: HashMap<Server, Clock>,
     /// Bound on the log lines about the servers' speeds.
     speed_log: speed::LogBound,
     rng: SmallRng,
@@ -166,6 +168,7 @@
             new_prompts: Vec::new(),
             rate_limit_news: Announcements::default(),
             replaced: VecDeque::new(),
+            heard: HashMap::new(),
             speed_log: speed::LogBound::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -350,6 +353,7 @@
         self.discount_version(server);
         self.placement.remove(server);
         self.started_ms.remove(server);
+        self.heard.remove(server);
         self.servers_by_id.remove(&beacon::id(server));
         let address = self.addresses.remove(server)?;
         if self.servers_by_address.get(&address) == Some(server) {
@@ -582,6 +586,29 @@
         self.placement.mark_alive(clock::now(), server);
     }
 
+    /// Records that a server sent something.
+    pub fn record_heard(&mut self, server: &Server) {
+        let now = clock::now();
+        match self.heard.get_mut(server) {
+            Some(heard) => *heard = now,
+            None if self.addresses.contains_key(server) => {
+                self.heard.insert(server.clone(), now);
+            }
+            None => {}
+        }
+    }
+
+    /// Returns when a server last sent anything; `None` if it hasn't.
+    pub fn heard(&self, server: &Server) -> Option<Clock> {
+        self.heard.get(server).copied()
+    }
+
+    /// Returns whether any other server has sent anything since a time.
+    pub fn has_heard_others(&self, server: &Server, since: Clock) -> bool {
+        let mut heard = self.heard.iter();
+        heard.any(|(other, at)| other != server && *at >= since)
+    }
+
     /// Returns whether a server accepts work, according to its registration and to what it said.
     pub fn accepts_work(&self, server: &Server) -> bool {
         self.placement.accepts_work(server)
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -174,7 +174,7 @@
     /// Requests that may crash servers.
     pub suspects: Rc<Suspects>,
     /// Losses that may turn out to be crashes.
-    pub crashes: Crashes,
+    pub crashes: Rc<Crashes>,
     /// Initial read of the store.
     pub initial_sync: InitialSync,
     /// Estimates of how long answers take.
@@ -495,7 +495,7 @@
 
     /// Records that a run of a request lived or survived.
     pub fn record_life(&self, call: &Call, observation: Observation) {
-        if !self.suspects.is_empty() {
+        if observation == Observation::Survived || !self.suspects.is_empty() {
             self.suspects.record_life(call.subject(), observation);
         }
     }
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -79,6 +79,11 @@
     counter!("medlarhatch_server_crashes_total").increment(1);
 }
 
+/// Counts a server that stopped answering before a run survived its start.
+pub fn server_silence() {
+    counter!("medlarhatch_server_silences_total").increment(1);
+}
+
 /// Counts a stream that was resumed, and records the caller's wait for the next event.
 pub fn resumed(from: &'static str, gap: Duration) {
     counter!("medlarhatch_resumes_total", "from" => from).increment(1);
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -22,7 +22,10 @@
     request::Parts, //
 };
 use names::Server;
-use tokio::time::timeout;
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
 use upstream::{
     Bound,
     Connection,
@@ -52,8 +55,11 @@
 /// centres of one region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Time within which something that listens in place of a server closes a new connection.
-const CLOSE_TIME: Duration = Duration::from_millis(50);
+/// Timeout of the answer to a status check, on a connection of its own.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Lateness of a timer from which on this process was paused, and what arrived isn't read yet.
+const MAX_TIMER_LATENESS: Duration = Duration::from_millis(100);
 
 /// Maximum size of a response body that isn't passed to a caller: the response to an earlier
 /// request on the connection, or to a call of the gateway's own.
@@ -66,6 +72,19 @@
 /// Maximum number of responses to earlier requests that are skipped on a connection.
 pub const MAX_EARLIER_RESPONSES: u32 = 4;
 
+/// What a status check tells of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// It answers.
+    Answers,
+    /// It can't be reached, or closes the connection, or says nothing.
+    Silent,
+    /// This process was paused meanwhile.
+    Unknown,
+    /// Its host refuses connections: its process is gone.
+    Gone,
+}
+
 /// Client for backend servers, with a pool of connections.
 pub struct Sender<P> {
     protocol: Rc<P>,
@@ -253,15 +272,28 @@
         }
     }
 
-    /// Returns whether the port of a server refuses connections or closes new ones at once.
-    pub async fn is_closed(&self, target: &Target) -> bool {
-        match self.open(target, PROBE_TIMEOUT).await {
-            Ok(mut connection) => {
-                let head = timeout(CLOSE_TIME, connection.head()).await;
-                head.is_ok_and(|head| head.is_err())
+    /// Asks a server for its current runs on a new connection, and returns what that tells of it. Any
+    /// answer will do.
+    pub async fn check_status(&self, target: &Target) -> Status {
+        let mut connection = match self.open(target, PROBE_TIMEOUT).await {
+            Ok(connection) => connection,
+            Err(Error::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Status::Gone;
             }
-            Err(Error::Connect(error)) => error.kind() == ErrorKind::ConnectionRefused,
-            Err(_) => false,
+            Err(_) => return Status::Silent,
+        };
+        let head = self.protocol.activity_request();
+        let asked = async {
+            connection
+                .write(&Method::GET, head.into(), Bytes::new())
+                .await?;
+            connection.head().await
+        };
+        let until = Instant::now() + STATUS_TIMEOUT;
+        match timeout_at(until, asked).await {
+            Ok(Ok(_)) => Status::Answers,
+            Err(_) if until.elapsed() >= MAX_TIMER_LATENESS => Status::Unknown,
+            Ok(Err(_)) | Err(_) => Status::Silent,
         }
     }
 
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -283,6 +283,7 @@
         resumption: &mut Option<Resumption>,
     ) -> Option<(Target, Option<KvCopy>)> {
         let mut is_separated = false;
+        let mut is_checked = false;
         loop {
             if self.context.poisonous_cause(&self.call).await.is_some() {
                 return None;
@@ -294,6 +295,13 @@
                 false => Err(Unplaced::Occupied),
             };
             let unplaced = match choice {
+                // A second server isn't checked: all may be slow.
+                Ok((target, _))
+                    if !std::mem::replace(&mut is_checked, true)
+                        && !self.context.may_send_to(&self.call, &target).await =>
+                {
+                    continue;
+                }
                 Ok(choice) => return Some(choice),
                 Err(unplaced) => unplaced,
             };
@@ -372,7 +380,7 @@
                     Step::TimedOut => break "late",
                     Step::Lost(loss) => {
                         // The lost run is dropped before the next one begins.
-                        self.check_crash(&run, loss).await;
+                        self.check_crash(&mut run, loss).await;
                         let lost = run.into_lost(loss);
                         match self.resume(lost).await {
                             Some(next) => run = next,
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -22,7 +22,6 @@
     forwarding,
     note, //
 };
-use names::Clock;
 use routing::Outcome;
 use tokio::time::Instant;
 use upstream::{
@@ -32,6 +31,10 @@
 };
 
 use crate::{
+    crashes::{
+        OpenRun,
+        Unanswered, //
+    },
     fleet::{
         InFlight,
         Suspicion,
@@ -51,7 +54,6 @@
         Session,
         backup::Backup, //
     },
-    trials::Ticket,
 };
 
 mod receive;
@@ -80,8 +82,6 @@
     progress: Progress,
     silence: Detector,
     pub(super) began: Instant,
-    /// [`clock::now`](crate::clock::now) when the request was sent.
-    sent_at: Clock,
     last_received: Instant,
     /// Start of the silence: the last event, or later if the run couldn't be read since or its server
     /// had to read the request first.
@@ -99,8 +99,8 @@
     recorded: (bool, bool),
     /// Held until the run lives.
     probation: Option<probation::Guard>,
-    /// Ticket of a request that runs beside no other, until the run shows whether it crashes servers.
-    ticket: Option<Ticket>,
+    /// The run until it lives, survives or is lost, and the ticket of a request that runs beside no other.
+    unanswered: Unanswered,
     /// Whether the end of the answer can be told from a connection that is closed early.
     is_delimited: bool,
     complete: bool,
@@ -154,6 +154,7 @@
             time: self.began.elapsed(),
         });
         self.in_flight.events_complete(self.events);
+        self.unanswered.close();
         self.complete.then_some(self.connection)
     }
 
@@ -232,7 +233,8 @@
         if !survived && lived_for >= PROBATION {
             run.recorded = (true, true);
             run.probation = None;
-            run.ticket = None;
+            run.unanswered.run.ticket = None;
+            run.unanswered.close();
             self.context.record_life(&self.call, Observation::Survived);
         } else if !lived && lived_for >= LIFE_SIGN {
             run.recorded.0 = true;
@@ -240,13 +242,14 @@
             self.context.record_life(&self.call, Observation::Lived);
         }
         if run.recorded.0 && !self.context.is_held(&self.call) {
-            run.ticket = None;
+            run.unanswered.run.ticket = None;
         }
     }
 
     /// Checks whether the server of a lost run crashed before the run survived its start.
-    pub(super) async fn check_crash(&self, run: &Run, loss: Loss) {
-        if !loss.is_broken_off() || run.has_survived() {
+    pub(super) async fn check_crash(&self, run: &mut Run, loss: Loss) {
+        run.unanswered.close();
+        if run.has_survived() || !loss.is_silent() && !loss.is_broken_off() {
             return;
         }
         let stage = match run.answered {
@@ -254,10 +257,14 @@
             Some(_) => Stage::Started,
             None => Stage::Pending,
         };
-        let context = &self.context;
-        context
-            .check_crash(&self.call, &run.target, stage, run.sent_at)
-            .await;
+        let lost = OpenRun {
+            stage,
+            ..run.unanswered.run.clone()
+        };
+        match loss.is_silent() {
+            true => self.context.check_silence(lost),
+            false => self.context.check_crash(lost).await,
+        }
     }
 
     /// Ensures that another server holds a copy of the run's KV cache.
@@ -339,6 +346,7 @@
         run.last_received = now;
         run.silent_since = now;
         run.last_alive = now;
+        self.context.record_heard(&run.target.server);
         if run.events == 0 {
             run.in_flight.prompt_processed(run.began.elapsed());
             let mut fleet = self.context.fleet.borrow_mut();
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -213,6 +213,7 @@
                                 return Received::Lost(Loss::Orphaned);
                             }
                             Some(_) => {
+                                self.context.record_heard(&run.target.server);
                                 run.record_alive();
                             }
                         }
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -1,6 +1,9 @@
 //! Starts runs, and decides by the head of a response whether one has begun.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use answer::{
     events::Splitter,
@@ -13,6 +16,7 @@
     threshold::Gaps, //
 };
 use bytes::Bytes;
+use contract::poison::evidence::Stage;
 use environment::document::Repeats;
 use events::{
     forwarding,
@@ -41,6 +45,10 @@
 use crate::{
     body::Body,
     clock,
+    crashes::{
+        OpenRun,
+        Unanswered, //
+    },
     fleet::{
         InFlight,
         Suspicion,
@@ -162,6 +170,13 @@
         };
         let pass = &self.call.pass;
         let expected = self.expectation(target, work);
+        let open = OpenRun {
+            call: self.call.clone(),
+            target: target.clone(),
+            stage: Stage::Pending,
+            sent_at: clock::now(),
+            ticket: ticket.map(Rc::new),
+        };
         let mut run = Run {
             target: target.clone(),
             connection,
@@ -172,7 +187,6 @@
             progress: Progress::new(pass.repeats == Repeats::Resumes),
             silence: Detector::new(pass.objective, pass.gap, Gaps::default(), expected),
             began,
-            sent_at: clock::now(),
             last_received: began,
             silent_since: began + read_time(self.call.request.body.len()),
             answered: None,
@@ -182,7 +196,7 @@
             has_gap: false,
             recorded: (false, false),
             probation: Some(probation),
-            ticket,
+            unanswered: Unanswered::new(&self.context.crashes, open),
             is_delimited: true,
             complete: false,
             trial: self.begin_trial(target),
@@ -277,9 +291,9 @@
     }
 
     /// Logs the loss of a run that had not begun to answer.
-    async fn lose(&self, run: Run, loss: Loss) -> Start {
+    async fn lose(&self, mut run: Run, loss: Loss) -> Start {
         self.log_loss(&run, loss);
-        self.check_crash(&run, loss).await;
+        self.check_crash(&mut run, loss).await;
         Start::Lost(Box::new(run.into_lost(loss)))
     }
 
@@ -288,9 +302,11 @@
         let id = self.call.request.metadata.id.as_str();
         let server = run.target.server.clone();
         let status = head.status.as_u16();
+        self.context.record_heard(&server);
         self.context
-            .record_reply(&run.target, head.status, &reply, run.sent_at);
+            .record_reply(&run.target, head.status, &reply, run.unanswered.run.sent_at);
         if reply.not_run {
+            run.unanswered.close();
             if let Some(trial) = &mut run.trial {
                 trial.cancel();
             }
@@ -332,6 +348,7 @@
         if usable && head.status.is_success() {
             meter::send("answered");
             run.answered = Some(Instant::now());
+            run.unanswered.run.stage = Stage::Started;
             run.is_delimited = head.is_delimited();
             let headers = self
                 .context
@@ -344,6 +361,7 @@
                 headers,
             };
         }
+        run.unanswered.close();
         if let Some(trial) = &mut run.trial {
             trial.failed();
         }
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -2,7 +2,10 @@
 
 use std::{
     cell::RefCell,
-    collections::HashSet,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     rc::Rc,
     time::Duration, //
 };
@@ -43,12 +46,21 @@
     trials::Trials, //
 };
 
+/// Time for which survivals are remembered: longer than it takes to notice a crash.
+const RECENT_TIME: Duration = Duration::from_secs(15);
+
+/// Number of remembered survivals from which the older ones are removed.
+const MAX_RECENT: usize = 4096;
+
 /// Evidence against requests, from this gateway and its peers.
 #[derive(Default)]
 pub struct Suspects {
     evidence: RefCell<Evidence>,
     /// Recent observations of this gateway.
     own: Announcements<(Clock, Subject, Observation)>,
+    /// When runs here last survived whose survival told nothing then, by their causes. A crash may be
+    /// noticed seconds later.
+    recent: RefCell<HashMap<Fingerprint, (ServiceId, Clock)>>,
     /// Permits of requests that run one at a time.
     pub trials: Rc<Trials>,
     /// Runs of this gateway that haven't lived yet.
@@ -109,12 +121,13 @@
             server: beacon::id(&target.server),
             incarnation: target.incarnation,
             stage,
-            run_ms: loss.at.saturating_sub(loss.sent_at).as_millis() as u32,
+            run_ms: loss.run_ms(),
         };
         let subject = call.subject();
         if !self.record_own(loss.at, subject, observation) {
             return;
         }
+        self.recall(loss.at, subject);
         meter::server_crash();
         let cause = self.refused_cause(subject);
         note!(
@@ -131,11 +144,85 @@
         );
     }
 
+    /// Records that a server stopped answering before a run of a request survived.
+    pub fn record_silence(&self, loss: &Loss, target: &Target) {
+        let call = &loss.call;
+        let observation = Observation::Silent {
+            server: beacon::id(&target.server),
+            incarnation: target.incarnation,
+            stage: loss.stage,
+            run_ms: loss.run_ms(),
+        };
+        if !self.record_own(loss.at, call.subject(), observation) {
+            return;
+        }
+        self.recall(loss.at, call.subject());
+        meter::server_silence();
+        note!(
+            forwarding::SERVER_SILENT,
+            id = call.request.metadata.id.as_str(),
+            server = target.server.as_str(),
+            fingerprint = format!("{:032x}", call.fingerprint()).as_str(),
+            parts = call.part_ids().as_deref(),
+            started = loss.stage != Stage::Pending,
+            silent_ms = clock::now().saturating_sub(loss.at).as_millis() as u64,
+            held = self.held_causes(call.subject())
+        );
+    }
+
+    /// Records that a server hasn't crashed, if it was taken for silent.
+    pub fn record_answer(&self, server: &Server) {
+        let id = beacon::id(server);
+        if self.is_empty() || !self.evidence.borrow().is_silent(id) {
+            return;
+        }
+        let subject = Subject::new(0, 0, []);
+        let observation = Observation::Answered { server: id };
+        if self.record_own(clock::now(), &subject, observation) {
+            note!(forwarding::SERVER_ANSWERS, server = server.as_str());
+        }
+    }
+
+    /// Returns whether a request may only go to a server that has just answered; see
+    /// [`Evidence::is_unproven`].
+    pub fn is_unproven(&self, request: Fingerprint) -> bool {
+        self.evidence.borrow().is_unproven(request)
+    }
+
     /// Records that a run of the request lived or survived, if that changes anything.
     pub fn record_life(&self, subject: &Subject, observation: Observation) {
+        let now = clock::now();
         let relevant = self.evidence.borrow().relevant_to(subject, observation);
         if let Some(relevant) = relevant {
-            self.record_own(clock::now(), &relevant, observation);
+            self.record_own(now, &relevant, observation);
+        }
+        if observation != Observation::Survived {
+            return;
+        }
+        let mut recent = self.recent.borrow_mut();
+        for cause in subject.causes() {
+            recent.insert(cause, (subject.service, now));
+        }
+        if recent.len() > MAX_RECENT {
+            recent.retain(|_, (_, at)| *at + RECENT_TIME > now);
+        }
+        if recent.len() > MAX_RECENT {
+            recent.clear();
+        }
+    }
+
+    /// Records the survivals of the causes of a request since its server crashed, or fell silent, at a
+    /// time.
+    fn recall(&self, at: Clock, subject: &Subject) {
+        let survived: Vec<_> = {
+            let recent = self.recent.borrow();
+            let causes = subject.causes();
+            let survived = causes.filter_map(|cause| Some((cause, *recent.get(&cause)?)));
+            survived.filter(|(_, (_, last))| *last >= at).collect()
+        };
+        for (cause, (service, last)) in survived {
+            let subject = Subject::new(service, cause, []);
+            self.record_own(last, &subject, Observation::Survived);
         }
     }
 
@@ -161,7 +248,14 @@
         };
         let before = refused(&evidence);
         evidence.apply(now, reports);
-        for cause in refused(&evidence).difference(&before) {
+        drop(evidence);
+        for report in reports {
+            let at = now.saturating_sub(Duration::from_millis(report.age_ms.into()));
+            if let Observation::Crashed { .. } | Observation::Silent { .. } = report.observation {
+                self.recall(at, &report.subject);
+            }
+        }
+        for cause in refused(&self.evidence.borrow()).difference(&before) {
             note!(
                 forwarding::REQUEST_POISONOUS,
                 fingerprint = format!("{cause:032x}").as_str()
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -469,9 +469,11 @@
         self.stop.cancelled().await;
     }
 
-    /// Returns the number of requests received.
+    /// Returns the number of requests received, without status checks.
     pub fn request_count(&self) -> usize {
-        self.requests.borrow().len()
+        let requests = self.requests.borrow();
+        let is_request = |message: &&Message| !message.start_line.starts_with("GET /runs ");
+        requests.iter().filter(is_request).count()
     }
 }
 
--- a/components/gateway/tests/silent_servers.rs
+++ b/components/gateway/tests/silent_servers.rs
@@ -216,7 +216,8 @@
         let crashes = site.crashes.borrow();
         let known = crashes[MAX_CRASHES - 1] + ADAPTATION_TIME;
         let late = crashes.iter().filter(|at| **at > known).count();
-        assert!(late <= MAX_CRASHES, "{late} late, {} in all", crashes.len());
+        let times: Vec<Duration> = crashes.iter().map(|at| *at - began).collect();
+        assert!(late <= MAX_CRASHES, "{late} late of {times:.1?}");
         let since = began + TEST_TIME - SOUND_TIME;
         let results = results.borrow();
         let last = results.iter().filter(|(sent, _)| *sent > since);
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -43,6 +43,11 @@
     let backend = Backend::start(move |message: Message, connection| {
         let (log, crash) = (log.clone(), crash.clone());
         async move {
+            // A status check takes no run.
+            if message.start_line.starts_with("GET ") {
+                connection.write(&response("", 200, "")).await;
+                return true;
+            }
             log.borrow_mut().push(Instant::now());
             if crashes && message.start_line.contains("bad") {
                 sleep(CRASH_DELAY).await;
