upstream: an evicted connection counts until its bytes are released

The ledger forgot an account when it evicted it, but its buffers live until its task runs; until then the others read on.

Evicted bytes count until the account is dropped, and a connection lets others run before it reads while they exceed the limit, four times at most: a task that waits for its caller may not run.

--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -19,7 +19,10 @@
 use tokio::{
     net::TcpStream,
     select,
-    task::coop::consume_budget,
+    task::{
+        coop::consume_budget,
+        yield_now, //
+    },
     time::{
         Instant,
         timeout, //
@@ -42,6 +45,10 @@
     ledger::Account, //
 };
 
+/// Maximum number of times that a connection lets others run before it reads, so that evicted ones are
+/// closed. One whose task waits for its caller may stay.
+const MAX_RELEASE_YIELDS: usize = 4;
+
 /// Buffer space reserved for each read, in bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -334,6 +341,14 @@
     pub async fn fill(&mut self) -> Result<(), Error> {
         // A server that sends faster than its bytes are parsed must not keep the thread.
         consume_budget().await;
+        // What is evicted is released once its task runs; meanwhile more would exceed the limit.
+        for _ in 0..MAX_RELEASE_YIELDS {
+            let account = self.account.as_ref();
+            if !account.is_some_and(|account| account.is_overdrawn() && !account.is_evicted()) {
+                break;
+            }
+            yield_now().await;
+        }
         let evicted = async {
             match &self.account {
                 Some(account) => account.evicted().await,
--- a/components/upstream/src/ledger.rs
+++ b/components/upstream/src/ledger.rs
@@ -25,6 +25,8 @@
     /// Maximum number of bytes of all accounts.
     limit: usize,
     held: usize,
+    /// Bytes of evicted accounts that aren't released yet.
+    evicted: usize,
     /// Accounts that hold bytes.
     holders: HashMap<Id, Holder>,
     next_id: Id,
@@ -51,6 +53,7 @@
         Ledger(Arc::new(Mutex::new(Table {
             limit,
             held: 0,
+            evicted: 0,
             holders: HashMap::new(),
             next_id: 0,
         })))
@@ -94,6 +97,12 @@
         }
     }
 
+    /// Returns whether evicted connections still hold bytes beyond the limit.
+    pub fn is_overdrawn(&self) -> bool {
+        let table = self.ledger.table();
+        table.held + table.evicted > table.limit
+    }
+
     /// Returns whether the connection has to be closed.
     pub fn is_evicted(&self) -> bool {
         self.evicted.is_cancelled()
@@ -107,7 +116,11 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.ledger.table().remove(self.id);
+        let mut table = self.ledger.table();
+        if self.is_evicted() {
+            table.evicted -= self.bytes;
+        }
+        table.remove(self.id);
     }
 }
 
@@ -131,6 +144,7 @@
                 return;
             };
             if let Some(largest) = self.remove(id) {
+                self.evicted += largest.bytes;
                 largest.evicted.cancel();
             }
         }
