gateway: no circle of imports round the handler of requests

The call (call.rs) and the state (context.rs) know nobody who handles requests; what a part keeps is apart from what works on the state: lost runs (crashes, crash_watch), lookups of caches (lookups, cache_lookup), the queue (queue, queue_admission).

Moves only: no decision changes.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -52,7 +52,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    handle::Context,
+    context::Context,
     protocol::Protocol, //
 };
 
--- a/components/gateway/src/cache_lookup.rs
+++ b/components/gateway/src/cache_lookup.rs
@@ -8,11 +8,6 @@
 //! results to the others, as a hundred gateways that query all engines would slow them down.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
-    collections::HashMap,
     rc::Rc,
     time::Duration, //
 };
@@ -27,10 +22,7 @@
     stream, //
 };
 use http::Method;
-use names::{
-    Server,
-    Service, //
-};
+use names::Service;
 use routing::Part;
 use spread::beacon::{
     Id,
@@ -39,10 +31,7 @@
 };
 use tokio::{
     sync::{
-        mpsc::{
-            UnboundedReceiver,
-            UnboundedSender, //
-        },
+        mpsc::UnboundedReceiver,
         watch, //
     },
     task::spawn_local,
@@ -55,11 +44,10 @@
 };
 
 use crate::{
+    call::Call,
+    context::Context,
     fleet::Target,
-    handle::{
-        Call,
-        Context, //
-    },
+    lookups::Lookup,
     peers::Outgoing,
     protocol::Protocol,
     update::Registration, //
@@ -77,75 +65,12 @@
 /// Longest wait of a request as a share of its remaining time.
 const MAX_WAIT_SHARE: f64 = 0.1;
 
-/// Time for which the results are valid. Callers of gateways that failed together reconnect within
-/// a second or two; prompts processed after that are known to this gateway or a peer.
-const CACHE_TTL: Duration = Duration::from_secs(10);
-
 /// Maximum number of engines that are queried at the same time.
 const MAX_CONCURRENT_QUERIES: usize = 16;
 
 /// Interval at which a waiting request checks whether its prompt was found.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Recent lookups and their progress.
-pub struct CacheLookup {
-    lookups: RefCell<HashMap<Service, Lookup>>,
-    /// Time at which this gateway last queried each engine.
-    queried: RefCell<HashMap<Server, Instant>>,
-    /// Time until which servers may be missing from the registry.
-    registering_until: Cell<Option<Instant>>,
-    outgoing: UnboundedSender<Outgoing>,
-}
-
-/// Lookup at the engines of a service.
-#[derive(Clone)]
-struct Lookup {
-    at: Instant,
-    /// Rank of this gateway among the live ones, and their number, which define its partition of
-    /// the engines.
-    rank: (usize, usize),
-    done: watch::Receiver<bool>,
-}
-
-impl CacheLookup {
-    /// Creates the state without lookups.
-    pub fn new(outgoing: UnboundedSender<Outgoing>) -> CacheLookup {
-        CacheLookup {
-            lookups: RefCell::default(),
-            queried: RefCell::default(),
-            registering_until: Cell::default(),
-            outgoing,
-        }
-    }
-
-    /// Records that servers may be missing from the registry for a time.
-    pub fn await_registrations(&self, time: Duration) {
-        self.registering_until.set(Some(Instant::now() + time));
-    }
-
-    /// Returns the recent lookup at a service's engines, if there is one.
-    fn recent(&self, service: &Service) -> Option<Lookup> {
-        let lookup = self.lookups.borrow().get(service).cloned();
-        lookup.filter(|lookup| lookup.at.elapsed() < CACHE_TTL)
-    }
-
-    /// Marks an engine as queried; returns `false` if it was queried recently.
-    fn mark_queried(&self, server: &Server) -> bool {
-        let mut queried = self.queried.borrow_mut();
-        queried.retain(|_, at| at.elapsed() < CACHE_TTL);
-        if queried.contains_key(server) {
-            return false;
-        }
-        queried.insert(server.clone(), Instant::now());
-        true
-    }
-
-    fn send(&self, message: Outgoing) {
-        // The receiver is gone when the process exits.
-        let _ = self.outgoing.send(message);
-    }
-}
-
 /// Looks up which engines of a service have a prompt part cached. Returns when all were queried, or
 /// when the wait is too long for a request that must be answered within `remaining`.
 pub async fn find_prompt<P: Protocol + 'static>(
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -50,15 +50,13 @@
 use crate::{
     accept,
     admin,
-    cache_lookup::{
-        self,
-        CacheLookup, //
-    },
+    cache_lookup,
     clock,
+    context::Context,
     document_cache::State,
     fleet::Fleet,
-    handle::Context,
     initial_sync::InitialSync,
+    lookups::CacheLookup,
     meter::Gauges,
     peers::{
         Channels,
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -62,7 +62,9 @@
         Abort,
         Body, //
     },
+    call::Call,
     clock,
+    context::Context,
     crashes::{
         OpenRun,
         Unanswered, //
@@ -74,10 +76,6 @@
         round_load,
         suspicion_for, //
     },
-    handle::{
-        Call,
-        Context, //
-    },
     meter,
     overload::{
         self,
--- a/components/gateway/src/queue/scarcity.rs
+++ b/components/gateway/src/queue/scarcity.rs
@@ -35,7 +35,7 @@
 
 /// State of a service whose streams differ.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Ranked {
+pub struct Ranked {
     scarcity: Scarcity,
     /// Sizes of the streams of every rank but the last, and of the last.
     sizes: [Option<Size>; 2],
@@ -60,7 +60,7 @@
 
     /// Returns the room of this process, one of `processes`. `room` returns the engines' room for
     /// work within a time; `draw` is a random number from 0 to 1.
-    pub(super) fn room(
+    pub fn room(
         &self,
         now: Clock,
         processes: u32,
@@ -81,7 +81,7 @@
     /// Returns whether there is less than one place for each of the processes, whatever the time
     /// until prompts are processed. `room` returns the engines' room for work without a bound on
     /// that time.
-    pub(super) fn is_memory_full(&self, processes: u32, room: impl Fn(Work) -> u32) -> bool {
+    pub fn is_memory_full(&self, processes: u32, room: impl Fn(Work) -> u32) -> bool {
         let [first, others] = self.sizes;
         others
             .or(first)
--- a/components/gateway/src/rollout/trial.rs
+++ b/components/gateway/src/rollout/trial.rs
@@ -14,8 +14,8 @@
 
 use super::Rollouts;
 use crate::{
+    call::Call, //
     fleet::Target,
-    handle::Call, //
 };
 
 /// A request whose result at a version is reported once: when it is answered, when it fails, or when
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -35,11 +35,9 @@
         Abort,
         Body, //
     },
+    call::Call,
+    context::Context,
     fleet::Target,
-    handle::{
-        Call,
-        Context, //
-    },
     meter,
     probation::{
         self,
@@ -49,10 +47,8 @@
         KvCopy,
         Protocol, //
     },
-    queue::{
-        self,
-        Admission, //
-    },
+    queue::Admission,
+    queue_admission,
     refuse::Refusal,
     repeat::Repeat,
     retry_budget::Permit,
@@ -175,7 +171,7 @@
             return Err(self.call.refuse(&refusal));
         }
         let work = self.remaining_work();
-        match queue::admit(&self.context, &self.call, work).await {
+        match queue_admission::admit(&self.context, &self.call, work).await {
             Ok(admission) => self.admission = Some(admission),
             Err(refusal) => return Err(self.call.refuse(&refusal)),
         }
--- a/components/gateway/src/stream/abandon_guard.rs
+++ b/components/gateway/src/stream/abandon_guard.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    handle::Call,
+    call::Call,
     meter,
     requests::Running, //
 };
--- a/components/gateway/src/stream/backup.rs
+++ b/components/gateway/src/stream/backup.rs
@@ -30,11 +30,11 @@
 };
 
 use crate::{
+    context::Context,
     fleet::{
         InFlight,
         Target, //
     },
-    handle::Context,
     protocol::{
         KvCopy,
         Protocol, //
