Tests: stand-ins tell status checks from requests

A server under which a run was lost is asked for its status, and a request that was in flight at a crash is sent after such a check. The stand-ins of four test files took the check for the request: deadline, rollout (7 cases: "the new version is still used", 6 more), streams (4) and trials (4) failed in a run of all tests. They answer it at once now and look at the requests; the assertions are the same.

--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -231,6 +231,11 @@
 }
 
 impl Message {
+    /// Returns whether it asks a server for its current runs.
+    pub fn is_status_check(&self) -> bool {
+        self.start_line.starts_with("GET /runs ")
+    }
+
     /// Returns the value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         let found = self.headers.iter().find(|(known, _)| known == name);
@@ -471,9 +476,14 @@
 
     /// Returns the number of requests received, without status checks.
     pub fn request_count(&self) -> usize {
-        let requests = self.requests.borrow();
-        let is_request = |message: &&Message| !message.start_line.starts_with("GET /runs ");
-        requests.iter().filter(is_request).count()
+        self.sends().len()
+    }
+
+    /// Returns the requests received, without status checks.
+    pub fn sends(&self) -> Vec<Message> {
+        let mut sends = self.requests.borrow().clone();
+        sends.retain(|message| !message.is_status_check());
+        sends
     }
 }
 
--- a/components/gateway/tests/deadline.rs
+++ b/components/gateway/tests/deadline.rs
@@ -11,7 +11,6 @@
 use common::{
     Backend,
     Harness,
-    Message,
     document,
     response,
     stream_head,
@@ -90,9 +89,7 @@
         let headers = format!("deadline: {DEADLINE_MS}\r\n{headers}");
         let (_, response) = harness.request("r1", path, &headers).await;
         assert_eq!(response.expect("a response").status(), 200);
-        let received = server.requests.borrow();
-        let is_send = |message: &&Message| !message.start_line.starts_with("GET /runs ");
-        let received: Vec<&Message> = received.iter().filter(is_send).collect();
+        let received = server.sends();
         let left = |index: usize| -> u64 {
             let deadline = received[index].header("deadline").expect("a deadline");
             deadline.parse().expect("a number")
--- a/components/gateway/tests/planned_stop.rs
+++ b/components/gateway/tests/planned_stop.rs
@@ -90,7 +90,7 @@
                 true => SLOW_TIME,
                 false => RUN_TIME,
             };
-            if message.start_line.starts_with("GET ") {
+            if message.is_status_check() {
                 connection.write(&response("", 200, "")).await;
                 return true;
             }
--- a/components/gateway/tests/rollout.rs
+++ b/components/gateway/tests/rollout.rs
@@ -73,6 +73,11 @@
     Backend::start(move |message: Message, connection| {
         let requests = requests.clone();
         async move {
+            // A status check is no request.
+            if message.is_status_check() {
+                connection.write(&response("", 200, "")).await;
+                return true;
+            }
             requests.set(requests.get() + 1);
             let id = message.header("id").unwrap_or_default();
             sleep(delay).await;
--- a/components/gateway/tests/streams.rs
+++ b/components/gateway/tests/streams.rs
@@ -15,6 +15,7 @@
     Message,
     document,
     event_chunk,
+    response,
     stream_head,
     write_events, //
 };
@@ -105,7 +106,7 @@
             expected += &format!("id: {id}\ndata: piece {id}\n\n");
         }
         assert_eq!(response.text(), expected);
-        assert_eq!(other.requests.borrow()[0].header("after"), Some("3"));
+        assert_eq!(other.sends()[0].header("after"), Some("3"));
     });
 }
 
@@ -233,6 +234,10 @@
         let resetting = Backend::start(move |message, connection| {
             let counted = counted.clone();
             async move {
+                if message.is_status_check() {
+                    connection.write(&response("", 200, "")).await;
+                    return true;
+                }
                 counted.set(counted.get() + 1);
                 let after = after(&message);
                 connection
@@ -303,9 +308,7 @@
         } else {
             (two, one)
         };
-        let backup = first.requests.borrow()[0]
-            .header("backup")
-            .map(str::to_string);
+        let backup = first.sends()[0].header("backup").map(str::to_string);
         assert_eq!(backup, Some(second.address.to_string()));
         first.kill();
         let response = common::read_message(&mut caller)
@@ -313,7 +316,7 @@
             .expect("a complete response");
         let count = response.text().matches("piece").count() as u64;
         assert_eq!(response.text(), event_text(1, count));
-        let resumed = second.requests.borrow()[0].clone();
+        let resumed = second.sends()[0].clone();
         assert_eq!(
             resumed.header("copy"),
             Some(format!("{}/r1", second.address).as_str())
@@ -376,7 +379,7 @@
         assert_eq!(response.text(), event_text(1, count));
         assert_eq!(third.request_count(), 0);
         let copy = format!("{}/r1", second.address);
-        for resumed in &second.requests.borrow()[..2] {
+        for resumed in &second.sends()[..2] {
             assert_eq!(resumed.header("copy"), Some(copy.as_str()));
         }
     });
@@ -423,7 +426,7 @@
     let runs = |(_, server): &(&str, Backend)| server.request_count() == 1;
     let runner = servers.iter().position(runs);
     let (_, runner) = servers.remove(runner.expect("one server runs the request"));
-    let first = runner.requests.borrow()[0].clone();
+    let first = runner.sends()[0].clone();
     let holds = |(_, server): &(&str, Backend)| {
         first.header("backup") == Some(server.address.to_string().as_str())
     };
@@ -447,7 +450,7 @@
         let mut stream = replace_holder(100).await;
         common::until(|| stream.runner.request_count() > 1).await;
         common::until_received(&stream.caller, "piece 20").await;
-        let copy_request = stream.runner.requests.borrow()[1].clone();
+        let copy_request = stream.runner.sends()[1].clone();
         let expected = stream.holder.address.to_string();
         assert_eq!(copy_request.header("holder"), Some(expected.as_str()));
         stream.runner.kill();
@@ -455,7 +458,7 @@
             .await
             .expect("a complete response");
         assert!(response.text().starts_with(&event_text(1, 3)));
-        let resumed = stream.holder.requests.borrow()[0].clone();
+        let resumed = stream.holder.sends()[0].clone();
         let copy = format!("{}/h7", stream.runner.address);
         assert_eq!(resumed.header("copy"), Some(copy.as_str()));
         drop(stream.harness);
--- a/components/gateway/tests/suspects.rs
+++ b/components/gateway/tests/suspects.rs
@@ -44,7 +44,7 @@
         let (log, crash) = (log.clone(), crash.clone());
         async move {
             // A status check takes no run.
-            if message.start_line.starts_with("GET ") {
+            if message.is_status_check() {
                 connection.write(&response("", 200, "")).await;
                 return true;
             }
--- a/components/gateway/tests/trials.rs
+++ b/components/gateway/tests/trials.rs
@@ -59,6 +59,10 @@
     let handler = move |message: Message, connection: common::Connection| {
         let (log, crash) = (log.clone(), crash.clone());
         async move {
+            if message.is_status_check() {
+                connection.write(&response("", 200, "")).await;
+                return true;
+            }
             let path = message.start_line.split(' ').nth(1).unwrap_or_default();
             log.borrow_mut().running.push(path.to_string());
             let id = message.header("id").unwrap_or_default();
