--- a/components/gateway/src/crash_watch.rs
+++ b/components/gateway/src/crash_watch.rs
@@ -115,7 +115,7 @@
         }
         // A port that closes each connection breaks off what it is sent long after the crash.
         let heard = self.fleet.borrow().heard(&target.server);
-        loss.sent_at = loss.sent_at.min(heard.unwrap_or_default());
+        loss.sent_at = loss.sent_at.min(heard.unwrap_or(loss.sent_at));
         let call = loss.call.clone();
         note!(
             forwarding::BROKEN_OFF,
