rollout: one event counts once against a version

Cause: a rollout within seconds took each late answer and each attempt of a request as an independent observation.

Change: a request counts once for a version. Late answers are told by their times, at most 32 for each process and order, and those of one side within 100 ms over all processes are one event, as in moves::judge. Failures that a server states count singly as before. Both versions are counted alike.

--- a/components/gateway/src/requests.rs
+++ b/components/gateway/src/requests.rs
@@ -11,7 +11,8 @@
 
 use names::{
     Route,
-    Server, //
+    Server,
+    Version, //
 };
 use tokio::time::Instant;
 
@@ -58,6 +59,7 @@
     stage: Cell<Stage>,
     server: RefCell<Option<Server>>,
     is_cut_off: Cell<bool>,
+    bad_versions: RefCell<Vec<Version>>,
 }
 
 impl Running {
@@ -88,6 +90,17 @@
         self.is_cut_off.set(true);
     }
 
+    /// Records that a version failed the request or answered it late, and returns whether that is
+    /// the first such result of the version.
+    pub fn is_first_bad_result(&self, version: &Version) -> bool {
+        let mut versions = self.bad_versions.borrow_mut();
+        if versions.contains(version) {
+            return false;
+        }
+        versions.push(version.clone());
+        true
+    }
+
     /// Returns whether the request gets its final response because the process exits.
     pub fn is_cut_off(&self) -> bool {
         self.is_cut_off.get()
@@ -133,6 +146,7 @@
             stage: Cell::new(Stage::Receiving),
             server: RefCell::default(),
             is_cut_off: Cell::new(false),
+            bad_versions: RefCell::default(),
         });
         self.by_number.borrow_mut().insert(number, progress.clone());
         Guard {
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -17,6 +17,7 @@
     Side,
     rollout::{
         Constraint,
+        Ending,
         Exposure,
         Order,
         Rollout,
@@ -39,7 +40,8 @@
 
 use crate::{
     clock,
-    fleet::Fleet, //
+    fleet::Fleet,
+    requests::Running, //
 };
 
 mod trial;
@@ -91,6 +93,17 @@
     }
 }
 
+/// What a version answered to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    /// The first event or the response arrived after this time.
+    After(Duration),
+    /// The server failed.
+    Failed,
+    /// The answer is overdue, or the server was given up as too slow.
+    Overdue,
+}
+
 /// A state of a rollout that has to be written to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -194,16 +207,24 @@
         Selection { constraint }
     }
 
-    /// Records the result of a request at a version: the time to its first event or to its
-    /// response, or `None` when it failed.
+    /// Records the result of a request at a version.
     fn record_result(
         &self,
         service: &Service,
         route: &Route,
         version: &Version,
-        time: Option<Duration>,
+        request: &Running,
+        answer: Answer,
     ) {
-        let slow = time.is_some_and(|time| self.is_slow(route, time));
+        let time = match answer {
+            Answer::After(time) => Some(time),
+            Answer::Failed | Answer::Overdue => None,
+        };
+        let ending = match answer {
+            Answer::After(time) if !self.is_slow(route, time) => Ending::Good,
+            Answer::After(_) | Answer::Overdue => Ending::Late,
+            Answer::Failed => Ending::Failed,
+        };
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(rollout) = rollouts.get_mut(service) else {
             self.record_duration(route, time);
@@ -216,9 +237,12 @@
         if side == Side::Old {
             self.record_duration(route, time);
         }
+        // A request that is slow or fails everywhere is one event, however often it is sent.
+        if ending != Ending::Good && !request.is_first_bad_result(version) {
+            return;
+        }
         let was_vetoed = rollout.vetoed();
-        let bad = slow || time.is_none();
-        rollout.record_end(clock::now(), beacon::id(route), side, bad);
+        rollout.record_end(clock::now(), beacon::id(route), side, ending);
         if rollout.vetoed() && !was_vetoed {
             log_veto(service, rollout);
         }
--- a/components/gateway/src/rollout/trial.rs
+++ b/components/gateway/src/rollout/trial.rs
@@ -12,10 +12,14 @@
 };
 use tokio::time::Instant;
 
-use super::Rollouts;
+use super::{
+    Answer,
+    Rollouts, //
+};
 use crate::{
-    call::Call, //
+    call::Call,
     fleet::Target,
+    requests::Running, //
 };
 
 /// A request whose result at a version is reported once: when it is answered, when it fails, or when
@@ -26,6 +30,7 @@
     service: Service,
     route: Route,
     version: Version,
+    progress: Rc<Running>,
     began: Instant,
     /// Time after which an answer is overdue while the usual time of the route is unknown.
     objective: Duration,
@@ -42,6 +47,7 @@
             service: call.service.clone(),
             route: call.route.clone(),
             version: target.version.clone(),
+            progress: call.progress.clone(),
             began: Instant::now(),
             objective: call.pass.objective,
             until: call.until,
@@ -66,21 +72,28 @@
             return;
         }
         self.reported = true;
-        self.report(None);
+        self.report(Answer::Overdue);
     }
 
     /// Reports that the first event or the response arrived.
     pub fn answered(&mut self) {
         let time = self.began.elapsed();
         if !std::mem::replace(&mut self.reported, true) {
-            self.report(Some(time));
+            self.report(Answer::After(time));
         }
     }
 
-    /// Reports that the server failed, or was given up as too slow.
+    /// Reports that the server failed.
     pub fn failed(&mut self) {
         if !std::mem::replace(&mut self.reported, true) {
-            self.report(None);
+            self.report(Answer::Failed);
+        }
+    }
+
+    /// Reports that the server was given up as too slow.
+    pub fn given_up(&mut self) {
+        if !std::mem::replace(&mut self.reported, true) {
+            self.report(Answer::Overdue);
         }
     }
 
@@ -89,9 +102,14 @@
         self.reported = true;
     }
 
-    fn report(&self, time: Option<Duration>) {
-        self.rollouts
-            .record_result(&self.service, &self.route, &self.version, time);
+    fn report(&self, answer: Answer) {
+        self.rollouts.record_result(
+            &self.service,
+            &self.route,
+            &self.version,
+            &self.progress,
+            answer,
+        );
     }
 }
 
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -131,7 +131,7 @@
         if matches!(loss, Loss::Silent | Loss::Slow)
             && let Some(trial) = &mut self.trial
         {
-            trial.failed();
+            trial.given_up();
         }
         LostRun {
             loss,
--- a/components/moves/src/rollout.rs
+++ b/components/moves/src/rollout.rs
@@ -79,6 +79,14 @@
 /// Weight of the lower bound as a prior, in requests, against the counts of the old version.
 const PRIOR_REQUESTS: f64 = 10.0;
 
+/// Time in which late answers of a side count as one event. A process, a host or a link that stops
+/// for a moment delays all answers that are awaited then.
+const EVENT_SPAN: Duration = Duration::from_millis(100);
+
+/// Maximum number of late answers that a process tells by their times. More are counted singly:
+/// they are evidence enough.
+const MAX_LATE: usize = 32;
+
 /// Maximum number of routes that are counted separately.
 const MAX_ROUTES: usize = 8;
 
@@ -156,22 +164,58 @@
     ExcludeNew,
 }
 
+/// How a request ended at a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was answered in the usual time.
+    Good,
+    /// It failed.
+    Failed,
+    /// It was answered several times slower than usual, or its answer is overdue.
+    Late,
+}
+
+/// A late answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Late {
+    /// Milliseconds from the order to the end of the request.
+    pub at_ms: u32,
+    /// Route of the request.
+    pub route: RouteId,
+    /// Version that the request was sent to.
+    pub side: Side,
+}
+
 /// Request counts of a route within a time slot.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Count {
     /// Requests sent to the new version.
     pub new: u32,
-    /// Of these, the ended ones.
+    /// Of these, the ended ones, without the late ones that are told by their times.
     pub ended: u32,
-    /// Of these, the ones that failed or were several times slower than usual.
+    /// Of these, the ones that failed or were late.
     pub bad: u32,
-    /// Requests ended at the old version.
+    /// Requests ended at the old version, without the late ones that are told by their times.
     pub old: u32,
-    /// Of these, the ones that failed or were slow.
+    /// Of these, the ones that failed or were late.
     pub old_bad: u32,
 }
 
 impl Count {
+    /// Counts a request that ended.
+    fn count(&mut self, side: Side, bad: bool) {
+        match side {
+            Side::New => {
+                self.ended += 1;
+                self.bad += u32::from(bad);
+            }
+            Side::Old => {
+                self.old += 1;
+                self.old_bad += u32::from(bad);
+            }
+        }
+    }
+
     fn add(&mut self, other: &Count) {
         self.new += other.new;
         self.ended += other.ended;
@@ -197,6 +241,8 @@
     pub requests: u32,
     /// Counts of that process.
     pub counts: Counts,
+    /// Late answers of that process.
+    pub late: Vec<Late>,
 }
 
 /// State machine of one move at one process.
@@ -207,6 +253,7 @@
     /// Earliest known time of the order.
     began: Clock,
     own: Counts,
+    own_late: Vec<Late>,
     /// Requests for the service received by this process since the order.
     requests: u32,
     peers: HashMap<PeerId, Progress>,
@@ -229,6 +276,7 @@
             exposure,
             began: now,
             own: Counts::new(),
+            own_late: Vec::new(),
             requests: 0,
             peers: HashMap::new(),
             processes: 1,
@@ -412,35 +460,37 @@
         routes.len().clamp(MIN_ROUTES, MAX_ROUTES)
     }
 
-    /// Records the end of a request and whether it failed or was several times slower than usual.
-    pub fn record_end(&mut self, now: Clock, route: RouteId, side: Side, bad: bool) {
-        let cell = self.cell(now, route);
-        match side {
-            Side::New => {
-                cell.ended += 1;
-                cell.bad += u32::from(bad);
-            }
-            Side::Old => {
-                cell.old += 1;
-                cell.old_bad += u32::from(bad);
-            }
+    /// Records the end of a request.
+    pub fn record_end(&mut self, now: Clock, route: RouteId, side: Side, ending: Ending) {
+        if ending == Ending::Late && self.own_late.len() < MAX_LATE {
+            let since = now.saturating_sub(self.began);
+            self.own_late.push(Late {
+                at_ms: u32::try_from(since.as_millis()).unwrap_or(u32::MAX),
+                route: self.counted_route(route),
+                side,
+            });
+        } else {
+            self.cell(now, route).count(side, ending != Ending::Good);
         }
         self.update_veto();
     }
 
     fn cell(&mut self, now: Clock, route: RouteId) -> &mut Count {
-        let slot = (self.elapsed(now) * f64::from(SLOTS_PER_MOVE))
-            .min(f64::from(SLOTS_PER_MOVE - 1)) as u8;
+        let slot = slot(self.elapsed(now));
+        let route = self.counted_route(route);
+        self.own.entry((slot, route)).or_default()
+    }
+
+    /// Returns the id under which a route is counted: routes beyond the maximum are counted together.
+    fn counted_route(&self, route: RouteId) -> RouteId {
         let known = self.own.keys().any(|(_, known)| *known == route);
         let mut routes: Vec<_> = self.own.keys().map(|(_, route)| *route).collect();
         routes.sort_unstable();
         routes.dedup();
-        // Routes beyond the maximum are counted together.
-        let route = match known || routes.len() < MAX_ROUTES {
+        match known || routes.len() < MAX_ROUTES {
             true => route,
             false => 0,
-        };
-        self.own.entry((slot, route)).or_default()
+        }
     }
 
     /// Returns this process's state of the move, for the other processes.
@@ -451,6 +501,7 @@
             vetoed: self.vetoed(),
             requests: self.requests,
             counts: self.own.clone(),
+            late: self.own_late.clone(),
         }
     }
 
@@ -482,10 +533,37 @@
                 }
             }
         }
+        for (key, event) in self.late_events() {
+            let within_ms = self.order.within.as_millis().max(1) as f64;
+            let slot = slot(f64::from(event.at_ms) / within_ms);
+            routes.entry(key).or_default()[usize::from(slot)].count(event.side, true);
+        }
         let tests = routes.values().map(log_likelihood_ratio);
         tests.fold(0.0, f64::max)
     }
 
+    /// Returns the late answers of all processes over all routes and by route, without those that
+    /// followed another one of the same side within [`EVENT_SPAN`].
+    fn late_events(&self) -> Vec<(Option<RouteId>, Late)> {
+        let peers = self.peers.values().flat_map(|progress| &progress.late);
+        let mut late: Vec<_> = peers.chain(&self.own_late).copied().collect();
+        late.sort_unstable_by_key(|late| late.at_ms);
+        let span_ms = EVENT_SPAN.as_millis() as u32;
+        let mut latest = BTreeMap::<(Option<RouteId>, Side), u32>::new();
+        let mut events = Vec::new();
+        for late in late {
+            for key in [None, Some(late.route)] {
+                let begun = latest.get(&(key, late.side)).copied();
+                if begun.is_some_and(|begun| late.at_ms - begun < span_ms) {
+                    continue;
+                }
+                latest.insert((key, late.side), late.at_ms);
+                events.push((key, late));
+            }
+        }
+        events
+    }
+
     /// Returns the number of samples that all processes sent to the new version.
     pub fn samples_sent(&self) -> u32 {
         self.all_counts()
@@ -518,6 +596,12 @@
     }
 }
 
+/// Returns the time slot of a fraction of the move's time.
+fn slot(elapsed: f64) -> u8 {
+    let last = f64::from(SLOTS_PER_MOVE - 1);
+    (elapsed * f64::from(SLOTS_PER_MOVE)).min(last) as u8
+}
+
 /// Returns whether servers of other versions that are missing would be back.
 fn has_returned(now: Clock, servers: Servers) -> bool {
     now.saturating_sub(servers.alone_since) >= RETURN_TIME
