crashes: the silence of a stream's server is checked like a plain run's

Cause: a stream without an event was suspected only once its detector gave it up, by its objective, unless another server could be in time.

Change: a stream that hasn't survived has its server checked after 250 ms without anything from the server, then after twice the silence, up to 4 s.

--- a/components/gateway/src/crash_watch.rs
+++ b/components/gateway/src/crash_watch.rs
@@ -38,6 +38,7 @@
         Loss,
         OpenRun,
         Sign,
+        Unanswered,
         Watched, //
     },
     fleet::{
@@ -75,6 +76,9 @@
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 const SILENCE_FACTOR: f64 = 3.0;
 
+/// Maximum number of times that the silence is doubled for the checks of one stream.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// Time after a loss in which what the server sent before it is still read.
 const READ_TIME: Duration = Duration::from_millis(10);
 
@@ -141,10 +145,21 @@
     /// Waits until a server has sent nothing since a time for so long that a run that it hasn't answered
     /// may be lost.
     pub async fn await_silence(&self, run: &OpenRun, since: Clock) {
-        let server = &run.target.server;
+        let silence = match run.call.pass.stream {
+            // The time of a whole stream says nothing about the time to its next event.
+            true => MIN_SILENCE,
+            false => {
+                let usual = self.fleet.borrow().mean_time(&run.call.service);
+                usual.mul_f64(SILENCE_FACTOR).max(MIN_SILENCE)
+            }
+        };
+        self.await_silence_of(&run.target.server, since, silence)
+            .await;
+    }
+
+    /// Waits until a server has sent nothing since a time, for `silence`.
+    async fn await_silence_of(&self, server: &Server, since: Clock, silence: Duration) {
         loop {
-            let usual = self.fleet.borrow().mean_time(&run.call.service);
-            let silence = usual.mul_f64(SILENCE_FACTOR).max(MIN_SILENCE);
             let heard = self.fleet.borrow().heard(server).unwrap_or_default();
             let silent_for = clock::now().saturating_sub(heard.max(since));
             if silent_for >= silence {
@@ -154,6 +169,21 @@
         }
     }
 
+    /// Waits until the server of a stream may have ended without closing anything, and has it checked.
+    /// Each check of a run that hasn't survived comes after twice the silence: a server may be busy
+    /// with a long prompt.
+    pub async fn await_silent_check(self: &Rc<Self>, unanswered: &Unanswered) {
+        if !unanswered.is_open() {
+            return std::future::pending().await;
+        }
+        let (since, checks) = unanswered.checked();
+        let silence = MIN_SILENCE * (1 << checks.min(MAX_DOUBLINGS));
+        self.await_silence_of(&unanswered.run.target.server, since, silence)
+            .await;
+        unanswered.record_check();
+        self.check_silence(unanswered.run.clone());
+    }
+
     /// Watches the unanswered runs of requests that are given up, until `stop` is cancelled.
     pub async fn watch_abandoned(self: &Rc<Self>, stop: CancellationToken) {
         loop {
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -1,7 +1,10 @@
 //! Runs whose servers may have crashed.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     rc::Rc, //
 };
@@ -15,6 +18,7 @@
 
 use crate::{
     call::Call,
+    clock,
     fleet::Target,
     trials::Ticket, //
 };
@@ -103,6 +107,8 @@
     crashes: Rc<Crashes>,
     pub run: OpenRun,
     is_open: bool,
+    /// When the server was last checked for its silence, or the run was sent, and how often it was.
+    checked: Cell<(Clock, u32)>,
 }
 
 impl Unanswered {
@@ -110,11 +116,28 @@
     pub fn new(crashes: &Rc<Crashes>, run: OpenRun) -> Unanswered {
         Unanswered {
             crashes: crashes.clone(),
+            checked: Cell::new((run.sent_at, 0)),
             run,
             is_open: true,
         }
     }
 
+    /// Returns whether the run is neither answered nor watched.
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    /// Returns when the server was last checked for its silence, and how often.
+    pub fn checked(&self) -> (Clock, u32) {
+        self.checked.get()
+    }
+
+    /// Records that the server is checked for its silence.
+    pub fn record_check(&self) {
+        let (_, checks) = self.checked.get();
+        self.checked.set((clock::now(), checks.saturating_add(1)));
+    }
+
     /// Records that the run is answered, or not sent, or that its loss is watched.
     pub fn close(&mut self) {
         self.is_open = false;
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -166,7 +166,12 @@
                 Advice::Wait(limit) => {
                     let until = (run.silent_since + limit).min(self.call.until);
                     let until = until.min(Instant::now() + MAX_FILL_WAIT);
-                    match timeout_at(until, run.connection.fill()).await {
+                    let filled = tokio::select! {
+                        biased;
+                        filled = timeout_at(until, run.connection.fill()) => filled,
+                        () = self.context.await_silent_check(&run.unanswered) => continue,
+                    };
+                    match filled {
                         Ok(Ok(())) => {}
                         Ok(Err(error)) => return Received::Lost(self.loss_by(run, &error)),
                         // The timeout is handled in the next iteration. When the process resumes
