evidence: a held request waits for what became of the server of its last run alone

Cause: a held cause runs one request at a time, by a permit that ends once the silence of the server is reported. Whether that server has crashed is known only seconds later, when its registration ends. In between the same request, and others with the same causes, got the next permit: in the logs one stream runs at three servers within 700 ms. Such runs tell nothing, as crashes under one request count once for a part.

Change: while the server of a run that was alone with held causes is silent, no request that has all of these causes runs. Others with fewer held causes go on, and clear what they share with it. It ends when the server answers, is known to have crashed, or isn't silent any more by its limit of time.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -258,6 +258,9 @@
     /// Causes of which one run at a time tells whether they crash servers. Follows from the
     /// observations.
     held: BTreeSet<Fingerprint>,
+    /// Held causes of each run that was alone at a server which is only known to be silent. Follows from
+    /// the observations.
+    undecided: Vec<BTreeSet<Fingerprint>>,
     /// Convicted causes with the end of their refusal. Follows from the observations.
     convicts: BTreeMap<Fingerprint, Clock>,
     /// Causes that are refused while servers are silent. Follows from the observations.
@@ -436,6 +439,16 @@
         subject.causes().filter(is_held).count()
     }
 
+    /// Returns whether a request has all held causes of a run that was alone at a silent server. Until it
+    /// is known whether that server has crashed, another such run would tell nothing more.
+    pub fn is_undecided(&self, subject: &Subject) -> bool {
+        let mut undecided = self.undecided.iter();
+        undecided.any(|held| {
+            let mut held = held.iter();
+            held.all(|cause| subject.causes().any(|own| own == *cause))
+        })
+    }
+
     /// Returns whether the runs of a service must be separated: its servers crash one after the other,
     /// and no cause is known. Causes that are together at each crash can't be told apart, so each
     /// process has one run at a time at a server until it lives.
@@ -647,6 +660,7 @@
         self.suspects = attribution.suspects;
         self.presumed = attribution.presumed;
         self.held = attribution.held;
+        self.undecided = attribution.undecided;
         self.awaiting = attribution.awaiting;
         self.unexplained = attribution.unexplained;
         let convicts = attribution.convicts.into_iter();
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -14,7 +14,8 @@
 //! it is known what became of them.
 //!
 //! Causes that are together at each crash can't be told apart by crashes. Requests with a cause at three
-//! crashes are held back: one at a time runs, over all processes, and what it does tells.
+//! crashes are held back: one at a time runs, over all processes, and what it does tells. If its server
+//! falls silent, no other one with the same causes runs until it is known what became of the server.
 
 use std::{
     collections::{
@@ -127,6 +128,8 @@
     pub(super) suspects: BTreeSet<Fingerprint>,
     /// Causes at so many crashes that they run one at a time.
     pub(super) held: BTreeSet<Fingerprint>,
+    /// Held causes of each run that was alone at a server, which is only known to be silent.
+    pub(super) undecided: Vec<BTreeSet<Fingerprint>>,
     pub(super) awaiting: Awaiting,
     /// Last series of crashes of each service.
     pub(super) unexplained: BTreeMap<ServiceId, Series>,
@@ -189,6 +192,9 @@
         .filter(|cause| cause.distance.is_none() || unexplained.contains(&cause.fingerprint))
         .map(|cause| cause.fingerprint)
         .collect();
+    let silent = all.iter().filter(|crash| !crash.is_certain);
+    let undecided = silent.filter_map(|crash| undecided_causes(crash, &all, &attribution.held));
+    attribution.undecided = undecided.collect();
     let runs = crashes.iter().flat_map(|crash| &crash.runs);
     attribution
         .suspects
@@ -196,6 +202,26 @@
     attribution
 }
 
+/// Returns the held causes of the run that was alone at a silent server, if it came after the crashes for
+/// which they are held.
+fn undecided_causes(
+    silence: &Crash,
+    all: &[Crash],
+    held: &BTreeSet<Fingerprint>,
+) -> Option<BTreeSet<Fingerprint>> {
+    let [run] = silence.runs.as_slice() else {
+        return None;
+    };
+    let was_held = |cause: Fingerprint| {
+        let before = all.iter().take_while(|crash| crash.at < silence.at);
+        before.filter(|crash| crash.has(cause)).count() >= MIN_CRASHES
+    };
+    let causes = run.fingerprints();
+    let causes = causes.filter(|cause| held.contains(cause) && was_held(*cause));
+    let causes: BTreeSet<Fingerprint> = causes.collect();
+    (!causes.is_empty()).then_some(causes)
+}
+
 /// Returns the causes that would be convicted beside the `convicts` if all servers had crashed.
 fn presume(
     all: &[Crash],
--- a/components/gateway/src/context.rs
+++ b/components/gateway/src/context.rs
@@ -276,6 +276,10 @@
             return true;
         }
         let subject = call.subject();
+        if self.suspects.is_undecided(subject) {
+            *ticket = None;
+            return false;
+        }
         let held_causes = self.suspects.held_causes(subject);
         let trials = &self.suspects.trials;
         ticket
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -98,6 +98,12 @@
         self.evidence.borrow().held_causes(subject)
     }
 
+    /// Returns whether a request waits for what became of a silent server; see
+    /// [`Evidence::is_undecided`].
+    pub fn is_undecided(&self, subject: &Subject) -> bool {
+        self.evidence.borrow().is_undecided(subject)
+    }
+
     /// Returns whether a request may have crashed servers.
     pub fn is_suspect(&self, request: Fingerprint) -> bool {
         let evidence = self.evidence.borrow();
--- a/components/gateway/tests/silent_servers.rs
+++ b/components/gateway/tests/silent_servers.rs
@@ -372,3 +372,66 @@
         assert_eq!(status, Some(200), "request {number}");
     }
 }
+
+/// Prompt parts of two requests that are together at each crash.
+const TOGETHER: [u64; 2] = [77, 88];
+
+/// Time from the end of the only server to the next requests.
+const ROUND_TIME: Duration = Duration::from_millis(1300);
+
+/// Time in which a request may go on, shorter than the registration of an ended server.
+const UNDECIDED_TIME: Duration = Duration::from_millis(2500);
+
+/// Guards against a held request that goes on from one server to the next, while it isn't known what
+/// became of the one before.
+#[test]
+fn a_held_request_waits_for_the_end_of_its_silent_server() {
+    common::run(async {
+        let (site, _) = Site::start(Kind::Stream, 0).await;
+        let site = &site;
+        site.start_server(Ending::Mute).await;
+        // It shows the gateways that the network is sound.
+        let beside = Backend::start(|message: Message, connection| async move {
+            let id = message.header("id").unwrap_or_default();
+            connection.write(&response(id, 200, "fine")).await;
+            true
+        });
+        let beside = Rc::new(beside.await);
+        for gateway in &site.gateways {
+            gateway.register("beside", Kind::Safe.service(), "a", beside.address);
+        }
+        let sound = site.clone();
+        spawn_local(async move {
+            for number in 0.. {
+                let gateway = &sound.gateways[number % sound.gateways.len()];
+                let id = format!("beside{number}");
+                let (_, response) = gateway.request(&id, "/safe/beside", "").await;
+                drop((response, sleep(SOUND_INTERVAL).await));
+            }
+        });
+        sleep(Duration::from_secs(1)).await;
+        for round in 0..MAX_CRASHES {
+            for part in TOGETHER {
+                let site = site.clone();
+                let headers = format!("tokens: 10\r\nparts: {part}:50,{}:20\r\n", 1000 + round);
+                spawn_local(async move {
+                    let id = format!("p{part}-{round}");
+                    let path = format!("/stream/harmful-{part}-{round}");
+                    let sent = site.gateways[0].request(&id, &path, &headers);
+                    drop(timeout(SHORT_CALLER_TIME, sent).await);
+                });
+            }
+            sleep(ROUND_TIME).await;
+        }
+        for _ in 0..SERVER_COUNT {
+            site.start_server(Ending::Mute).await;
+        }
+        let before = site.crashes.borrow().len();
+        assert_eq!(before, MAX_CRASHES * TOGETHER.len());
+        let headers = format!("tokens: 10\r\nparts: {}:50,2000:20\r\n", TOGETHER[0]);
+        let sent = site.gateways[1].request("last", "/stream/harmful-last", &headers);
+        drop(timeout(UNDECIDED_TIME, sent).await);
+        let runs = site.crashes.borrow().len() - before;
+        assert_eq!(runs, 1);
+    });
+}
