gateway: one account of what callers make a process hold

What callers saw: crowds that stop short of the end of their bodies, open connections and say nothing, or send heads without end ended processes for their memory, or took all descriptors, those of servers, store and peers too.

Cause: nothing adds up what callers hold. Bodies were counted by their bytes and not by their buffers, connections, heads and bytes that the kernel has received and nobody has read not at all, and room belonged to whoever announced first and stayed longest.

Change: an account that connections, bodies and responses draw on, half of the process's memory and of its descriptors for sockets. When it is used up, connections yield that make no progress, an incomplete body as not run; a complete request never does. Nothing is taken for what is announced. Bodies are kept in segments; receive and send buffers and the queue of the listener are bounded; a connection without a request takes no memory of one. Readiness and metrics have bounds of their own.

--- a/components/contract/src/poison.rs
+++ b/components/contract/src/poison.rs
@@ -35,11 +35,25 @@
 
 /// Computes the fingerprint of a request.
 pub fn fingerprint(team: &str, service: &str, content: &[u8]) -> Fingerprint {
+    fingerprint_of_pieces(team, service, [content])
+}
+
+/// Computes the fingerprint of a request whose content comes in pieces, however it is divided.
+pub fn fingerprint_of_pieces<'a>(
+    team: &str,
+    service: &str,
+    pieces: impl IntoIterator<Item = &'a [u8]> + Clone,
+) -> Fingerprint {
     let mut hash = Xxh3::new();
-    for part in [team.as_bytes(), service.as_bytes(), content] {
+    for part in [team.as_bytes(), service.as_bytes()] {
         hash.update(&(part.len() as u64).to_le_bytes());
         hash.update(part);
     }
+    let length: usize = pieces.clone().into_iter().map(<[u8]>::len).sum();
+    hash.update(&(length as u64).to_le_bytes());
+    for piece in pieces {
+        hash.update(piece);
+    }
     hash.digest128()
 }
 
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -96,6 +96,8 @@
     SERVER_SILENT = 1047, Warn, "Backend server stopped answering under a request";
     /// A server that was silent answers, or is registered still.
     SERVER_ANSWERS = 1048, Info, "Silent backend server hasn't crashed";
+    /// Callers held all that they may; connections that make no progress yielded.
+    CONNECTIONS_YIELDED = 1049, Warn, "Connections of callers yielded";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -45,6 +45,7 @@
     task::spawn_local,
     time::{
         Instant,
+        sleep,
         sleep_until,
         timeout, //
     },
@@ -52,6 +53,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    account::{
+        Connection,
+        Stage, //
+    },
     context::Context,
     protocol::Protocol, //
 };
@@ -65,6 +70,13 @@
 /// Maximum size of a request's head while no document is known, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
+/// Wait before a connection is accepted again after a failure.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(5);
+
+/// Pause after a connection was accepted for which another one had to yield. Callers who come back at
+/// once would take the processor otherwise; they wait in the queue of the listener.
+const FULL_PAUSE: Duration = Duration::from_millis(2);
+
 /// Time for the rest of the body of a request that has its response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -86,39 +98,25 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let serve = serve(stream, context.clone(), close.clone());
-                let open = OpenGuard::new(&context);
-                spawn_local(async move {
-                    serve.await;
-                    drop(open);
-                });
+                let limits = context.settings.borrow().limits;
+                let is_full = context.account.is_full(&limits);
+                if let Some(connection) = context.account.open(&limits) {
+                    spawn_local(serve(stream, connection, context.clone(), close.clone()));
+                }
+                if is_full {
+                    sleep(FULL_PAUSE).await;
+                }
             }
             // The process is out of descriptors or the peer disconnected; accepting continues after
             // a pause.
-            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            Err(_) => sleep(ACCEPT_BACKOFF).await,
         }
     }
 }
 
-/// Counts an open connection until it is dropped.
-struct OpenGuard<P>(Rc<Context<P>>);
-
-impl<P> OpenGuard<P> {
-    fn new(context: &Rc<Context<P>>) -> OpenGuard<P> {
-        context.connections.set(context.connections.get() + 1);
-        OpenGuard(context.clone())
-    }
-}
-
-impl<P> Drop for OpenGuard<P> {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
 /// State of a connection, by which its timeouts are applied.
-#[derive(Default)]
 struct Progress {
+    connection: Connection,
     /// Number of requests in progress. The rest of a body may end after the next request began.
     running: Cell<usize>,
     /// Time at which the last response ended, or the connection was opened.
@@ -131,6 +129,15 @@
 struct ActiveGuard(Rc<Progress>);
 
 impl Progress {
+    fn new(connection: Connection) -> Progress {
+        Progress {
+            connection,
+            running: Cell::default(),
+            idle_since: Cell::new(Some(Instant::now())),
+            request_began: Cell::default(),
+        }
+    }
+
     fn is_running(&self) -> bool {
         self.running.get() > 0
     }
@@ -140,6 +147,7 @@
     fn new(progress: Rc<Progress>) -> ActiveGuard {
         progress.running.set(progress.running.get() + 1);
         progress.request_began.set(None);
+        progress.connection.set_stage(Stage::Active);
         ActiveGuard(progress)
     }
 }
@@ -148,19 +156,22 @@
     fn drop(&mut self) {
         self.0.running.set(self.0.running.get() - 1);
         self.0.idle_since.set(Some(Instant::now()));
+        if !self.0.is_running() {
+            self.0.connection.set_stage(Stage::Idle);
+        }
     }
 }
 
 /// Serves the requests of a connection until it is closed.
 async fn serve<P: Protocol + 'static>(
     stream: TcpStream,
+    connection: Connection,
     context: Rc<Context<P>>,
     close: CancellationToken,
 ) {
     // Without it the last segment of a response waits for an acknowledgement.
     let _ = stream.set_nodelay(true);
-    let progress = Rc::new(Progress::default());
-    progress.idle_since.set(Some(Instant::now()));
+    let progress = Rc::new(Progress::new(connection));
     let (idle_timeout, header_timeout, max_header_bytes) = limits(&context);
     // The first request on a connection that was accepted after `close` is still answered. If the
     // connection were closed instead, a caller couldn't tell whether its request has run.
@@ -175,11 +186,16 @@
         service_fn(move |request: Request<Incoming>| {
             let progress = progress.clone();
             let context = context.clone();
-            async move {
-                let active = Rc::new(ActiveGuard::new(progress));
+            // Boxed, so that a connection without a request doesn't take the memory of one.
+            Box::pin(async move {
+                let active = Rc::new(ActiveGuard::new(progress.clone()));
                 let (parts, mut body) = request.into_parts();
-                let mut response = context.serve(parts, &mut body).await;
-                if !body.is_end_stream() {
+                let connection = &progress.connection;
+                let mut response = context.serve(parts, &mut body, connection).await;
+                if body.is_end_stream() {
+                    connection.set_stage(Stage::Active);
+                } else {
+                    connection.set_stage(Stage::Discarding);
                     let limit = discard_limit(&context);
                     spawn_local(discard(body, limit, active.clone()));
                 }
@@ -187,14 +203,17 @@
                     let value = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, value);
                 }
+                let length = response.body().size_hint().exact().unwrap_or(0);
+                let charge = connection.charge(usize::try_from(length).unwrap_or(usize::MAX));
+                response.body_mut().hold(charge);
                 response.body_mut().hold(active);
                 Ok::<_, Infallible>(response)
-            }
+            })
         })
     };
     let caller_stream = CallerStream {
         inner: stream,
-        progress: progress.clone(),
+        progress: Some(progress.clone()),
     };
     // Hyper accepts no less than 8 KiB.
     let connection = http1::Builder::new()
@@ -205,6 +224,7 @@
         let next = next_check(&progress, idle_timeout, header_timeout);
         tokio::select! {
             _ = connection.as_mut() => return,
+            () = progress.connection.closed() => return,
             () = close.cancelled(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -279,14 +299,39 @@
 /// TCP connection in the form that hyper reads and writes. Records when a request begins.
 pub(crate) struct CallerStream {
     inner: TcpStream,
-    progress: Rc<Progress>,
+    /// `None` where no timeouts apply.
+    progress: Option<Rc<Progress>>,
 }
 
 impl CallerStream {
     pub(crate) fn new(inner: TcpStream) -> CallerStream {
         CallerStream {
             inner,
-            progress: Rc::default(),
+            progress: None,
+        }
+    }
+
+    fn record_read(&self, length: usize) {
+        let Some(progress) = &self.progress else {
+            return;
+        };
+        if length == 0 {
+            return;
+        }
+        progress.connection.record_progress(length);
+        if !progress.is_running() && progress.request_began.get().is_none() {
+            progress.request_began.set(Some(Instant::now()));
+        }
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let Some(progress) = &self.progress else {
+            return;
+        };
+        match written {
+            Poll::Ready(Ok(length)) => progress.connection.record_progress(*length),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => progress.connection.record_blocked(),
         }
     }
 }
@@ -302,13 +347,9 @@
         let mut buffer = ReadBuf::new(&mut bytes[..length]);
         ready!(Pin::new(&mut self.inner).poll_read(waker, &mut buffer))?;
         let read = buffer.filled();
-        if !read.is_empty()
-            && !self.progress.is_running()
-            && self.progress.request_began.get().is_none()
-        {
-            self.progress.request_began.set(Some(Instant::now()));
-        }
         cursor.put_slice(read);
+        let length = read.len();
+        self.record_read(length);
         Poll::Ready(Ok(()))
     }
 }
@@ -319,7 +360,9 @@
         waker: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(waker, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(waker, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
@@ -342,6 +385,8 @@
         waker: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(waker, slices)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(waker, slices);
+        self.record_write(&written);
+        written
     }
 }
--- /dev/null
+++ b/components/gateway/src/account.rs
@@ -0,0 +1,590 @@
+//! Account of what callers make the process hold: its memory, and the descriptors of connections.
+//!
+//! Each connection draws on it, with the body of its request. When it is used up, connections yield that
+//! make no progress: idle ones, and those whose caller is slow or stopped short. A request that is
+//! complete is never given up for another one.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    future::Future,
+    rc::Rc,
+    time::Duration, //
+};
+
+use events::{
+    forwarding,
+    note, //
+};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    meter,
+    settings::Limits, //
+};
+
+/// Memory that a connection takes beside the body of its request, in bytes: its task, its buffers, and
+/// what the kernel has received for it.
+pub const CONNECTION_BYTES: usize = 48 * 1024;
+
+/// Share of the account that long bodies may take, so that they don't keep out all other requests.
+const LONG_SHARE: f64 = 0.85;
+
+/// Maximum size of a short body, in bytes.
+const MAX_SHORT_BYTES: usize = 64 * 1024;
+
+/// Time over which the progress of a connection is measured, and the bytes in it below which it is slow.
+const PROGRESS_TIME: Duration = Duration::from_millis(500);
+const MIN_PROGRESS_BYTES: usize = 8 * 1024;
+
+/// Bounds of the time after which a refused request may return.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Weight of the last body in the mean time for which bodies are held.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Shortest time between two log lines about connections that yielded.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It has no request, or the head of one is incomplete.
+    Idle,
+    /// The body of its request is incomplete.
+    Body,
+    /// Its request is complete.
+    Active,
+    /// Its request has its response; the rest of the body is read.
+    Discarding,
+}
+
+impl Stage {
+    /// Returns the name for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Stage::Idle => "idle",
+            Stage::Body => "body",
+            Stage::Active => "response",
+            Stage::Discarding => "discarded",
+        }
+    }
+}
+
+/// What the process lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Need {
+    Memory,
+    Connections,
+}
+
+impl Need {
+    /// Returns the name for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Need::Memory => "memory",
+            Need::Connections => "connections",
+        }
+    }
+}
+
+/// What callers hold.
+#[derive(Debug, Default)]
+pub struct Account {
+    /// Bytes that are held.
+    bytes: Cell<usize>,
+    /// Bytes of long bodies in it.
+    long_bytes: Cell<usize>,
+    /// Bytes that connections release which were told to yield.
+    yielding: Cell<usize>,
+    /// Number of connections that were told to close.
+    closing: Cell<usize>,
+    /// Bytes of bodies, and their number.
+    body_bytes: Cell<usize>,
+    bodies: Cell<usize>,
+    /// Mean time for which a long body is held; 0 while it is unknown.
+    mean_time: Cell<Duration>,
+    connections: RefCell<BTreeMap<u64, Rc<Holder>>>,
+    last_id: Cell<u64>,
+    log: Cell<Log>,
+}
+
+/// Connections that yielded, and new ones that were refused, since the last log line.
+#[derive(Clone, Copy, Debug, Default)]
+struct Log {
+    yielded: u64,
+    refused: u64,
+    at: Option<Instant>,
+}
+
+/// State of a connection, by which it is chosen to yield.
+#[derive(Debug)]
+struct Holder {
+    id: u64,
+    stage: Cell<Stage>,
+    /// Bytes that it holds.
+    bytes: Cell<usize>,
+    /// Whether its caller doesn't take what is written.
+    is_blocked: Cell<bool>,
+    /// When its request began.
+    began: Cell<Instant>,
+    /// When it last made progress that isn't slow.
+    progressed: Cell<Instant>,
+    /// Beginning of the current span of measurement, and bytes in it and in the one before.
+    span: Cell<(Instant, usize, usize)>,
+    /// Bytes that it releases, once it was told to yield.
+    releases: Cell<usize>,
+    /// Cancelled when the body of its request is given up.
+    refused: RefCell<CancellationToken>,
+    /// Cancelled when it is closed.
+    closed: CancellationToken,
+}
+
+impl Holder {
+    /// Returns whether it can yield.
+    fn yields(&self) -> bool {
+        let can_yield = match self.stage.get() {
+            Stage::Active => self.is_blocked.get(),
+            Stage::Idle | Stage::Body | Stage::Discarding => true,
+        };
+        can_yield && !self.closed.is_cancelled() && !self.is_refused()
+    }
+
+    fn is_refused(&self) -> bool {
+        self.stage.get() == Stage::Body && self.refused.borrow().is_cancelled()
+    }
+
+    /// Returns whether its body is long.
+    fn is_long(&self) -> bool {
+        self.bytes.get() > CONNECTION_BYTES + MAX_SHORT_BYTES
+    }
+
+    fn is_slow(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.progressed.get()) >= PROGRESS_TIME
+    }
+
+    fn record_progress(&self, bytes: usize) {
+        let now = Instant::now();
+        let (since, current, previous) = self.span.get();
+        let elapsed = now.saturating_duration_since(since);
+        let (since, current, previous) = match elapsed {
+            elapsed if elapsed < PROGRESS_TIME => (since, current + bytes, previous),
+            elapsed if elapsed < 2 * PROGRESS_TIME => (since + PROGRESS_TIME, bytes, current),
+            _ => (now, bytes, 0),
+        };
+        self.span.set((since, current, previous));
+        if current + previous >= MIN_PROGRESS_BYTES {
+            self.progressed.set(now);
+        }
+    }
+
+    fn set_stage(&self, stage: Stage) {
+        let now = Instant::now();
+        match stage {
+            Stage::Body => {
+                self.began.set(now);
+                self.progressed.set(now);
+                self.refused.replace(CancellationToken::new());
+            }
+            Stage::Idle | Stage::Active => self.progressed.set(now),
+            Stage::Discarding => {}
+        }
+        self.stage.set(stage);
+    }
+}
+
+impl Account {
+    /// Opens the account of a connection that was accepted; `None` if there is no room for it.
+    pub fn open(self: &Rc<Self>, limits: &Limits) -> Option<Connection> {
+        let all = Bound::All(limits.memory);
+        let has_place = !self.lacks_place(limits) || {
+            let slowest = self.slowest(&all).or_else(|| self.oldest_idle());
+            slowest.is_some_and(|slowest| {
+                self.close(&slowest, Need::Connections);
+                true
+            })
+        };
+        if !has_place || !self.make_room(all, CONNECTION_BYTES, None) {
+            self.record(Log {
+                refused: 1,
+                ..Log::default()
+            });
+            meter::connection_refused();
+            return None;
+        }
+        let now = Instant::now();
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        let holder = Rc::new(Holder {
+            id,
+            stage: Cell::new(Stage::Idle),
+            bytes: Cell::new(0),
+            is_blocked: Cell::default(),
+            began: Cell::new(now),
+            progressed: Cell::new(now),
+            span: Cell::new((now, 0, 0)),
+            releases: Cell::default(),
+            refused: RefCell::default(),
+            closed: CancellationToken::new(),
+        });
+        self.connections.borrow_mut().insert(id, holder.clone());
+        let account = self.clone();
+        account.take(&holder, CONNECTION_BYTES);
+        Some(Connection { account, holder })
+    }
+
+    /// Returns whether another connection has to yield for a new one.
+    pub fn is_full(&self, limits: &Limits) -> bool {
+        let all = Bound::All(limits.memory);
+        self.lacks_place(limits) || self.kept(&all) + CONNECTION_BYTES > all.bytes()
+    }
+
+    fn lacks_place(&self, limits: &Limits) -> bool {
+        let open = self.connections.borrow().len() - self.closing.get();
+        open >= limits.connections
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Returns the number of bytes that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
+    /// Returns the number of bytes of bodies in them.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes.get()
+    }
+
+    /// Returns the time until a body is expected to be released.
+    pub fn retry_after(&self) -> Duration {
+        let count = u32::try_from(self.bodies.get()).unwrap_or(u32::MAX).max(1);
+        (self.mean_time.get() / count).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Returns whether a body of a length fits beside what doesn't yield.
+    fn fits(&self, bound: &Bound, length: usize) -> bool {
+        let connections = self.connections.borrow();
+        let yielding = connections
+            .values()
+            .filter(|holder| bound.concerns(holder) && holder.yields());
+        let yielding: usize = yielding.map(|holder| holder.bytes.get()).sum();
+        let kept = self.kept(bound).saturating_sub(yielding);
+        kept.saturating_add(length) <= bound.bytes()
+    }
+
+    /// Lets connections yield until `bytes` more are within the bound on what is counted; returns whether
+    /// they are. Without a `taker` they are for a new connection.
+    fn make_room(&self, bound: Bound, bytes: usize, taker: Option<&Holder>) -> bool {
+        while self.kept(&bound).saturating_add(bytes) > bound.bytes() {
+            let found = match taker {
+                Some(taker) => self
+                    .slowest(&bound)
+                    .or_else(|| self.newest_body(&bound, taker)),
+                None => self.slowest(&bound).or_else(|| self.oldest_idle()),
+            };
+            let Some(found) = found.filter(|found| taker.is_none_or(|taker| taker.id != found.id))
+            else {
+                return false;
+            };
+            self.revoke(&found);
+        }
+        true
+    }
+
+    /// Returns the bytes that count for a bound, without those that are about to be released.
+    fn kept(&self, bound: &Bound) -> usize {
+        match bound {
+            Bound::All(_) => self.bytes.get().saturating_sub(self.yielding.get()),
+            Bound::Long(_) => {
+                let connections = self.connections.borrow();
+                let yielding = connections.values().filter(|holder| holder.is_long());
+                let yielding: usize = yielding.map(|holder| holder.releases.get()).sum();
+                self.long_bytes.get().saturating_sub(yielding)
+            }
+        }
+    }
+
+    /// Returns the connection that can yield and has made no progress for longest, if any makes none.
+    fn slowest(&self, bound: &Bound) -> Option<Rc<Holder>> {
+        let now = Instant::now();
+        let connections = self.connections.borrow();
+        let slow = connections
+            .values()
+            .filter(|holder| bound.concerns(holder) && holder.yields() && holder.is_slow(now));
+        slow.min_by_key(|holder| holder.progressed.get()).cloned()
+    }
+
+    /// Returns the incomplete body that began last: of many that make progress, the oldest get complete.
+    fn newest_body(&self, bound: &Bound, taker: &Holder) -> Option<Rc<Holder>> {
+        let connections = self.connections.borrow();
+        let bodies = connections.values().filter(|holder| {
+            let is_body = holder.stage.get() == Stage::Body && holder.yields();
+            is_body && (bound.concerns(holder) || holder.id == taker.id)
+        });
+        bodies.max_by_key(|holder| holder.began.get()).cloned()
+    }
+
+    fn oldest_idle(&self) -> Option<Rc<Holder>> {
+        let connections = self.connections.borrow();
+        let idle = connections.values();
+        let idle = idle.filter(|holder| holder.stage.get() == Stage::Idle && holder.yields());
+        idle.min_by_key(|holder| holder.progressed.get()).cloned()
+    }
+
+    /// Makes a connection release what it holds: the body of its request, if it is incomplete.
+    fn revoke(&self, holder: &Holder) {
+        if holder.stage.get() != Stage::Body || holder.bytes.get() <= CONNECTION_BYTES {
+            self.close(holder, Need::Memory);
+            return;
+        }
+        holder.refused.borrow().cancel();
+        self.record_yield(holder, Need::Memory, holder.bytes.get() - CONNECTION_BYTES);
+    }
+
+    fn close(&self, holder: &Holder, need: Need) {
+        holder.closed.cancel();
+        self.closing.set(self.closing.get() + 1);
+        self.record_yield(holder, need, holder.bytes.get());
+    }
+
+    fn record_yield(&self, holder: &Holder, need: Need, releases: usize) {
+        let before = holder.releases.replace(releases);
+        self.yielding.set(self.yielding.get() - before + releases);
+        meter::connection_yielded(holder.stage.get().name(), need.name());
+        self.record(Log {
+            yielded: 1,
+            ..Log::default()
+        });
+    }
+
+    /// Logs connections that yielded and were refused, a line for many.
+    fn record(&self, log: Log) {
+        let now = Instant::now();
+        let mut sum = self.log.get();
+        sum.yielded += log.yielded;
+        sum.refused += log.refused;
+        if sum.at.is_none_or(|at| now - at >= LOG_INTERVAL) {
+            note!(
+                forwarding::CONNECTIONS_YIELDED,
+                yielded = sum.yielded,
+                refused = sum.refused,
+                connections = self.connections(),
+                bytes = self.bytes.get()
+            );
+            sum = Log {
+                at: Some(now),
+                ..Log::default()
+            };
+        }
+        self.log.set(sum);
+    }
+
+    fn take(&self, holder: &Holder, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+        holder.bytes.set(holder.bytes.get() + bytes);
+    }
+
+    fn release(&self, holder: &Holder, bytes: usize) {
+        self.bytes.set(self.bytes.get() - bytes);
+        holder.bytes.set(holder.bytes.get() - bytes);
+        let releases = holder.releases.get();
+        let released = bytes.min(releases);
+        holder.releases.set(releases - released);
+        self.yielding.set(self.yielding.get() - released);
+    }
+}
+
+/// Bound on what is held, in bytes.
+#[derive(Clone, Copy, Debug)]
+enum Bound {
+    /// Of all connections together.
+    All(usize),
+    /// Of the long bodies among it.
+    Long(usize),
+}
+
+impl Bound {
+    /// Returns the bound on a body of a length, beside that on everything.
+    fn of_body(limits: &Limits, length: usize) -> Bound {
+        match length <= MAX_SHORT_BYTES {
+            true => Bound::All(limits.memory),
+            false => Bound::Long((limits.memory as f64 * LONG_SHARE) as usize),
+        }
+    }
+
+    fn bytes(&self) -> usize {
+        match self {
+            Bound::All(bytes) | Bound::Long(bytes) => *bytes,
+        }
+    }
+
+    fn concerns(&self, holder: &Holder) -> bool {
+        match self {
+            Bound::All(_) => true,
+            Bound::Long(_) => holder.is_long(),
+        }
+    }
+}
+
+/// A connection's part of the account, until it is dropped.
+#[derive(Debug)]
+pub struct Connection {
+    account: Rc<Account>,
+    holder: Rc<Holder>,
+}
+
+impl Connection {
+    /// Sets what the connection does.
+    pub fn set_stage(&self, stage: Stage) {
+        self.holder.set_stage(stage);
+    }
+
+    /// Records that bytes were received, or taken by the caller.
+    pub fn record_progress(&self, bytes: usize) {
+        self.holder.is_blocked.set(false);
+        self.holder.record_progress(bytes);
+    }
+
+    /// Records that the caller takes nothing of what is written.
+    pub fn record_blocked(&self) {
+        if !self.holder.is_blocked.replace(true) {
+            self.holder.progressed.set(Instant::now());
+        }
+    }
+
+    /// Waits until the connection has to be closed.
+    pub fn closed(&self) -> impl Future<Output = ()> + '_ {
+        self.holder.closed.cancelled()
+    }
+
+    /// Counts a response, which is delivered whether there is room or not.
+    pub fn charge(&self, bytes: usize) -> Charge {
+        self.account.take(&self.holder, bytes);
+        Charge {
+            account: self.account.clone(),
+            holder: self.holder.clone(),
+            bytes,
+        }
+    }
+
+    /// Begins a body, of a length if that is announced; `None` if there is no room for it.
+    pub fn begin_body(&self, limits: &Limits, length: usize) -> Option<Hold> {
+        self.set_stage(Stage::Body);
+        if !self.account.fits(&Bound::of_body(limits, length), length) {
+            return None;
+        }
+        self.account.bodies.set(self.account.bodies.get() + 1);
+        Some(Hold {
+            account: self.account.clone(),
+            holder: self.holder.clone(),
+            bytes: 0,
+            since: Instant::now(),
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let account = &self.account;
+        account.connections.borrow_mut().remove(&self.holder.id);
+        if self.holder.closed.is_cancelled() {
+            account.closing.set(account.closing.get() - 1);
+        }
+        account.release(&self.holder, CONNECTION_BYTES);
+        // What its request still holds doesn't yield.
+        let releases = self.holder.releases.replace(0);
+        account.yielding.set(account.yielding.get() - releases);
+    }
+}
+
+/// Part of the account that the body of a request takes until this is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    account: Rc<Account>,
+    holder: Rc<Holder>,
+    bytes: usize,
+    since: Instant,
+}
+
+impl Hold {
+    /// Takes room for `bytes` more, which slower bodies may have to release; returns whether there is
+    /// any.
+    pub fn grow(&mut self, limits: &Limits, bytes: usize) -> bool {
+        let account = &self.account;
+        let length = self.bytes + bytes;
+        let bound = Bound::of_body(limits, length);
+        let added = match self.bytes > MAX_SHORT_BYTES {
+            true => bytes,
+            false => length,
+        };
+        let is_long = matches!(bound, Bound::Long(_));
+        if is_long && !account.make_room(bound, added, Some(&self.holder))
+            || !account.make_room(Bound::All(limits.memory), bytes, Some(&self.holder))
+        {
+            return false;
+        }
+        if is_long {
+            account.long_bytes.set(account.long_bytes.get() + added);
+        }
+        self.bytes += bytes;
+        account.body_bytes.set(account.body_bytes.get() + bytes);
+        account.take(&self.holder, bytes);
+        true
+    }
+
+    /// Waits until the body has to be given up.
+    pub async fn refused(&self) {
+        let refused = self.holder.refused.borrow().clone();
+        refused.cancelled().await;
+    }
+
+    /// Records that the body is complete: it is held until its request ends.
+    pub fn complete(&self) {
+        self.holder.set_stage(Stage::Active);
+    }
+}
+
+/// Part of the account that a response takes until this is dropped.
+#[derive(Debug)]
+pub struct Charge {
+    account: Rc<Account>,
+    holder: Rc<Holder>,
+    bytes: usize,
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.account.release(&self.holder, self.bytes);
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let account = &self.account;
+        account.release(&self.holder, self.bytes);
+        account
+            .body_bytes
+            .set(account.body_bytes.get() - self.bytes);
+        account.bodies.set(account.bodies.get() - 1);
+        if self.bytes <= MAX_SHORT_BYTES {
+            return;
+        }
+        account
+            .long_bytes
+            .set(account.long_bytes.get() - self.bytes);
+        let (mean, time) = (account.mean_time.get(), self.since.elapsed());
+        account.mean_time.set(match mean.is_zero() {
+            true => time,
+            false => mean.mul_f64(1.0 - SAMPLE_WEIGHT) + time.mul_f64(SAMPLE_WEIGHT),
+        });
+    }
+}
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -96,7 +96,7 @@
             let host = requested_host(parts).unwrap_or_default();
             let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
             let target = format!("{} {host}{path}", parts.method);
-            let request = poison::fingerprint(team, &target, &self.request.body);
+            let request = poison::fingerprint_of_pieces(team, &target, self.request.body.pieces());
             let part = |(part, _): &(u64, u32)| poison::part_fingerprint(&self.service, *part);
             let prompt = self.parts().iter().map(part);
             Subject::new(beacon::id(&self.service), request, prompt)
--- a/components/gateway/src/context.rs
+++ b/components/gateway/src/context.rs
@@ -1,10 +1,7 @@
 //! State that the handlers of requests share, and what they ask of it.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
+    cell::RefCell,
     rc::Rc,
     time::Duration, //
 };
@@ -46,7 +43,7 @@
 use upstream::Head;
 
 use crate::{
-    bodies::Bodies,
+    account::Account,
     body::Body,
     call::Call,
     clock,
@@ -127,14 +124,12 @@
     pub forecast: RefCell<Forecast>,
     /// State of the graceful shutdown.
     pub shutdown: Rc<Shutdown>,
-    /// Bodies of requests that the process holds.
-    pub bodies: Rc<Bodies>,
+    /// What callers make the process hold.
+    pub account: Rc<Account>,
     /// Time at which the process started.
     pub started: Instant,
     /// Requests in progress.
     pub requests: Rc<Requests>,
-    /// Number of open connections of callers.
-    pub connections: Cell<usize>,
 }
 
 impl<P> Context<P> {
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -70,15 +70,20 @@
     retry_budget::RetryBudgets,
     rollout::Report,
     sender::Sender,
-    settings::Settings,
+    settings::{
+        Limits,
+        Settings, //
+    },
     update::Update, //
 };
 
 /// Interval at which idle connections to servers are closed.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of connections that wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 1024;
+/// Maximum number of connections that wait to be accepted, and the memory that the kernel may receive for
+/// them, as a share of what callers may hold.
+const MAX_BACKLOG: usize = 512;
+const BACKLOG_SHARE: f64 = 0.25;
 
 /// Interval at which a shutdown checks for open connections.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -129,10 +134,9 @@
             initial_sync: InitialSync::default(),
             forecast: RefCell::default(),
             shutdown: Rc::default(),
-            bodies: Rc::default(),
+            account: Rc::default(),
             started: Instant::now(),
             requests: Rc::default(),
-            connections: Cell::new(0),
         };
         let channels = Channels {
             outgoing: outgoing_receiver,
@@ -279,10 +283,13 @@
     pub fn listen(&self) -> io::Result<Listeners> {
         let settings = self.context.settings.borrow().clone();
         Ok(Listeners {
-            callers: listen(settings.callers)?,
-            ready: listen(settings.ready)?,
+            callers: listen(settings.callers, &settings.limits)?,
+            ready: listen(settings.ready, &settings.limits)?,
             peers: bind_udp(settings.peers)?,
-            metrics: settings.metrics.map(listen).transpose()?,
+            metrics: settings
+                .metrics
+                .map(|address| listen(address, &settings.limits))
+                .transpose()?,
         })
     }
 
@@ -308,14 +315,17 @@
             true => (StatusCode::OK, String::new()),
             false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         });
-        spawn_local(admin::run(readiness, respond, stopped.clone()));
+        let admin_connections = self.context.settings.borrow().limits.admin_connections;
+        let ready = admin::Server::new(respond, admin_connections);
+        spawn_local(ready.run(readiness, stopped.clone()));
         if let Some(metrics) = metrics {
             let (context, handle) = (self.context.clone(), metering::install());
             let respond = Rc::new(move || {
                 gauges(&context).set();
                 (StatusCode::OK, handle.render())
             });
-            spawn_local(admin::run(metrics, respond, stopped.clone()));
+            let server = admin::Server::new(respond, admin_connections);
+            spawn_local(server.run(metrics, stopped.clone()));
         }
         let (context, stop_watch) = (self.context.clone(), stopped.clone());
         spawn_local(async move { context.watch_abandoned(stop_watch).await });
@@ -355,7 +365,7 @@
         note!(
             process::DRAINED,
             running = running,
-            connections = context.connections.get(),
+            connections = context.account.connections(),
             ms = context.shutdown.elapsed().as_millis() as u64
         );
         if running > 0 {
@@ -387,7 +397,7 @@
         let removed_at = context.shutdown.idle_close_at().unwrap_or(exit_at);
         sleep_until(removed_at.min(cutoff_at)).await;
         close.cancel();
-        let is_needed = || context.connections.get() > 0 || Instant::now() < removed_at;
+        let is_needed = || context.account.connections() > 0 || Instant::now() < removed_at;
         while is_needed() && Instant::now() < exit_at {
             if Instant::now() >= cutoff_at {
                 context.shutdown.cutoff().cancel();
@@ -404,8 +414,9 @@
     let document_cache = context.document_cache.borrow();
     let confirmed = context.freshness.borrow().confirmed_at();
     Gauges {
-        connections: context.connections.get(),
-        body_bytes: context.bodies.held(),
+        connections: context.account.connections(),
+        held_bytes: context.account.bytes(),
+        body_bytes: context.account.body_bytes(),
         running: context.requests.count(),
         by_stage: Stage::ALL.map(|stage| (stage.name(), context.requests.count_at(stage))),
         document: document_cache
@@ -435,11 +446,23 @@
     UdpSocket::from_std(socket)
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, limits: &Limits) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     // Without it a restarted process can't bind its port while old connections are in the time-wait
     // state.
     socket.set_reuseaddr(true)?;
+    // Connections inherit them. Without them the kernel holds megabytes for each that isn't read, or
+    // whose caller reads nothing. A system that can't be told has buffers of its own size.
+    let size = |bytes: usize| u32::try_from(bytes).unwrap_or(u32::MAX);
+    let _ = socket.set_recv_buffer_size(size(limits.receive_buffer));
+    let _ = socket.set_send_buffer_size(size(limits.send_buffer));
     socket.bind(address)?;
-    socket.listen(ACCEPT_BACKLOG)
+    socket.listen(size(backlog(limits)))
+}
+
+/// Returns how many connections may wait to be accepted.
+fn backlog(limits: &Limits) -> usize {
+    let bytes = limits.memory as f64 * BACKLOG_SHARE;
+    let count = (bytes / limits.receive_buffer as f64) as usize;
+    count.clamp(1, MAX_BACKLOG)
 }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -9,14 +9,9 @@
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
 use environment::{
     Index,
     document::{
-        Bounds,
         Engine,
         Passthrough, //
     },
@@ -27,26 +22,18 @@
 };
 use http::{
     Response,
-    header::CONTENT_LENGTH,
     request::Parts, //
 };
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use names::{
     Route,
     Service,
     Team, //
 };
-use tokio::time::{
-    Instant,
-    timeout_at, //
-};
+use tokio::time::Instant;
 
 use crate::{
-    bodies::{
-        Bodies,
-        Hold, //
-    },
+    account::Connection,
     body::Body,
     call::{
         self,
@@ -62,6 +49,7 @@
     queue::{
         self, //
     },
+    receive,
     refuse::{
         DocumentInfo,
         Refusal, //
@@ -77,19 +65,21 @@
     stream, //
 };
 
-/// Timeout of a request's body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Timeout of requests whose route and caller set none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3600);
 
 impl<P: Protocol + 'static> Context<P> {
     /// Handles a request. The response may come before the whole body was read.
-    pub async fn serve(self: &Rc<Self>, parts: Parts, body: &mut Incoming) -> Response<Body> {
+    pub async fn serve(
+        self: &Rc<Self>,
+        parts: Parts,
+        body: &mut Incoming,
+        connection: &Connection,
+    ) -> Response<Body> {
         let running = self.requests.begin();
         let progress = running.progress.clone();
         let handled = async {
-            match self.admit(parts, body, &progress).await {
+            match self.admit(parts, body, connection, &progress).await {
                 Ok(call) if !self.may_begin(&call) => call.refuse(&self.shutting_down()),
                 Ok(call) if call.pass.stream => stream::run(self, call).await,
                 Ok(call) => plain::run(self, call).await,
@@ -146,6 +136,7 @@
         &self,
         parts: Parts,
         body: &mut Incoming,
+        connection: &Connection,
         progress: &Rc<Running>,
     ) -> Result<Call, Response<Body>> {
         let arrived = progress.arrived;
@@ -201,11 +192,14 @@
             );
         }
         let caller_limits = index.document().callers.as_ref();
-        let room = Room {
-            bodies: &self.bodies,
-            memory: settings.memory,
+        let reading = receive::Reading {
+            connection,
+            account: &self.account,
+            limits: &settings.limits,
+            max_bytes: caller_limits.map_or(usize::MAX, |limits| limits.body_bytes),
+            arrived,
         };
-        let read = read_body(&parts, body, caller_limits, arrived, room).await;
+        let read = reading.read_body(&parts, body).await;
         let (body, hold) = read.map_err(refuse)?;
         progress.received(&route);
         let engine = Self::engine(index, &service);
@@ -283,60 +277,3 @@
     id.hash(&mut hasher);
     hasher.finish()
 }
-
-/// Room for bodies in a process.
-struct Room<'a> {
-    bodies: &'a Rc<Bodies>,
-    /// Memory that the process may use, in bytes.
-    memory: Option<u64>,
-}
-
-/// Reads the whole body of a request. Refuses it before the first byte if there is no room for its
-/// length.
-async fn read_body(
-    parts: &Parts,
-    body: &mut Incoming,
-    caller_limits: Option<&Bounds>,
-    arrived: Instant,
-    room: Room<'_>,
-) -> Result<(Bytes, Hold), Refusal> {
-    let limit = caller_limits.map_or(usize::MAX, |limits| limits.body_bytes);
-    let declared = parts
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        return Err(Refusal::BodyTooLong);
-    }
-    let Room { bodies, memory } = room;
-    let full = || Refusal::BodiesFull(bodies.retry_after());
-    let length = declared.unwrap_or(0);
-    let mut hold = bodies.hold(memory, length).ok_or_else(full)?;
-    let until = arrived + BODY_TIMEOUT;
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = timeout_at(until, body.frame()).await;
-        let frame = match frame {
-            Err(_) => return Err(Refusal::BodyIncomplete),
-            Ok(None) => return Ok((buffer.freeze(), hold)),
-            Ok(Some(Err(_))) => return Err(Refusal::BodyIncomplete),
-            Ok(Some(Ok(frame))) => frame,
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if buffer.len() + data.len() > limit {
-            return Err(Refusal::BodyTooLong);
-        }
-        if buffer.is_empty() && declared == Some(data.len()) {
-            return Ok((data, hold));
-        }
-        if declared.is_none() && !hold.grow(memory, data.len()) {
-            return Err(full());
-        }
-        if buffer.is_empty() {
-            buffer.reserve(length);
-        }
-        buffer.extend_from_slice(&data);
-    }
-}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,9 +8,9 @@
 //! An engine is a backend server that generates streams.
 
 mod accept;
+mod account;
 mod admin;
 mod announcements;
-mod bodies;
 mod body;
 mod cache_lookup;
 mod call;
@@ -33,6 +33,7 @@
 pub mod protocol;
 mod queue;
 mod queue_admission;
+mod receive;
 mod refuse;
 mod repeat;
 pub mod requests;
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -69,6 +69,17 @@
     counter!("medlarhatch_excesses_total", "bound" => bound).increment(1);
 }
 
+/// Counts a connection of a caller that yielded, by what it did and what the process lacked.
+pub fn connection_yielded(stage: &'static str, need: &'static str) {
+    counter!("medlarhatch_connections_yielded_total", "stage" => stage, "need" => need)
+        .increment(1);
+}
+
+/// Counts a connection that was closed at once, as the process had no room for it.
+pub fn connection_refused() {
+    counter!("medlarhatch_connections_refused_total").increment(1);
+}
+
 /// Counts a server that began to leave, or to want no requests, by what it said.
 pub fn server_notice(notice: &'static str) {
     counter!("medlarhatch_server_notices_total", "notice" => notice).increment(1);
@@ -126,6 +137,8 @@
 pub struct Gauges {
     /// Open connections of callers.
     pub connections: usize,
+    /// Bytes that callers make the process hold.
+    pub held_bytes: usize,
     /// Bytes of the bodies of requests that the process holds.
     pub body_bytes: usize,
     /// Requests in progress.
@@ -142,6 +155,7 @@
     /// Sets the gauges.
     pub fn set(&self) {
         gauge!("medlarhatch_connections").set(self.connections as f64);
+        gauge!("medlarhatch_held_bytes").set(self.held_bytes as f64);
         gauge!("medlarhatch_body_bytes").set(self.body_bytes as f64);
         gauge!("medlarhatch_running").set(self.running as f64);
         for (stage, count) in self.by_stage {
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -32,11 +32,12 @@
     Error,
     Head,
     Ledger,
-    Pool, //
+    Pool,
+    Segments, //
 };
 
 use crate::{
-    bodies::Hold,
+    account::Hold,
     fleet::Target,
     meter,
     protocol::{
@@ -99,7 +100,7 @@
     /// Parsed head of the message.
     pub metadata: Metadata,
     /// Complete body of the message.
-    pub body: Bytes,
+    pub body: Segments,
     /// Room that the body takes.
     pub hold: Hold,
     /// What the request has that may crash servers, once it was needed.
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -32,12 +32,68 @@
     /// Whether it is certain that no gateway sent a retry in the last window, so that the start needs
     /// no caution.
     pub retries_known: bool,
-    /// Memory that the process may use, in bytes, if it is limited.
-    pub memory: Option<u64>,
+    /// Limits on what callers can make the process hold.
+    pub limits: Limits,
     /// Limits that the operator sets.
     pub bounds: Bounds,
 }
 
+/// Memory of a process for which none is stated, in bytes.
+pub const DEFAULT_MEMORY: u64 = 512_000_000;
+
+/// Descriptors of a process for which none are stated: the usual limit.
+pub const DEFAULT_DESCRIPTORS: u64 = 1024;
+
+/// Descriptors that are kept for files.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Size of the buffer in which the kernel receives for a connection, in bytes.
+pub const DEFAULT_RECEIVE_BUFFER: usize = 32 * 1024;
+
+/// Size of the buffer in which the kernel keeps what a caller hasn't taken, in bytes.
+pub const DEFAULT_SEND_BUFFER: usize = 64 * 1024;
+
+/// Connections to each of the endpoints for readiness and metrics.
+const ADMIN_CONNECTIONS: usize = 16;
+
+/// Limits on what callers can make the process hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory that their connections and requests may take, in bytes.
+    pub memory: usize,
+    /// Number of their connections.
+    pub connections: usize,
+    /// Size of the buffer in which the kernel receives for each of them, in bytes.
+    pub receive_buffer: usize,
+    /// Size of the buffer in which the kernel keeps what it hasn't taken, in bytes.
+    pub send_buffer: usize,
+    /// Number of connections to each of the endpoints for readiness and metrics.
+    pub admin_connections: usize,
+}
+
+impl Limits {
+    /// Returns the limits in a process that may use a memory, in bytes, and a number of descriptors. A
+    /// half of each is kept for the process itself, servers, the store and peers.
+    pub fn of(memory: u64, descriptors: u64) -> Limits {
+        let for_sockets = descriptors.saturating_sub(FILE_DESCRIPTORS.min(descriptors / 2));
+        Limits {
+            memory: usize::try_from(memory / 2).unwrap_or(usize::MAX),
+            connections: usize::try_from(for_sockets / 2)
+                .unwrap_or(usize::MAX)
+                .max(1),
+            receive_buffer: DEFAULT_RECEIVE_BUFFER,
+            send_buffer: DEFAULT_SEND_BUFFER,
+            admin_connections: ADMIN_CONNECTIONS,
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits::of(DEFAULT_MEMORY, DEFAULT_DESCRIPTORS)
+    }
+}
+
 /// Limits that the operator sets. The limits on retries and the exposure hold over all gateways
 /// together, the others for each process.
 #[derive(Clone, Debug, PartialEq)]
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -47,7 +47,10 @@
         Metadata,
         Reply, //
     },
-    settings::Bounds,
+    settings::{
+        Bounds,
+        Limits, //
+    },
     update::Registration, //
 };
 use http::{
@@ -559,7 +562,7 @@
         metrics: None,
         seeds: Vec::new(),
         retries_known: true,
-        memory: None,
+        limits: Limits::default(),
         bounds: Bounds {
             grace: Duration::from_secs(8),
             revocation: Duration::from_secs(60),
--- a/components/gateway/tests/held_bodies.rs
+++ b/components/gateway/tests/held_bodies.rs
@@ -17,6 +17,7 @@
     stream_head,
     write_events, //
 };
+use gateway::settings::Limits;
 use rstest::rstest;
 use tokio::{
     io::AsyncWriteExt,
@@ -94,7 +95,7 @@
 ) {
     common::run(async move {
         let mut settings = settings();
-        settings.memory = Some(MEMORY_BYTES);
+        settings.limits = Limits::of(MEMORY_BYTES, 1024);
         let harness = Harness::start(settings);
         let mut document = document();
         if let Some(limits) = &mut document.callers {
--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -45,6 +45,9 @@
     ledger::Account, //
 };
 
+/// Maximum number of pieces that are written at once.
+const MAX_SLICES: usize = 16;
+
 /// Maximum number of times that a connection lets others run before it reads, so that evicted ones are
 /// closed. One whose task waits for its caller may stay.
 const MAX_RELEASE_YIELDS: usize = 4;
@@ -218,14 +221,19 @@
     ///
     /// [`Error::Broken`] when the connection breaks, [`Error::Closed`] when the server closes it. A
     /// response may have arrived before either.
-    pub async fn write(&mut self, method: &Method, head: Bytes, body: Bytes) -> Result<(), Error> {
+    pub async fn write(
+        &mut self,
+        method: &Method,
+        head: Bytes,
+        body: impl Buf,
+    ) -> Result<(), Error> {
         self.method = method.clone();
         self.bytes_sent = 0;
         self.interim = Interim::default();
         self.exchanges += 1;
         let mut data = head.chain(body);
         while data.has_remaining() {
-            let mut slices = [io::IoSlice::new(&[]); 2];
+            let mut slices = [io::IoSlice::new(&[]); MAX_SLICES];
             let count = data.chunks_vectored(&mut slices);
             match self.stream.try_write_vectored(&slices[..count]) {
                 Ok(written) => {
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -12,6 +12,7 @@
 mod head;
 pub mod ledger;
 pub mod pool;
+mod segments;
 
 pub use bound::Bound;
 pub use connection::{
@@ -23,3 +24,4 @@
 pub use head::Head;
 pub use ledger::Ledger;
 pub use pool::Pool;
+pub use segments::Segments;
