gateway: what connections to servers hold is bounded by the process's memory

Cause: what servers sent and nobody processed had a bound of its own, 16 MiB in any process, beside the account of what callers hold. A crowd of all kinds at once used 56.6 MB of 56 (crowds, all_at_once, debug build).

Change: it is a tenth of the process's memory and at most 16 MiB, callers have 0.45 instead of a half, and connections that aren't accepted yet a fifth of that. What a body was to release is forgotten once it has.

--- a/components/gateway/src/account.rs
+++ b/components/gateway/src/account.rs
@@ -388,6 +388,12 @@
         self.log.set(sum);
     }
 
+    /// Records that a connection has released what it was told to.
+    fn end_yield(&self, holder: &Holder) {
+        let releases = holder.releases.replace(0);
+        self.yielding.set(self.yielding.get() - releases);
+    }
+
     fn take(&self, holder: &Holder, bytes: usize) {
         self.bytes.set(self.bytes.get() + bytes);
         holder.bytes.set(holder.bytes.get() + bytes);
@@ -501,8 +507,7 @@
         }
         account.release(&self.holder, CONNECTION_BYTES);
         // What its request still holds doesn't yield.
-        let releases = self.holder.releases.replace(0);
-        account.yielding.set(account.yielding.get() - releases);
+        account.end_yield(&self.holder);
     }
 }
 
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -83,7 +83,7 @@
 /// Maximum number of connections that wait to be accepted, and the memory that the kernel may receive for
 /// them, as a share of what callers may hold.
 const MAX_BACKLOG: usize = 512;
-const BACKLOG_SHARE: f64 = 0.25;
+const BACKLOG_SHARE: f64 = 0.2;
 
 /// Interval at which a shutdown checks for open connections.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -118,12 +118,13 @@
         let (lookup_sender, lookup_requests) = unbounded_channel();
         let mut fleet = Fleet::new(rand::random());
         fleet.set_data_centre(&settings.data_centre);
+        let server_memory = settings.limits.server_memory;
         let context = Context {
             settings: Rc::new(RefCell::new(Rc::new(settings))),
             document_cache: RefCell::default(),
             freshness: Rc::default(),
             fleet: Rc::new(RefCell::new(fleet)),
-            sender: Sender::new(Rc::new(protocol)),
+            sender: Sender::new(Rc::new(protocol), server_memory),
             retry_budgets: Rc::new(RefCell::new(retry_budgets)),
             cache_lookup: CacheLookup::new(outgoing.clone()),
             queue: Rc::new(Queue::default()),
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -66,10 +66,6 @@
 /// request on the connection, or to a call of the gateway's own.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// Maximum number of bytes of responses that all connections hold before they are processed. The
-/// buffers take up to twice as much, and the smallest hosts have 120 MB for the process.
-const MAX_HELD_BYTES: usize = 16 << 20;
-
 /// Maximum number of responses to earlier requests that are skipped on a connection.
 pub const MAX_EARLIER_RESPONSES: u32 = 4;
 
@@ -117,12 +113,13 @@
 }
 
 impl<P: Protocol> Sender<P> {
-    /// Creates a sender without connections.
-    pub fn new(protocol: Rc<P>) -> Sender<P> {
+    /// Creates a sender without connections, which may hold a number of bytes of responses before they
+    /// are processed.
+    pub fn new(protocol: Rc<P>, max_held_bytes: usize) -> Sender<P> {
         Sender {
             protocol,
             pool: RefCell::default(),
-            ledger: Ledger::new(MAX_HELD_BYTES),
+            ledger: Ledger::new(max_held_bytes),
         }
     }
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -53,6 +53,14 @@
 /// Size of the buffer in which the kernel keeps what a caller hasn't taken, in bytes.
 pub const DEFAULT_SEND_BUFFER: usize = 64 * 1024;
 
+/// Share of the process's memory that callers' connections and requests may take, and that of what
+/// connections to servers hold before it is processed.
+const CALLER_SHARE: f64 = 0.45;
+const SERVER_SHARE: f64 = 0.1;
+
+/// Maximum of the latter, in bytes.
+const MAX_SERVER_MEMORY: usize = 16 << 20;
+
 /// Connections to each of the endpoints for readiness and metrics.
 const ADMIN_CONNECTIONS: usize = 16;
 
@@ -61,7 +69,9 @@
 pub struct Limits {
     /// Memory that their connections and requests may take, in bytes.
     pub memory: usize,
-    /// Number of their connections.
+    /// Memory of what connections to servers hold before it is processed, in bytes.
+    pub server_memory: usize,
+    /// Number of callers' connections.
     pub connections: usize,
     /// Size of the buffer in which the kernel receives for each of them, in bytes.
     pub receive_buffer: usize,
@@ -72,12 +82,13 @@
 }
 
 impl Limits {
-    /// Returns the limits in a process that may use a memory, in bytes, and a number of descriptors. A
-    /// half of each is kept for the process itself, servers, the store and peers.
+    /// Returns the limits in a process that may use a memory, in bytes, and a number of descriptors. What
+    /// is left is kept for the process itself, servers, the store and peers.
     pub fn of(memory: u64, descriptors: u64) -> Limits {
         let for_sockets = descriptors.saturating_sub(FILE_DESCRIPTORS.min(descriptors / 2));
         Limits {
-            memory: usize::try_from(memory / 2).unwrap_or(usize::MAX),
+            memory: (memory as f64 * CALLER_SHARE) as usize,
+            server_memory: MAX_SERVER_MEMORY.min((memory as f64 * SERVER_SHARE) as usize),
             connections: usize::try_from(for_sockets / 2)
                 .unwrap_or(usize::MAX)
                 .max(1),
