--- a/components/gateway/src/account.rs
+++ b/components/gateway/src/account.rs
@@ -20,26 +20,22 @@
     note, //
 };
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     meter,
     settings::Limits, //
 };
 
-/// Memory that a connection takes beside the body of its request, in bytes: its task, its buffers, and
-/// what the kernel has received for it.
-pub const CONNECTION_BYTES: usize = 48 * 1024;
-
-/// Share of the account that long bodies may take, so that they don't keep out all other requests.
-const LONG_SHARE: f64 = 0.85;
+use self::holder::{
+    Bound,
+    CONNECTION_BYTES,
+    Holder,
+    MAX_SHORT_BYTES, //
+};
 
-/// Maximum size of a short body, in bytes.
-const MAX_SHORT_BYTES: usize = 64 * 1024;
+pub use self::holder::Stage;
 
-/// Time over which the progress of a connection is measured, and the bytes in it below which it is slow.
-const PROGRESS_TIME: Duration = Duration::from_millis(500);
-const MIN_PROGRESS_BYTES: usize = 8 * 1024;
+mod holder;
 
 /// Bounds of the time after which a refused request may return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -51,31 +47,6 @@
 /// Shortest time between two log lines about connections that yielded.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a connection does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// It has no request, or the head of one is incomplete.
-    Idle,
-    /// The body of its request is incomplete.
-    Body,
-    /// Its request is complete.
-    Active,
-    /// Its request has its response; the rest of the body is read.
-    Discarding,
-}
-
-impl Stage {
-    /// Returns the name for metrics.
-    fn name(self) -> &'static str {
-        match self {
-            Stage::Idle => "idle",
-            Stage::Body => "body",
-            Stage::Active => "response",
-            Stage::Discarding => "discarded",
-        }
-    }
-}
-
 /// What the process lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Need {
@@ -122,82 +93,6 @@
     at: Option<Instant>,
 }
 
-/// State of a connection, by which it is chosen to yield.
-#[derive(Debug)]
-struct Holder {
-    id: u64,
-    stage: Cell<Stage>,
-    /// Bytes that it holds.
-    bytes: Cell<usize>,
-    /// Whether its caller doesn't take what is written.
-    is_blocked: Cell<bool>,
-    /// When its request began.
-    began: Cell<Instant>,
-    /// When it last made progress that isn't slow.
-    progressed: Cell<Instant>,
-    /// Beginning of the current span of measurement, and bytes in it and in the one before.
-    span: Cell<(Instant, usize, usize)>,
-    /// Bytes that it releases, once it was told to yield.
-    releases: Cell<usize>,
-    /// Cancelled when the body of its request is given up.
-    refused: RefCell<CancellationToken>,
-    /// Cancelled when it is closed.
-    closed: CancellationToken,
-}
-
-impl Holder {
-    /// Returns whether it can yield.
-    fn yields(&self) -> bool {
-        let can_yield = match self.stage.get() {
-            Stage::Active => self.is_blocked.get(),
-            Stage::Idle | Stage::Body | Stage::Discarding => true,
-        };
-        can_yield && !self.closed.is_cancelled() && !self.is_refused()
-    }
-
-    fn is_refused(&self) -> bool {
-        self.stage.get() == Stage::Body && self.refused.borrow().is_cancelled()
-    }
-
-    /// Returns whether its body is long.
-    fn is_long(&self) -> bool {
-        self.bytes.get() > CONNECTION_BYTES + MAX_SHORT_BYTES
-    }
-
-    fn is_slow(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.progressed.get()) >= PROGRESS_TIME
-    }
-
-    fn record_progress(&self, bytes: usize) {
-        let now = Instant::now();
-        let (since, current, previous) = self.span.get();
-        let elapsed = now.saturating_duration_since(since);
-        let (since, current, previous) = match elapsed {
-            elapsed if elapsed < PROGRESS_TIME => (since, current + bytes, previous),
-            elapsed if elapsed < 2 * PROGRESS_TIME => (since + PROGRESS_TIME, bytes, current),
-            _ => (now, bytes, 0),
-        };
-        self.span.set((since, current, previous));
-        if current + previous >= MIN_PROGRESS_BYTES {
-            self.progressed.set(now);
-        }
-    }
-
-    fn set_stage(&self, stage: Stage) {
-        let now = Instant::now();
-        match stage {
-            Stage::Body => {
-                self.began.set(now);
-                self.progressed.set(now);
-                self.refused.replace(CancellationToken::new());
-            }
-            Stage::Idle | Stage::Active => self.progressed.set(now),
-            Stage::Discarding => {}
-        }
-        self.stage.set(stage);
-    }
-}
-
 impl Account {
     /// Opens the account of a connection that was accepted; `None` if there is no room for it.
     pub fn open(self: &Rc<Self>, limits: &Limits) -> Option<Connection> {
@@ -217,21 +112,9 @@
             meter::connection_refused();
             return None;
         }
-        let now = Instant::now();
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
-        let holder = Rc::new(Holder {
-            id,
-            stage: Cell::new(Stage::Idle),
-            bytes: Cell::new(0),
-            is_blocked: Cell::default(),
-            began: Cell::new(now),
-            progressed: Cell::new(now),
-            span: Cell::new((now, 0, 0)),
-            releases: Cell::default(),
-            refused: RefCell::default(),
-            closed: CancellationToken::new(),
-        });
+        let holder = Rc::new(Holder::new(id));
         self.connections.borrow_mut().insert(id, holder.clone());
         let account = self.clone();
         account.take(&holder, CONNECTION_BYTES);
@@ -409,38 +292,6 @@
     }
 }
 
-/// Bound on what is held, in bytes.
-#[derive(Clone, Copy, Debug)]
-enum Bound {
-    /// Of all connections together.
-    All(usize),
-    /// Of the long bodies among it.
-    Long(usize),
-}
-
-impl Bound {
-    /// Returns the bound on a body of a length, beside that on everything.
-    fn of_body(limits: &Limits, length: usize) -> Bound {
-        match length <= MAX_SHORT_BYTES {
-            true => Bound::All(limits.memory),
-            false => Bound::Long((limits.memory as f64 * LONG_SHARE) as usize),
-        }
-    }
-
-    fn bytes(&self) -> usize {
-        match self {
-            Bound::All(bytes) | Bound::Long(bytes) => *bytes,
-        }
-    }
-
-    fn concerns(&self, holder: &Holder) -> bool {
-        match self {
-            Bound::All(_) => true,
-            Bound::Long(_) => holder.is_long(),
-        }
-    }
-}
-
 /// A connection's part of the account, until it is dropped.
 #[derive(Debug)]
 pub struct Connection {
