--- a/components/contract/tests/silence.rs
+++ b/components/contract/tests/silence.rs
@@ -112,3 +112,39 @@
     let late = now + Duration::from_secs(60);
     assert!(is_refused(&evidence, late));
 }
+
+/// Guards against a held request that runs again while it isn't known what became of the server of its last
+/// run, and against sound ones that wait with it.
+#[test]
+fn a_run_alone_at_a_silent_server_holds_its_causes_only() {
+    let (common, harmful) = (70, 71);
+    let stream = |request, parts: &[Fingerprint]| Subject::new(5, request, parts.iter().copied());
+    let mut evidence = Evidence::default();
+    let mut now = START;
+    // Two prompt parts are together at each crash, under new requests.
+    for server in 0..3 {
+        now = START + INTERVAL * server;
+        for part in [harmful, 72] {
+            let subject = stream(1000 + part + u128::from(server), &[common, part]);
+            let crash = Observation::Crashed {
+                server,
+                incarnation: 0,
+                stage: Stage::Started,
+                run_ms: 40,
+            };
+            evidence.record(now, now, &subject, crash);
+        }
+    }
+    let next = stream(2000, &[common, harmful]);
+    assert!(evidence.held_causes(&next) > 0);
+    assert!(!evidence.is_undecided(&next));
+    now += INTERVAL;
+    let alone = stream(2001, &[common, harmful]);
+    evidence.record(now, now, &alone, silent(9, Duration::ZERO));
+    assert!(evidence.is_undecided(&next));
+    assert!(!evidence.is_undecided(&stream(2002, &[common, 73])));
+    let answered = Observation::Answered { server: 9 };
+    let later = now + INTERVAL;
+    evidence.record(later, later, &Subject::new(0, 0, []), answered);
+    assert!(!evidence.is_undecided(&next));
+}
