gateway: callers who don't read refusals wait, and yield first

Callers saw: beside callers who send one request behind the other and read no response, requests were refused as too_many_requests for 30 s, each attempt of them. Cause: a connection that doesn't wait for its response begins the next request at the moment of a refusal. A hundred of them are thousands of attempts a second on a full service, against one in each Retry-After of a caller that waits, so each place that became free was theirs. Their connections never yielded either, as their requests were complete. Change: a request whose bytes had come before its connection's refusal was written waits for limits.pipelinePauseMs (250 ms). Its deadline goes on. Meanwhile its connection yields before all others. Who reads a refusal before it sends on is not held back.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -18,7 +18,11 @@
 use http::{
     HeaderValue,
     Request,
-    header::CONNECTION, //
+    Response,
+    header::{
+        CONNECTION,
+        RETRY_AFTER, //
+    }, //
 };
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -58,7 +62,8 @@
         Stage, //
     },
     context::Context,
-    protocol::Protocol, //
+    protocol::Protocol,
+    settings::Limits, //
 };
 
 /// Idle timeout of a connection while no document is known.
@@ -123,6 +128,8 @@
     idle_since: Cell<Option<Instant>>,
     /// Time at which the first byte of the next request arrived.
     request_began: Cell<Option<Instant>>,
+    /// Whether the last response asked its caller to come back later, and nothing was read since.
+    is_refused: Cell<bool>,
 }
 
 /// Marks a request as in progress until its response is written.
@@ -135,9 +142,20 @@
             running: Cell::default(),
             idle_since: Cell::new(Some(Instant::now())),
             request_began: Cell::default(),
+            is_refused: Cell::default(),
         }
     }
 
+    /// Returns the pause before a request: it has one if it was sent before the refusal of the one ahead
+    /// of it was read. Otherwise callers who don't read responses take the place of those who do.
+    fn pause(&self, limits: &Limits) -> Duration {
+        if !self.is_refused.replace(false) || limits.pipeline_pause.is_zero() {
+            return Duration::ZERO;
+        }
+        self.connection.record_held_back();
+        limits.pipeline_pause
+    }
+
     fn is_running(&self) -> bool {
         self.running.get() > 0
     }
@@ -189,9 +207,10 @@
             // Boxed, so that a connection without a request doesn't take the memory of one.
             Box::pin(async move {
                 let active = Rc::new(ActiveGuard::new(progress.clone()));
+                let pause = progress.pause(&context.settings.borrow().limits);
                 let (parts, mut body) = request.into_parts();
                 let connection = &progress.connection;
-                let mut response = context.serve(parts, &mut body, connection).await;
+                let mut response = context.serve(parts, &mut body, connection, pause).await;
                 if body.is_end_stream() {
                     connection.set_stage(Stage::Active);
                 } else {
@@ -207,6 +226,7 @@
                 let charge = connection.charge(usize::try_from(length).unwrap_or(usize::MAX));
                 response.body_mut().hold(charge);
                 response.body_mut().hold(active);
+                progress.is_refused.set(is_refusal(&response));
                 Ok::<_, Infallible>(response)
             })
         })
@@ -245,6 +265,11 @@
     }
 }
 
+/// Returns whether a response asks its caller to come back later.
+fn is_refusal<B>(response: &Response<B>) -> bool {
+    response.headers().contains_key(RETRY_AFTER)
+}
+
 /// Reads the rest of the body of a request that has its response. If the connection were closed with
 /// unread bytes, it would be reset, and the caller could lose the response.
 async fn discard(mut body: Incoming, limit: usize, _active: Rc<ActiveGuard>) {
@@ -318,6 +343,7 @@
         if length == 0 {
             return;
         }
+        progress.is_refused.set(false);
         progress.connection.record_progress(length);
         if !progress.is_running() && progress.request_began.get().is_none() {
             progress.request_began.set(Some(Instant::now()));
--- a/components/gateway/src/account.rs
+++ b/components/gateway/src/account.rs
@@ -85,11 +85,13 @@
     log: Cell<Log>,
 }
 
-/// Connections that yielded, and new ones that were refused, since the last log line.
+/// Connections that yielded, new ones that were refused, and requests that were held back, since the last
+/// log line.
 #[derive(Clone, Copy, Debug, Default)]
 struct Log {
     yielded: u64,
     refused: u64,
+    held_back: u64,
     at: Option<Instant>,
 }
 
@@ -255,11 +257,13 @@
         let mut sum = self.log.get();
         sum.yielded += log.yielded;
         sum.refused += log.refused;
+        sum.held_back += log.held_back;
         if sum.at.is_none_or(|at| now - at >= LOG_INTERVAL) {
             note!(
                 forwarding::CONNECTIONS_YIELDED,
                 yielded = sum.yielded,
                 refused = sum.refused,
+                held_back = sum.held_back,
                 connections = self.connections(),
                 bytes = self.bytes.get()
             );
@@ -318,6 +322,15 @@
         }
     }
 
+    /// Records that a request was held back, as its caller hadn't read the refusal of the one ahead of it.
+    pub fn record_held_back(&self) {
+        meter::request_held_back();
+        self.account.record(Log {
+            held_back: 1,
+            ..Log::default()
+        });
+    }
+
     /// Waits until the connection has to be closed.
     pub fn closed(&self) -> impl Future<Output = ()> + '_ {
         self.holder.closed.cancelled()
--- a/components/gateway/src/account/holder.rs
+++ b/components/gateway/src/account/holder.rs
@@ -34,6 +34,8 @@
     Idle,
     /// The body of its request is incomplete.
     Body,
+    /// Its next request is held back, as its caller hadn't read a refusal.
+    HeldBack,
     /// Its request is complete.
     Active,
     /// Its request has its response; the rest of the body is read.
@@ -46,6 +48,7 @@
         match self {
             Stage::Idle => "idle",
             Stage::Body => "body",
+            Stage::HeldBack => "held_back",
             Stage::Active => "response",
             Stage::Discarding => "discarded",
         }
@@ -97,7 +100,7 @@
     pub fn yields(&self) -> bool {
         let can_yield = match self.stage.get() {
             Stage::Active => self.is_blocked.get(),
-            Stage::Idle | Stage::Body | Stage::Discarding => true,
+            Stage::Idle | Stage::Body | Stage::HeldBack | Stage::Discarding => true,
         };
         can_yield && !self.closed.is_cancelled() && !self.is_refused()
     }
@@ -111,9 +114,10 @@
         self.bytes.get() > CONNECTION_BYTES + MAX_SHORT_BYTES
     }
 
-    /// Returns whether it has made no progress lately.
+    /// Returns whether it has made no progress lately, or doesn't read what it is sent.
     pub fn is_slow(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.progressed.get()) >= PROGRESS_TIME
+        self.stage.get() == Stage::HeldBack
+            || now.saturating_duration_since(self.progressed.get()) >= PROGRESS_TIME
     }
 
     /// Records that bytes were received, or taken by the caller.
@@ -142,7 +146,7 @@
                 self.refused.replace(CancellationToken::new());
             }
             Stage::Idle | Stage::Active => self.progressed.set(now),
-            Stage::Discarding => {}
+            Stage::HeldBack | Stage::Discarding => {}
         }
         self.stage.set(stage);
     }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -30,10 +30,16 @@
     Service,
     Team, //
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use crate::{
-    account::Connection,
+    account::{
+        Connection,
+        Stage, //
+    },
     body::Body,
     call::{
         self,
@@ -75,10 +81,16 @@
         parts: Parts,
         body: &mut Incoming,
         connection: &Connection,
+        pause: Duration,
     ) -> Response<Body> {
         let running = self.requests.begin();
         let progress = running.progress.clone();
         let handled = async {
+            if !pause.is_zero() {
+                connection.set_stage(Stage::HeldBack);
+                sleep(pause).await;
+                connection.set_stage(Stage::Active);
+            }
             match self.admit(parts, body, connection, &progress).await {
                 Ok(call) if !self.may_begin(&call) => call.refuse(&self.shutting_down()),
                 Ok(call) if call.pass.stream => stream::run(self, call).await,
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -80,6 +80,11 @@
     counter!("medlarhatch_connections_refused_total").increment(1);
 }
 
+/// Counts a request that was held back, as its caller hadn't read the refusal of the one ahead of it.
+pub fn request_held_back() {
+    counter!("medlarhatch_requests_held_back_total").increment(1);
+}
+
 /// Counts a server that began to leave, or to want no requests, by what it said.
 pub fn server_notice(notice: &'static str) {
     counter!("medlarhatch_server_notices_total", "notice" => notice).increment(1);
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -64,6 +64,9 @@
 /// Connections to each of the endpoints for readiness and metrics.
 const ADMIN_CONNECTIONS: usize = 16;
 
+/// Pause before a request whose caller doesn't read refusals.
+const PIPELINE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Limits on what callers can make the process hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -79,6 +82,8 @@
     pub send_buffer: usize,
     /// Number of connections to each of the endpoints for readiness and metrics.
     pub admin_connections: usize,
+    /// Pause before a request that was sent before the refusal of the one ahead of it was read.
+    pub pipeline_pause: Duration,
 }
 
 impl Limits {
@@ -95,6 +100,7 @@
             receive_buffer: DEFAULT_RECEIVE_BUFFER,
             send_buffer: DEFAULT_SEND_BUFFER,
             admin_connections: ADMIN_CONNECTIONS,
+            pipeline_pause: PIPELINE_PAUSE,
         }
     }
 }
