--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! An engine is a backend server that generates streams.
 
 mod accept;
-mod account;
+pub mod account;
 mod admin;
 mod announcements;
 mod body;
