gateway: requests in progress count in the account

Seen in a trial (release, 110 MB): 1,000 callers with pipelined requests took a process to 104.4 MB of its 110 and to 1,999 descriptors. Cause: a request that is complete counted its body and response only. Its task and its connection to a server, some 40 KiB, counted nothing, so as many requests were taken as there were connections. Change: each request takes 40 KiB of the account from its head to its end. Where there is no room slower bodies yield, or it is refused as not run with Retry-After.

--- a/components/gateway/src/account.rs
+++ b/components/gateway/src/account.rs
@@ -30,7 +30,8 @@
     Bound,
     CONNECTION_BYTES,
     Holder,
-    MAX_SHORT_BYTES, //
+    MAX_SHORT_BYTES,
+    REQUEST_BYTES, //
 };
 
 pub use self::holder::Stage;
@@ -346,12 +347,16 @@
         }
     }
 
-    /// Begins a body, of a length if that is announced; `None` if there is no room for it.
+    /// Begins a request, with a body of a length if that is announced; `None` if there is no room for it.
     pub fn begin_body(&self, limits: &Limits, length: usize) -> Option<Hold> {
         self.set_stage(Stage::Body);
-        if !self.account.fits(&Bound::of_body(limits, length), length) {
+        let (account, all) = (&self.account, Bound::All(limits.memory));
+        if !account.fits(&Bound::of_body(limits, length), length)
+            || !account.make_room(all, REQUEST_BYTES, Some(&self.holder))
+        {
             return None;
         }
+        account.take(&self.holder, REQUEST_BYTES);
         self.account.bodies.set(self.account.bodies.get() + 1);
         Some(Hold {
             account: self.account.clone(),
@@ -375,7 +380,7 @@
     }
 }
 
-/// Part of the account that the body of a request takes until this is dropped.
+/// Part of the account that a request and its body take until this is dropped.
 #[derive(Debug)]
 pub struct Hold {
     account: Rc<Account>,
@@ -439,7 +444,7 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         let account = &self.account;
-        account.release(&self.holder, self.bytes);
+        account.release(&self.holder, self.bytes + REQUEST_BYTES);
         account
             .body_bytes
             .set(account.body_bytes.get() - self.bytes);
--- a/components/gateway/src/account/holder.rs
+++ b/components/gateway/src/account/holder.rs
@@ -17,6 +17,10 @@
 /// what the kernel has received for it.
 pub const CONNECTION_BYTES: usize = 48 * 1024;
 
+/// Memory that a request takes beside its body until it ends, in bytes: its task, and its connection to a
+/// server.
+pub const REQUEST_BYTES: usize = 40 * 1024;
+
 /// Share of the account that long bodies may take, so that they don't keep out all other requests.
 const LONG_SHARE: f64 = 0.85;
 
@@ -111,7 +115,7 @@
 
     /// Returns whether its body is long.
     pub fn is_long(&self) -> bool {
-        self.bytes.get() > CONNECTION_BYTES + MAX_SHORT_BYTES
+        self.bytes.get() > CONNECTION_BYTES + REQUEST_BYTES + MAX_SHORT_BYTES
     }
 
     /// Returns whether it has made no progress lately, or doesn't read what it is sent.
