gateway: the watch of a silent server keeps no bodies

Callers saw: after long bodies for a server that fell silent, others were refused as too_many_bytes though nothing was in progress any more, up to 12 s after their callers had left; for some ms also after answers. Cause: a run that isn't answered is watched on until its server answers or is known to have crashed, and its record kept the whole request with its body. A record that outlasts a request must not hold what belongs to the request; the other such records (evidence, lives, retries) keep fingerprints and names only. A trace of each release of room showed it dropped with crashes::Watched. Change: the records of lost, silent and abandoned runs take the call without its body and its room, with the fingerprint that was taken from it. Test: bodies_whose_callers_left_are_released, 3 of 3 cases failed before.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! A request that is admitted.
 
 use std::{
+    cell::OnceCell,
     rc::Rc,
     time::Duration, //
 };
@@ -29,6 +30,7 @@
 };
 use spread::beacon;
 use tokio::time::Instant;
+use upstream::Segments;
 
 use crate::{
     body::Body,
@@ -103,6 +105,24 @@
         })
     }
 
+    /// Returns the request without its body, for records that outlast it.
+    pub fn without_body(&self) -> Call {
+        let request = &self.request;
+        // Taken from the body.
+        let subject = OnceCell::from(self.subject().clone());
+        Call {
+            request: Rc::new(BufferedRequest {
+                parts: request.parts.clone(),
+                metadata: request.metadata.clone(),
+                body: Segments::default(),
+                hold: None,
+                subject,
+                sent_to: request.sent_to.clone(),
+            }),
+            ..self.clone()
+        }
+    }
+
     /// Returns the id of the prompt part with a fingerprint, if the request has it.
     pub fn part_of(&self, fingerprint: Fingerprint) -> Option<u64> {
         let mut ids = self.parts().iter().map(|(part, _)| *part);
--- a/components/gateway/src/crash_watch.rs
+++ b/components/gateway/src/crash_watch.rs
@@ -106,7 +106,7 @@
     pub async fn check_crash(self: &Rc<Self>, run: OpenRun) {
         let mut loss = Loss {
             is_silent: false,
-            call: run.call,
+            call: run.call.without_body(),
             stage: run.stage,
             sent_at: run.sent_at,
             at: clock::now(),
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -68,7 +68,7 @@
         let heard = heard.unwrap_or_default();
         Loss {
             is_silent: true,
-            call: run.call,
+            call: run.call.without_body(),
             stage: run.stage,
             sent_at: run.sent_at.min(heard),
             at: run.sent_at.max(heard),
@@ -147,7 +147,10 @@
 impl Drop for Unanswered {
     fn drop(&mut self) {
         if self.is_open {
-            self.crashes.abandon(self.run.clone());
+            self.crashes.abandon(OpenRun {
+                call: self.run.call.without_body(),
+                ..self.run.clone()
+            });
         }
     }
 }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -225,7 +225,7 @@
                 parts,
                 metadata,
                 body,
-                hold,
+                hold: Some(hold),
                 subject: OnceCell::new(),
                 sent_to: RefCell::default(),
             }),
--- a/components/gateway/src/sender.rs
+++ b/components/gateway/src/sender.rs
@@ -97,8 +97,8 @@
     pub metadata: Metadata,
     /// Complete body of the message.
     pub body: Segments,
-    /// Room that the body takes.
-    pub hold: Hold,
+    /// Room that the request and its body take; `None` without the body.
+    pub hold: Option<Hold>,
     /// What the request has that may crash servers, once it was needed.
     pub subject: OnceCell<Subject>,
     /// Addresses to which the request was sent.
--- a/components/gateway/tests/held_bodies.rs
+++ b/components/gateway/tests/held_bodies.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    future::pending,
+    time::Duration, //
+};
 
 use common::{
     Backend,
@@ -24,6 +27,7 @@
     net::TcpStream,
     time::{
         Instant,
+        sleep,
         timeout, //
     },
 };
@@ -41,6 +45,9 @@
 /// Time within which a request is refused that has no room.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
+/// Time in which a server is found silent, and a process that its callers left.
+const SILENCE_TIME: Duration = Duration::from_secs(1);
+
 /// Starts a server that answers nothing until it is told to.
 async fn start_server(kind: Kind, go_on: CancellationToken) -> Backend {
     Backend::start(move |message: Message, connection: common::Connection| {
@@ -139,3 +146,35 @@
         assert_eq!(response.status(), 200);
     });
 }
+
+/// Guards against bodies that are kept for the watch of a silent server, once their callers left.
+#[rstest]
+fn bodies_whose_callers_left_are_released(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+) {
+    common::run(async move {
+        let mut settings = settings();
+        settings.limits = Limits::of(MEMORY_BYTES, 1024);
+        let harness = Harness::start(settings);
+        let mut document = document();
+        if let Some(limits) = &mut document.callers {
+            limits.body_bytes = LONG_BYTES;
+        }
+        harness.put_document(1, document);
+        let server = Backend::start(|_: Message, _: common::Connection| pending()).await;
+        harness.register_slots("s1", kind.service(), "a", server.address, 64);
+        let mut sent = Vec::new();
+        for number in 0..3 {
+            sent.push(send(&harness, &format!("left{number}"), kind, LONG_BYTES, false).await);
+        }
+        // The server is found silent first.
+        sleep(SILENCE_TIME).await;
+        drop(sent);
+        sleep(SILENCE_TIME).await;
+        let mut stream = send(&harness, "next", kind, LONG_BYTES, false).await;
+        let read = timeout(REFUSAL_TIME, read_message(&mut stream)).await;
+        // It may be refused for another reason, as the server is silent.
+        let text = read.map(|response| response.expect("a response").text());
+        assert!(!text.is_ok_and(|text| text.contains("too_many_bytes")));
+    });
+}
