--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -56,6 +56,7 @@
     stream::{
         abandon_guard::AbandonGuard,
         resumption::{
+            Denial,
             LostRun,
             Resumption, //
         },
@@ -379,8 +380,8 @@
                         self.check_crash(&mut run, loss).await;
                         let lost = run.into_lost(loss);
                         match self.resume(lost).await {
-                            Some(next) => run = next,
-                            None => break "no server to resume on",
+                            Ok(next) => run = next,
+                            Err(denial) => break denial.name(),
                         }
                     }
                 }
@@ -455,10 +456,14 @@
         }
     }
 
-    /// Resumes the stream after the loss of a run; returns `None` if no further run can be started.
-    async fn resume(&mut self, lost: LostRun) -> Option<Box<Run>> {
+    /// Resumes the stream after the loss of a run.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no further run can be started.
+    async fn resume(&mut self, lost: LostRun) -> Result<Box<Run>, Denial> {
         if self.call.pass.repeats != Repeats::Resumes {
-            return None;
+            return Err(Denial::NotResumable);
         }
         let mut resumption = None;
         self.repeat = Some(Repeat::Resumed);
@@ -466,8 +471,10 @@
         self.record_loss(&mut resumption, lost);
         let mut declined = 0;
         while !self.timed_out() {
-            let (target, copy) = self.choose_allowed(&mut resumption).await?;
-            let permit = self.may_send(false, Purpose::Resume)?;
+            let chosen = self.choose_allowed(&mut resumption).await;
+            let (target, copy) = chosen.ok_or_else(|| self.denial())?;
+            let permit = self.may_send(false, Purpose::Resume);
+            let permit = permit.ok_or(Denial::RetriesSpent)?;
             let ticket = self.ticket.take();
             let started = self.start(&target, copy.as_ref(), ticket, &permit).await;
             match started {
@@ -489,9 +496,10 @@
                         attempts = self.ran_at.len() + 1,
                         gap_ms = self.last_event.elapsed().as_millis() as u64
                     );
-                    return Some(run);
+                    return Ok(run);
                 }
-                Start::TimedOut | Start::Poisonous => return None,
+                Start::TimedOut => return Err(Denial::TimedOut),
+                Start::Poisonous => return Err(Denial::Poisonous),
                 Start::Failed(_) => self.record_ran(&target),
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
                 Start::Unreachable => {
@@ -502,12 +510,26 @@
                 Start::Declined => {
                     declined += 1;
                     if declined > MAX_DECLINED_SENDS {
-                        return None;
+                        return Err(Denial::Declined);
                     }
                 }
             }
         }
-        None
+        Err(Denial::TimedOut)
+    }
+
+    /// Returns why no server was chosen.
+    fn denial(&self) -> Denial {
+        if self.timed_out() {
+            return Denial::TimedOut;
+        }
+        if self.context.is_poisonous(&self.call) {
+            return Denial::Poisonous;
+        }
+        match self.ran_at.len() >= self.call.pass.attempts as usize {
+            true => Denial::AttemptsSpent,
+            false => Denial::NoServer,
+        }
     }
 
     /// Records a loss and determines the candidates for the next run. After a second loss in a row
--- a/components/gateway/src/stream/resumption.rs
+++ b/components/gateway/src/stream/resumption.rs
@@ -13,6 +13,40 @@
     protocol::KvCopy, //
 };
 
+/// Why a stream can't go on with another run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Denial {
+    /// Its route doesn't resume streams.
+    NotResumable,
+    /// It ran at as many servers as its route allows.
+    AttemptsSpent,
+    /// The retry budget of its service is spent.
+    RetriesSpent,
+    /// No server takes it.
+    NoServer,
+    /// Too many servers declined it.
+    Declined,
+    /// It may crash servers.
+    Poisonous,
+    /// Its time is over.
+    TimedOut,
+}
+
+impl Denial {
+    /// Returns the name for logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Denial::NotResumable => "not_resumable",
+            Denial::AttemptsSpent => "attempts_spent",
+            Denial::RetriesSpent => "retries_spent",
+            Denial::NoServer => "no_server",
+            Denial::Declined => "declined",
+            Denial::Poisonous => "poisonous",
+            Denial::TimedOut => "late",
+        }
+    }
+}
+
 /// A lost run, and the copies from which its stream can be resumed.
 pub(super) struct LostRun {
     pub(super) loss: Loss,
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -400,7 +400,8 @@
                 .backup
                 .as_ref()
                 .map(|backup| backup.holder.server.as_str()),
-            silence_ms = run.last_received.elapsed().as_millis() as u64
+            silence_ms = run.last_received.elapsed().as_millis() as u64,
+            alive_ms = run.last_alive.elapsed().as_millis() as u64
         );
     }
 }
