gateway: a quiet run is given up once another one has begun

Callers saw streams end before they were complete although their servers were alive and sent on: around a SIGTERM, at entries that had just started or whose peers were leaving, where the shared retry budget is small.

The run was dropped, and only then was it asked whether the answer may go on elsewhere. Where the budget, the attempts of the route, the servers or the route itself allowed nothing, or the next server declined, the answer ended. Class of fault: what is sure is given up before what replaces it is sure.

Change: a run whose silence alone tells of its loss is kept while nothing may replace it, which is asked again after 250 ms, later after up to 2 s. What replaces it is decided first, with its permit. It isn't replaced at its own server, unless that says that it lost the run; a kept run's server is asked for that. Such moves take at most half of the retry budget, as losses of other answers need the rest. The same holds before the head of an answer.

--- a/components/admission/src/quota.rs
+++ b/components/admission/src/quota.rs
@@ -33,6 +33,9 @@
     pub window: Duration,
 }
 
+/// Share of the usable part for runs that may still go on; the rest is reserved for lost ones.
+const QUIET_RUN_SHARE: f64 = 0.5;
+
 /// Purpose of a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -40,6 +43,8 @@
     Unanswered,
     /// An answer that has begun.
     Resume,
+    /// A run that sends nothing and may still go on.
+    QuietRun,
 }
 
 /// Requests and retries within a window.
@@ -101,9 +106,11 @@
         let retries = own.retries + peers.totals.retries;
         let slack = bound.slack * peers.coverage.clamp(0.0, 1.0);
         let mut allowed = (bound.ratio * f64::from(requests) + slack) * USABLE_SHARE;
-        if purpose == Purpose::Unanswered {
-            allowed *= UNANSWERED_REQUEST_SHARE;
-        }
+        allowed *= match purpose {
+            Purpose::Unanswered => UNANSWERED_REQUEST_SHARE,
+            Purpose::Resume => 1.0,
+            Purpose::QuietRun => QUIET_RUN_SHARE,
+        };
         allowed - f64::from(retries) - peers.unreported
     }
 
--- a/components/answer/src/loss.rs
+++ b/components/answer/src/loss.rs
@@ -15,6 +15,8 @@
     Reset,
     /// The server accepts no new connection.
     Unreachable,
+    /// Another server has the address.
+    Replaced,
     /// The server is alive, but the run sends nothing.
     Silent,
     /// The server is alive but no longer has the run, or sent events that didn't arrive.
@@ -60,7 +62,9 @@
             | Loss::Malformed
             | Loss::Gap => &[Candidate::Same, Candidate::Copy, Candidate::Any],
             // The old run may still be active behind a connection that is dead on this side only.
-            Loss::Unreachable | Loss::Silent | Loss::Slow => &[Candidate::Copy, Candidate::Any],
+            Loss::Unreachable | Loss::Replaced | Loss::Silent | Loss::Slow => {
+                &[Candidate::Copy, Candidate::Any]
+            }
             // A server that sends without end to one run usually does so to the next.
             Loss::Excess => &[Candidate::Copy, Candidate::Any],
         }
@@ -69,7 +73,12 @@
     /// Returns whether the loss shows that the server is unreachable. A broken connection doesn't:
     /// servers lose single answers, and only the next connection shows whether the server is gone.
     pub fn is_unreachable(self) -> bool {
-        self == Loss::Unreachable
+        matches!(self, Loss::Unreachable | Loss::Replaced)
+    }
+
+    /// Returns whether the run may still go on: only its silence tells of the loss.
+    pub fn may_go_on(self) -> bool {
+        matches!(self, Loss::Unreachable | Loss::Silent | Loss::Slow)
     }
 
     /// Returns whether the server broke the run off immediately, given the run's `age` and number
@@ -80,7 +89,7 @@
 
     /// Returns whether the run was given up, as the server sent nothing.
     pub fn is_silent(self) -> bool {
-        matches!(self, Loss::Unreachable | Loss::Silent | Loss::Slow)
+        self.may_go_on() || self == Loss::Replaced
     }
 
     /// Returns whether the server broke off the answer, as it also does when it crashes.
@@ -94,6 +103,7 @@
             Loss::Closed => "closed",
             Loss::Reset => "reset",
             Loss::Unreachable => "dark",
+            Loss::Replaced => "replaced",
             Loss::Silent => "silent",
             Loss::Orphaned => "mute",
             Loss::Slow => "slow",
--- a/components/answer/src/silence.rs
+++ b/components/answer/src/silence.rs
@@ -41,6 +41,12 @@
 /// Interval between checks of the same silence in a started stream.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a run is kept when no other one can replace it, before that is asked again.
+const KEEP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum number of times that the interval is doubled in one silence.
+const MAX_KEEP_DOUBLINGS: u32 = 3;
+
 /// Interval between queries about a run without an event, longer because each query has a cost.
 const QUERY_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -52,7 +58,7 @@
 
 /// Minimum age of a run that must appear in its server's report of running requests, which is some
 /// hundred milliseconds old.
-const MIN_REPORTED_RUN_AGE: Duration = Duration::from_millis(1000);
+pub const MIN_REPORTED_RUN_AGE: Duration = Duration::from_millis(1000);
 
 /// Factor on the expected time of the first event after which a run is checked.
 const EXPECTED_CHECK_FACTOR: f64 = 1.8;
@@ -100,6 +106,9 @@
     /// Whether another stream found the server or its data centre unreachable since the last sign
     /// of life.
     suspected: bool,
+    /// Silence up to which the run is kept, and how often it was in this silence.
+    kept_until: Duration,
+    times_kept: u32,
 }
 
 impl Detector {
@@ -137,6 +146,8 @@
             started: false,
             next_check: Duration::ZERO,
             suspected: false,
+            kept_until: Duration::ZERO,
+            times_kept: 0,
         }
     }
 
@@ -155,6 +166,16 @@
         self.started = true;
         self.next_check = Duration::ZERO;
         self.suspected = false;
+        self.kept_until = Duration::ZERO;
+        self.times_kept = 0;
+    }
+
+    /// Keeps the run for a while at this silence, as nothing can replace it now.
+    pub fn keep(&mut self, silence: Duration) {
+        let doublings = self.times_kept.min(MAX_KEEP_DOUBLINGS);
+        self.kept_until = silence + KEEP_INTERVAL * (1 << doublings);
+        self.times_kept += 1;
+        self.suspected = false;
     }
 
     /// Returns whether a first event is in time that another server is expected to send after
@@ -190,6 +211,9 @@
 
     /// Returns the reaction to a silence.
     pub fn advise(&self, silence: Duration) -> Advice {
+        if silence < self.kept_until {
+            return Advice::Wait(self.kept_until);
+        }
         let lost = self.limit();
         if silence >= lost {
             return Advice::Lost;
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -98,6 +98,8 @@
     SERVER_ANSWERS = 1048, Info, "Silent backend server hasn't crashed";
     /// Callers held all that they may; connections that make no progress yielded.
     CONNECTIONS_YIELDED = 1049, Warn, "Connections of callers yielded";
+    /// A run that sends nothing is kept, as no other one can replace it now.
+    KEPT = 1050, Info, "Quiet run is kept";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -125,12 +125,11 @@
 }
 
 impl Activity {
-    /// Returns whether the answer to a request is lost: the server produced events of which none
-    /// arrived, or no longer knows the request.
-    pub fn has_lost(&self, id: &str) -> bool {
+    /// Returns whether the answer to a request, of which a number of events was received, is lost: the
+    /// server produced more that didn't arrive, or no longer knows the request.
+    pub fn has_lost(&self, id: &str, received: u64) -> bool {
         match self.runs.iter().find(|(known, _)| known == id) {
-            // The first events may still be in transit.
-            Some((_, events)) => *events > MAX_EVENTS_IN_TRANSIT,
+            Some((_, events)) => *events > received + MAX_EVENTS_IN_TRANSIT,
             None => self.queued == 0,
         }
     }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -9,7 +9,10 @@
     Answer,
     Purpose, //
 };
-use answer::events::Sequence;
+use answer::{
+    events::Sequence,
+    loss::Loss, //
+};
 use async_stream::stream;
 use bytes::Bytes;
 use contract::poison::evidence::Observation;
@@ -71,6 +74,7 @@
 
 mod abandon_guard;
 mod backup;
+mod replacement;
 mod resumption;
 mod run;
 mod selection;
@@ -100,6 +104,8 @@
         tried: Vec::new(),
         ran_at: Vec::new(),
         last_lost: None,
+        has_head: false,
+        declined_beside: 0,
         unused: Vec::new(),
         ticket: None,
         repeat: None,
@@ -115,6 +121,7 @@
             return response;
         }
     };
+    session.has_head = true;
     let (status, headers) = (started.status, started.headers);
     let mut response = Response::new(Body::stream(session.events(started.run)));
     *response.status_mut() = status;
@@ -145,6 +152,10 @@
     ran_at: Vec<Server>,
     /// Server of the last lost run.
     last_lost: Option<Server>,
+    /// Whether the caller has the head of the answer.
+    has_head: bool,
+    /// Number of sends beside a quiet run that servers declined.
+    declined_beside: u32,
     /// Permits of sends that reached no server.
     unused: Vec<Permit>,
     /// Ticket of a request that runs beside no other.
@@ -181,22 +192,41 @@
         let mut declined = 0;
         let mut failure = None;
         let mut resumption = None;
+        let mut quiet = None;
         let mut first = true;
         let mut retries_spent = false;
-        while let Some((target, copy)) = self.choose_allowed(&mut resumption).await {
-            if self.ran_at.is_empty() && !self.context.may_begin(&self.call) {
-                return Err(self.call.refuse(&self.context.shutting_down()));
-            }
-            if self.ran_at.is_empty() && !self.worth_trying(&target) {
-                return Err(self.call.refuse(&Refusal::TooLittleTime));
+        loop {
+            let chosen = self.choose_allowed(&mut resumption).await;
+            if let Some((target, _)) = chosen.as_ref().filter(|_| self.ran_at.is_empty()) {
+                if !self.context.may_begin(&self.call) {
+                    return Err(self.call.refuse(&self.context.shutting_down()));
+                }
+                if !self.worth_trying(target) {
+                    return Err(self.call.refuse(&Refusal::TooLittleTime));
+                }
             }
-            let Some(permit) = self.may_send(first, Purpose::Unanswered) else {
-                retries_spent = true;
+            let next = chosen.and_then(|(target, copy)| {
+                let permit = self.may_send(first, Purpose::Unanswered);
+                retries_spent = permit.is_none();
+                permit.map(|permit| (target, copy, permit))
+            });
+            let started = match (next, quiet.take()) {
+                (Some((target, copy, permit)), quiet) => {
+                    first = false;
+                    let ticket = self.ticket.take();
+                    let sent = self.start_beside(quiet, &target, copy.as_ref(), ticket, permit);
+                    sent.await.map(|started| (started, target))
+                }
+                (None, Some(run)) => {
+                    let target = run.target.clone();
+                    self.go_on(run).await.map(|started| (started, target))
+                }
+                (None, None) => break,
+            };
+            // Until the caller has the head of an answer, no run has.
+            let Ok((started, target)) = started else {
                 break;
             };
-            first = false;
-            let ticket = self.ticket.take();
-            let started = self.start(&target, copy.as_ref(), ticket, &permit).await;
             self.repeat = started.repeat();
             match started {
                 Start::Running {
@@ -222,11 +252,7 @@
                 {
                     break;
                 }
-                Start::Unreachable => {
-                    self.unused.push(permit);
-                    self.count_unreachable().await;
-                }
-                Start::Replaced => self.count_unreachable().await,
+                Start::Unreachable | Start::Replaced => self.count_unreachable().await,
                 Start::Declined => {
                     declined += 1;
                     if declined > MAX_DECLINED_SENDS {
@@ -238,6 +264,9 @@
                     failure = Some(response);
                 }
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
+                Start::Quiet(run, loss) => {
+                    quiet = self.set_aside(&mut resumption, run, loss).await;
+                }
                 Start::Poisonous => {
                     self.record_ran(&target);
                     break;
@@ -375,15 +404,10 @@
                         return;
                     }
                     Step::TimedOut => break "late",
-                    Step::Lost(loss) => {
-                        // The lost run is dropped before the next one begins.
-                        self.check_crash(&mut run, loss).await;
-                        let lost = run.into_lost(loss);
-                        match self.resume(lost).await {
-                            Ok(next) => run = next,
-                            Err(denial) => break denial.name(),
-                        }
-                    }
+                    Step::Lost(loss) => match self.resume(run, loss).await {
+                        Ok(next) => run = next,
+                        Err(denial) => break denial.name(),
+                    },
                 }
             };
             self.abandon_guard.done = true;
@@ -461,22 +485,41 @@
     /// # Errors
     ///
     /// Returns why no further run can be started.
-    async fn resume(&mut self, lost: LostRun) -> Result<Box<Run>, Denial> {
+    async fn resume(&mut self, run: Box<Run>, loss: Loss) -> Result<Box<Run>, Denial> {
+        let mut resumption = None;
+        let mut quiet = self.set_aside(&mut resumption, run, loss).await;
         if self.call.pass.repeats != Repeats::Resumes {
             return Err(Denial::NotResumable);
         }
-        let mut resumption = None;
         self.repeat = Some(Repeat::Resumed);
         self.selection = self.context.select_resumed(&self.call.service);
-        self.record_loss(&mut resumption, lost);
         let mut declined = 0;
         while !self.timed_out() {
             let chosen = self.choose_allowed(&mut resumption).await;
-            let (target, copy) = chosen.ok_or_else(|| self.denial())?;
-            let permit = self.may_send(false, Purpose::Resume);
-            let permit = permit.ok_or(Denial::RetriesSpent)?;
-            let ticket = self.ticket.take();
-            let started = self.start(&target, copy.as_ref(), ticket, &permit).await;
+            let denial = match chosen {
+                Some(_) => Denial::RetriesSpent,
+                None => self.denial(),
+            };
+            let next = chosen.and_then(|(target, copy)| {
+                let permit = self.may_send(false, Purpose::Resume)?;
+                Some((target, copy, permit))
+            });
+            let started = match (next, quiet.take()) {
+                (Some((target, copy, permit)), quiet) => {
+                    let ticket = self.ticket.take();
+                    let sent = self.start_beside(quiet, &target, copy.as_ref(), ticket, permit);
+                    sent.await.map(|started| (started, target, copy))
+                }
+                (None, Some(run)) => {
+                    let target = run.target.clone();
+                    self.go_on(run).await.map(|started| (started, target, None))
+                }
+                (None, None) => return Err(denial),
+            };
+            let (started, target, copy) = match started {
+                Ok(started) => started,
+                Err(run) => return Ok(run),
+            };
             match started {
                 Start::Running { run, .. } => {
                     self.unreachable_in_row = 0;
@@ -502,11 +545,10 @@
                 Start::Poisonous => return Err(Denial::Poisonous),
                 Start::Failed(_) => self.record_ran(&target),
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
-                Start::Unreachable => {
-                    self.unused.push(permit);
-                    self.count_unreachable().await;
+                Start::Quiet(run, loss) => {
+                    quiet = self.set_aside(&mut resumption, run, loss).await;
                 }
-                Start::Replaced => self.count_unreachable().await,
+                Start::Unreachable | Start::Replaced => self.count_unreachable().await,
                 Start::Declined => {
                     declined += 1;
                     if declined > MAX_DECLINED_SENDS {
--- a/components/gateway/src/stream/resumption.rs
+++ b/components/gateway/src/stream/resumption.rs
@@ -28,6 +28,8 @@
     Declined,
     /// It may crash servers.
     Poisonous,
+    /// It may only run beside no other, or each server has a run that must live first.
+    Occupied,
     /// Its time is over.
     TimedOut,
 }
@@ -42,6 +44,7 @@
             Denial::NoServer => "no_server",
             Denial::Declined => "declined",
             Denial::Poisonous => "poisonous",
+            Denial::Occupied => "occupied",
             Denial::TimedOut => "late",
         }
     }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -6,7 +6,10 @@
     events::Splitter,
     loss::Loss,
     progress::Progress,
-    silence::Detector, //
+    silence::{
+        Detector,
+        MIN_REPORTED_RUN_AGE, //
+    }, //
 };
 use bytes::{
     Bytes,
@@ -50,6 +53,7 @@
     },
     rollout::Trial,
     stream::{
+        Denial,
         LostRun,
         Session,
         backup::Backup, //
@@ -104,6 +108,8 @@
     /// Whether the end of the answer can be told from a connection that is closed early.
     is_delimited: bool,
     complete: bool,
+    /// Why the run was last kept although it sends nothing.
+    pub(super) kept: Option<Denial>,
     /// Result for the rollout; `None` if the run resumes a stream, as its first event is no sample of
     /// the time to process a prompt.
     pub(super) trial: Option<Trial>,
@@ -124,8 +130,9 @@
 }
 
 impl Run {
-    /// Gives up the run and returns what is needed to resume its stream.
-    pub(super) fn into_lost(mut self, loss: Loss) -> LostRun {
+    /// Returns what is needed to resume the stream of the run elsewhere. The run may go on until
+    /// another one begins.
+    pub(super) fn lose(&mut self, loss: Loss) -> LostRun {
         self.in_flight.set_outcome(Outcome::Failed);
         // A run is given up as too slow by other limits than those of a trial, which may be later.
         if matches!(loss, Loss::Silent | Loss::Slow)
@@ -143,6 +150,36 @@
         }
     }
 
+    /// Waits until the server sends more; returns `false` if the connection ends instead.
+    pub(super) async fn goes_on(&mut self) -> bool {
+        self.connection.fill().await.is_ok() && self.connection.has_received()
+    }
+
+    /// Returns whether the run must appear in its server's report of running requests.
+    fn may_be_reported(&self) -> bool {
+        self.began.elapsed() >= MIN_REPORTED_RUN_AGE
+    }
+
+    /// Returns whether the server has sent anything since the last event that continued the answer.
+    pub(super) fn sends_filler(&self) -> bool {
+        self.progress.filler_bytes() > 0
+    }
+
+    /// Returns whether the head of the answer was received.
+    pub(super) fn has_head(&self) -> bool {
+        self.answered.is_some()
+    }
+
+    /// Returns the time for which the run has sent nothing.
+    pub(super) fn silence(&self) -> Duration {
+        self.silent_since.elapsed()
+    }
+
+    /// Keeps the run for a while, as no other one can replace it now.
+    pub(super) fn keep(&mut self) {
+        self.silence.keep(self.silence());
+    }
+
     /// Returns whether the answer is certainly complete.
     pub(super) fn is_certainly_complete(&self) -> bool {
         self.complete && (self.is_delimited || self.has_survived())
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -128,7 +128,7 @@
 
 impl<P: Protocol + 'static> Session<P> {
     /// Waits for the next piece of a run's answer, or for a reason to give it up.
-    pub(super) async fn receive(&self, run: &mut Run, head: bool) -> Received {
+    pub(super) async fn receive(&mut self, run: &mut Run, head: bool) -> Received {
         loop {
             match run.take(self, head) {
                 Ok(Some(received)) => return received,
@@ -142,7 +142,7 @@
                 return Received::Poisonous;
             }
             if self.context.fleet.borrow().is_replaced(&run.target) {
-                return Received::Lost(Loss::Unreachable);
+                return Received::Lost(Loss::Replaced);
             }
             self.check_suspicion(run);
             if let Some(trial) = &mut run.trial {
@@ -150,8 +150,20 @@
             }
             let silence = run.silent_since.elapsed();
             match run.silence.advise(silence) {
-                Advice::Lost => return Received::Lost(Loss::Silent),
-                Advice::Relocate if self.is_in_time_elsewhere(run) => {
+                Advice::Lost if self.may_replace(run, Loss::Silent) => {
+                    return Received::Lost(Loss::Silent);
+                }
+                Advice::Lost => {
+                    run.keep();
+                    if run.may_be_reported()
+                        && let Some(received) = self.query_server(run).await
+                    {
+                        return received;
+                    }
+                }
+                Advice::Relocate
+                    if self.is_in_time_elsewhere(run) && self.may_replace(run, Loss::Slow) =>
+                {
                     return Received::Lost(Loss::Slow);
                 }
                 Advice::Relocate => {
@@ -195,39 +207,56 @@
                             run.record_alive();
                         }
                         alive = probe => {
-                            if !alive {
+                            if alive {
+                                run.record_alive();
+                            } else if self.may_replace(run, Loss::Unreachable) {
                                 return Received::Lost(Loss::Unreachable);
+                            } else {
+                                run.keep();
                             }
-                            run.record_alive();
                         }
                     }
                 }
                 Advice::QueryServer => {
-                    let query = self.context.read_activity(&run.target);
-                    tokio::select! {
-                        biased;
-                        filled = run.connection.fill() => {
-                            if let Err(error) = filled {
-                                return Received::Lost(self.loss_by(run, &error));
-                            }
-                            run.record_alive();
-                        }
-                        activity = query => match activity {
-                            None => return Received::Lost(Loss::Unreachable),
-                            Some(activity) if activity.has_lost(&self.call.request.metadata.id) => {
-                                return Received::Lost(Loss::Orphaned);
-                            }
-                            Some(_) => {
-                                self.context.record_heard(&run.target.server);
-                                run.record_alive();
-                            }
-                        }
+                    if let Some(received) = self.query_server(run).await {
+                        return received;
                     }
                 }
             }
         }
     }
 
+    /// Asks the server of a run for its current runs. Returns a loss if there is one.
+    async fn query_server(&mut self, run: &mut Run) -> Option<Received> {
+        let received = run.events.max(self.sequence.last().unwrap_or(0));
+        let query = self.context.read_activity(&run.target);
+        tokio::select! {
+            biased;
+            filled = run.connection.fill() => {
+                if let Err(error) = filled {
+                    return Some(Received::Lost(self.loss_by(run, &error)));
+                }
+                run.record_alive();
+            }
+            activity = query => match activity {
+                None if self.may_replace(run, Loss::Unreachable) => {
+                    return Some(Received::Lost(Loss::Unreachable));
+                }
+                None => run.keep(),
+                Some(activity)
+                    if activity.has_lost(&self.call.request.metadata.id, received) =>
+                {
+                    return Some(Received::Lost(Loss::Orphaned));
+                }
+                Some(_) => {
+                    self.context.record_heard(&run.target.server);
+                    run.record_alive();
+                }
+            }
+        }
+        None
+    }
+
     /// Returns the loss that an error of the connection is.
     pub(super) fn loss_by(&self, run: &Run, error: &Error) -> Loss {
         let id = self.call.request.metadata.id.as_str();
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -105,6 +105,8 @@
     Replaced,
     /// The server may have run the request, or a part of it.
     Lost(Box<LostRun>),
+    /// The server sends nothing and may still answer; another one may be tried.
+    Quiet(Box<Run>, Loss),
     /// The deadline of the answer passed.
     TimedOut,
     /// The request was found to crash servers before this one began to answer.
@@ -120,7 +122,7 @@
             Start::Declined => Some(Repeat::Declined),
             Start::Unreachable => Some(Repeat::Unsent),
             Start::Replaced => Some(Repeat::Misdirected),
-            Start::Lost(_) => Some(Repeat::Lost),
+            Start::Lost(_) | Start::Quiet(..) => Some(Repeat::Lost),
         }
     }
 }
@@ -128,7 +130,7 @@
 impl<P: Protocol + 'static> Session<P> {
     /// Starts a run, and waits for the head of its answer.
     pub(in crate::stream) async fn start(
-        &self,
+        &mut self,
         target: &Target,
         copy: Option<&KvCopy>,
         ticket: Option<Ticket>,
@@ -177,7 +179,7 @@
             sent_at: clock::now(),
             ticket: ticket.map(Rc::new),
         };
-        let mut run = Run {
+        let run = Run {
             target: target.clone(),
             connection,
             earlier: Earlier::default(),
@@ -199,13 +201,23 @@
             unanswered: Unanswered::new(&self.context.crashes, open),
             is_delimited: true,
             complete: false,
+            kept: None,
             trial: self.begin_trial(target),
             copy: copy.cloned(),
         };
+        self.await_head(Box::new(run)).await
+    }
+
+    /// Waits for the head of a run's answer.
+    pub(in crate::stream) async fn await_head(&mut self, mut run: Box<Run>) -> Start {
         match self.receive(&mut run, true).await {
             Received::Head(head, reply) => self.handle_head(run, head, reply).await,
             Received::TimedOut => Start::TimedOut,
             Received::Poisonous => Start::Poisonous,
+            Received::Lost(loss) if loss.may_go_on() => {
+                self.log_loss(&run, loss);
+                Start::Quiet(run, loss)
+            }
             Received::Lost(loss) => self.lose(run, loss).await,
             Received::Data(_) | Received::End => self.lose(run, Loss::Malformed).await,
         }
@@ -291,14 +303,14 @@
     }
 
     /// Logs the loss of a run that had not begun to answer.
-    async fn lose(&self, mut run: Run, loss: Loss) -> Start {
+    async fn lose(&self, mut run: Box<Run>, loss: Loss) -> Start {
         self.log_loss(&run, loss);
         self.check_crash(&mut run, loss).await;
-        Start::Lost(Box::new(run.into_lost(loss)))
+        Start::Lost(Box::new(run.lose(loss)))
     }
 
     /// Decides by the head of its answer whether a run has started.
-    async fn handle_head(&self, mut run: Run, head: Head, reply: Reply) -> Start {
+    async fn handle_head(&self, mut run: Box<Run>, head: Head, reply: Reply) -> Start {
         let id = self.call.request.metadata.id.as_str();
         let server = run.target.server.clone();
         let status = head.status.as_u16();
@@ -356,7 +368,7 @@
                 .protocol()
                 .response_headers(head.headers);
             return Start::Running {
-                run: Box::new(run),
+                run,
                 status: head.status,
                 headers,
             };
@@ -376,7 +388,7 @@
         );
         let body = self.read_body(&mut run).await;
         let (Some(body), true) = (body, usable) else {
-            return Start::Lost(Box::new(run.into_lost(Loss::Malformed)));
+            return Start::Lost(Box::new(run.lose(Loss::Malformed)));
         };
         self.context.sender.release(run.connection);
         let mut response = Response::new(Body::whole(body));
--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -174,6 +174,11 @@
         self.bytes_sent
     }
 
+    /// Returns whether bytes were received that aren't decoded yet.
+    pub fn has_received(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Returns whether the connection carried an earlier request.
     pub fn is_reused(&self) -> bool {
         self.exchanges > 1
