--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -5,23 +5,9 @@
     time::Duration, //
 };
 
-use admission::{
-    Answer,
-    Purpose, //
-};
-use answer::{
-    events::Sequence,
-    loss::Loss, //
-};
-use async_stream::stream;
-use bytes::Bytes;
-use contract::poison::evidence::Observation;
+use admission::Purpose;
+use answer::events::Sequence;
 use environment::document::Repeats;
-use events::{
-    forwarding,
-    note, //
-};
-use futures_util::Stream;
 use http::{
     HeaderMap,
     Response,
@@ -34,14 +20,10 @@
 };
 
 use crate::{
-    body::{
-        Abort,
-        Body, //
-    },
+    body::Body,
     call::Call,
     context::Context,
     fleet::Target,
-    meter,
     probation::{
         self,
         Unplaced, //
@@ -65,8 +47,7 @@
         },
         run::{
             Run,
-            Start,
-            Step, //
+            Start, //
         },
     },
     trials::Ticket,
@@ -74,6 +55,7 @@
 
 mod abandon_guard;
 mod backup;
+mod delivery;
 mod replacement;
 mod resumption;
 mod run;
@@ -214,17 +196,15 @@
                 (Some((target, copy, permit)), quiet) => {
                     first = false;
                     let ticket = self.ticket.take();
-                    let sent = self.start_beside(quiet, &target, copy.as_ref(), ticket, permit);
-                    sent.await.map(|started| (started, target))
-                }
-                (None, Some(run)) => {
-                    let target = run.target.clone();
-                    self.go_on(run).await.map(|started| (started, target))
+                    let copy = copy.as_ref();
+                    self.start_beside(quiet, &target, copy, ticket, permit)
+                        .await
                 }
+                (None, Some(run)) => self.go_on(run).await,
                 (None, None) => break,
             };
             // Until the caller has the head of an answer, no run has.
-            let Ok((started, target)) = started else {
+            let Ok(started) = started else {
                 break;
             };
             self.repeat = started.repeat();
@@ -259,18 +239,12 @@
                         break;
                     }
                 }
-                Start::Failed(response) => {
-                    self.record_ran(&target);
-                    failure = Some(response);
-                }
+                Start::Failed(response) => failure = Some(response),
                 Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
                 Start::Quiet(run, loss) => {
                     quiet = self.set_aside(&mut resumption, run, loss).await;
                 }
-                Start::Poisonous => {
-                    self.record_ran(&target);
-                    break;
-                }
+                Start::Poisonous => break,
             }
             if self.timed_out() {
                 break;
@@ -387,204 +361,4 @@
         let known = self.ran_at.contains(server);
         repeats && (known || self.ran_at.len() < self.call.pass.attempts as usize)
     }
-
-    /// Yields events until the answer is complete, from as many runs as needed.
-    fn events(mut self, run: Box<Run>) -> impl Stream<Item = Result<Bytes, Abort>> {
-        stream! {
-            let mut run = run;
-            let reason = loop {
-                match self.step(&mut run).await {
-                    Step::Events(bytes) => {
-                        self.record_delivery(&mut run);
-                        yield Ok(bytes);
-                    }
-                    Step::End => {
-                        self.abandon_guard.done = true;
-                        self.finish(*run);
-                        return;
-                    }
-                    Step::TimedOut => break "late",
-                    Step::Lost(loss) => match self.resume(run, loss).await {
-                        Ok(next) => run = next,
-                        Err(denial) => break denial.name(),
-                    },
-                }
-            };
-            self.abandon_guard.done = true;
-            meter::outcome("cut", self.call.arrived.elapsed());
-            note!(
-                forwarding::INCOMPLETE,
-                id = self.call.request.metadata.id.as_str(),
-                reason = reason,
-                attempts = self.ran_at.len(),
-                last = self.sequence.last(),
-                ms = self.call.arrived.elapsed().as_millis() as u64
-            );
-            yield Err(Abort);
-        }
-    }
-
-    /// Updates the timing when events are sent to the caller.
-    fn record_delivery(&mut self, run: &mut Run) {
-        let now = Instant::now();
-        match self.time_to_first {
-            None => {
-                let first = now - self.call.arrived;
-                meter::first_event(first);
-                if let Some(trial) = &mut run.trial {
-                    trial.answered();
-                }
-                self.time_to_first = Some(first);
-                if let Some(admission) = &self.admission {
-                    admission.record_first_event();
-                }
-            }
-            Some(_) => self.longest_gap = self.longest_gap.max(now - self.last_event),
-        }
-        self.last_event = now;
-    }
-
-    /// Records the end of a complete answer.
-    fn finish(&self, run: Run) {
-        if run.is_certainly_complete() {
-            let survived = Observation::Survived;
-            self.context.record_life(&self.call, survived);
-        }
-        note!(
-            forwarding::ANSWERED,
-            id = self.call.request.metadata.id.as_str(),
-            server = run.target.server.as_str(),
-            attempts = self.ran_at.len() + 1,
-            first_ms = self.time_to_first.map(|first| first.as_millis() as u64),
-            gap_ms = self.longest_gap.as_millis() as u64,
-            ms = self.call.arrived.elapsed().as_millis() as u64
-        );
-        let shutdown = &self.context.shutdown;
-        shutdown.record_duration(&self.call.route, self.call.arrived.elapsed());
-        if let (None, Some(first), Some(events)) = (
-            self.call.request.metadata.after,
-            self.time_to_first,
-            self.sequence.last(),
-        ) {
-            let time = self.call.arrived.elapsed().saturating_sub(first);
-            let answer = Answer { events, time };
-            self.context
-                .forecast
-                .borrow_mut()
-                .record(&self.call.route, answer);
-        }
-        meter::outcome("answered", self.call.arrived.elapsed());
-        meter::event_gap(self.longest_gap);
-        if let Some(connection) = run.finish() {
-            self.context.sender.release(connection);
-        }
-    }
-
-    /// Resumes the stream after the loss of a run.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no further run can be started.
-    async fn resume(&mut self, run: Box<Run>, loss: Loss) -> Result<Box<Run>, Denial> {
-        let mut resumption = None;
-        let mut quiet = self.set_aside(&mut resumption, run, loss).await;
-        if self.call.pass.repeats != Repeats::Resumes {
-            return Err(Denial::NotResumable);
-        }
-        self.repeat = Some(Repeat::Resumed);
-        self.selection = self.context.select_resumed(&self.call.service);
-        let mut declined = 0;
-        while !self.timed_out() {
-            let chosen = self.choose_allowed(&mut resumption).await;
-            let denial = match chosen {
-                Some(_) => Denial::RetriesSpent,
-                None => self.denial(),
-            };
-            let next = chosen.and_then(|(target, copy)| {
-                let permit = self.may_send(false, Purpose::Resume)?;
-                Some((target, copy, permit))
-            });
-            let started = match (next, quiet.take()) {
-                (Some((target, copy, permit)), quiet) => {
-                    let ticket = self.ticket.take();
-                    let sent = self.start_beside(quiet, &target, copy.as_ref(), ticket, permit);
-                    sent.await.map(|started| (started, target, copy))
-                }
-                (None, Some(run)) => {
-                    let target = run.target.clone();
-                    self.go_on(run).await.map(|started| (started, target, None))
-                }
-                (None, None) => return Err(denial),
-            };
-            let (started, target, copy) = match started {
-                Ok(started) => started,
-                Err(run) => return Ok(run),
-            };
-            match started {
-                Start::Running { run, .. } => {
-                    self.unreachable_in_row = 0;
-                    let same = self.ran_at.last() == Some(&target.server);
-                    let from = match (copy.is_some(), same) {
-                        (true, _) => "copy",
-                        (false, true) => "same",
-                        (false, false) => "anew",
-                    };
-                    meter::resumed(from, self.last_event.elapsed());
-                    note!(
-                        forwarding::RESUMED,
-                        id = self.call.request.metadata.id.as_str(),
-                        server = target.server.as_str(),
-                        last = self.sequence.last(),
-                        from = from,
-                        attempts = self.ran_at.len() + 1,
-                        gap_ms = self.last_event.elapsed().as_millis() as u64
-                    );
-                    return Ok(run);
-                }
-                Start::TimedOut => return Err(Denial::TimedOut),
-                Start::Poisonous => return Err(Denial::Poisonous),
-                Start::Failed(_) => self.record_ran(&target),
-                Start::Lost(lost) => self.record_loss(&mut resumption, *lost),
-                Start::Quiet(run, loss) => {
-                    quiet = self.set_aside(&mut resumption, run, loss).await;
-                }
-                Start::Unreachable | Start::Replaced => self.count_unreachable().await,
-                Start::Declined => {
-                    declined += 1;
-                    if declined > MAX_DECLINED_SENDS {
-                        return Err(Denial::Declined);
-                    }
-                }
-            }
-        }
-        Err(Denial::TimedOut)
-    }
-
-    /// Returns why no server was chosen.
-    fn denial(&self) -> Denial {
-        if self.timed_out() {
-            return Denial::TimedOut;
-        }
-        if self.context.is_poisonous(&self.call) {
-            return Denial::Poisonous;
-        }
-        match self.ran_at.len() >= self.call.pass.attempts as usize {
-            true => Denial::AttemptsSpent,
-            false => Denial::NoServer,
-        }
-    }
-
-    /// Records a loss and determines the candidates for the next run. After a second loss in a row
-    /// at the same server, the remaining candidates of the first one stay valid: a run that was
-    /// lost before its first event has no copy of its own.
-    fn record_loss(&mut self, resumption: &mut Option<Resumption>, lost: LostRun) {
-        self.record_ran(&lost.target);
-        let server = lost.target.server.clone();
-        let same_server = self.last_lost.replace(server) == Some(lost.target.server.clone());
-        if same_server && let Some(resumption) = resumption {
-            resumption.skip_same();
-            return;
-        }
-        *resumption = Some(Resumption::new(lost, same_server));
-    }
 }
--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -166,7 +166,12 @@
             (Some(started), Some(run)) => match started {
                 Start::Running { .. } | Start::TimedOut => started,
                 failed => {
-                    self.record_failed_replacement(&failed, target);
+                    if let Start::Declined = failed {
+                        self.declined_beside += 1;
+                    }
+                    if let Start::Lost(_) | Start::Quiet(..) = failed {
+                        self.record_ran(target);
+                    }
                     self.keep_unused(failed, permit);
                     return self.go_on(run).await;
                 }
@@ -178,14 +183,6 @@
         Ok(self.keep_unused(started, permit))
     }
 
-    fn record_failed_replacement(&mut self, failed: &Start, target: &Target) {
-        match failed {
-            Start::Lost(_) | Start::Quiet(..) | Start::Failed(_) => self.record_ran(target),
-            Start::Declined => self.declined_beside += 1,
-            _ => {}
-        }
-    }
-
     /// Keeps the permit of a send that reached no server.
     fn keep_unused(&mut self, started: Start, permit: Permit) -> Start {
         if let Start::Unreachable = started {
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -165,6 +165,11 @@
         self.progress.filler_bytes() > 0
     }
 
+    /// Returns whether the run resumes from a copy.
+    pub(super) fn is_from_copy(&self) -> bool {
+        self.copy.is_some()
+    }
+
     /// Returns whether the head of the answer was received.
     pub(super) fn has_head(&self) -> bool {
         self.answered.is_some()
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -213,7 +213,10 @@
         match self.receive(&mut run, true).await {
             Received::Head(head, reply) => self.handle_head(run, head, reply).await,
             Received::TimedOut => Start::TimedOut,
-            Received::Poisonous => Start::Poisonous,
+            Received::Poisonous => {
+                self.record_ran(&run.target);
+                Start::Poisonous
+            }
             Received::Lost(loss) if loss.may_go_on() => {
                 self.log_loss(&run, loss);
                 Start::Quiet(run, loss)
@@ -310,8 +313,9 @@
     }
 
     /// Decides by the head of its answer whether a run has started.
-    async fn handle_head(&self, mut run: Box<Run>, head: Head, reply: Reply) -> Start {
-        let id = self.call.request.metadata.id.as_str();
+    async fn handle_head(&mut self, mut run: Box<Run>, head: Head, reply: Reply) -> Start {
+        let id = self.call.request.metadata.id.clone();
+        let id = id.as_str();
         let server = run.target.server.clone();
         let status = head.status.as_u16();
         self.context.record_heard(&server);
@@ -390,6 +394,7 @@
         let (Some(body), true) = (body, usable) else {
             return Start::Lost(Box::new(run.lose(Loss::Malformed)));
         };
+        self.record_ran(&run.target);
         self.context.sender.release(run.connection);
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
