admission, answer: tests of the retries left to lost runs and of kept runs

A quota that quiet runs may use up would end the answers of lost servers beside them; a kept run must be asked for its replacement again, later each time.

--- a/components/admission/tests/quota.rs
+++ b/components/admission/tests/quota.rs
@@ -104,6 +104,18 @@
     assert!(quota.retry(now, &BOUND, NO_PEERS, Purpose::Resume));
 }
 
+/// Guards against a quota that quiet runs use up, though they may go on by themselves: an answer whose
+/// server is lost beside them would end.
+#[test]
+fn reserves_retries_for_lost_runs() {
+    let mut quota = Quota::default();
+    let now = Duration::from_secs(1);
+    quota.request(now, &BOUND);
+    while quota.retry(now, &BOUND, NO_PEERS, Purpose::QuietRun) {}
+    assert!(quota.retry(now, &BOUND, NO_PEERS, Purpose::Unanswered));
+    assert!(quota.retry(now, &BOUND, NO_PEERS, Purpose::Resume));
+}
+
 /// A process is cut off from the others. It must keep to its part of the slack, as otherwise all
 /// processes together would exceed the bound.
 #[test]
--- a/components/answer/tests/silence.rs
+++ b/components/answer/tests/silence.rs
@@ -60,3 +60,22 @@
     let late = OBJECTIVE - waited + Duration::from_millis(1);
     assert!(!detector.is_in_time(waited, late));
 }
+
+/// Guards against a kept run whose replacement is asked for without end, and against one for which it
+/// is never asked again.
+#[test]
+fn a_kept_run_is_given_up_again_later() {
+    let mut detector = detector();
+    detector.record_event(Duration::ZERO);
+    let mut silence = detector.limit();
+    for kept_ms in [250, 500, 1000, 2000, 2000] {
+        assert_eq!(detector.advise(silence), Advice::Lost);
+        detector.keep(silence);
+        detector.suspect();
+        let until = silence + Duration::from_millis(kept_ms);
+        assert_eq!(detector.advise(silence), Advice::Wait(until));
+        silence = until;
+    }
+    detector.record_event(Duration::ZERO);
+    assert_ne!(detector.advise(Duration::ZERO), Advice::Lost);
+}
