gateway: a quiet run stays whole while another one is tried

Change: the overlap is counted from the send, the run is taken apart only once it is given up, and what doesn't count is reset as events arrive. A server that accepts no connection and isn't registered any more is gone: such a run ends at once. The copy of a holder that isn't used now is kept until there is another one.

--- a/components/answer/src/loss.rs
+++ b/components/answer/src/loss.rs
@@ -15,8 +15,9 @@
     Reset,
     /// The server accepts no new connection.
     Unreachable,
-    /// Another server has the address.
-    Replaced,
+    /// The server is no longer registered and accepts no new connection, or another one has its
+    /// address.
+    Gone,
     /// The server is alive, but the run sends nothing.
     Silent,
     /// The server is alive but no longer has the run, or sent events that didn't arrive.
@@ -62,7 +63,7 @@
             | Loss::Malformed
             | Loss::Gap => &[Candidate::Same, Candidate::Copy, Candidate::Any],
             // The old run may still be active behind a connection that is dead on this side only.
-            Loss::Unreachable | Loss::Replaced | Loss::Silent | Loss::Slow => {
+            Loss::Unreachable | Loss::Gone | Loss::Silent | Loss::Slow => {
                 &[Candidate::Copy, Candidate::Any]
             }
             // A server that sends without end to one run usually does so to the next.
@@ -73,7 +74,7 @@
     /// Returns whether the loss shows that the server is unreachable. A broken connection doesn't:
     /// servers lose single answers, and only the next connection shows whether the server is gone.
     pub fn is_unreachable(self) -> bool {
-        matches!(self, Loss::Unreachable | Loss::Replaced)
+        matches!(self, Loss::Unreachable | Loss::Gone)
     }
 
     /// Returns whether the run may still go on: only its silence tells of the loss.
@@ -89,7 +90,7 @@
 
     /// Returns whether the run was given up, as the server sent nothing.
     pub fn is_silent(self) -> bool {
-        self.may_go_on() || self == Loss::Replaced
+        self.may_go_on() || self == Loss::Gone
     }
 
     /// Returns whether the server broke off the answer, as it also does when it crashes.
@@ -103,7 +104,7 @@
             Loss::Closed => "closed",
             Loss::Reset => "reset",
             Loss::Unreachable => "dark",
-            Loss::Replaced => "replaced",
+            Loss::Gone => "gone",
             Loss::Silent => "silent",
             Loss::Orphaned => "mute",
             Loss::Slow => "slow",
--- a/components/answer/src/silence.rs
+++ b/components/answer/src/silence.rs
@@ -170,6 +170,11 @@
         self.times_kept = 0;
     }
 
+    /// Returns whether the run was kept in this silence.
+    pub fn is_kept(&self) -> bool {
+        self.times_kept > 0
+    }
+
     /// Keeps the run for a while at this silence, as nothing can replace it now.
     pub fn keep(&mut self, silence: Duration) {
         let doublings = self.times_kept.min(MAX_KEEP_DOUBLINGS);
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -137,6 +137,10 @@
         let are_complete = self.accounts.are_complete(now, bound.window);
         let retries = self.budget(beacon::id(service));
         let granted = retries.retry(now, bound, standing, purpose);
+        // A quiet run that goes on asks again and again.
+        if !granted && purpose == Purpose::QuietRun {
+            return None;
+        }
         meter::retry(service, if granted { "granted" } else { "spent" });
         let left = retries.left(now, bound, standing, purpose);
         meter::retries_left(service, left);
--- a/components/gateway/src/stream/backup.rs
+++ b/components/gateway/src/stream/backup.rs
@@ -132,22 +132,27 @@
         }
     }
 
-    /// Takes the copy for a run that resumes from it, if it exists yet.
-    pub(super) fn into_copy(self) -> Option<(Target, KvCopy)> {
-        let copy = match self.kind {
-            Kind::Continuous(copy) => copy,
-            Kind::OnRequest(replication) => {
-                // A copy that is still being made is released when it exists.
-                let mut state = replication.state.borrow_mut();
-                let State::Made(copy) = &*state else {
-                    return None;
-                };
-                let copy = copy.clone();
+    /// Returns the copy, if it exists yet.
+    pub(super) fn copy(&self) -> Option<(Target, KvCopy)> {
+        let copy = match &self.kind {
+            Kind::Continuous(copy) => copy.clone(),
+            Kind::OnRequest(replication) => match &*replication.state.borrow() {
+                State::Made(copy) => copy.clone(),
+                State::Pending | State::Taken => return None,
+            },
+        };
+        Some((self.holder.clone(), copy))
+    }
+
+    /// Leaves the copy to a run that resumes from it. One that is still being made is released when
+    /// it exists.
+    pub(super) fn leave(self) {
+        if let Kind::OnRequest(replication) = self.kind {
+            let mut state = replication.state.borrow_mut();
+            if let State::Made(_) = &*state {
                 *state = State::Taken;
-                copy
             }
-        };
-        Some((self.holder, copy))
+        }
     }
 }
 
--- a/components/gateway/src/stream/delivery.rs
+++ b/components/gateway/src/stream/delivery.rs
@@ -79,6 +79,8 @@
             Some(_) => self.longest_gap = self.longest_gap.max(now - self.last_event),
         }
         self.last_event = now;
+        self.declined_beside = 0;
+        self.unused.clear();
     }
 
     /// Records the end of a complete answer.
--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -3,7 +3,11 @@
 //! The run is given up only once another one has begun, or can be expected to: until then a server that
 //! merely pauses can still complete the answer.
 
-use std::time::Duration;
+use std::{
+    future::pending,
+    rc::Rc,
+    time::Duration, //
+};
 
 use admission::Purpose;
 use answer::loss::Loss;
@@ -24,7 +28,11 @@
     },
 };
 use crate::{
-    fleet::Target,
+    context::Context,
+    fleet::{
+        Suspicion,
+        Target, //
+    },
     protocol::{
         KvCopy,
         Protocol, //
@@ -33,8 +41,8 @@
     trials::Ticket, //
 };
 
-/// Longest time for which a quiet run goes on beside the one that replaces it.
-const MAX_OVERLAP: Duration = Duration::from_millis(200);
+/// Longest time for which a quiet run goes on beside the one that replaces it, once that is sent.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 impl<P: Protocol + 'static> Session<P> {
     /// Returns whether another run can replace a quiet one now, and takes the permit for its send.
@@ -42,6 +50,13 @@
         let Err(denial) = self.reserve_replacement(run, loss) else {
             return true;
         };
+        if loss.is_unreachable() {
+            self.context
+                .fleet
+                .borrow_mut()
+                .suspect(&run.target.server, Suspicion::Unresponsive);
+            self.context.sender.disconnect(run.target.address);
+        }
         if run.kept.replace(denial) != Some(denial) {
             note!(
                 forwarding::KEPT,
@@ -64,17 +79,28 @@
         if self.context.is_poisonous(&self.call) {
             return Err(Denial::Poisonous);
         }
-        if self.declined_beside > MAX_DECLINED_SENDS {
+        if self.declined_beside > MAX_DECLINED_SENDS && !loss.is_unreachable() {
             return Err(Denial::Declined);
         }
-        let occupied = self.context.occupied_servers(&self.call);
-        if self.context.is_held(&self.call) {
-            // A server that accepts no connection may have crashed; another one waits for that.
-            return match loss {
-                Loss::Unreachable => Ok(()),
-                _ => Err(Denial::Occupied),
-            };
+        // A server that accepts no connection may have crashed; a held request waits for that.
+        match (self.context.is_held(&self.call), loss) {
+            (false, _) => self.check_replacement(run)?,
+            (true, Loss::Unreachable) => {}
+            (true, _) => return Err(Denial::Occupied),
         }
+        let purpose = match loss {
+            Loss::Silent | Loss::Slow => Purpose::QuietRun,
+            _ if self.has_head => Purpose::Resume,
+            _ => Purpose::Unanswered,
+        };
+        let permit = self.may_send(false, purpose).ok_or(Denial::RetriesSpent)?;
+        self.unused.push(permit);
+        Ok(())
+    }
+
+    /// Checks whether another server may take the stream.
+    fn check_replacement(&self, run: &Run) -> Result<(), Denial> {
+        let occupied = self.context.occupied_servers(&self.call);
         let data_centre = self.context.settings.borrow().data_centre.clone();
         let avoid = self.tried.iter().chain(&occupied).cloned();
         let avoid: Vec<_> = avoid.collect();
@@ -98,13 +124,6 @@
         if !is_known && used >= self.call.pass.attempts as usize {
             return Err(Denial::AttemptsSpent);
         }
-        let purpose = match loss {
-            Loss::Silent | Loss::Slow => Purpose::QuietRun,
-            _ if self.has_head => Purpose::Resume,
-            _ => Purpose::Unanswered,
-        };
-        let permit = self.may_send(false, purpose).ok_or(Denial::RetriesSpent)?;
-        self.unused.push(permit);
         Ok(())
     }
 
@@ -115,17 +134,24 @@
         resumption: &mut Option<Resumption>,
         mut run: Box<Run>,
         loss: Loss,
-    ) -> Option<Box<Run>> {
-        self.check_crash(&mut run, loss).await;
-        let lost = run.lose(loss);
+    ) -> Option<Quiet> {
+        let lost = run.lost(loss);
         self.record_loss(resumption, lost);
         // A request that runs beside no other one must have ended first.
-        let is_held = self.context.is_held(&self.call);
-        (loss.may_go_on() && !is_held && !run.sends_filler()).then_some(run)
+        if loss.may_go_on() && !self.context.is_held(&self.call) {
+            return Some(Quiet {
+                run,
+                loss,
+                has_ended: false,
+            });
+        }
+        self.check_crash(&mut run, loss).await;
+        run.give_up(loss);
+        None
     }
 
-    /// Starts a run. A quiet one goes on beside it until it begins, but not longer than
-    /// [`MAX_OVERLAP`].
+    /// Starts a run. A quiet one goes on beside it until it begins, but no longer than [`MAX_OVERLAP`]
+    /// after the request is sent.
     ///
     /// # Errors
     ///
@@ -133,54 +159,55 @@
     /// head of the answer.
     pub(super) async fn start_beside(
         &mut self,
-        mut quiet: Option<Box<Run>>,
+        quiet: Option<Quiet>,
         target: &Target,
         copy: Option<&KvCopy>,
         ticket: Option<Ticket>,
         permit: Permit,
     ) -> Result<Start, Box<Run>> {
-        let (started, quiet) = {
-            let mut start = std::pin::pin!(self.start(target, copy, ticket, &permit));
-            let overlap = match &mut quiet {
-                None => Overlap::Over,
-                Some(run) => tokio::select! {
-                    biased;
-                    goes_on = run.goes_on() => match goes_on {
-                        true => Overlap::WentOn,
-                        false => Overlap::Over,
-                    },
-                    started = start.as_mut() => Overlap::Started(started),
-                    () = sleep(MAX_OVERLAP) => Overlap::Over,
-                },
-            };
-            match overlap {
-                Overlap::WentOn => (None, quiet),
-                Overlap::Started(started) => (Some(started), quiet),
-                Overlap::Over => {
-                    drop(quiet);
-                    (Some(start.await), None)
-                }
-            }
+        let Some(mut quiet) = quiet else {
+            let started = self.start(target, copy, ticket, &permit).await;
+            return Ok(self.keep_unused(started, permit));
         };
-        let started = match (started, quiet) {
-            (Some(started), Some(run)) => match started {
-                Start::Running { .. } | Start::TimedOut => started,
-                failed => {
-                    if let Start::Declined = failed {
-                        self.declined_beside += 1;
-                    }
-                    if let Start::Lost(_) | Start::Quiet(..) = failed {
-                        self.record_ran(target);
+        let context = self.context.clone();
+        let sent = tokio::select! {
+            biased;
+            () = quiet.wait_until_it_goes_on() => None,
+            sent = self.send(target, copy, ticket, &permit) => Some(sent),
+        };
+        let started = match sent {
+            None => None,
+            Some(Err(failed)) => Some(failed),
+            Some(Ok(run)) => {
+                let mut head = std::pin::pin!(self.await_head(run));
+                tokio::select! {
+                    biased;
+                    () = quiet.wait_until_it_goes_on() => None,
+                    started = head.as_mut() => Some(started),
+                    () = sleep(MAX_OVERLAP) => {
+                        quiet.give_up(&context);
+                        return Ok(head.await);
                     }
-                    self.keep_unused(failed, permit);
-                    return self.go_on(run).await;
                 }
-            },
-            (Some(started), None) => started,
-            (None, Some(run)) => return self.go_on(run).await,
-            (None, None) => unreachable!("a start has a result unless the quiet run goes on"),
+            }
         };
-        Ok(self.keep_unused(started, permit))
+        match &started {
+            Some(Start::Running { .. } | Start::TimedOut) => {
+                quiet.give_up(&context);
+                return Ok(started.expect("a start"));
+            }
+            Some(Start::Declined) => self.declined_beside += 1,
+            Some(Start::Unreachable) => self.unused.push(permit),
+            Some(Start::Replaced | Start::Failed(_) | Start::Poisonous) => {}
+            Some(Start::Lost(_) | Start::Quiet(..)) | None => self.record_ran(target),
+        }
+        match (quiet.has_ended, started) {
+            (true, Some(started)) => {
+                quiet.give_up(&context);
+                Ok(started)
+            }
+            _ => self.go_on(quiet).await,
+        }
     }
 
     /// Keeps the permit of a send that reached no server.
@@ -196,8 +223,10 @@
     /// # Errors
     ///
     /// Returns the run if its caller has the head of the answer.
-    pub(super) async fn go_on(&mut self, mut run: Box<Run>) -> Result<Start, Box<Run>> {
+    pub(super) async fn go_on(&mut self, quiet: Quiet) -> Result<Start, Box<Run>> {
+        let mut run = quiet.run;
         run.keep();
+        self.last_lost = None;
         self.call.progress.sent(&run.target.server);
         match run.has_head() {
             true => Err(run),
@@ -206,12 +235,31 @@
     }
 }
 
-/// How the time in which two runs overlap ends.
-enum Overlap {
-    /// The quiet run goes on.
-    WentOn,
-    /// The other run began, or won't.
-    Started(Start),
-    /// It is over, or the connection of the quiet run ended.
-    Over,
+/// A run whose server sends nothing, while another one is tried.
+pub(super) struct Quiet {
+    run: Box<Run>,
+    loss: Loss,
+    /// Whether its connection ended meanwhile.
+    has_ended: bool,
+}
+
+impl Quiet {
+    /// Waits until the run goes on. What a server sends beside its events doesn't count.
+    async fn wait_until_it_goes_on(&mut self) {
+        if !self.has_ended && !self.run.sends_filler() {
+            if self.run.goes_on().await {
+                return;
+            }
+            self.has_ended = true;
+        }
+        pending().await
+    }
+
+    /// Gives up the run, which another one has replaced.
+    fn give_up<P: Protocol + 'static>(mut self, context: &Rc<Context<P>>) {
+        if let Some(lost) = self.run.unsurvived(self.loss) {
+            context.check_silence(lost);
+        }
+        self.run.give_up(self.loss);
+    }
 }
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -130,9 +130,20 @@
 }
 
 impl Run {
-    /// Returns what is needed to resume the stream of the run elsewhere. The run may go on until
-    /// another one begins.
-    pub(super) fn lose(&mut self, loss: Loss) -> LostRun {
+    /// Returns what is needed to resume the stream of the run elsewhere.
+    pub(super) fn lost(&self, loss: Loss) -> LostRun {
+        LostRun {
+            loss,
+            events: self.events,
+            age: self.began.elapsed(),
+            target: self.target.clone(),
+            resumed_from: self.copy.clone().filter(|_| self.events == 0),
+            backup: self.backup.as_ref().and_then(Backup::copy),
+        }
+    }
+
+    /// Gives up the run. The copy of its KV cache is left to the one that resumes its stream.
+    pub(super) fn give_up(mut self, loss: Loss) {
         self.in_flight.set_outcome(Outcome::Failed);
         // A run is given up as too slow by other limits than those of a trial, which may be later.
         if matches!(loss, Loss::Silent | Loss::Slow)
@@ -140,14 +151,26 @@
         {
             trial.given_up();
         }
-        LostRun {
-            loss,
-            events: self.events,
-            age: self.began.elapsed(),
-            target: self.target.clone(),
-            resumed_from: self.copy.take().filter(|_| self.events == 0),
-            backup: self.backup.take().and_then(Backup::into_copy),
+        if let Some(backup) = self.backup.take() {
+            backup.leave();
+        }
+    }
+
+    /// Closes the record of the run, and returns it if its server may have crashed under it.
+    pub(super) fn unsurvived(&mut self, loss: Loss) -> Option<OpenRun> {
+        self.unanswered.close();
+        if self.has_survived() || !loss.is_silent() && !loss.is_broken_off() {
+            return None;
         }
+        let stage = match self.answered {
+            Some(_) if self.lived_for() >= LIFE_SIGN => Stage::Lived,
+            Some(_) => Stage::Started,
+            None => Stage::Pending,
+        };
+        Some(OpenRun {
+            stage,
+            ..self.unanswered.run.clone()
+        })
     }
 
     /// Waits until the server sends more; returns `false` if the connection ends instead.
@@ -231,7 +254,7 @@
 impl<P: Protocol + 'static> Session<P> {
     /// Returns the next complete events of a run.
     pub(super) async fn step(&mut self, run: &mut Run) -> Step {
-        if run.events > 0 {
+        if run.events > 0 && !run.silence.is_kept() {
             // Nothing is read while the caller takes the last events.
             run.silent_since = Instant::now();
         }
@@ -290,18 +313,8 @@
 
     /// Checks whether the server of a lost run crashed before the run survived its start.
     pub(super) async fn check_crash(&self, run: &mut Run, loss: Loss) {
-        run.unanswered.close();
-        if run.has_survived() || !loss.is_silent() && !loss.is_broken_off() {
+        let Some(lost) = run.unsurvived(loss) else {
             return;
-        }
-        let stage = match run.answered {
-            Some(_) if run.lived_for() >= LIFE_SIGN => Stage::Lived,
-            Some(_) => Stage::Started,
-            None => Stage::Pending,
-        };
-        let lost = OpenRun {
-            stage,
-            ..run.unanswered.run.clone()
         };
         match loss.is_silent() {
             true => self.context.check_silence(lost),
@@ -317,17 +330,19 @@
         run.backup_checked = Instant::now();
         let is_usable =
             |backup: &Backup| self.context.fleet.borrow().is_usable(&backup.holder.server);
-        if !run.backup.as_ref().is_some_and(is_usable) {
-            run.backup = self.choose_backup(&run.target).map(|(holder, in_flight)| {
-                Backup::on_request(
-                    &self.context,
-                    &run.target,
-                    holder,
-                    in_flight,
-                    &self.call.request.metadata.id,
-                    self.call.copy_kept,
-                )
-            });
+        if run.backup.as_ref().is_some_and(is_usable) {
+            return;
+        }
+        // A holder that isn't used now may be again, so its copy is kept until there is another one.
+        if let Some((holder, in_flight)) = self.choose_backup(&run.target) {
+            run.backup = Some(Backup::on_request(
+                &self.context,
+                &run.target,
+                holder,
+                in_flight,
+                &self.call.request.metadata.id,
+                self.call.copy_kept,
+            ));
         }
     }
 
--- a/components/gateway/src/stream/run/receive.rs
+++ b/components/gateway/src/stream/run/receive.rs
@@ -25,6 +25,7 @@
 
 use super::Run;
 use crate::{
+    fleet::Registered,
     protocol::{
         Protocol,
         Reply, //
@@ -142,7 +143,7 @@
                 return Received::Poisonous;
             }
             if self.context.fleet.borrow().is_replaced(&run.target) {
-                return Received::Lost(Loss::Replaced);
+                return Received::Lost(Loss::Gone);
             }
             self.check_suspicion(run);
             if let Some(trial) = &mut run.trial {
@@ -209,10 +210,8 @@
                         alive = probe => {
                             if alive {
                                 run.record_alive();
-                            } else if self.may_replace(run, Loss::Unreachable) {
-                                return Received::Lost(Loss::Unreachable);
-                            } else {
-                                run.keep();
+                            } else if let Some(loss) = self.unreachable(run) {
+                                return Received::Lost(loss);
                             }
                         }
                     }
@@ -239,10 +238,7 @@
                 run.record_alive();
             }
             activity = query => match activity {
-                None if self.may_replace(run, Loss::Unreachable) => {
-                    return Some(Received::Lost(Loss::Unreachable));
-                }
-                None => run.keep(),
+                None => return self.unreachable(run).map(Received::Lost),
                 Some(activity)
                     if activity.has_lost(&self.call.request.metadata.id, received) =>
                 {
@@ -257,6 +253,20 @@
         None
     }
 
+    /// Returns the loss of a run whose server accepts no connection; keeps the run if it may go on and
+    /// nothing can replace it.
+    fn unreachable(&mut self, run: &mut Run) -> Option<Loss> {
+        let registered = self.context.fleet.borrow().registered(&run.target);
+        if matches!(registered, Registered::Removed | Registered::Restarted) {
+            return Some(Loss::Gone);
+        }
+        if self.may_replace(run, Loss::Unreachable) {
+            return Some(Loss::Unreachable);
+        }
+        run.keep();
+        None
+    }
+
     /// Returns the loss that an error of the connection is.
     pub(super) fn loss_by(&self, run: &Run, error: &Error) -> Loss {
         let id = self.call.request.metadata.id.as_str();
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -136,6 +136,24 @@
         ticket: Option<Ticket>,
         permit: &Permit,
     ) -> Start {
+        match self.send(target, copy, ticket, permit).await {
+            Ok(run) => self.await_head(run).await,
+            Err(failed) => failed,
+        }
+    }
+
+    /// Sends the request to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the result of the start if it can't be sent.
+    pub(in crate::stream) async fn send(
+        &self,
+        target: &Target,
+        copy: Option<&KvCopy>,
+        ticket: Option<Ticket>,
+        permit: &Permit,
+    ) -> Result<Box<Run>, Start> {
         let began = Instant::now();
         let work = self.work_at(target, copy);
         if self.sequence.last().is_none() {
@@ -162,11 +180,11 @@
             .sender
             .send(&self.call.request, target, &dispatch);
         let connection = match timeout_at(self.call.until, sent).await {
-            Err(_) => return Start::TimedOut,
+            Err(_) => return Err(Start::TimedOut),
             Ok(Err(Failure::Unsent(error))) => {
                 in_flight.set_outcome(Outcome::Failed);
                 self.record_unsent(target, &error);
-                return Start::Unreachable;
+                return Err(Start::Unreachable);
             }
             Ok(Ok(connection)) => connection,
         };
@@ -205,7 +223,7 @@
             trial: self.begin_trial(target),
             copy: copy.cloned(),
         };
-        self.await_head(Box::new(run)).await
+        Ok(Box::new(run))
     }
 
     /// Waits for the head of a run's answer.
@@ -309,7 +327,9 @@
     async fn lose(&self, mut run: Box<Run>, loss: Loss) -> Start {
         self.log_loss(&run, loss);
         self.check_crash(&mut run, loss).await;
-        Start::Lost(Box::new(run.lose(loss)))
+        let lost = run.lost(loss);
+        run.give_up(loss);
+        Start::Lost(Box::new(lost))
     }
 
     /// Decides by the head of its answer whether a run has started.
@@ -392,7 +412,9 @@
         );
         let body = self.read_body(&mut run).await;
         let (Some(body), true) = (body, usable) else {
-            return Start::Lost(Box::new(run.lose(Loss::Malformed)));
+            let lost = run.lost(Loss::Malformed);
+            run.give_up(Loss::Malformed);
+            return Start::Lost(Box::new(lost));
         };
         self.record_ran(&run.target);
         self.context.sender.release(run.connection);
--- a/components/gateway/tests/quiet_streams.rs
+++ b/components/gateway/tests/quiet_streams.rs
@@ -24,6 +24,7 @@
     Passthrough,
     Repeats, //
 };
+use gateway::Update;
 use rstest::rstest;
 use tokio::time::{
     sleep,
@@ -33,9 +34,15 @@
 /// Pause of a server, longer than a run stays without a reason.
 const PAUSE: Duration = Duration::from_millis(1500);
 
+/// Interval of the comments of a server that pauses.
+const COMMENT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of events of a stream.
 const EVENTS: u64 = 5;
 
+/// Address that refuses connections.
+const UNUSED: &str = "127.0.0.1:1";
+
 /// Time within which a stream must end.
 const TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -65,6 +72,8 @@
     BeforeEvents,
     /// Between two events.
     WithinEvents,
+    /// Between two events, with comments that keep the connection open.
+    WithinComments,
 }
 
 impl Moment {
@@ -72,7 +81,7 @@
     fn events(self) -> u64 {
         match self {
             Moment::BeforeHead | Moment::BeforeEvents => 0,
-            Moment::WithinEvents => 2,
+            Moment::WithinEvents | Moment::WithinComments => 2,
         }
     }
 }
@@ -110,7 +119,12 @@
     let id = message.header("id").unwrap_or_default();
     connection.write(&stream_head(id)).await;
     for event in after + 1..=EVENTS {
-        if moment != Moment::BeforeHead && event == moment.events() + 1 {
+        if moment == Moment::WithinComments && event == moment.events() + 1 {
+            for _ in 0..PAUSE.div_duration_f64(COMMENT_INTERVAL) as u32 {
+                connection.write("3\r\n:\n\n\r\n").await;
+                sleep(COMMENT_INTERVAL).await;
+            }
+        } else if moment != Moment::BeforeHead && event == moment.events() + 1 {
             sleep(PAUSE).await;
         }
         connection.write(&event_chunk(event)).await;
@@ -133,7 +147,13 @@
         Obstacle::Closing
     )]
     obstacle: Obstacle,
-    #[values(Moment::BeforeHead, Moment::BeforeEvents, Moment::WithinEvents)] moment: Moment,
+    #[values(
+        Moment::BeforeHead,
+        Moment::BeforeEvents,
+        Moment::WithinEvents,
+        Moment::WithinComments
+    )]
+    moment: Moment,
 ) {
     common::run(async move {
         let quiet = Backend::start(move |message, connection| async move {
@@ -150,10 +170,10 @@
             true
         })
         .await;
-        if obstacle == Obstacle::Unreachable {
-            other.kill();
-            sleep(Duration::from_millis(20)).await;
-        }
+        let other = match obstacle {
+            Obstacle::Unreachable => UNUSED.parse().expect("an address"),
+            _ => other.address,
+        };
         let mut document = document();
         for service in &mut document.services {
             let engine = service
@@ -182,11 +202,11 @@
         harness.register("s1", "draft", "a", quiet.address);
         let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
         common::until(|| quiet.request_count() == 1).await;
-        harness.register("s2", "draft", "b", other.address);
+        harness.register("s2", "draft", "b", other);
         let response = timeout(TIMEOUT, common::read_message(&mut caller)).await;
         let response = response.expect("in time").expect("a complete response");
         assert_eq!(response.status(), 200);
-        assert_eq!(response.text(), whole());
+        assert_eq!(response.text().replace(":\n\n", ""), whole());
         let sends = quiet.sends().into_iter();
         let sends: Vec<_> = sends
             .map(|message| (message.start_line, message.headers))
@@ -232,3 +252,30 @@
         assert_eq!(sends.get(), 1);
     });
 }
+
+/// Guards against a caller who waits until its deadline for a server that is gone, while nothing can
+/// replace it.
+#[test]
+fn a_quiet_run_at_a_server_that_is_gone_ends() {
+    common::run(async {
+        let gone = Backend::start(|message, connection| async move {
+            let id = message.header("id").unwrap_or_default();
+            connection.write(&stream_head(id)).await;
+            connection.write(&event_chunk(1)).await;
+            std::future::pending().await
+        })
+        .await;
+        let mut settings = settings();
+        settings.bounds.retry_ratio = 0.0;
+        settings.bounds.retry_slack = 0.0;
+        let harness = Harness::start(settings);
+        harness.put_document(1, document());
+        harness.register("s1", "draft", "a", gone.address);
+        let mut caller = harness.send("r1", "/stream/x", "tokens: 10\r\n").await;
+        common::until_received(&caller, "piece 1").await;
+        gone.stop_accepting();
+        harness.gateway.apply(Update::Deregistered("s1".into()));
+        let ended = timeout(PAUSE * 2, common::read_message(&mut caller)).await;
+        assert!(ended.expect("in time").is_err(), "an incomplete answer");
+    });
+}
