upstream: an answer that ends with its connection needs a whole request

Callers got a part of an answer, or an empty one, as a whole one: a server answered a long upload with a 200 or 500 that has no length, sent a part of the body and reset the connection while the upload was being written.

Cause: the write met the reset as an error, which takes the pending error of the socket with it. The early response was buffered and could still be read; the next read returned the end of the connection, which ends a body without a length. Nothing remembered that the connection broke. The same after a read: its error is returned once, and a further read returns the end.

Change: a connection remembers whether the current request was written in full and no read failed. A body that ends with its connection is complete only then. This holds for an orderly end too: a server that has read what came so far and dies closes the connection in order, so nothing shows that an answer to a part of a request is whole. A server that closes its sending side after the whole request was handed to the operating system ended its answer, as a close with unread bytes would reset the connection; that stays complete. So does what states its own end, by a length or chunks. Connections on which a request wasn't written in full aren't kept for another one.

A lost answer to a request that may run once is a 502, others are sent again within their budgets, streams go on as after any loss; no rule of the gateway changed.

--- a/components/upstream/src/connection.rs
+++ b/components/upstream/src/connection.rs
@@ -79,6 +79,10 @@
     idle_timeout: Option<Duration>,
     /// Whether the server closed its sending side.
     eof: bool,
+    /// Whether the current request was written in full, and no read failed. Otherwise nothing shows
+    /// that a body that ends with the connection is complete: an error is returned once, and later
+    /// reads return the end of the connection.
+    is_intact: bool,
 }
 
 /// Result of decoding the buffered part of a response body.
@@ -141,6 +145,7 @@
             last_used: now,
             idle_timeout: None,
             eof: false,
+            is_intact: true,
         })
     }
 
@@ -200,10 +205,14 @@
         self.idle_timeout
     }
 
-    /// Returns whether the connection can carry another request: the last response is complete and
-    /// the server keeps the connection open.
+    /// Returns whether the connection can carry another request: the last request was written in
+    /// full, its response is complete and the server keeps the connection open.
     pub fn is_reusable(&self) -> bool {
-        self.keep_alive && !self.eof && self.decoder == Decoder::Done && self.buffer.is_empty()
+        self.keep_alive
+            && self.is_intact
+            && !self.eof
+            && self.decoder == Decoder::Done
+            && self.buffer.is_empty()
     }
 
     /// Checks whether an idle connection is still open and has received nothing. Bytes that arrived
@@ -225,7 +234,7 @@
     /// # Errors
     ///
     /// [`Error::Broken`] when the connection breaks, [`Error::Closed`] when the server closes it. A
-    /// response may have arrived before either.
+    /// response may have arrived before either, and can be read if it states its end.
     pub async fn write(
         &mut self,
         method: &Method,
@@ -236,6 +245,7 @@
         self.bytes_sent = 0;
         self.interim = Interim::default();
         self.exchanges += 1;
+        self.is_intact = false;
         let mut data = head.chain(body);
         while data.has_remaining() {
             let mut slices = [io::IoSlice::new(&[]); MAX_SLICES];
@@ -265,6 +275,7 @@
                 }
             }
         }
+        self.is_intact = true;
         Ok(())
     }
 
@@ -307,7 +318,8 @@
     ///
     /// # Errors
     ///
-    /// As [`Connection::head`]. A body without a length is incomplete if the connection is reset.
+    /// As [`Connection::head`]. A body without a length is incomplete if the connection is reset, or
+    /// if it ends before the request was written in full.
     pub async fn data(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             match self.try_data()? {
@@ -334,7 +346,7 @@
                 Ok(Data::End)
             }
             Step::Pending if !self.eof => Ok(Data::Pending),
-            Step::Pending if self.decoder == Decoder::UntilClose => {
+            Step::Pending if self.decoder == Decoder::UntilClose && self.is_intact => {
                 self.decoder = Decoder::Done;
                 self.keep_alive = false;
                 Ok(Data::End)
@@ -371,7 +383,10 @@
         let received = select! {
             biased;
             () = evicted => return Err(Error::Excess(Bound::Process)),
-            received = read(&self.stream, &mut self.buffer) => received?,
+            received = read(&self.stream, &mut self.buffer) => {
+                self.is_intact &= received.is_ok();
+                received?
+            }
         };
         self.eof |= received == 0;
         self.update_account();
