upstream: statuses that HTTP doesn't define are malformed

Callers got 600 and 999 where a server sent them, and 101, although no request asks for another protocol. HTTP defines 100 to 599; the type of the library takes 100 to 999. 000 and 099 were malformed already.

Change: a final status is from 200 to 599. Others make the response malformed for every reader of `Head`: answers to callers, streams, the gateway's own calls to servers, the platform's store. A request that may run once is then answered with 502, others are sent again.

--- a/components/gateway/tests/early_answers.rs
+++ b/components/gateway/tests/early_answers.rs
@@ -1,4 +1,5 @@
-//! Tests of servers that answer a long request before they have read it, and end the connection.
+//! Tests of servers that answer a long request before they have read it, and end the connection; and
+//! of statuses that HTTP doesn't define.
 
 mod common;
 #[path = "../../upstream/tests/common/early.rs"]
@@ -267,3 +268,20 @@
         assert_eq!((got.text(), arrivals), (whole_text(kind), 1));
     });
 }
+
+/// Guards against statuses that HTTP doesn't define, or that answer no request of a gateway, which
+/// callers get.
+#[rstest]
+fn an_answer_with_an_undefined_status_is_lost(
+    #[values(Kind::Safe, Kind::Unsafe, Kind::Stream)] kind: Kind,
+    #[values("000", "099", "101", "600", "999")] status: &'static str,
+) {
+    let answer = move |request: &str| {
+        let head = head(request, status);
+        format!("{head}content-length: 4\r\n\r\npart")
+    };
+    common::run(async move {
+        let (got, arrivals) = request(kind, SHORT_BODY_BYTES, None, 1, answer).await;
+        assert_lost(kind, true, got, arrivals);
+    });
+}
--- a/components/upstream/src/head.rs
+++ b/components/upstream/src/head.rs
@@ -1,5 +1,7 @@
 //! Response heads: status line and headers.
 
+use std::ops::RangeInclusive;
+
 use bytes::{
     Buf,
     Bytes,
@@ -34,6 +36,10 @@
 /// Maximum number of headers in a head.
 const MAX_HEADERS: usize = 64;
 
+/// Statuses of interim responses, and of final ones. HTTP defines no others.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Status and headers of a response.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -114,7 +120,9 @@
             Err(_) => return Err(Error::Malformed("head can't be parsed")),
         };
         let status = response.code.unwrap_or_default();
-        if (100..200).contains(&status) && status != 101 {
+        // No request asks for another protocol.
+        if INTERIM_STATUSES.contains(&status) && status != StatusCode::SWITCHING_PROTOCOLS.as_u16()
+        {
             // An interim response precedes the final one.
             buffer.advance(length);
             interim.record(length)?;
@@ -128,6 +136,9 @@
 
 fn build(response: &httparse::Response<'_, '_>, method: &Method) -> Result<Head, Error> {
     let status = response.code.unwrap_or_default();
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(Error::Malformed("status"));
+    }
     let status = StatusCode::from_u16(status).map_err(|_| Error::Malformed("status"))?;
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for header in response.headers.iter() {
--- a/components/upstream/tests/early_answers.rs
+++ b/components/upstream/tests/early_answers.rs
@@ -17,7 +17,8 @@
 use upstream::{
     Collected,
     Connection,
-    Error, //
+    Error,
+    Head, //
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -120,3 +121,11 @@
     assert_matches!(connection.data().await, Err(Error::Closed));
     assert!(!connection.is_reusable());
 }
+
+/// Guards against statuses that HTTP doesn't define and that callers would get.
+#[rstest]
+fn statuses_out_of_range_are_malformed(#[values("000", "099", "101", "600", "999")] status: &str) {
+    let parse = |status| Head::parse(format!("HTTP/1.1 {status} x\r\n\r\n").as_bytes());
+    assert_matches!(parse(status), Err(Error::Malformed(_)));
+    assert_matches!(parse("599"), Ok(Some(_)));
+}
