sidecar: statuses that HTTP doesn't define are no answer

Callers of plain services got 600, 999 and 101 where a service sent them. Such an answer now counts as lost: the call may have run, and the caller is told that its outcome is unknown.

Early answers without a length that are reset while the call is being written weren't passed on here: the HTTP library ends the body with an error once the write fails.

--- a/components/sidecar/src/service.rs
+++ b/components/sidecar/src/service.rs
@@ -1,5 +1,7 @@
 //! HTTP client of the plain service behind this sidecar.
 
+use std::ops::RangeInclusive;
+
 use reqwest::{
     Client,
     Method,
@@ -23,6 +25,9 @@
 /// after the limit may do so until then, so that the outcome is still recorded.
 const CALL_TIMEOUT_FACTOR: u32 = 5;
 
+/// Statuses that HTTP defines for final answers. A call asks for no other protocol, so 101 is no answer.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Outcome of forwarding a call.
 pub(crate) enum Outcome {
     /// The service answered within the size limit.
@@ -104,6 +109,9 @@
 
 async fn read(mut answer: reqwest::Response, max_body_bytes: u64) -> Outcome {
     let status = answer.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return Outcome::Lost;
+    }
     let content_type = answer
         .headers()
         .get(CONTENT_TYPE)
