gateway: a stream that goes on elsewhere is still being answered

Event 1039 gave the stage `sent` for streams whose answers had begun and that went on at another server, so that the lines of an exit couldn't tell them from requests without an answer.

--- a/components/gateway/src/requests.rs
+++ b/components/gateway/src/requests.rs
@@ -77,7 +77,10 @@
     /// Records that the request is being sent to a server.
     pub fn sent(&self, server: &Server) {
         *self.server.borrow_mut() = Some(server.clone());
-        self.stage.set(Stage::Sent);
+        // A stream that goes on at another server has an answer that began.
+        if self.stage.get() != Stage::Answering {
+            self.stage.set(Stage::Sent);
+        }
     }
 
     /// Records that the head of the response was returned.
