gateway: the run of a held part is a test and counts as one

Requests with a part of the prompt that crashes servers were passed on, one each 3 to 4 s, long after its fifth crash, where servers end without refusing connections.

Cause, by the log of such a play: a crash before the head of the answer counts half, as the server may have been busy with others, and a part needs six such crashes under different requests. That also held for the runs that a permit lets out one at a time, each of which takes 3.6 s until its crash is certain. And the next one waited for that only if nothing else was in flight at the silent server, so that several such runs were undecided at once under load. Class of fault: the result of an experiment is weighed like a chance observation.

Ruled out: that the crashes aren't counted (each late run had 1047 and 1017).

Change: a run with a part of three crashes before, at a server that was heard after the last of them and beside no other run with a cause of as many crashes, counts like one that had started. While its server is silent no request with its held causes runs, whatever else was there; this holds for whole and plain requests too.

No play with real processes on this logic yet.

--- a/components/contract/src/poison/evidence.rs
+++ b/components/contract/src/poison/evidence.rs
@@ -258,8 +258,8 @@
     /// Causes of which one run at a time tells whether they crash servers. Follows from the
     /// observations.
     held: BTreeSet<Fingerprint>,
-    /// Held causes of each run that was alone at a server which is only known to be silent. Follows from
-    /// the observations.
+    /// Held causes of each run that was the only held one at a server which is only known to be silent.
+    /// Follows from the observations.
     undecided: Vec<BTreeSet<Fingerprint>>,
     /// Convicted causes with the end of their refusal. Follows from the observations.
     convicts: BTreeMap<Fingerprint, Clock>,
@@ -439,7 +439,7 @@
         subject.causes().filter(is_held).count()
     }
 
-    /// Returns whether a request has all held causes of a run that was alone at a silent server. Until it
+    /// Returns whether a request has all held causes of the only held run at a silent server. Until it
     /// is known whether that server has crashed, another such run would tell nothing more.
     pub fn is_undecided(&self, subject: &Subject) -> bool {
         let mut undecided = self.undecided.iter();
@@ -698,6 +698,7 @@
                     service: run.subject.service,
                     request: run.subject.request,
                     causes: causes.collect(),
+                    is_test: false,
                 });
             }
             crashes.push(crash);
--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -14,8 +14,9 @@
 //! it is known what became of them.
 //!
 //! Causes that are together at each crash can't be told apart by crashes. Requests with a cause at three
-//! crashes are held back: one at a time runs, over all processes, and what it does tells. If its server
-//! falls silent, no other one with the same causes runs until it is known what became of the server.
+//! crashes are held back: one at a time runs, over all processes, and what it does tells. Such a run is a
+//! test. For a part its crash counts as one at which it had started. If its server falls silent, no other
+//! one with the same causes runs until it is known what became of the server.
 
 use std::{
     collections::{
@@ -94,6 +95,8 @@
     pub(super) request: Fingerprint,
     /// Causes that have not survived since, from the most specific to the least.
     pub(super) causes: Vec<Candidate>,
+    /// Whether it was held back, and nothing beside it was at as many crashes.
+    pub(super) is_test: bool,
 }
 
 /// Possible cause of a crash.
@@ -128,7 +131,7 @@
     pub(super) suspects: BTreeSet<Fingerprint>,
     /// Causes at so many crashes that they run one at a time.
     pub(super) held: BTreeSet<Fingerprint>,
-    /// Held causes of each run that was alone at a server, which is only known to be silent.
+    /// Held causes of each run that was the only held one at a server, which is only known to be silent.
     pub(super) undecided: Vec<BTreeSet<Fingerprint>>,
     pub(super) awaiting: Awaiting,
     /// Last series of crashes of each service.
@@ -167,6 +170,7 @@
         },
         ..Attribution::default()
     };
+    mark_tests(&mut crashes);
     let all = crashes.clone();
     let mut silences: Vec<Crash> = crashes.extract_if(.., |crash| !crash.is_certain).collect();
     let certain = crashes.clone();
@@ -202,24 +206,59 @@
     attribution
 }
 
-/// Returns the held causes of the run that was alone at a silent server, if it came after the crashes for
+/// Marks the runs that were held back when they began, at servers that were heard after the crash before.
+/// Such a run has a permit, so that no other one with a cause of as many crashes should be beside it:
+/// that it wasn't begun to be answered then doesn't mean that the server was busy with others.
+fn mark_tests(crashes: &mut [Crash]) {
+    let counts = count_crashes(crashes);
+    // Number of earlier crashes under each cause, and the time of the last one.
+    let mut before: HashMap<Fingerprint, (usize, Clock)> = HashMap::new();
+    for crash in crashes {
+        let was_held = |run: &Run| {
+            let mut known = run.fingerprints().filter_map(|cause| before.get(&cause));
+            known.any(|(count, last)| *count >= MIN_CRASHES && run.began + CLOCK_TOLERANCE >= *last)
+        };
+        let is_rival = |run: &Run, other: &Run| {
+            let mut causes = other.fingerprints();
+            causes.any(|cause| counts[&cause] >= MIN_CRASHES && !run.has(cause))
+        };
+        let is_test = |run: &Run| {
+            let mut others = crash.runs.iter();
+            was_held(run) && !others.any(|other| is_rival(run, other))
+        };
+        let tests: Vec<bool> = crash.runs.iter().map(is_test).collect();
+        for (run, is_test) in crash.runs.iter_mut().zip(tests) {
+            run.is_test = is_test;
+        }
+        let causes: HashSet<Fingerprint> = crash.runs.iter().flat_map(Run::fingerprints).collect();
+        for cause in causes {
+            let (count, last) = before.entry(cause).or_default();
+            *count += 1;
+            *last = crash.at;
+        }
+    }
+}
+
+/// Returns the held causes of the only held request at a silent server, if it came after the crashes for
 /// which they are held.
 fn undecided_causes(
     silence: &Crash,
     all: &[Crash],
     held: &BTreeSet<Fingerprint>,
 ) -> Option<BTreeSet<Fingerprint>> {
-    let [run] = silence.runs.as_slice() else {
-        return None;
-    };
     let was_held = |cause: Fingerprint| {
         let before = all.iter().take_while(|crash| crash.at < silence.at);
         before.filter(|crash| crash.has(cause)).count() >= MIN_CRASHES
     };
-    let causes = run.fingerprints();
-    let causes = causes.filter(|cause| held.contains(cause) && was_held(*cause));
-    let causes: BTreeSet<Fingerprint> = causes.collect();
-    (!causes.is_empty()).then_some(causes)
+    let held_causes = |run: &Run| -> BTreeSet<Fingerprint> {
+        let causes = run.fingerprints();
+        let causes = causes.filter(|cause| held.contains(cause) && was_held(*cause));
+        causes.collect()
+    };
+    let all = silence.runs.iter().map(held_causes);
+    let mut all = all.filter(|causes| !causes.is_empty());
+    let causes = all.next()?;
+    all.next().is_none().then_some(causes)
 }
 
 /// Returns the causes that would be convicted beside the `convicts` if all servers had crashed.
@@ -281,6 +320,14 @@
         causes.any(|candidate| candidate.fingerprint == cause)
     }
 
+    /// Returns the weight of its crash for a part.
+    fn weight(&self) -> u32 {
+        match self.is_test {
+            true => Stage::Started.weight(),
+            false => self.stage.weight(),
+        }
+    }
+
     pub(super) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
         self.causes.iter().map(|candidate| candidate.fingerprint)
     }
@@ -528,10 +575,10 @@
             continue;
         }
         let others = runs.iter().filter(|run| !requests.contains(&run.request));
-        let Some(stage) = others.map(|run| run.stage).max() else {
+        let Some(heaviest) = others.map(|run| run.weight()).max() else {
             continue;
         };
-        weight += stage.weight();
+        weight += heaviest;
         last = Some(crash.at);
         requests.extend(runs.iter().map(|run| run.request));
     }
--- a/components/contract/tests/held_parts.rs
+++ b/components/contract/tests/held_parts.rs
@@ -36,6 +36,8 @@
     evidence: Evidence,
     now: Clock,
     count: u32,
+    /// Time from the last sign of life of a server, or the send, to its crash.
+    run_time: Duration,
 }
 
 impl Case {
@@ -45,6 +47,7 @@
             evidence: Evidence::default(),
             now: START,
             count: 0,
+            run_time: Duration::from_millis(40),
         };
         let request = harmful(0);
         for _ in 0..FREE_RUNS {
@@ -59,11 +62,12 @@
     fn crash(&mut self, request: &Subject, beside: &[Subject]) {
         let server = self.count as ServerId;
         self.count += 1;
+        let run_ms = self.run_time.as_millis() as u32;
         let crashed = |stage| Observation::Crashed {
             server,
             incarnation: 0,
             stage,
-            run_ms: 40,
+            run_ms,
         };
         let (evidence, now) = (&mut self.evidence, self.now);
         evidence.record(now, now, request, crashed(Stage::Pending));
@@ -131,6 +135,20 @@
     assert!(!case.is_refused());
 }
 
+/// Guards against the refusal of a held part whose runs came to servers that had ended before.
+#[test]
+fn runs_at_servers_that_were_not_heard_since_are_no_tests() {
+    let mut case = Case::new();
+    case.run_time = 2 * CONFIRMATION_TIME;
+    for number in 1..=MAX_HELD_RUNS {
+        case.now += CONFIRMATION_TIME;
+        case.crash(&harmful(number), &[]);
+        case.now += Duration::from_millis(300);
+        case.survive();
+    }
+    assert!(!case.is_refused());
+}
+
 /// Guards against a held part that goes on while it isn't known what became of the server of its last
 /// run, as sound requests were there too.
 #[test]
