Review cases 7 and 9: more payouts in progress

In one run of case 9 just four payouts were in progress when the gateway was killed, one more than the rule allows. 16 consumers instead of 8 make the result plain.

--- a/review/stand-ins-2/cases/memory.rs
+++ b/review/stand-ins-2/cases/memory.rs
@@ -50,7 +50,7 @@
 const MAX_LOST: usize = 3;
 
 /// Consumers of payouts, and the time from the beginning of one payout to that of the next.
-const CONSUMERS: usize = 8;
+const CONSUMERS: usize = 16;
 const PAUSE: Duration = Duration::from_millis(65);
 
 /// Plays the platform's part: kills a process once it exceeds its machine's memory.
