--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases: each returns 1 if the rule was broken, 0 if it held, and 2 if it couldn't run.
 
 mod forged;
+mod keys;
 mod memory;
 mod slow;
 
@@ -45,6 +46,7 @@
         "many-requests" => memory::many_requests(&record, trouble),
         "slow-consumers" => slow::run(&record, trouble),
         "forged-entry" => forged::run(&record, trouble),
+        "last-tenant" => keys::run(&record, trouble),
         _ => 2,
     };
     record.line(&format!("exit {code}"));
--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -98,7 +98,7 @@
 }
 
 pub struct World {
-    _store: Store,
+    pub store: Store,
     pub gateways: Vec<Gateway>,
     folder: PathBuf,
 }
@@ -174,7 +174,7 @@
             });
         }
         World {
-            _store: store,
+            store,
             gateways,
             folder,
         }
