--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -128,8 +128,9 @@
     pub end: Result<u16, String>,
 }
 
-/// Sends requests on one kept channel, one after the other and one each `period`, until `stop` is set or the channel ends.
-/// Returns all of them.
+/// Sends requests on one kept channel, one after the other and one each `period`, until `stop` is
+/// set or the channel ends. Returns all of them. It begins after `delay`, so that the requests of many
+/// consumers are spread.
 fn consumer(
     front: std::net::SocketAddr,
     name: String,
@@ -137,6 +138,7 @@
     path: &'static str,
     deadline_ms: u64,
     period: Duration,
+    delay: Duration,
     stop: Arc<AtomicBool>,
 ) -> thread::JoinHandle<Vec<Attempt>> {
     thread::spawn(move || {
@@ -144,6 +146,7 @@
         let Ok(mut link) = Link::open(front, Duration::from_millis(deadline_ms)) else {
             return attempts;
         };
+        thread::sleep(delay);
         let mut number = 0;
         while !stop.load(Ordering::SeqCst) {
             number += 1;
