gateway: who ended an answer, when, and what its server did

For each answer that a caller doesn't get whole: 1007, 1008 and 1039 name the server, what it does (none, sent, complete) and for how long it was silent; 1008 says who closed the connection. 1051 is new: a connection that is closed with an answer that isn't written. A request is in progress, and named by 1039, until its response is written (stage `writing`); before, until its last piece was taken, so that an exit took answers with it without a line. medlarhatch_answers_cut_total counts them by who ended them. A plain answer that breaks off had no line; it has 1007.

No decision changes.

--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -100,6 +100,8 @@
     CONNECTIONS_YIELDED = 1049, Warn, "Connections of callers yielded";
     /// A run that sends nothing is kept, as no other one can replace it now.
     KEPT = 1050, Info, "Quiet run is kept";
+    /// The connection of a request was closed before the caller had taken its whole answer.
+    UNWRITTEN = 1051, Warn, "Connection closed before the answer was written";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -1,7 +1,10 @@
 //! Callers' connections.
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     convert::Infallible,
     io,
     pin::Pin,
@@ -15,6 +18,10 @@
 };
 
 use bytes::Bytes;
+use events::{
+    forwarding,
+    note, //
+};
 use http::{
     HeaderValue,
     Request,
@@ -58,11 +65,18 @@
 
 use crate::{
     account::{
-        Connection,
-        Stage, //
+        self,
+        Connection, //
     },
     context::Context,
+    meter,
     protocol::Protocol,
+    requests::{
+        self,
+        Closer,
+        Stage,
+        Work, //
+    },
     settings::Limits, //
 };
 
@@ -130,6 +144,50 @@
     request_began: Cell<Option<Instant>>,
     /// Whether the last response asked its caller to come back later, and nothing was read since.
     is_refused: Cell<bool>,
+    /// Requests whose responses were taken and aren't written yet.
+    unwritten: RefCell<Vec<requests::Guard>>,
+}
+
+/// Keeps a request in progress until its response is written, once the body is dropped that holds this.
+struct Unwritten {
+    progress: Rc<Progress>,
+    running: Option<requests::Guard>,
+}
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        let Some(running) = self.running.take() else {
+            return;
+        };
+        if running.progress.work() == Work::Complete {
+            running.progress.writing();
+        }
+        self.progress.unwritten.borrow_mut().push(running);
+    }
+}
+
+/// Ends the requests of a connection when it is dropped, after the connection.
+struct ConnectionGuard(Rc<Progress>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        for running in self.0.unwritten.take() {
+            let request = &running.progress;
+            if request.stage() != Stage::Writing {
+                // A response that broke off is logged by its handler.
+                continue;
+            }
+            meter::answer_cut(request.closer(), request.work());
+            note!(
+                forwarding::UNWRITTEN,
+                id = request.id().as_str(),
+                route = request.route().as_deref(),
+                server = request.server().as_deref(),
+                by = request.closer().name(),
+                ms = request.arrived.elapsed().as_millis() as u64
+            );
+        }
+    }
 }
 
 /// Marks a request as in progress until its response is written.
@@ -143,6 +201,7 @@
             idle_since: Cell::new(Some(Instant::now())),
             request_began: Cell::default(),
             is_refused: Cell::default(),
+            unwritten: RefCell::default(),
         }
     }
 
@@ -165,7 +224,7 @@
     fn new(progress: Rc<Progress>) -> ActiveGuard {
         progress.running.set(progress.running.get() + 1);
         progress.request_began.set(None);
-        progress.connection.set_stage(Stage::Active);
+        progress.connection.set_stage(account::Stage::Active);
         ActiveGuard(progress)
     }
 }
@@ -175,7 +234,7 @@
         self.0.running.set(self.0.running.get() - 1);
         self.0.idle_since.set(Some(Instant::now()));
         if !self.0.is_running() {
-            self.0.connection.set_stage(Stage::Idle);
+            self.0.connection.set_stage(account::Stage::Idle);
         }
     }
 }
@@ -212,9 +271,9 @@
                 let connection = &progress.connection;
                 let mut response = context.serve(parts, &mut body, connection, pause).await;
                 if body.is_end_stream() {
-                    connection.set_stage(Stage::Active);
+                    connection.set_stage(account::Stage::Active);
                 } else {
-                    connection.set_stage(Stage::Discarding);
+                    connection.set_stage(account::Stage::Discarding);
                     let limit = discard_limit(&context);
                     spawn_local(discard(body, limit, active.clone()));
                 }
@@ -224,6 +283,11 @@
                 }
                 let length = response.body().size_hint().exact().unwrap_or(0);
                 let charge = connection.charge(usize::try_from(length).unwrap_or(usize::MAX));
+                let running = response.body_mut().take_running();
+                response.body_mut().hold(Unwritten {
+                    progress: progress.clone(),
+                    running,
+                });
                 response.body_mut().hold(charge);
                 response.body_mut().hold(active);
                 progress.is_refused.set(is_refusal(&response));
@@ -235,6 +299,7 @@
         inner: stream,
         progress: Some(progress.clone()),
     };
+    let _guard = ConnectionGuard(progress.clone());
     // Hyper accepts no less than 8 KiB.
     let connection = http1::Builder::new()
         .max_buf_size(max_header_bytes.max(8192))
@@ -244,7 +309,10 @@
         let next = next_check(&progress, idle_timeout, header_timeout);
         tokio::select! {
             _ = connection.as_mut() => return,
-            () = progress.connection.closed() => return,
+            () = progress.connection.closed() => {
+                progress.connection.set_closer(Closer::Room);
+                return;
+            }
             () = close.cancelled(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -255,6 +323,7 @@
                 {
                     continue;
                 }
+                progress.connection.set_closer(Closer::Idle);
                 if progress.request_began.get().is_some() || closing {
                     return;
                 }
@@ -391,7 +460,11 @@
         written
     }
 
+    /// Hyper flushes only once all that it has was written.
     fn poll_flush(mut self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(progress) = &self.progress {
+            progress.unwritten.take();
+        }
         Pin::new(&mut self.inner).poll_flush(waker)
     }
 
--- a/components/gateway/src/account.rs
+++ b/components/gateway/src/account.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     meter,
+    requests::Closer,
     settings::Limits, //
 };
 
@@ -337,6 +338,16 @@
         self.holder.closed.cancelled()
     }
 
+    /// Returns who closes the connection.
+    pub fn closer(&self) -> Rc<Cell<Closer>> {
+        self.holder.closer.clone()
+    }
+
+    /// Sets who closes the connection.
+    pub fn set_closer(&self, closer: Closer) {
+        self.holder.closer.set(closer);
+    }
+
     /// Counts a response, which is delivered whether there is room or not.
     pub fn charge(&self, bytes: usize) -> Charge {
         self.account.take(&self.holder, bytes);
--- a/components/gateway/src/account/holder.rs
+++ b/components/gateway/src/account/holder.rs
@@ -5,13 +5,17 @@
         Cell,
         RefCell, //
     },
+    rc::Rc,
     time::Duration, //
 };
 
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::settings::Limits;
+use crate::{
+    requests::Closer,
+    settings::Limits, //
+};
 
 /// Memory that a connection takes beside the body of its request, in bytes: its task, its buffers, and
 /// what the kernel has received for it.
@@ -80,6 +84,8 @@
     pub refused: RefCell<CancellationToken>,
     /// Cancelled when it is closed.
     pub closed: CancellationToken,
+    /// Who closes it.
+    pub closer: Rc<Cell<Closer>>,
 }
 
 impl Holder {
@@ -97,6 +103,7 @@
             releases: Cell::default(),
             refused: RefCell::default(),
             closed: CancellationToken::new(),
+            closer: Rc::default(),
         }
     }
 
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -22,6 +22,8 @@
     SizeHint, //
 };
 
+use crate::requests;
+
 /// Error of a response that ends early. The connection is closed without the end of the body, so
 /// that the caller notices that the response is incomplete.
 #[derive(Debug, thiserror::Error)]
@@ -31,9 +33,10 @@
 /// Body of a response.
 pub struct Body {
     content: Content,
-    /// Values that are dropped with the body, so that a request counts as in progress until its
-    /// last byte is written rather than its head.
+    /// Values that are dropped with the body, once its last byte was taken.
     guards: Vec<Box<dyn Any>>,
+    /// The request, which is in progress until its response is written.
+    running: Option<requests::Guard>,
 }
 
 enum Content {
@@ -59,10 +62,26 @@
         self.guards.push(Box::new(guard));
     }
 
+    /// Sets the request that the response belongs to.
+    pub fn set_running(&mut self, running: requests::Guard) {
+        self.running = Some(running);
+    }
+
+    /// Takes the request that the response belongs to.
+    pub fn take_running(&mut self) -> Option<requests::Guard> {
+        self.running.take()
+    }
+
+    /// Returns whether all bytes of the body are known.
+    pub fn is_whole(&self) -> bool {
+        matches!(self.content, Content::Whole(_))
+    }
+
     fn new(content: Content) -> Body {
         Body {
             content,
             guards: Vec::new(),
+            running: None,
         }
     }
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -57,7 +57,10 @@
     fleet::Fleet,
     initial_sync::InitialSync,
     lookups::CacheLookup,
-    meter::Gauges,
+    meter::{
+        self,
+        Gauges, //
+    },
     peers::{
         Channels,
         Outgoing,
@@ -66,7 +69,10 @@
     },
     protocol::Protocol,
     queue::Queue,
-    requests::Stage,
+    requests::{
+        Closer,
+        Stage, //
+    },
     retry_budget::RetryBudgets,
     rollout::Report,
     sender::Sender,
@@ -374,12 +380,15 @@
         }
         for request in context.requests.all() {
             let admitted = context.shutdown.elapsed_until(request.arrived);
+            meter::answer_cut(Closer::Exit, request.work());
             note!(
                 forwarding::CUT_OFF,
                 id = request.id().as_str(),
                 route = request.route().as_deref(),
                 stage = request.stage().name(),
                 server = request.server().as_deref(),
+                work = request.work().name(),
+                silence_ms = request.silence().map(|time| time.as_millis() as u64),
                 stopping_ms = admitted.map(|time| time.as_millis() as u64),
                 ms = request.arrived.elapsed().as_millis() as u64
             );
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -83,7 +83,7 @@
         connection: &Connection,
         pause: Duration,
     ) -> Response<Body> {
-        let running = self.requests.begin();
+        let running = self.requests.begin(connection.closer());
         let progress = running.progress.clone();
         let handled = async {
             if !pause.is_zero() {
@@ -108,7 +108,10 @@
             () = cut_off => self.final_response(&progress),
         };
         running.progress.answering();
-        response.body_mut().hold(running);
+        if response.body().is_whole() {
+            running.progress.complete();
+        }
+        response.body_mut().set_running(running);
         response
     }
 
@@ -116,7 +119,9 @@
     fn final_response(&self, progress: &Running) -> Response<Body> {
         let refusal = match progress.stage() {
             requests::Stage::Receiving | requests::Stage::Waiting => self.shutting_down(),
-            requests::Stage::Sent | requests::Stage::Answering => Refusal::CutOff,
+            requests::Stage::Sent | requests::Stage::Answering | requests::Stage::Writing => {
+                Refusal::CutOff
+            }
         };
         refusal.respond(&progress.id(), progress.arrived, &self.document_info())
     }
--- a/components/gateway/src/meter.rs
+++ b/components/gateway/src/meter.rs
@@ -10,12 +10,23 @@
 };
 use names::Service;
 
+use crate::requests::{
+    Closer,
+    Work, //
+};
+
 /// Counts a finished request by outcome, and records its duration.
 pub fn outcome(outcome: &'static str, time: Duration) {
     counter!("medlarhatch_requests_total", "outcome" => outcome).increment(1);
     histogram!("medlarhatch_request_seconds", "outcome" => outcome).record(time);
 }
 
+/// Counts an answer that a caller didn't get whole, by who ended it and what its server did.
+pub fn answer_cut(closer: Closer, work: Work) {
+    counter!("medlarhatch_answers_cut_total", "by" => closer.name(), "work" => work.name())
+        .increment(1);
+}
+
 /// Counts a request that the gateway rejected.
 pub fn refused(reason: &'static str) {
     counter!("medlarhatch_refusals_total", "reason" => reason).increment(1);
@@ -149,7 +160,7 @@
     /// Requests in progress.
     pub running: usize,
     /// Requests in progress by the name of their stage.
-    pub by_stage: [(&'static str, usize); 4],
+    pub by_stage: [(&'static str, usize); 5],
     /// Version of the current document.
     pub document: u64,
     /// Time since the document was last confirmed.
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -96,6 +96,7 @@
         Refusal, //
     },
     repeat::Repeat,
+    requests::Closer,
     retry_budget::Permit,
     rollout::{
         Selection,
@@ -745,6 +746,7 @@
                 }
             };
             let Some(error) = error else {
+                call.progress.complete();
                 let time = began.elapsed();
                 end(Outcome::Served { time });
                 context.fleet.borrow_mut().mark_alive(&server);
@@ -758,6 +760,15 @@
             context.sender.report_excess(Some(id), &server, &error);
             end(Outcome::Failed);
             context.fleet.borrow_mut().suspect(&server, Suspicion::Disconnected);
+            call.progress.left();
+            meter::answer_cut(Closer::Response, call.progress.work());
+            note!(
+                forwarding::INCOMPLETE,
+                id = id,
+                reason = error.to_string().as_str(),
+                server = server.as_str(),
+                ms = call.arrived.elapsed().as_millis() as u64
+            );
             yield Err(Abort);
         })
     }
--- a/components/gateway/src/requests.rs
+++ b/components/gateway/src/requests.rs
@@ -6,7 +6,8 @@
         RefCell, //
     },
     collections::BTreeMap,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use names::{
@@ -27,15 +28,18 @@
     Sent,
     /// The head of its response was returned.
     Answering,
+    /// Its whole response was returned, and isn't written yet.
+    Writing,
 }
 
 impl Stage {
     /// All stages.
-    pub const ALL: [Stage; 4] = [
+    pub const ALL: [Stage; 5] = [
         Stage::Receiving,
         Stage::Waiting,
         Stage::Sent,
         Stage::Answering,
+        Stage::Writing,
     ];
 
     /// Returns the name of the stage, for logs and metrics.
@@ -45,6 +49,59 @@
             Stage::Waiting => "waiting",
             Stage::Sent => "sent",
             Stage::Answering => "answering",
+            Stage::Writing => "writing",
+        }
+    }
+}
+
+/// What backend servers do with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Work {
+    /// No server has it.
+    #[default]
+    None,
+    /// It was sent to a server, which hasn't answered it completely.
+    Sent,
+    /// Its response is complete here.
+    Complete,
+}
+
+impl Work {
+    /// Returns the name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Work::None => "none",
+            Work::Sent => "sent",
+            Work::Complete => "complete",
+        }
+    }
+}
+
+/// Who closes the connection of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Closer {
+    /// The caller, or the network.
+    #[default]
+    Caller,
+    /// This process, as the connection is idle.
+    Idle,
+    /// This process, as others need the room.
+    Room,
+    /// This process, as the response can't be completed.
+    Response,
+    /// The exit of this process.
+    Exit,
+}
+
+impl Closer {
+    /// Returns the name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Closer::Caller => "caller",
+            Closer::Idle => "idle",
+            Closer::Room => "room",
+            Closer::Response => "response",
+            Closer::Exit => "exit",
         }
     }
 }
@@ -58,6 +115,11 @@
     route: RefCell<Option<Route>>,
     stage: Cell<Stage>,
     server: RefCell<Option<Server>>,
+    work: Cell<Work>,
+    /// When its server was last heard, or the request was sent to it.
+    heard: Cell<Option<Instant>>,
+    /// Who closes the connection that it came on.
+    closer: Rc<Cell<Closer>>,
     is_cut_off: Cell<bool>,
     bad_versions: RefCell<Vec<Version>>,
 }
@@ -77,6 +139,8 @@
     /// Records that the request is being sent to a server.
     pub fn sent(&self, server: &Server) {
         *self.server.borrow_mut() = Some(server.clone());
+        self.work.set(Work::Sent);
+        self.heard();
         // A stream that goes on at another server has an answer that began.
         if self.stage.get() != Stage::Answering {
             self.stage.set(Stage::Sent);
@@ -88,6 +152,41 @@
         self.stage.set(Stage::Answering);
     }
 
+    /// Records that the whole response was returned, and isn't written yet.
+    pub fn writing(&self) {
+        self.stage.set(Stage::Writing);
+    }
+
+    /// Records that its server sent something.
+    pub fn heard(&self) {
+        self.heard.set(Some(Instant::now()));
+    }
+
+    /// Records that no server has the request any more.
+    pub fn left(&self) {
+        self.work.set(Work::None);
+    }
+
+    /// Records that the response is complete here.
+    pub fn complete(&self) {
+        self.work.set(Work::Complete);
+    }
+
+    /// Returns what servers do with the request.
+    pub fn work(&self) -> Work {
+        self.work.get()
+    }
+
+    /// Returns the time since its server was last heard.
+    pub fn silence(&self) -> Option<Duration> {
+        Some(self.heard.get()?.elapsed())
+    }
+
+    /// Returns who closes the connection of the request.
+    pub fn closer(&self) -> Closer {
+        self.closer.get()
+    }
+
     /// Records that the request gets its final response because the process exits.
     pub fn cut_off(&self) {
         self.is_cut_off.set(true);
@@ -138,8 +237,9 @@
 }
 
 impl Requests {
-    /// Adds a request, which is in progress until the guard is dropped.
-    pub fn begin(self: &Rc<Self>) -> Guard {
+    /// Adds a request, which is in progress until the guard is dropped. `closer` tells who closes its
+    /// connection.
+    pub fn begin(self: &Rc<Self>, closer: Rc<Cell<Closer>>) -> Guard {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
         let progress = Rc::new(Running {
@@ -148,6 +248,9 @@
             route: RefCell::default(),
             stage: Cell::new(Stage::Receiving),
             server: RefCell::default(),
+            work: Cell::default(),
+            heard: Cell::default(),
+            closer,
             is_cut_off: Cell::new(false),
             bad_versions: RefCell::default(),
         });
--- a/components/gateway/src/stream/abandon_guard.rs
+++ b/components/gateway/src/stream/abandon_guard.rs
@@ -39,10 +39,17 @@
         if self.done || self.progress.is_cut_off() {
             return;
         }
+        let progress = &self.progress;
         meter::outcome("abandoned", self.arrived.elapsed());
+        meter::answer_cut(progress.closer(), progress.work());
         note!(
             forwarding::ABANDONED,
             id = self.id.as_str(),
+            by = progress.closer().name(),
+            stage = progress.stage().name(),
+            server = progress.server().as_deref(),
+            work = progress.work().name(),
+            silence_ms = progress.silence().map(|time| time.as_millis() as u64),
             ms = self.arrived.elapsed().as_millis() as u64
         );
     }
--- a/components/gateway/src/stream/delivery.rs
+++ b/components/gateway/src/stream/delivery.rs
@@ -21,7 +21,8 @@
 use crate::{
     body::Abort,
     meter,
-    protocol::Protocol, //
+    protocol::Protocol,
+    requests::Closer, //
 };
 
 impl<P: Protocol + 'static> Session<P> {
@@ -49,12 +50,20 @@
             };
             self.abandon_guard.done = true;
             meter::outcome("cut", self.call.arrived.elapsed());
+            let progress = &self.call.progress;
+            meter::answer_cut(Closer::Response, progress.work());
+            let stopping = self.context.shutdown.has_begun();
+            let stopping = stopping.then(|| self.context.shutdown.elapsed());
             note!(
                 forwarding::INCOMPLETE,
                 id = self.call.request.metadata.id.as_str(),
                 reason = reason,
                 attempts = self.ran_at.len(),
                 last = self.sequence.last(),
+                server = progress.server().as_deref(),
+                work = progress.work().name(),
+                silence_ms = progress.silence().map(|time| time.as_millis() as u64),
+                stopping_ms = stopping.map(|time| time.as_millis() as u64),
                 ms = self.call.arrived.elapsed().as_millis() as u64
             );
             yield Err(Abort);
@@ -85,6 +94,7 @@
 
     /// Records the end of a complete answer.
     fn finish(&self, run: Run) {
+        self.call.progress.complete();
         if run.is_certainly_complete() {
             let survived = Observation::Survived;
             self.context.record_life(&self.call, survived);
--- a/components/gateway/src/stream/run.rs
+++ b/components/gateway/src/stream/run.rs
@@ -403,6 +403,7 @@
         run.last_received = now;
         run.silent_since = now;
         run.last_alive = now;
+        self.call.progress.heard();
         self.context.record_heard(&run.target.server);
         if run.events == 0 {
             run.in_flight.prompt_processed(run.began.elapsed());
@@ -423,6 +424,7 @@
     fn log_loss(&self, run: &Run, loss: Loss) {
         meter::loss(loss.name());
         meter::send("lost");
+        self.call.progress.left();
         let server = &run.target.server;
         let mut fleet = self.context.fleet.borrow_mut();
         if loss.is_unreachable() {
--- a/components/gateway/src/stream/run/start.rs
+++ b/components/gateway/src/stream/run/start.rs
@@ -342,6 +342,7 @@
         self.context
             .record_reply(&run.target, head.status, &reply, run.unanswered.run.sent_at);
         if reply.not_run {
+            self.call.progress.left();
             run.unanswered.close();
             if let Some(trial) = &mut run.trial {
                 trial.cancel();
