gateway: a response ends when it is written, not when it is taken

Callers saw answers that end early: at the exit of a process that had the whole answer, as idle while they read it, or with a reset after they had begun their next request.

Cause: a connection counted a response as ended once its last piece was taken from its body, which for a whole answer is before its first byte is written. From then on the connection was idle, its memory was released, and the exit dropped what was left without a line. Connections were also closed with bytes of the caller unread, which resets them.

Now the request, its charge on the account and the mark that the connection is busy are held until all is flushed. A connection is closed as idle only if its caller takes nothing for the idle timeout.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -43,9 +43,11 @@
     server::conn::http1,
     service::service_fn, //
 };
+use rustix::net::sockopt;
 use tokio::{
     io::{
         AsyncRead,
+        AsyncReadExt,
         AsyncWrite,
         ReadBuf, //
     },
@@ -66,6 +68,7 @@
 use crate::{
     account::{
         self,
+        Charge,
         Connection, //
     },
     context::Context,
@@ -96,6 +99,16 @@
 /// once would take the processor otherwise; they wait in the queue of the listener.
 const FULL_PAUSE: Duration = Duration::from_millis(2);
 
+/// Time after the last response within which a caller closes its connection.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Size of the buffer in which the kernel keeps what a caller hasn't taken when the process exits, in
+/// bytes. Systems allow less.
+const EXIT_SEND_BUFFER: usize = 1 << 20;
+
+/// Interval at which received bytes are discarded before the exit.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for the rest of the body of a request that has its response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -144,25 +157,38 @@
     request_began: Cell<Option<Instant>>,
     /// Whether the last response asked its caller to come back later, and nothing was read since.
     is_refused: Cell<bool>,
-    /// Requests whose responses were taken and aren't written yet.
-    unwritten: RefCell<Vec<requests::Guard>>,
+    /// Responses that were taken and aren't written yet.
+    unwritten: RefCell<Vec<Pending>>,
+    /// Since when the caller has taken nothing of what is written.
+    blocked_since: Cell<Option<Instant>>,
 }
 
-/// Keeps a request in progress until its response is written, once the body is dropped that holds this.
+/// What a response holds until it is written.
+struct Pending {
+    /// The request that it answers.
+    running: Option<requests::Guard>,
+    _active: Rc<ActiveGuard>,
+    _charge: Charge,
+}
+
+/// Part of a response's body. The connection keeps what is pending once the body is dropped, which is
+/// when its last byte was taken.
 struct Unwritten {
     progress: Rc<Progress>,
-    running: Option<requests::Guard>,
+    pending: Option<Pending>,
 }
 
 impl Drop for Unwritten {
     fn drop(&mut self) {
-        let Some(running) = self.running.take() else {
+        let Some(pending) = self.pending.take() else {
             return;
         };
-        if running.progress.work() == Work::Complete {
+        if let Some(running) = &pending.running
+            && running.progress.work() == Work::Complete
+        {
             running.progress.writing();
         }
-        self.progress.unwritten.borrow_mut().push(running);
+        self.progress.unwritten.borrow_mut().push(pending);
     }
 }
 
@@ -171,7 +197,10 @@
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        for running in self.0.unwritten.take() {
+        for pending in self.0.unwritten.take() {
+            let Some(running) = &pending.running else {
+                continue;
+            };
             let request = &running.progress;
             if request.stage() != Stage::Writing {
                 // A response that broke off is logged by its handler.
@@ -202,6 +231,7 @@
             request_began: Cell::default(),
             is_refused: Cell::default(),
             unwritten: RefCell::default(),
+            blocked_since: Cell::default(),
         }
     }
 
@@ -218,6 +248,12 @@
     fn is_running(&self) -> bool {
         self.running.get() > 0
     }
+
+    /// Returns whether the caller has taken nothing of its response for a while.
+    fn is_stuck(&self, idle_timeout: Duration) -> bool {
+        let since = self.blocked_since.get();
+        since.is_some_and(|since| since.elapsed() >= idle_timeout)
+    }
 }
 
 impl ActiveGuard {
@@ -286,17 +322,20 @@
                 let running = response.body_mut().take_running();
                 response.body_mut().hold(Unwritten {
                     progress: progress.clone(),
-                    running,
+                    pending: Some(Pending {
+                        running,
+                        _active: active,
+                        _charge: charge,
+                    }),
                 });
-                response.body_mut().hold(charge);
-                response.body_mut().hold(active);
                 progress.is_refused.set(is_refusal(&response));
                 Ok::<_, Infallible>(response)
             })
         })
     };
+    let socket = Rc::new(RefCell::new(stream));
     let caller_stream = CallerStream {
-        inner: stream,
+        inner: socket.clone(),
         progress: Some(progress.clone()),
     };
     let _guard = ConnectionGuard(progress.clone());
@@ -304,11 +343,24 @@
     let connection = http1::Builder::new()
         .max_buf_size(max_header_bytes.max(8192))
         .serve_connection(caller_stream, service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = Box::pin(connection);
+    let mut exits = false;
     loop {
         let next = next_check(&progress, idle_timeout, header_timeout);
         tokio::select! {
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                drop(connection);
+                if let (Ok(()), Some(socket)) = (ended, Rc::into_inner(socket)) {
+                    let limit = discard_limit(&context);
+                    linger(socket.into_inner(), limit, &progress.connection).await;
+                }
+                return;
+            }
+            () = context.shutdown.cutoff().cancelled(), if !exits => {
+                exits = true;
+                widen(&socket.borrow());
+            }
+            () = sleep(EXIT_POLL_INTERVAL), if exits => discard_received(&socket.borrow()),
             () = progress.connection.closed() => {
                 progress.connection.set_closer(Closer::Room);
                 return;
@@ -318,13 +370,15 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep_until(next) => {
-                if progress.is_running()
-                    || next_check(&progress, idle_timeout, header_timeout) > Instant::now()
+                let is_stuck = progress.is_stuck(idle_timeout);
+                if !is_stuck
+                    && (progress.is_running()
+                        || next_check(&progress, idle_timeout, header_timeout) > Instant::now())
                 {
                     continue;
                 }
                 progress.connection.set_closer(Closer::Idle);
-                if progress.request_began.get().is_some() || closing {
+                if is_stuck || progress.request_began.get().is_some() || closing {
                     return;
                 }
                 closing = true;
@@ -334,6 +388,38 @@
     }
 }
 
+/// Reads what the caller of a connection still sends after the last response, until it closes the
+/// connection too. With bytes unread the close would be a reset, which takes away what the caller hasn't
+/// received.
+async fn linger(mut stream: TcpStream, limit: usize, connection: &Connection) {
+    let reading = async {
+        let (mut bytes, mut length) = ([0; 8192], 0);
+        while let Ok(read @ 1..) = stream.read(&mut bytes).await {
+            length += read;
+            if length > limit {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = connection.closed() => {}
+        () = sleep(LINGER_TIMEOUT) => {}
+    }
+}
+
+/// Makes the kernel take what a caller hasn't taken yet: it sends that on when the process is gone.
+fn widen(stream: &TcpStream) {
+    // A system that can't be told keeps its buffer.
+    let _ = sockopt::set_socket_send_buffer_size(stream, EXIT_SEND_BUFFER);
+}
+
+/// Discards what a connection has received, as a process that exits resets connections with unread bytes.
+fn discard_received(stream: &TcpStream) {
+    let mut bytes = [0; 8192];
+    while let Ok(1..) = stream.try_read(&mut bytes) {}
+}
+
 /// Returns whether a response asks its caller to come back later.
 fn is_refusal<B>(response: &Response<B>) -> bool {
     response.headers().contains_key(RETRY_AFTER)
@@ -381,6 +467,9 @@
 
 /// Returns when the timeouts of the connection have to be checked next.
 fn next_check(progress: &Progress, idle_timeout: Duration, header_timeout: Duration) -> Instant {
+    if let Some(blocked_since) = progress.blocked_since.get() {
+        return blocked_since + idle_timeout;
+    }
     if progress.is_running() {
         return Instant::now() + idle_timeout;
     }
@@ -392,7 +481,7 @@
 
 /// TCP connection in the form that hyper reads and writes. Records when a request begins.
 pub(crate) struct CallerStream {
-    inner: TcpStream,
+    inner: Rc<RefCell<TcpStream>>,
     /// `None` where no timeouts apply.
     progress: Option<Rc<Progress>>,
 }
@@ -400,7 +489,7 @@
 impl CallerStream {
     pub(crate) fn new(inner: TcpStream) -> CallerStream {
         CallerStream {
-            inner,
+            inner: Rc::new(RefCell::new(inner)),
             progress: None,
         }
     }
@@ -424,23 +513,31 @@
             return;
         };
         match written {
-            Poll::Ready(Ok(length)) => progress.connection.record_progress(*length),
+            Poll::Ready(Ok(length)) => {
+                progress.blocked_since.set(None);
+                progress.connection.record_progress(*length);
+            }
             Poll::Ready(Err(_)) => {}
-            Poll::Pending => progress.connection.record_blocked(),
+            Poll::Pending => {
+                if progress.blocked_since.get().is_none() {
+                    progress.blocked_since.set(Some(Instant::now()));
+                }
+                progress.connection.record_blocked();
+            }
         }
     }
 }
 
 impl Read for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         waker: &mut task::Context<'_>,
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut bytes = [0; 8192];
         let length = cursor.remaining().min(bytes.len());
         let mut buffer = ReadBuf::new(&mut bytes[..length]);
-        ready!(Pin::new(&mut self.inner).poll_read(waker, &mut buffer))?;
+        ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(waker, &mut buffer))?;
         let read = buffer.filled();
         cursor.put_slice(read);
         let length = read.len();
@@ -451,40 +548,37 @@
 
 impl Write for CallerStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         waker: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(waker, bytes);
+        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write(waker, bytes);
         self.record_write(&written);
         written
     }
 
     /// Hyper flushes only once all that it has was written.
-    fn poll_flush(mut self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
         if let Some(progress) = &self.progress {
             progress.unwritten.take();
         }
-        Pin::new(&mut self.inner).poll_flush(waker)
+        Pin::new(&mut *self.inner.borrow_mut()).poll_flush(waker)
     }
 
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        waker: &mut task::Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(waker)
+    fn poll_shutdown(self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(waker)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        self.inner.borrow().is_write_vectored()
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         waker: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write_vectored(waker, slices);
+        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(waker, slices);
         self.record_write(&written);
         written
     }
