gateway: a stream goes back to the server that it left

Class: what is sure is given up before what replaces it is sure. Two servers must not work on one stream for longer, so that the overlap can't last; what can be made sure is the way back. A quiet run at a living server is left only if the budget allows two sends, the second of which is kept for that server until an event of the next run has arrived. Once nothing else takes the stream, it goes back there (1052): the server is known, so that the route's number of servers holds.

--- a/components/admission/src/retries.rs
+++ b/components/admission/src/retries.rs
@@ -106,13 +106,28 @@
         standing: Standing,
         purpose: Purpose,
     ) -> bool {
-        if self.left(now, bound, standing, purpose) < self.needed(now, &standing) {
+        self.retries(now, bound, standing, purpose, 1)
+    }
+
+    /// Takes several retries like [`Retries::retry`], or none if not all of them are available.
+    pub fn retries(
+        &mut self,
+        now: Clock,
+        bound: &Bound,
+        standing: Standing,
+        purpose: Purpose,
+        count: u32,
+    ) -> bool {
+        let needed = self.needed(now, &standing, count);
+        if self.left(now, bound, standing, purpose) < needed {
             return false;
         }
-        self.own.take();
-        self.sent = self.sent.wrapping_add(1);
-        self.sent_at.push_back(now);
-        self.record_local(now, 1);
+        for _ in 0..count {
+            self.own.take();
+            self.sent_at.push_back(now);
+        }
+        self.sent = self.sent.wrapping_add(count);
+        self.record_local(now, count);
         true
     }
 
@@ -122,22 +137,22 @@
         self.own.available(now, bound, peers, purpose)
     }
 
-    /// Returns how many retries must be available for one more. What peers don't count yet, each
+    /// Returns how many retries must be available for `count` more. What peers don't count yet, each
     /// process may take for unused, so that this one takes only its part of it.
-    fn needed(&mut self, now: Clock, standing: &Standing) -> f64 {
+    fn needed(&mut self, now: Clock, standing: &Standing, count: u32) -> f64 {
         while let Some(first) = self.sent_at.front()
             && now.saturating_sub(*first) > CONFIRMATION_HISTORY
         {
             self.sent_at.pop_front();
         }
         let Some(confirmed_at) = standing.confirmed_at else {
-            return 1.0;
+            return f64::from(count);
         };
         let unconfirmed = self.sent_at.iter().rev();
         let unconfirmed = unconfirmed.take_while(|at| **at >= confirmed_at).count();
         let others = standing.processes.saturating_sub(1);
         // Of what was available before the unconfirmed ones, this process takes one part in all.
-        1.0 + (unconfirmed + 1) as f64 * others as f64
+        f64::from(count) + (unconfirmed as f64 + f64::from(count)) * others as f64
     }
 
     /// Records that a retry has arrived at its server, or won't any more.
--- a/components/answer/src/loss.rs
+++ b/components/answer/src/loss.rs
@@ -88,6 +88,11 @@
         matches!(self, Loss::Closed | Loss::Reset) && events == 0 && age < MIN_PREFILL_AGE
     }
 
+    /// Returns whether the run is given up at a server that is taken to be alive.
+    pub fn leaves_living_server(self) -> bool {
+        matches!(self, Loss::Silent | Loss::Slow)
+    }
+
     /// Returns whether the run was given up, as the server sent nothing.
     pub fn is_silent(self) -> bool {
         self.may_go_on() || self == Loss::Gone
--- a/components/events/src/forwarding.rs
+++ b/components/events/src/forwarding.rs
@@ -102,6 +102,8 @@
     KEPT = 1050, Info, "Quiet run is kept";
     /// The connection of a request was closed before the caller had taken its whole answer.
     UNWRITTEN = 1051, Warn, "Connection closed before the answer was written";
+    /// A stream whose replacement failed goes on at the server that it left.
+    WENT_BACK = 1052, Info, "Stream goes back to the server that it left";
 
     /// A document took effect in this process.
     DOCUMENT_IN_FORCE = 1100, Info, "Document is in force";
--- a/components/gateway/src/context.rs
+++ b/components/gateway/src/context.rs
@@ -192,6 +192,13 @@
         Some(Permit::default())
     }
 
+    /// Counts the replacement of a quiet run, and the way back to its server. Returns `None` when the
+    /// retry budget doesn't allow both.
+    pub fn may_replace(&self, service: &Service) -> Option<(Permit, Permit)> {
+        let bound = self.settings.borrow().bounds.retries();
+        Permit::replacement(&self.retry_budgets, service, &bound)
+    }
+
     /// Returns why no server could be chosen for a request: none takes it, or all that could want no
     /// requests or limit their request rates.
     pub fn unplaced_refusal(&self, service: &Service) -> Refusal {
--- a/components/gateway/src/retry_budget.rs
+++ b/components/gateway/src/retry_budget.rs
@@ -90,15 +90,41 @@
         bound: &Bound,
         purpose: Purpose,
     ) -> Option<Permit> {
-        let left = budgets.borrow_mut().take_retry(service, bound, purpose)?;
-        Some(Permit {
+        let left = budgets
+            .borrow_mut()
+            .take_retries(service, bound, purpose, 1)?;
+        Some(Permit::taken(budgets, service, bound, left))
+    }
+
+    /// Takes two retries like [`Permit::retry`], or none: one for the replacement of a quiet run, and one
+    /// for the way back to its server.
+    pub fn replacement(
+        budgets: &Rc<RefCell<RetryBudgets>>,
+        service: &Service,
+        bound: &Bound,
+    ) -> Option<(Permit, Permit)> {
+        let purpose = Purpose::QuietRun;
+        let left = budgets
+            .borrow_mut()
+            .take_retries(service, bound, purpose, 2)?;
+        let permit = || Permit::taken(budgets, service, bound, left);
+        Some((permit(), permit()))
+    }
+
+    fn taken(
+        budgets: &Rc<RefCell<RetryBudgets>>,
+        service: &Service,
+        bound: &Bound,
+        left: f64,
+    ) -> Permit {
+        Permit {
             taken: Some(Taken {
                 budgets: budgets.clone(),
                 service: beacon::id(service),
                 bound: *bound,
                 left,
             }),
-        })
+        }
     }
 
     /// Returns the number of retries that the budget had left once it was taken; `None` for the first
@@ -130,13 +156,19 @@
             .request(clock::now(), bound);
     }
 
-    /// Takes a retry from the budget, and returns how many are left; `None` if it is used up.
-    fn take_retry(&mut self, service: &Service, bound: &Bound, purpose: Purpose) -> Option<f64> {
+    /// Takes retries from the budget, and returns how many are left; `None` if there aren't as many.
+    fn take_retries(
+        &mut self,
+        service: &Service,
+        bound: &Bound,
+        purpose: Purpose,
+        count: u32,
+    ) -> Option<f64> {
         let now = clock::now();
         let standing = self.accounts.standing(now, bound.window);
         let are_complete = self.accounts.are_complete(now, bound.window);
         let retries = self.budget(beacon::id(service));
-        let granted = retries.retry(now, bound, standing, purpose);
+        let granted = retries.retries(now, bound, standing, purpose, count);
         // A quiet run that goes on asks again and again.
         if !granted && purpose == Purpose::QuietRun {
             return None;
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -89,6 +89,8 @@
         has_head: false,
         declined_beside: 0,
         unused: Vec::new(),
+        left: None,
+        way_back: None,
         ticket: None,
         repeat: None,
         unreachable_in_row: 0,
@@ -140,6 +142,10 @@
     declined_beside: u32,
     /// Permits of sends that reached no server.
     unused: Vec<Permit>,
+    /// Server that was left although it may go on, while no other run has begun.
+    left: Option<Target>,
+    /// Permit for the way back to it.
+    way_back: Option<Permit>,
     /// Ticket of a request that runs beside no other.
     ticket: Option<Ticket>,
     /// Why the next send is one more.
@@ -178,7 +184,10 @@
         let mut first = true;
         let mut retries_spent = false;
         loop {
-            let chosen = self.choose_allowed(&mut resumption).await;
+            let chosen = match declined > MAX_DECLINED_SENDS {
+                true => None,
+                false => self.choose_allowed(&mut resumption).await,
+            };
             if let Some((target, _)) = chosen.as_ref().filter(|_| self.ran_at.is_empty()) {
                 if !self.context.may_begin(&self.call) {
                     return Err(self.call.refuse(&self.context.shutting_down()));
@@ -192,6 +201,10 @@
                 retries_spent = permit.is_none();
                 permit.map(|permit| (target, copy, permit))
             });
+            let next = match next {
+                None if quiet.is_none() => self.go_back(),
+                next => next,
+            };
             let started = match (next, quiet.take()) {
                 (Some((target, copy, permit)), quiet) => {
                     first = false;
@@ -235,7 +248,7 @@
                 Start::Unreachable | Start::Replaced => self.count_unreachable().await,
                 Start::Declined => {
                     declined += 1;
-                    if declined > MAX_DECLINED_SENDS {
+                    if declined > MAX_DECLINED_SENDS && self.left.is_none() {
                         break;
                     }
                 }
--- a/components/gateway/src/stream/delivery.rs
+++ b/components/gateway/src/stream/delivery.rs
@@ -90,6 +90,8 @@
         self.last_event = now;
         self.declined_beside = 0;
         self.unused.clear();
+        self.left = None;
+        self.way_back = None;
     }
 
     /// Records the end of a complete answer.
--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -88,6 +88,13 @@
             (true, Loss::Unreachable) => {}
             (true, _) => return Err(Denial::Occupied),
         }
+        if loss.leaves_living_server() && self.way_back.is_none() {
+            let permits = self.context.may_replace(&self.call.service);
+            let (permit, way_back) = permits.ok_or(Denial::RetriesSpent)?;
+            self.unused.push(permit);
+            self.way_back = Some(way_back);
+            return Ok(());
+        }
         let purpose = match loss {
             Loss::Silent | Loss::Slow => Purpose::QuietRun,
             _ if self.has_head => Purpose::Resume,
@@ -127,6 +134,27 @@
         Ok(())
     }
 
+    /// Returns the server that was left, and the permit to send the request there again, once no other
+    /// one takes it.
+    pub(super) fn go_back(&mut self) -> Option<(Target, Option<KvCopy>, Permit)> {
+        let (target, permit) = (self.left.take()?, self.way_back.take()?);
+        if self.timed_out() || self.context.is_held(&self.call) {
+            return None;
+        }
+        let fleet = self.context.fleet.borrow();
+        let takes_it = fleet.accepts_work(&target.server) && fleet.allows_request(&target.server);
+        drop(fleet);
+        if !takes_it {
+            return None;
+        }
+        note!(
+            forwarding::WENT_BACK,
+            id = self.call.request.metadata.id.as_str(),
+            server = target.server.as_str()
+        );
+        Some((target, None, permit))
+    }
+
     /// Prepares the resumption of a stream whose run is lost. Returns the run if it may go on until
     /// another one begins.
     pub(super) async fn set_aside(
@@ -179,6 +207,8 @@
             None => None,
             Some(Err(failed)) => Some(failed),
             Some(Ok(run)) => {
+                let left = quiet.loss.leaves_living_server();
+                self.left = left.then(|| quiet.run.target.clone());
                 let mut head = std::pin::pin!(self.await_head(run));
                 tokio::select! {
                     biased;
@@ -226,6 +256,7 @@
     pub(super) async fn go_on(&mut self, quiet: Quiet) -> Result<Start, Box<Run>> {
         let mut run = quiet.run;
         run.keep();
+        self.left = None;
         self.last_lost = None;
         self.call.progress.sent(&run.target.server);
         match run.has_head() {
--- a/components/gateway/src/stream/resumption.rs
+++ b/components/gateway/src/stream/resumption.rs
@@ -133,15 +133,23 @@
         self.selection = self.context.select_resumed(&self.call.service);
         let mut declined = 0;
         while !self.timed_out() {
-            let chosen = self.choose_allowed(&mut resumption).await;
+            let chosen = match declined > MAX_DECLINED_SENDS {
+                true => None,
+                false => self.choose_allowed(&mut resumption).await,
+            };
             let denial = match chosen {
                 Some(_) => Denial::RetriesSpent,
+                None if declined > MAX_DECLINED_SENDS => Denial::Declined,
                 None => self.denial(),
             };
             let next = chosen.and_then(|(target, copy)| {
                 let permit = self.may_send(false, Purpose::Resume)?;
                 Some((target, copy, permit))
             });
+            let next = match next {
+                None if quiet.is_none() => self.go_back(),
+                next => next,
+            };
             let started = match (next, quiet.take()) {
                 (Some((target, copy, permit)), quiet) => {
                     let ticket = self.ticket.take();
@@ -187,7 +195,7 @@
                 Start::Unreachable | Start::Replaced => self.count_unreachable().await,
                 Start::Declined => {
                     declined += 1;
-                    if declined > MAX_DECLINED_SENDS {
+                    if declined > MAX_DECLINED_SENDS && self.left.is_none() {
                         return Err(Denial::Declined);
                     }
                 }
