gateway: a run isn't left for one that begins after the exit

Callers of a stopping process saw streams cut off whose server was about to go on: a run that was quiet for 525 ms was left for one that couldn't begin before the exit. The server that was left had ended its work by then, so that nothing excuses the cut, while streams beside it whose servers stay are cut within the last sixth of the grace time: this sets some of the streams that an exit names apart from the others.

A run at a living server is now replaced only if the other one is expected to begin before the exit, by the time that the server needs for the prompt, or the route's objective where that isn't known.

--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -17,7 +17,10 @@
     note, //
 };
 use routing::placement::Request;
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use super::{
     Denial, MAX_DECLINED_SENDS, Session,
@@ -84,7 +87,7 @@
         }
         // A server that accepts no connection may have crashed; a held request waits for that.
         match (self.context.is_held(&self.call), loss) {
-            (false, _) => self.check_replacement(run)?,
+            (false, _) => self.check_replacement(run, loss)?,
             (true, Loss::Unreachable) => {}
             (true, _) => return Err(Denial::Occupied),
         }
@@ -106,7 +109,7 @@
     }
 
     /// Checks whether another server may take the stream.
-    fn check_replacement(&self, run: &Run) -> Result<(), Denial> {
+    fn check_replacement(&self, run: &Run, loss: Loss) -> Result<(), Denial> {
         let occupied = self.context.occupied_servers(&self.call);
         let data_centre = self.context.settings.borrow().data_centre.clone();
         let avoid = self.tried.iter().chain(&occupied).cloned();
@@ -124,6 +127,9 @@
         if occupied.contains(&target.server) {
             return Err(Denial::Occupied);
         }
+        if loss.leaves_living_server() && !self.begins_before_exit(&target) {
+            return Err(Denial::Stopping);
+        }
         let servers = &self.ran_at;
         let runs_here = !servers.contains(&run.target.server);
         let is_known = servers.contains(&target.server);
@@ -134,6 +140,22 @@
         Ok(())
     }
 
+    /// Returns whether a run at a server is expected to begin before this process exits.
+    fn begins_before_exit(&self, target: &Target) -> bool {
+        let grace = self.context.settings.borrow().bounds.grace;
+        let Some(cutoff_at) = self.context.shutdown.cutoff_at(grace) else {
+            return true;
+        };
+        let fleet = self.context.fleet.borrow();
+        let cached = fleet.cached_tokens(self.parts(), &target.server);
+        let prefill_tokens = self.remaining_work().prefill_tokens.saturating_sub(cached);
+        let expected = match fleet.unloaded_first_event(target, prefill_tokens) {
+            Duration::ZERO => self.call.pass.objective,
+            known => known,
+        };
+        Instant::now() + expected < cutoff_at
+    }
+
     /// Returns the server that was left, and the permit to send the request there again, once no other
     /// one takes it.
     pub(super) fn go_back(&mut self) -> Option<(Target, Option<KvCopy>, Permit)> {
--- a/components/gateway/src/stream/resumption.rs
+++ b/components/gateway/src/stream/resumption.rs
@@ -49,6 +49,8 @@
     Poisonous,
     /// It may only run beside no other, or each server has a run that must live first.
     Occupied,
+    /// Another run wouldn't begin before the exit of this process.
+    Stopping,
     /// Its time is over.
     TimedOut,
 }
@@ -64,6 +66,7 @@
             Denial::Declined => "declined",
             Denial::Poisonous => "poisonous",
             Denial::Occupied => "occupied",
+            Denial::Stopping => "stopping",
             Denial::TimedOut => "late",
         }
     }
