gateway: a caller that waits for its answer isn't idle

A caller that reads 5 KB a second was cut off 38 s after its request: its kernel tells of the room that it has in steps of some 64 KB, so that nothing could be written for longer than the idle timeout. The connection is now closed only when the time of the request is over too.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -249,10 +249,12 @@
         self.running.get() > 0
     }
 
-    /// Returns whether the caller has taken nothing of its response for a while.
-    fn is_stuck(&self, idle_timeout: Duration) -> bool {
-        let since = self.blocked_since.get();
-        since.is_some_and(|since| since.elapsed() >= idle_timeout)
+    /// Returns when the connection is closed if the caller takes nothing of its response until then: it
+    /// isn't idle while it waits for its answer.
+    fn stuck_at(&self, idle_timeout: Duration) -> Option<Instant> {
+        let stuck_at = self.blocked_since.get()? + idle_timeout;
+        let until = self.connection.until();
+        Some(until.map_or(stuck_at, |until| until.max(stuck_at)))
     }
 }
 
@@ -370,7 +372,8 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep_until(next) => {
-                let is_stuck = progress.is_stuck(idle_timeout);
+                let stuck_at = progress.stuck_at(idle_timeout);
+                let is_stuck = stuck_at.is_some_and(|at| at <= Instant::now());
                 if !is_stuck
                     && (progress.is_running()
                         || next_check(&progress, idle_timeout, header_timeout) > Instant::now())
@@ -467,8 +470,8 @@
 
 /// Returns when the timeouts of the connection have to be checked next.
 fn next_check(progress: &Progress, idle_timeout: Duration, header_timeout: Duration) -> Instant {
-    if let Some(blocked_since) = progress.blocked_since.get() {
-        return blocked_since + idle_timeout;
+    if let Some(stuck_at) = progress.stuck_at(idle_timeout) {
+        return stuck_at;
     }
     if progress.is_running() {
         return Instant::now() + idle_timeout;
--- a/components/gateway/src/account.rs
+++ b/components/gateway/src/account.rs
@@ -348,6 +348,16 @@
         self.holder.closer.set(closer);
     }
 
+    /// Sets until when the caller waits for the answer to its request.
+    pub fn set_until(&self, until: Option<Instant>) {
+        self.holder.until.set(until);
+    }
+
+    /// Returns until when the caller waits for the answer to its request.
+    pub fn until(&self) -> Option<Instant> {
+        self.holder.until.get()
+    }
+
     /// Counts a response, which is delivered whether there is room or not.
     pub fn charge(&self, bytes: usize) -> Charge {
         self.account.take(&self.holder, bytes);
--- a/components/gateway/src/account/holder.rs
+++ b/components/gateway/src/account/holder.rs
@@ -86,6 +86,8 @@
     pub closed: CancellationToken,
     /// Who closes it.
     pub closer: Rc<Cell<Closer>>,
+    /// Until when the caller waits for the answer to its request.
+    pub until: Cell<Option<Instant>>,
 }
 
 impl Holder {
@@ -104,6 +106,7 @@
             refused: RefCell::default(),
             closed: CancellationToken::new(),
             closer: Rc::default(),
+            until: Cell::default(),
         }
     }
 
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -84,6 +84,7 @@
         pause: Duration,
     ) -> Response<Body> {
         let running = self.requests.begin(connection.closer());
+        connection.set_until(None);
         let progress = running.progress.clone();
         let handled = async {
             if !pause.is_zero() {
@@ -219,6 +220,7 @@
         let read = reading.read_body(&parts, body).await;
         let (body, hold) = read.map_err(refuse)?;
         progress.received(&route);
+        connection.set_until(Some(arrived + limit));
         let engine = Self::engine(index, &service);
         Ok(Call {
             backups: engine.is_some_and(|engine| engine.backups),
