metering: samples of histograms are added up while nobody reads the metrics

The recorder keeps each sample until the metrics are read or its upkeep runs, 18 bytes for each request, so that a process exceeds its memory after some millions of them. It now runs each second in all three daemons, as the library asks.

--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -104,6 +104,7 @@
         })?;
         let metrics = metering::install();
         let state = Arc::new(state(settings, node, stop.clone())?);
+        tokio::spawn(metering::keep_up(metrics.clone(), state.stopped.clone()));
         let (ready, readiness) = watch::channel(Readiness::Waiting("no document yet".into()));
         let callers = http::serve(
             state.settings.callers,
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -327,6 +327,7 @@
         spawn_local(ready.run(readiness, stopped.clone()));
         if let Some(metrics) = metrics {
             let (context, handle) = (self.context.clone(), metering::install());
+            spawn_local(metering::keep_up(handle.clone(), stopped.clone()));
             let respond = Rc::new(move || {
                 gauges(&context).set();
                 (StatusCode::OK, handle.render())
--- a/components/sidecar/src/daemon.rs
+++ b/components/sidecar/src/daemon.rs
@@ -93,9 +93,11 @@
         let stopped = CancellationToken::new();
         let state = Arc::new(state(settings, stop.clone())?);
         let (ready, readiness) = watch::channel(Readiness::Waiting("backend server unseen".into()));
+        let metrics = metering::install();
+        tokio::spawn(metering::keep_up(metrics.clone(), stopped.clone()));
         let served = http::serve(
             state.context.settings.operators,
-            probe::router(metering::install(), readiness),
+            probe::router(metrics, readiness),
             http::Limits::default(),
             stopped.clone(),
         )
