gateway: watched requests whose callers left are bounded

A process kept some 10 KB for each plain request whose caller left before its answer, for as long as its server answered others: the watch waited for the server to be silent, which a busy one never is. 273 such callers a second made it exceed its memory within a minute.

A request that was given up is now watched until its server was heard a second later, the time after which a request counts as survived, or the server falls silent; at most 1,024 at a time.

--- a/components/gateway/src/crash_watch.rs
+++ b/components/gateway/src/crash_watch.rs
@@ -11,7 +11,10 @@
     time::Duration, //
 };
 
-use contract::poison::evidence::Stage;
+use contract::poison::evidence::{
+    PROBATION,
+    Stage, //
+};
 use events::{
     forwarding,
     note, //
@@ -192,15 +195,36 @@
                 () = self.crashes.notify.notified() => {}
             }
             for run in std::mem::take(&mut *self.crashes.abandoned.borrow_mut()) {
+                let Some(place) = self.crashes.watch_abandoned() else {
+                    continue;
+                };
                 let context = self.clone();
                 spawn_local(async move {
-                    context.await_silence(&run, run.sent_at).await;
-                    context.check_silence(run);
+                    let _place = place;
+                    let survived = context.await_survival(&run);
+                    let silent = context.await_silence(&run, run.sent_at);
+                    tokio::select! {
+                        biased;
+                        () = survived => {}
+                        () = silent => context.check_silence(run.clone()),
+                    }
                 });
             }
         }
     }
 
+    /// Waits until a server was heard for so long after a request was given up that it has survived it.
+    async fn await_survival(&self, run: &OpenRun) {
+        let survives_at = clock::now() + PROBATION;
+        let is_heard = || {
+            let heard = self.fleet.borrow().heard(&run.target.server);
+            heard.is_some_and(|heard| heard >= survives_at)
+        };
+        while !is_heard() {
+            sleep(PROBATION / 2).await;
+        }
+    }
+
     /// Records that a server sent something.
     pub fn record_heard(&self, server: &Server) {
         self.fleet.borrow_mut().record_heard(server);
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -23,8 +23,9 @@
     trials::Ticket, //
 };
 
-/// Maximum number of abandoned runs that aren't watched yet.
+/// Maximum number of abandoned runs that aren't watched yet, and of those that are.
 const MAX_ABANDONED: usize = 128;
+const MAX_WATCHED_ABANDONED: usize = 1024;
 
 /// Why a server counts as crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,6 +101,18 @@
     /// Unanswered runs of requests that were given up.
     pub abandoned: RefCell<Vec<OpenRun>>,
     pub notify: Notify,
+    /// Number of abandoned runs that are watched.
+    watched_abandoned: Cell<usize>,
+}
+
+/// Place among the abandoned runs that are watched, until it is dropped.
+pub struct Place(Rc<Crashes>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let watched = &self.0.watched_abandoned;
+        watched.set(watched.get() - 1);
+    }
 }
 
 /// A run that its server hasn't answered. Dropped while it is open, it is watched on.
@@ -170,6 +183,16 @@
         losses.is_some_and(|losses| !losses.is_empty())
     }
 
+    /// Takes a place among the abandoned runs that are watched; `None` if there is none.
+    pub fn watch_abandoned(self: &Rc<Self>) -> Option<Place> {
+        let watched = self.watched_abandoned.get();
+        if watched >= MAX_WATCHED_ABANDONED {
+            return None;
+        }
+        self.watched_abandoned.set(watched + 1);
+        Some(Place(self.clone()))
+    }
+
     /// Takes over the watch of an unanswered run whose request is given up.
     fn abandon(&self, run: OpenRun) {
         let mut abandoned = self.abandoned.borrow_mut();
