gateway: the last tenant's keys are taken away with it

A manifest with an empty list of tenants lifted the need for keys: the keys that it took away went on to work, and any other began to. A request with a key that is no team's is refused now wherever the manifest has such a list; one without a key needs none, as before.

--- a/components/environment/src/document.rs
+++ b/components/environment/src/document.rs
@@ -41,6 +41,9 @@
     /// Limits and priorities by team; `default` applies to teams without an entry.
     #[serde(default)]
     pub teams: BTreeMap<Team, Limit>,
+    /// Whether a request with an API key of no team is refused, although there may be no teams.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub refuses_unknown_keys: bool,
     /// Service levels, against which `report burn` measures.
     #[serde(default)]
     pub levels: Vec<Level>,
--- a/components/environment/src/index.rs
+++ b/components/environment/src/index.rs
@@ -160,6 +160,11 @@
     pub fn requires_api_keys(&self) -> bool {
         !self.document.teams.is_empty()
     }
+
+    /// Returns whether a request with an API key of no team is refused.
+    pub fn refuses_unknown_keys(&self) -> bool {
+        self.document.refuses_unknown_keys || self.requires_api_keys()
+    }
 }
 
 /// Number of ranks that a route can have within a team's rank.
--- a/components/environment/tests/urgency.rs
+++ b/components/environment/tests/urgency.rs
@@ -52,6 +52,7 @@
         services: Vec::new(),
         routes: rules,
         moves: Vec::new(),
+        refuses_unknown_keys: false,
         teams: teams.collect(),
         levels: Vec::new(),
         callers: None,
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -257,7 +257,11 @@
         .route(host, parts.uri.path())
         .ok_or(Refusal::NoRoute)?;
     let team = metadata.key.as_deref().and_then(|key| index.team(key));
-    if team.is_none() && index.requires_api_keys() && !found.pass.public {
+    let needs_team = match &metadata.key {
+        Some(_) => index.refuses_unknown_keys(),
+        None => index.requires_api_keys(),
+    };
+    if team.is_none() && needs_team && !found.pass.public {
         return Err(Refusal::NoKey);
     }
     let service = split_service(found.pass, &found.rule.service, &metadata.id);
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -646,6 +646,7 @@
             rule("stream", "draft", pass(Repeats::Resumes, true)),
         ],
         moves: Vec::new(),
+        refuses_unknown_keys: false,
         teams: [(
             "t".to_string(),
             Limit {
