moves: a version that nobody has tried isn't completed

A bad version was completed where each process had started again during its move: a process that starts learns the time of the move from its peers, but no answers of the version, and that nothing spoke against it counted as evidence for it.

Traffic switches only once 5 requests have ended at the new version, over all processes that are known. Where the service has few requests a fifth of them is enough, but only for a process that was there for nine tenths of the time: one that started later, or drains, can't tell that there are few. Otherwise the move is reverted at its end: a good version may then have to be ordered again.

--- a/components/moves/src/rollout.rs
+++ b/components/moves/src/rollout.rs
@@ -69,6 +69,16 @@
 /// than another attempt.
 const HOLD_LLR: (f64, f64) = (1.0, 3.0);
 
+/// Requests that must have ended at the new version before traffic switches: this number, or this share of
+/// the service's requests where there are few. That nothing speaks against a version that nobody has
+/// tried says nothing.
+const MIN_TRIED: f64 = 5.0;
+const MIN_TRIED_SHARE: f64 = 0.2;
+
+/// Part of the time since the order that a process must have been there for to tell that a service has few
+/// requests.
+const MIN_OBSERVED: f64 = 0.9;
+
 /// Lowest assumed failure rate of a bad version.
 const MIN_BAD_RATE: f64 = 0.2;
 
@@ -252,6 +262,8 @@
     exposure: Exposure,
     /// Earliest known time of the order.
     began: Clock,
+    /// Time at which this process received the order.
+    received: Clock,
     own: Counts,
     own_late: Vec<Late>,
     /// Requests for the service received by this process since the order.
@@ -275,6 +287,7 @@
             order,
             exposure,
             began: now,
+            received: now,
             own: Counts::new(),
             own_late: Vec::new(),
             requests: 0,
@@ -380,7 +393,8 @@
         if self.servers.is_some_and(|servers| servers.new == 0) {
             return false;
         }
-        if elapsed < first || elapsed < last && !self.remainder_fits(elapsed) {
+        if elapsed < first || elapsed < last && !self.remainder_fits(elapsed) || !self.is_tried(now)
+        {
             return false;
         }
         let lateness = ((elapsed - first) / (REPORT_FRACTION - first)).clamp(0.0, 1.0);
@@ -388,13 +402,30 @@
         self.log_likelihood_ratio() < min + (max - min) * lateness
     }
 
+    /// Returns whether enough requests have ended at the new version to tell something of it.
+    fn is_tried(&self, now: Clock) -> bool {
+        let counts = self.all_counts().flat_map(|counts| counts.values());
+        let ended: u32 = counts.map(|count| count.ended).sum();
+        let ended = f64::from(ended);
+        let observed = now.saturating_sub(self.received).as_secs_f64();
+        let since_order = now.saturating_sub(self.began).as_secs_f64();
+        if ended >= MIN_TRIED || observed < MIN_OBSERVED * since_order {
+            return ended >= MIN_TRIED;
+        }
+        let requests = self.all_requests();
+        ended >= requests.min(1.0).max((requests * MIN_TRIED_SHARE).floor())
+    }
+
+    /// Returns the number of requests for the service that all processes received.
+    fn all_requests(&self) -> f64 {
+        let peers = self.peers.values();
+        let peers = peers.map(|progress| f64::from(progress.requests));
+        f64::from(self.requests) + peers.sum::<f64>()
+    }
+
     /// Returns whether all requests still expected could go to a bad version within the bound.
     fn remainder_fits(&self, elapsed: f64) -> bool {
-        let peers = self
-            .peers
-            .values()
-            .map(|progress| f64::from(progress.requests));
-        let requests = f64::from(self.requests) + peers.sum::<f64>();
+        let requests = self.all_requests();
         let all = requests / elapsed.max(f64::MIN_POSITIVE);
         let bound = self.exposure.share * all + self.exposure.slack;
         all - requests + f64::from(self.samples_sent()) <= BOUND_FRACTION * bound
--- a/components/moves/tests/rollout.rs
+++ b/components/moves/tests/rollout.rs
@@ -275,6 +275,34 @@
     );
 }
 
+/// Guards against a bad version that is completed as nobody has tried it: each process has started again
+/// since, and knows the time of the move but no answer.
+#[rstest]
+#[case::no_answer(30, 0, State::Reverted)]
+#[case::few_answers(30, 3, State::Reverted)]
+#[case::answers(30, 5, State::Done)]
+#[case::hardly_any_requests(3, 0, State::Reverted)]
+#[case::no_request(0, 0, State::Reverted)]
+fn a_version_that_nobody_has_tried_is_not_completed(
+    #[case] requests: u32,
+    #[case] answers: u32,
+    #[case] state: State,
+) {
+    let started = Duration::from_secs(11);
+    let mut rollout = process(5, started);
+    let peer = process(5, Duration::ZERO).progress(started);
+    rollout.merge(started, 1, peer);
+    for number in 0..requests {
+        rollout.pick(started, 1, 0.99);
+        if number < answers {
+            rollout.record_end(started, 1, Side::New, Ending::Good);
+        } else {
+            rollout.record_end(started, 1, Side::Old, Ending::Good);
+        }
+    }
+    assert_eq!(rollout.state(Duration::from_millis(13_300)), state);
+}
+
 /// Another process ended the move. This process didn't receive its state but reads it from the
 /// store.
 #[rstest]
