--- a/components/admission/tests/retries.rs
+++ b/components/admission/tests/retries.rs
@@ -217,6 +217,28 @@
     assert_eq!(take(later, later), 19);
 }
 
+/// Guards against a replacement without a way back: of two retries that are taken together, none is taken
+/// if one is missing, and both count for the others' part.
+#[rstest]
+#[case::alone(1, 60)]
+#[case::of_five(5, 12)]
+fn retries_are_taken_together_or_not_at_all(#[case] processes: usize, #[case] pairs: usize) {
+    let now = Duration::from_secs(100);
+    let standing = Standing {
+        confirmed_at: Some(now),
+        ..standing(processes)
+    };
+    let mut retries = Retries::default();
+    let mut count = 0;
+    while retries.retries(now, &BOUND, standing, Purpose::Resume, 2) {
+        count += 1;
+    }
+    // 0.8 times 150, shared by the processes.
+    assert_eq!(count, pairs);
+    let left = retries.left(now, &BOUND, standing, Purpose::Resume);
+    assert_eq!(left, 120.0 - 2.0 * pairs as f64);
+}
+
 /// Guards against retries of a departed process that are told again and again, and never leave the
 /// window.
 #[test]
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -1,27 +1,13 @@
 //! Callers' connections.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
+    cell::RefCell,
     convert::Infallible,
-    io,
-    pin::Pin,
     rc::Rc,
-    task::{
-        self,
-        Poll,
-        ready, //
-    },
     time::Duration, //
 };
 
 use bytes::Bytes;
-use events::{
-    forwarding,
-    note, //
-};
 use http::{
     HeaderValue,
     Request,
@@ -35,22 +21,12 @@
 use http_body_util::BodyExt;
 use hyper::{
     body::Incoming,
-    rt::{
-        Read,
-        ReadBufCursor,
-        Write, //
-    },
     server::conn::http1,
     service::service_fn, //
 };
 use rustix::net::sockopt;
 use tokio::{
-    io::{
-        AsyncRead,
-        AsyncReadExt,
-        AsyncWrite,
-        ReadBuf, //
-    },
+    io::AsyncReadExt,
     net::{
         TcpListener,
         TcpStream, //
@@ -68,19 +44,23 @@
 use crate::{
     account::{
         self,
-        Charge,
         Connection, //
     },
     context::Context,
-    meter,
     protocol::Protocol,
-    requests::{
-        self,
-        Closer,
-        Stage,
-        Work, //
-    },
-    settings::Limits, //
+    requests::Closer, //
+};
+
+mod caller_stream;
+mod progress;
+
+pub(crate) use caller_stream::CallerStream;
+use progress::{
+    ActiveGuard,
+    ConnectionGuard,
+    Pending,
+    Progress,
+    Unwritten, //
 };
 
 /// Idle timeout of a connection while no document is known.
@@ -146,137 +126,6 @@
     }
 }
 
-/// State of a connection, by which its timeouts are applied.
-struct Progress {
-    connection: Connection,
-    /// Number of requests in progress. The rest of a body may end after the next request began.
-    running: Cell<usize>,
-    /// Time at which the last response ended, or the connection was opened.
-    idle_since: Cell<Option<Instant>>,
-    /// Time at which the first byte of the next request arrived.
-    request_began: Cell<Option<Instant>>,
-    /// Whether the last response asked its caller to come back later, and nothing was read since.
-    is_refused: Cell<bool>,
-    /// Responses that were taken and aren't written yet.
-    unwritten: RefCell<Vec<Pending>>,
-    /// Since when the caller has taken nothing of what is written.
-    blocked_since: Cell<Option<Instant>>,
-}
-
-/// What a response holds until it is written.
-struct Pending {
-    /// The request that it answers.
-    running: Option<requests::Guard>,
-    _active: Rc<ActiveGuard>,
-    _charge: Charge,
-}
-
-/// Part of a response's body. The connection keeps what is pending once the body is dropped, which is
-/// when its last byte was taken.
-struct Unwritten {
-    progress: Rc<Progress>,
-    pending: Option<Pending>,
-}
-
-impl Drop for Unwritten {
-    fn drop(&mut self) {
-        let Some(pending) = self.pending.take() else {
-            return;
-        };
-        if let Some(running) = &pending.running
-            && running.progress.work() == Work::Complete
-        {
-            running.progress.writing();
-        }
-        self.progress.unwritten.borrow_mut().push(pending);
-    }
-}
-
-/// Ends the requests of a connection when it is dropped, after the connection.
-struct ConnectionGuard(Rc<Progress>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        for pending in self.0.unwritten.take() {
-            let Some(running) = &pending.running else {
-                continue;
-            };
-            let request = &running.progress;
-            if request.stage() != Stage::Writing {
-                // A response that broke off is logged by its handler.
-                continue;
-            }
-            meter::answer_cut(request.closer(), request.work());
-            note!(
-                forwarding::UNWRITTEN,
-                id = request.id().as_str(),
-                route = request.route().as_deref(),
-                server = request.server().as_deref(),
-                by = request.closer().name(),
-                ms = request.arrived.elapsed().as_millis() as u64
-            );
-        }
-    }
-}
-
-/// Marks a request as in progress until its response is written.
-struct ActiveGuard(Rc<Progress>);
-
-impl Progress {
-    fn new(connection: Connection) -> Progress {
-        Progress {
-            connection,
-            running: Cell::default(),
-            idle_since: Cell::new(Some(Instant::now())),
-            request_began: Cell::default(),
-            is_refused: Cell::default(),
-            unwritten: RefCell::default(),
-            blocked_since: Cell::default(),
-        }
-    }
-
-    /// Returns the pause before a request: it has one if it was sent before the refusal of the one ahead
-    /// of it was read. Otherwise callers who don't read responses take the place of those who do.
-    fn pause(&self, limits: &Limits) -> Duration {
-        if !self.is_refused.replace(false) || limits.pipeline_pause.is_zero() {
-            return Duration::ZERO;
-        }
-        self.connection.record_held_back();
-        limits.pipeline_pause
-    }
-
-    fn is_running(&self) -> bool {
-        self.running.get() > 0
-    }
-
-    /// Returns when the connection is closed if the caller takes nothing of its response until then: it
-    /// isn't idle while it waits for its answer.
-    fn stuck_at(&self, idle_timeout: Duration) -> Option<Instant> {
-        let stuck_at = self.blocked_since.get()? + idle_timeout;
-        let until = self.connection.until();
-        Some(until.map_or(stuck_at, |until| until.max(stuck_at)))
-    }
-}
-
-impl ActiveGuard {
-    fn new(progress: Rc<Progress>) -> ActiveGuard {
-        progress.running.set(progress.running.get() + 1);
-        progress.request_began.set(None);
-        progress.connection.set_stage(account::Stage::Active);
-        ActiveGuard(progress)
-    }
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-        self.0.idle_since.set(Some(Instant::now()));
-        if !self.0.is_running() {
-            self.0.connection.set_stage(account::Stage::Idle);
-        }
-    }
-}
-
 /// Serves the requests of a connection until it is closed.
 async fn serve<P: Protocol + 'static>(
     stream: TcpStream,
@@ -481,108 +330,3 @@
     }
     progress.idle_since.get().unwrap_or_else(Instant::now) + idle_timeout
 }
-
-/// TCP connection in the form that hyper reads and writes. Records when a request begins.
-pub(crate) struct CallerStream {
-    inner: Rc<RefCell<TcpStream>>,
-    /// `None` where no timeouts apply.
-    progress: Option<Rc<Progress>>,
-}
-
-impl CallerStream {
-    pub(crate) fn new(inner: TcpStream) -> CallerStream {
-        CallerStream {
-            inner: Rc::new(RefCell::new(inner)),
-            progress: None,
-        }
-    }
-
-    fn record_read(&self, length: usize) {
-        let Some(progress) = &self.progress else {
-            return;
-        };
-        if length == 0 {
-            return;
-        }
-        progress.is_refused.set(false);
-        progress.connection.record_progress(length);
-        if !progress.is_running() && progress.request_began.get().is_none() {
-            progress.request_began.set(Some(Instant::now()));
-        }
-    }
-
-    fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        let Some(progress) = &self.progress else {
-            return;
-        };
-        match written {
-            Poll::Ready(Ok(length)) => {
-                progress.blocked_since.set(None);
-                progress.connection.record_progress(*length);
-            }
-            Poll::Ready(Err(_)) => {}
-            Poll::Pending => {
-                if progress.blocked_since.get().is_none() {
-                    progress.blocked_since.set(Some(Instant::now()));
-                }
-                progress.connection.record_blocked();
-            }
-        }
-    }
-}
-
-impl Read for CallerStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        waker: &mut task::Context<'_>,
-        mut cursor: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let mut bytes = [0; 8192];
-        let length = cursor.remaining().min(bytes.len());
-        let mut buffer = ReadBuf::new(&mut bytes[..length]);
-        ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(waker, &mut buffer))?;
-        let read = buffer.filled();
-        cursor.put_slice(read);
-        let length = read.len();
-        self.record_read(length);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for CallerStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        waker: &mut task::Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write(waker, bytes);
-        self.record_write(&written);
-        written
-    }
-
-    /// Hyper flushes only once all that it has was written.
-    fn poll_flush(self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
-        if let Some(progress) = &self.progress {
-            progress.unwritten.take();
-        }
-        Pin::new(&mut *self.inner.borrow_mut()).poll_flush(waker)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, waker: &mut task::Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(waker)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.borrow().is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        waker: &mut task::Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(waker, slices);
-        self.record_write(&written);
-        written
-    }
-}
