--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -91,7 +91,8 @@
             (true, Loss::Unreachable) => {}
             (true, _) => return Err(Denial::Occupied),
         }
-        if loss.leaves_living_server() && self.way_back.is_none() {
+        // Before the head of its answer a caller still gets a whole response, if only a failure.
+        if self.has_head && loss.leaves_living_server() && self.way_back.is_none() {
             let permits = self.context.may_replace(&self.call.service);
             let (permit, way_back) = permits.ok_or(Denial::RetriesSpent)?;
             self.unused.push(permit);
@@ -229,7 +230,7 @@
             None => None,
             Some(Err(failed)) => Some(failed),
             Some(Ok(run)) => {
-                let left = quiet.loss.leaves_living_server();
+                let left = self.way_back.is_some();
                 self.left = left.then(|| quiet.run.target.clone());
                 let mut head = std::pin::pin!(self.await_head(run));
                 tokio::select! {
