--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -86,8 +86,10 @@
 /// bytes. Systems allow less.
 const EXIT_SEND_BUFFER: usize = 1 << 20;
 
-/// Interval at which received bytes are discarded before the exit.
+/// Interval at which received bytes are discarded before the exit, and most reads each time: a caller who
+/// sends without end must not keep the thread.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_EXIT_READS: usize = 16;
 
 /// Time for the rest of the body of a request that has its response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -269,7 +271,11 @@
 /// Discards what a connection has received, as a process that exits resets connections with unread bytes.
 fn discard_received(stream: &TcpStream) {
     let mut bytes = [0; 8192];
-    while let Ok(1..) = stream.try_read(&mut bytes) {}
+    for _ in 0..MAX_EXIT_READS {
+        let Ok(1..) = stream.try_read(&mut bytes) else {
+            return;
+        };
+    }
 }
 
 /// Returns whether a response asks its caller to come back later.
