evidence: a run that fell silent at the moment of the crash before it was no held run

Cause, by a trace of such a run: a request is lost with its third server and is repeated at another silent one within the same millisecond. Processes tell each other ages in whole milliseconds, so at another gateway the repeat's silence may come before the crash that it follows. The run at the crash then counts as one that was held back, as its part was at three crashes before, and a request with the part waits until the end of a server's registration, although two causes were at it and neither had been held back.

Change: a run counts as held back at a crash only if that follows the crashes before it, by the gap that the attribution asks for elsewhere (MIN_CRASH_GAP): servers that fail at one moment don't.

--- a/components/contract/src/poison/evidence/attribution.rs
+++ b/components/contract/src/poison/evidence/attribution.rs
@@ -239,15 +239,15 @@
     }
 }
 
-/// Returns the held causes of the only held request at a silent server, if it came after the crashes for
-/// which they are held.
+/// Returns the held causes of the only held request at a silent server, if it follows the crashes for which
+/// they are held.
 fn undecided_causes(
     silence: &Crash,
     all: &[Crash],
     held: &BTreeSet<Fingerprint>,
 ) -> Option<BTreeSet<Fingerprint>> {
     let was_held = |cause: Fingerprint| {
-        let before = all.iter().take_while(|crash| crash.at < silence.at);
+        let before = all.iter().take_while(|crash| silence.follows(crash.at));
         before.filter(|crash| crash.has(cause)).count() >= MIN_CRASHES
     };
     let held_causes = |run: &Run| -> BTreeSet<Fingerprint> {
@@ -312,6 +312,11 @@
     fn has(&self, cause: Fingerprint) -> bool {
         self.runs.iter().any(|run| run.has(cause))
     }
+
+    /// Returns whether it came after one at the time `at`, not at one moment with it.
+    fn follows(&self, at: Clock) -> bool {
+        self.at >= at + MIN_CRASH_GAP
+    }
 }
 
 impl Run {
@@ -537,7 +542,7 @@
 fn successive_stages(cause: Fingerprint, crashes: &[&Crash]) -> impl Iterator<Item = Stage> {
     let mut last: Option<Clock> = None;
     crashes.iter().filter_map(move |crash| {
-        if last.is_some_and(|last| crash.at < last + MIN_CRASH_GAP) {
+        if last.is_some_and(|last| !crash.follows(last)) {
             return None;
         }
         let follows = |run: &&Run| {
--- a/components/contract/tests/silence.rs
+++ b/components/contract/tests/silence.rs
@@ -148,3 +148,33 @@
     evidence.record(later, later, &Subject::new(0, 0, []), answered);
     assert!(!evidence.is_undecided(&next));
 }
+
+/// Guards against a request that waits for a server which fell silent under two held parts: the repeat of
+/// one of them, at another server at the same moment, may seem to have come before.
+#[rstest]
+fn a_repeat_at_the_same_moment_holds_no_other_request(
+    #[values(0, 200, 1_000, 2_000)] gap_us: u64,
+    #[values(true, false)] seems_before: bool,
+) {
+    let (first, second) = (71, 72);
+    let stream = |request, part| Subject::new(5, request, [part]);
+    let mut evidence = Evidence::default();
+    let mut now = START;
+    for server in 0..3 {
+        now = START + INTERVAL * server;
+        for part in [first, second] {
+            let subject = stream(1000 + part + u128::from(server), part);
+            evidence.record(now, now, &subject, silent(server, Duration::ZERO));
+        }
+    }
+    let repeat = stream(1000 + first + 2, first);
+    let gap = Duration::from_micros(gap_us);
+    let at = match seems_before {
+        true => now - gap,
+        false => now + gap,
+    };
+    evidence.record(now + gap, at, &repeat, silent(3, Duration::ZERO));
+    let next = stream(2000, first);
+    assert!(evidence.held_causes(&next) > 0);
+    assert!(!evidence.is_undecided(&next));
+}
