gateway: no run of a request is sent to a version that was taken back meanwhile

What callers saw: a stream or a repeatable request whose run was lost at a new version failed although the old version would have served it; and the new version got requests after it was taken back.

Cause: a request's versions were selected once, and what came later used that selection. A plain request kept the one from before its wait for capacity for all its attempts. A stream was resumed at the server of the lost run, or from its copy at another one, and went back to a server that it had left, without asking for the version at all; its attempts were spent there.

Change: the versions are renewed before each send: a new request keeps what was picked for it while the rollout runs, a repeated one is selected like a resumed one. The server of a lost run, its copy, and the way back are out of the question once their version was taken back. The way back also asks for servers that take no run now, as each other choice does.

--- a/components/gateway/src/context.rs
+++ b/components/gateway/src/context.rs
@@ -28,7 +28,8 @@
     Clock,
     Route,
     Server,
-    Service, //
+    Service,
+    Version, //
 };
 use routing::placement::Said;
 use spread::Freshness;
@@ -142,6 +143,17 @@
     pub fn select_resumed(&self, service: &Service) -> Selection {
         self.rollouts.select_resumed(&self.fleet.borrow(), service)
     }
+
+    /// Renews the versions of a new request that is sent later than they were selected.
+    pub fn renew_selection(&self, service: &Service, selection: &mut Selection) {
+        let fleet = self.fleet.borrow();
+        self.rollouts.renew(&fleet, service, selection);
+    }
+
+    /// Returns whether a version of a service was taken back.
+    pub fn is_taken_back(&self, service: &Service, version: &Version) -> bool {
+        self.rollouts.is_taken_back(service, version)
+    }
 }
 
 impl<P: Protocol + 'static> Context<P> {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -302,6 +302,12 @@
     /// servers take no further run now.
     fn next(&mut self, occupied: &[Server]) -> Result<Placed, Unplaced> {
         let first = self.tried.is_empty();
+        let service = &self.call.service;
+        // The rollout may have ended since.
+        match first {
+            true => self.context.renew_selection(service, &mut self.selection),
+            false => self.selection = self.context.select_resumed(service),
+        }
         let overloads = &self.context.demands.overloads;
         // A send that reached no server took no capacity.
         let is_repeat = !first && self.unused.is_empty();
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -207,6 +207,33 @@
         Selection { constraint }
     }
 
+    /// Renews the versions of a new request that is sent later than they were selected.
+    pub fn renew(&self, fleet: &Fleet, service: &Service, selection: &mut Selection) {
+        let current = self.select_resumed(fleet, service);
+        let version = |selection: &Selection| {
+            let constraint = selection.constraint.as_ref();
+            constraint.map(|(_, version)| version.clone())
+        };
+        // A request that was picked for the new version is counted there.
+        let is_running = version(&current)
+            .is_some_and(|version| self.state(service, &version) == Some(State::Running));
+        if !is_running || version(selection) != version(&current) {
+            *selection = current;
+        }
+    }
+
+    /// Returns whether a version was taken back.
+    pub fn is_taken_back(&self, service: &Service, version: &Version) -> bool {
+        self.state(service, version) == Some(State::Reverted)
+    }
+
+    /// Returns the state of the rollout of a service to a version.
+    fn state(&self, service: &Service, to: &Version) -> Option<State> {
+        let rollouts = self.rollouts.borrow();
+        let rollout = rollouts.get(service)?;
+        (rollout.order().to == *to).then(|| rollout.state(clock::now()))
+    }
+
     /// Records the result of a request at a version.
     fn record_result(
         &self,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -262,7 +262,6 @@
             if self.timed_out() {
                 break;
             }
-            // The rollout may have ended since, which changes the allowed versions.
             self.selection = self.context.select_resumed(&self.call.service);
         }
         if failure.is_none()
@@ -303,6 +302,9 @@
             }
             let occupied = self.context.occupied_servers(&self.call);
             let may_run = self.context.may_run(&self.call, &mut self.ticket);
+            // The rollout may have ended since.
+            self.context
+                .renew_selection(&self.call.service, &mut self.selection);
             let choice = match may_run {
                 true => self.choose(resumption, &occupied),
                 false => Err(Unplaced::Occupied),
--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -74,6 +74,7 @@
     }
 
     fn reserve_replacement(&mut self, run: &Run, loss: Loss) -> Result<(), Denial> {
+        self.selection = self.context.select_resumed(&self.call.service);
         match self.call.pass.repeats {
             Repeats::Never => return Err(Denial::NotResumable),
             Repeats::Always if self.has_head => return Err(Denial::NotResumable),
@@ -167,7 +168,10 @@
         let fleet = self.context.fleet.borrow();
         let takes_it = fleet.accepts_work(&target.server) && fleet.allows_request(&target.server);
         drop(fleet);
-        if !takes_it {
+        let service = &self.call.service;
+        let is_taken_back = self.context.is_taken_back(service, &target.version);
+        let occupied = self.context.occupied_servers(&self.call);
+        if !takes_it || is_taken_back || occupied.contains(&target.server) {
             return None;
         }
         note!(
--- a/components/gateway/src/stream/selection.rs
+++ b/components/gateway/src/stream/selection.rs
@@ -89,7 +89,10 @@
                     None => fleet.borrow().accepts_work(&target.server),
                 };
                 let available = usable && !occupied.contains(&target.server);
-                let allowed = fleet.borrow().allows_request(&target.server);
+                let allowed = fleet.borrow().allows_request(&target.server)
+                    && !self
+                        .context
+                        .is_taken_back(&self.call.service, &target.version);
                 if available && allowed && self.may_send_to(&target.server) {
                     self.record_tried(&target);
                     return Ok((target, copy));
