answer: the oldest of two silent epochs is cancelled once a third is placed

What callers see: an answer of the product's own form ends although its engine goes on.

When two epochs were silent, the older one was cancelled before the third was placed. If no replica takes that, or the retry budget denies it, the answer has one silent epoch left; the other may have been merely paused.

Change: both are followed until the third is placed; then the oldest other one is cancelled. No further epoch is started meanwhile, so that at most three are followed.

Evidence: a_silent_epoch_is_kept_until_another_one_is_placed (4 cases) and a_placed_epoch_replaces_the_oldest_of_two_silent_ones failed before and pass now.

--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -1,7 +1,7 @@
 //! The entry's decisions about one answer: which epoch's tokens to accept, when to redial, when to
 //! start the next epoch, when to give up.
 //!
-//! At most two epochs are followed. A new token fences all other epochs: the first epoch to deliver
+//! At most two epochs are followed, and a third one until it is placed. A new token fences all other epochs: the first epoch to deliver
 //! the next index owns the answer. An epoch starts from exactly the tokens accepted so far, so the
 //! caller always receives a prefix of one generation's text, the owner's.
 //!
@@ -219,6 +219,7 @@
             attempt.state = State::Running;
             attempt.last_token_at = now;
         }
+        self.cancel_oldest(epoch, actions);
     }
 
     fn handle_no_place(
--- a/components/answer/src/resume/suspicion.rs
+++ b/components/answer/src/resume/suspicion.rs
@@ -23,7 +23,7 @@
     }, //
 };
 
-/// Maximum number of epochs followed at the same time.
+/// Maximum number of epochs followed at the same time, beside one that is being placed.
 const MAX_LIVE_EPOCHS: usize = 2;
 
 /// Divisor of the threshold that gives the silence after which an epoch is redialled.
@@ -155,13 +155,28 @@
     }
 
     fn start_hedge(&mut self, now: Clock, actions: &mut Vec<Action>) {
-        if self.attempts.len() >= MAX_LIVE_EPOCHS {
-            let oldest = self.attempts.remove(0);
-            self.avoid_server(oldest.server);
-            actions.push(Action::Cancel {
-                epoch: oldest.epoch,
-            });
+        if self.attempts.len() > MAX_LIVE_EPOCHS {
+            // One of them is still being placed.
+            self.next_suspicion_at = now + self.threshold.limit();
+            return;
         }
         self.start(now, Cause::Suspicion, actions);
     }
+
+    /// Cancels the oldest epoch beside one that was placed, if there are too many. Until then it may still
+    /// complete the answer.
+    pub(super) fn cancel_oldest(&mut self, placed: Epoch, actions: &mut Vec<Action>) {
+        if self.attempts.len() <= MAX_LIVE_EPOCHS {
+            return;
+        }
+        let mut others = self.attempts.iter().map(|attempt| attempt.epoch);
+        let oldest = others.find(|epoch| *epoch != placed);
+        let Some(oldest) = oldest.and_then(|epoch| self.remove(epoch)) else {
+            return;
+        };
+        self.avoid_server(oldest.server);
+        actions.push(Action::Cancel {
+            epoch: oldest.epoch,
+        });
+    }
 }
--- a/components/answer/tests/resume.rs
+++ b/components/answer/tests/resume.rs
@@ -479,3 +479,72 @@
     }
     assert_matches!(actions[..], [Action::Start { epoch: 2, .. }]);
 }
+
+/// What becomes of an epoch that is started beside two silent ones.
+#[derive(Clone, Copy, Debug)]
+enum Third {
+    NoPlace,
+    Refused,
+    Denied,
+    Unanswered,
+}
+
+/// Guards against an answer that ends although its first engine goes on: its epoch was cancelled for one
+/// that finds no engine.
+#[rstest]
+fn a_silent_epoch_is_kept_until_another_one_is_placed(
+    #[values(Third::NoPlace, Third::Refused, Third::Denied, Third::Unanswered)] third: Third,
+) {
+    let mut resume = Resume::new(settings(), Duration::ZERO);
+    let mut actions = Vec::new();
+    let mut now = Duration::ZERO;
+    for event in [begin(), placed(1), tokens(1, 0, "a b")] {
+        resume.handle(now, event, &mut actions);
+    }
+    now += SECOND * 2;
+    resume.handle(now, Event::Tick, &mut actions);
+    resume.handle(now, placed(2), &mut actions);
+    now += SECOND * 5;
+    actions.clear();
+    resume.handle(now, Event::Tick, &mut actions);
+    assert_matches!(actions.as_slice(), [Action::Start { epoch: 3, .. }]);
+    match third {
+        Third::NoPlace => resume.handle(now, no_place(3), &mut actions),
+        Third::Refused => resume.handle(now, refused(3), &mut actions),
+        Third::Denied => resume.handle(now, Event::Denied { epoch: 3 }, &mut actions),
+        Third::Unanswered => {}
+    }
+    for event in [tokens(1, 2, "c"), end(1, 3)] {
+        resume.handle(now, event, &mut actions);
+    }
+    assert!(resume.done());
+    let is_end = |action: &Action| matches!(action, Action::Finish(_));
+    assert!(actions.iter().any(is_end), "{actions:?}");
+}
+
+/// Guards against a third epoch beside two for longer than it takes to place it.
+#[test]
+fn a_placed_epoch_replaces_the_oldest_of_two_silent_ones() {
+    let mut resume = Resume::new(settings(), Duration::ZERO);
+    let mut actions = Vec::new();
+    let mut now = Duration::ZERO;
+    for event in [begin(), placed(1), tokens(1, 0, "a b")] {
+        resume.handle(now, event, &mut actions);
+    }
+    now += SECOND * 2;
+    for event in [Event::Tick, placed(2)] {
+        resume.handle(now, event, &mut actions);
+    }
+    now += SECOND * 5;
+    actions.clear();
+    for event in [Event::Tick, placed(3)] {
+        resume.handle(now, event, &mut actions);
+    }
+    assert_matches!(
+        actions.as_slice(),
+        [
+            Action::Start { epoch: 3, .. },
+            Action::Cancel { epoch: 1 }, //
+        ]
+    );
+}
