gateway: a request that was at a crash isn't sent to a server that is known to be silent

Only the first server that is chosen is checked before a send; the second one was the silent one.

Change: while all servers that could take such a request are known to be silent, it waits until one answers, or it is known what became of them, or its time is over. Plain requests and streams alike.

Evidence: a_request_at_a_crash_waits_while_all_servers_are_silent failed before (no response) and passes now.

--- a/components/gateway/src/crash_watch.rs
+++ b/components/gateway/src/crash_watch.rs
@@ -255,6 +255,14 @@
         }
     }
 
+    /// Returns whether a request whose server fell silent would now go to one that is silent too: that
+    /// would tell nothing of it, whatever becomes of the server.
+    pub fn tells_nothing(&self, call: &Call, target: &Target) -> bool {
+        !self.suspects.is_empty()
+            && self.suspects.is_silent(&target.server)
+            && self.suspects.is_unproven(call.fingerprint())
+    }
+
     /// Waits until the losses at a server are decided, or may be lost answers.
     async fn await_decision(&self, target: &Target) {
         let until = Instant::now() + DECISION_TIME;
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -270,6 +270,14 @@
                 true => Err(Unplaced::Occupied),
                 false => self.next(&occupied),
             };
+            let next = match next {
+                Ok(placed) if self.context.tells_nothing(&self.call, &placed.target) => {
+                    self.tried.pop();
+                    self.unused.push(placed.permit);
+                    Err(Unplaced::Occupied)
+                }
+                next => next,
+            };
             match next {
                 Ok(placed)
                     if !std::mem::replace(&mut self.is_checked, true)
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -310,6 +310,9 @@
                 false => Err(Unplaced::Occupied),
             };
             let unplaced = match choice {
+                Ok((target, _)) if self.context.tells_nothing(&self.call, &target) => {
+                    Unplaced::Occupied
+                }
                 // A second server isn't checked: all may be slow.
                 Ok((target, _))
                     if !std::mem::replace(&mut is_checked, true)
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -176,14 +176,20 @@
         );
     }
 
+    /// Returns whether a server is only known to be silent.
+    pub fn is_silent(&self, server: &Server) -> bool {
+        self.evidence.borrow().is_silent(beacon::id(server))
+    }
+
     /// Records that a server hasn't crashed, if it was taken for silent.
     pub fn record_answer(&self, server: &Server) {
-        let id = beacon::id(server);
-        if self.is_empty() || !self.evidence.borrow().is_silent(id) {
+        if self.is_empty() || !self.is_silent(server) {
             return;
         }
         let subject = Subject::new(0, 0, []);
-        let observation = Observation::Answered { server: id };
+        let observation = Observation::Answered {
+            server: beacon::id(server),
+        };
         if self.record_own(clock::now(), &subject, observation) {
             note!(forwarding::SERVER_ANSWERS, server = server.as_str());
         }
--- a/components/gateway/tests/silent_servers.rs
+++ b/components/gateway/tests/silent_servers.rs
@@ -435,3 +435,68 @@
         assert_eq!(runs, 1);
     });
 }
+
+/// Time after which a server is known to be silent, if others answer.
+const SILENCE_TIME: Duration = Duration::from_millis(1500);
+
+/// Time from a request to the registration of a server that answers.
+const REGISTRATION_TIME: Duration = Duration::from_millis(800);
+
+/// Guards against a request that was at a server's end and goes to one that is known to be silent: the end
+/// of that one, for another request, would count against it.
+#[test]
+fn a_request_at_a_crash_waits_while_all_servers_are_silent() {
+    common::run(async {
+        let kind = Kind::Unsafe;
+        let harness = Rc::new(Harness::with_document(document()));
+        let beside = start_sound().await;
+        harness.register("beside", Kind::Stream.service(), "a", beside.address);
+        let sound = harness.clone();
+        spawn_local(async move {
+            for number in 0.. {
+                let path = Kind::Stream.path(&format!("beside{number}"));
+                let sent = sound.request("beside", &path, Kind::Stream.headers());
+                drop((sent.await, sleep(SOUND_INTERVAL).await));
+            }
+        });
+        let send = |id: &'static str, name: &'static str| {
+            let harness = harness.clone();
+            spawn_local(async move { harness.request(id, &kind.path(name), "").await.1 })
+        };
+        for (server, requests) in [
+            ("s1", [("r1", "sound"), ("r2", "harmful")].as_slice()),
+            ("s2", [("r3", "harmful-too")].as_slice()),
+        ] {
+            let backend = Backend::start(|_, _| std::future::pending::<bool>()).await;
+            harness.register(server, kind.service(), "a", backend.address);
+            for (id, name) in requests {
+                send(id, name);
+            }
+            common::until(|| backend.request_count() == requests.len()).await;
+            backend.freeze();
+            sleep(SILENCE_TIME).await;
+        }
+        let again = send("r4", "sound");
+        sleep(REGISTRATION_TIME).await;
+        let answering = start_sound().await;
+        harness.register("s3", kind.service(), "a", answering.address);
+        let response = timeout(CALLER_TIME, again).await.expect("in time");
+        let response = response.expect("a task").expect("a response");
+        assert_eq!(response.status(), 200);
+    });
+}
+
+/// Starts a server that answers all requests.
+async fn start_sound() -> Backend {
+    Backend::start(|message: Message, connection| async move {
+        let id = message.header("id").unwrap_or_default();
+        if message.start_line.contains("/stream/") {
+            connection.write(&stream_head(id)).await;
+            write_events(&connection, 1, 2, RUN_TIME).await;
+        } else {
+            connection.write(&response(id, 200, "fine")).await;
+        }
+        true
+    })
+    .await
+}
