gateway: reports that waited while the process was paused tell of no later crashes

A process that was paused for 2.2 s read its peers' reports on three crashes with times of up to 2.2 s later. Crashes count as the same within 2 s, so that it took some of them for further ones, under the sound request alone, convicted that, and told the others.

Evidence: repeated_reports_tell_of_the_same_crashes: two reported crashes refused a request after a pause of 3.5 s; now they don't. Without a pause it passed before too.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -76,6 +76,14 @@
 /// while there are none.
 const POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(30);
 
+/// Time without a turn of the loop from which on this process was paused, and what arrived meanwhile isn't
+/// read yet.
+const MAX_TURN_TIME: std::time::Duration = std::time::Duration::from_millis(250);
+
+/// Maximum number of datagrams that are read as ones that arrived during a pause: more than the system
+/// keeps of the smallest.
+const MAX_BACKLOG: usize = 4096;
+
 /// Sends and receives the messages between gateways.
 pub struct Peers {
     socket: UdpSocket,
@@ -185,8 +193,13 @@
         let limited = self.shared.fleet.borrow().rate_limit_notify();
         let trials = self.shared.suspects.trials.notify();
         let mut sent = Instant::now();
+        let mut turn = sent;
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         loop {
+            if turn.elapsed() > MAX_TURN_TIME {
+                self.read_backlog(&mut bytes);
+            }
+            turn = Instant::now();
             self.report_demand();
             self.report_speeds();
             self.send_trials();
@@ -230,11 +243,44 @@
                         self.send_prompts(&prompts, &self.table.peers());
                     }
                 },
-                received = self.socket.recv_from(&mut bytes) => self.receive(received, &bytes),
+                received = self.socket.recv_from(&mut bytes) => {
+                    match turn.elapsed() > MAX_TURN_TIME {
+                        true => self.receive_late(received, &bytes),
+                        false => self.receive(received, &bytes),
+                    }
+                }
             }
         }
     }
 
+    /// Reads what arrived while this process was paused.
+    fn read_backlog(&mut self, bytes: &mut [u8]) {
+        for _ in 0..MAX_BACKLOG {
+            let received = self.socket.try_recv_from(bytes);
+            if received.is_err() {
+                return;
+            }
+            self.receive_late(received, bytes);
+        }
+    }
+
+    /// Handles a datagram that may have arrived long ago. What tells its age, or holds for a moment, would
+    /// be taken for newer than it is; its sender repeats that.
+    fn receive_late(&mut self, received: io::Result<(usize, SocketAddr)>, bytes: &[u8]) {
+        let Ok((length, _)) = received else {
+            return;
+        };
+        match postcard::from_bytes(&bytes[..length]) {
+            Ok(
+                Message::Crashes(_)
+                | Message::RateLimits(_)
+                | Message::Demand(_)
+                | Message::Trial(_),
+            ) => {}
+            _ => self.receive(received, bytes),
+        }
+    }
+
     /// Updates everything that depends on which peers are live.
     fn tick(&mut self) {
         let mut fleet = self.shared.fleet.borrow_mut();
