gateway: the line of a plain answer that broke off tells what its server did

What operators saw: MH1007 of a plain answer had neither `work`, `silence_ms` nor `stopping_ms`, though docs/EVENTS.md names them for each answer. No test read it, nor MH1051 and MH1052.

Change: the same fields as for a stream. What arrives of a long plain answer counts as a sign of its server.

--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -751,6 +751,7 @@
                 match timeout_at(call.until, connection.data()).await {
                     Ok(Ok(Some(data))) if sent + data.len() as u64 <= limit => {
                         sent += data.len() as u64;
+                        call.progress.heard();
                         yield Ok(data);
                     }
                     Ok(Ok(Some(_))) => break Some(upstream::Error::Excess(Bound::Body)),
@@ -775,12 +776,17 @@
             end(Outcome::Failed);
             context.fleet.borrow_mut().suspect(&server, Suspicion::Disconnected);
             call.progress.left();
-            meter::answer_cut(Closer::Response, call.progress.work());
+            let progress = &call.progress;
+            meter::answer_cut(Closer::Response, progress.work());
+            let stopping = context.shutdown.elapsed_until(Instant::now());
             note!(
                 forwarding::INCOMPLETE,
                 id = id,
                 reason = error.to_string().as_str(),
                 server = server.as_str(),
+                work = progress.work().name(),
+                silence_ms = progress.silence().map(|time| time.as_millis() as u64),
+                stopping_ms = stopping.map(|time| time.as_millis() as u64),
                 ms = call.arrived.elapsed().as_millis() as u64
             );
             yield Err(Abort);
--- a/components/gateway/src/stream/delivery.rs
+++ b/components/gateway/src/stream/delivery.rs
@@ -52,8 +52,7 @@
             meter::outcome("cut", self.call.arrived.elapsed());
             let progress = &self.call.progress;
             meter::answer_cut(Closer::Response, progress.work());
-            let stopping = self.context.shutdown.has_begun();
-            let stopping = stopping.then(|| self.context.shutdown.elapsed());
+            let stopping = self.context.shutdown.elapsed_until(Instant::now());
             note!(
                 forwarding::INCOMPLETE,
                 id = self.call.request.metadata.id.as_str(),
