--- a/components/answer/src/resume.rs
+++ b/components/answer/src/resume.rs
@@ -1,9 +1,10 @@
 //! The entry's decisions about one answer: which epoch's tokens to accept, when to redial, when to
 //! start the next epoch, when to give up.
 //!
-//! At most two epochs are followed, and a third one until it is placed. A new token fences all other epochs: the first epoch to deliver
-//! the next index owns the answer. An epoch starts from exactly the tokens accepted so far, so the
-//! caller always receives a prefix of one generation's text, the owner's.
+//! At most two epochs are followed, and a third one until it is placed. A new token fences all other
+//! epochs: the first epoch to deliver the next index owns the answer. An epoch starts from exactly the
+//! tokens accepted so far, so the caller always receives a prefix of one generation's text, the
+//! owner's.
 //!
 //! Obligations of the driver:
 //! - On [`Action::Start`] it picks a replica of the pinned version and sends it the kept tokens as
