gateway: a quiet run goes on while its replacement would have to wait

What callers would see: a stream stands still, and ends at its deadline, although its server goes on.

Cause: since a request that was at a crash waits while all servers are known to be silent (this session), and before that for places at servers and for limits on rates, the choice of the next server may wait. A quiet run beside it isn't read meanwhile. The check before a run is left asked for neither silent servers nor for what changes after it.

Change: while a quiet run may go on, the choice doesn't wait: the run is kept, and tried again later.

Evidence: a_quiet_run_is_not_left_for_a_server_known_to_be_silent failed before (no response in 4.5 s) and passes now, 3 of 3. platform/tests/cut_streams 18 of 18, quiet_streams, gateway quiet_streams 26 of 26.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -186,7 +186,7 @@
         loop {
             let chosen = match declined > MAX_DECLINED_SENDS {
                 true => None,
-                false => self.choose_allowed(&mut resumption).await,
+                false => self.choose_allowed(&mut resumption, quiet.is_some()).await,
             };
             if let Some((target, _)) = chosen.as_ref().filter(|_| self.ran_at.is_empty()) {
                 if !self.context.may_begin(&self.call) {
@@ -289,10 +289,12 @@
     /// Chooses a server like [`Session::choose`]. A request that must not be sent gets none; it waits
     /// while that isn't certain, and while runs are separated and each server has one. A request that
     /// has run also waits while the limits on the servers' request rates prevent its next run; others
-    /// are refused and may return.
+    /// are refused and may return. While a quiet run may go on, nothing waits: its events aren't read
+    /// meanwhile.
     async fn choose_allowed(
         &mut self,
         resumption: &mut Option<Resumption>,
+        is_quiet: bool,
     ) -> Option<(Target, Option<KvCopy>)> {
         let mut is_separated = false;
         let mut is_checked = false;
@@ -323,7 +325,7 @@
                 Ok(choice) => return Some(choice),
                 Err(unplaced) => unplaced,
             };
-            if self.timed_out() {
+            if self.timed_out() || is_quiet {
                 return None;
             }
             match unplaced {
--- a/components/gateway/src/stream/replacement.rs
+++ b/components/gateway/src/stream/replacement.rs
@@ -126,7 +126,7 @@
         if target.server == run.target.server {
             return Err(Denial::NoServer);
         }
-        if occupied.contains(&target.server) {
+        if occupied.contains(&target.server) || self.context.tells_nothing(&self.call, &target) {
             return Err(Denial::Occupied);
         }
         if loss.leaves_living_server() && !self.begins_before_exit(&target) {
--- a/components/gateway/src/stream/resumption.rs
+++ b/components/gateway/src/stream/resumption.rs
@@ -138,7 +138,7 @@
         while !self.timed_out() {
             let chosen = match declined > MAX_DECLINED_SENDS {
                 true => None,
-                false => self.choose_allowed(&mut resumption).await,
+                false => self.choose_allowed(&mut resumption, quiet.is_some()).await,
             };
             let denial = match chosen {
                 Some(_) => Denial::RetriesSpent,
